--- /dev/null
+++ b/cmake/package.cmake
@@ -0,0 +1,41 @@
+# vh_package(NAME [USES lib...]) makes the static library vh_NAME from src/*.c
+# and one test program per tests/test_*.cc; USES lists what it depends on.
+function(vh_package name)
+	cmake_parse_arguments(P "" "" "USES" ${ARGN})
+	file(GLOB srcs CONFIGURE_DEPENDS ${CMAKE_CURRENT_SOURCE_DIR}/src/*.c)
+	if(srcs)
+		add_library(vh_${name} STATIC ${srcs})
+		target_include_directories(vh_${name}
+			PUBLIC ${CMAKE_CURRENT_SOURCE_DIR}/include
+			PRIVATE ${CMAKE_CURRENT_SOURCE_DIR}/src)
+		target_link_libraries(vh_${name} PUBLIC ${P_USES})
+	else()
+		add_library(vh_${name} INTERFACE)
+		target_include_directories(vh_${name}
+			INTERFACE ${CMAKE_CURRENT_SOURCE_DIR}/include)
+		target_link_libraries(vh_${name} INTERFACE ${P_USES})
+	endif()
+	vh_package_tests(${name} vh_${name})
+endfunction()
+
+# vh_package_tests(NAME lib...) makes one test program per tests/test_*.cc,
+# and one benchmark program per tests/bench_*.c.
+function(vh_package_tests name)
+	file(GLOB tests CONFIGURE_DEPENDS
+		${CMAKE_CURRENT_SOURCE_DIR}/tests/test_*.cc)
+	foreach(t ${tests})
+		get_filename_component(base ${t} NAME_WE)
+		add_executable(${name}_${base} ${t})
+		target_link_libraries(${name}_${base} ${ARGN}
+			GTest::gtest GTest::gtest_main)
+		add_test(NAME ${name}_${base} COMMAND ${name}_${base})
+		set_tests_properties(${name}_${base} PROPERTIES TIMEOUT 300)
+	endforeach()
+	file(GLOB benches CONFIGURE_DEPENDS
+		${CMAKE_CURRENT_SOURCE_DIR}/tests/bench_*.c)
+	foreach(b ${benches})
+		get_filename_component(base ${b} NAME_WE)
+		add_executable(${name}_${base} ${b})
+		target_link_libraries(${name}_${base} ${ARGN})
+	endforeach()
+endfunction()
--- /dev/null
+++ b/packages/base/include/vh/buf.h
@@ -0,0 +1,44 @@
+#ifndef VH_BUF_H
+#define VH_BUF_H
+
+#include "vh/slice.h"
+
+/**
+ * struct vh_buf - a growable byte buffer that owns its memory
+ * @data: the bytes, not NUL-terminated
+ * @len: bytes in use
+ * @cap: bytes allocated
+ *
+ * Zeroed memory is an empty buffer. vh_buf_finish() frees it. Running out of
+ * memory aborts the process, as everywhere in this program.
+ */
+struct vh_buf {
+	char *data;
+	size_t len;
+	size_t cap;
+};
+
+void vh_buf_init(struct vh_buf *buf);
+void vh_buf_finish(struct vh_buf *buf);
+
+/* vh_buf_clear - empties the buffer and keeps its memory */
+void vh_buf_clear(struct vh_buf *buf);
+
+/* vh_buf_reserve - returns room for @n bytes behind the used ones */
+char *vh_buf_reserve(struct vh_buf *buf, size_t n);
+
+void vh_buf_add(struct vh_buf *buf, const void *data, size_t len);
+void vh_buf_add_slice(struct vh_buf *buf, struct vh_slice s);
+void vh_buf_add_str(struct vh_buf *buf, const char *str);
+void vh_buf_printf(struct vh_buf *buf, const char *fmt, ...)
+	__attribute__((format(printf, 2, 3)));
+
+/* vh_buf_drop - removes @n bytes from the front */
+void vh_buf_drop(struct vh_buf *buf, size_t n);
+
+static inline struct vh_slice vh_buf_slice(const struct vh_buf *buf)
+{
+	return vh_slice(buf->data, buf->len);
+}
+
+#endif
--- /dev/null
+++ b/packages/base/include/vh/clock.h
@@ -0,0 +1,65 @@
+#ifndef VH_CLOCK_H
+#define VH_CLOCK_H
+
+#include <stdint.h>
+#include <time.h>
+
+#define VH_MS_PER_S 1000
+#define VH_NS_PER_MS 1000000
+#define VH_NS_PER_S INT64_C(1000000000)
+
+/**
+ * struct vh_clock - where time comes from
+ * @mono: monotonic time; counts through suspends of the process
+ * @wall: wall-clock time; for people and records only, never for decisions
+ * @ctx: passed to both
+ *
+ * No module reads a clock but through one of these, so that tests choose the
+ * time. Instants cross interfaces as struct timespec; inside a module they
+ * may be kept as whole milliseconds of the monotonic clock, in int64_t fields
+ * whose names end in _ms.
+ */
+struct vh_clock {
+	struct timespec (*mono)(void *ctx);
+	struct timespec (*wall)(void *ctx);
+	void *ctx;
+};
+
+/* vh_clock_system - the machine's clocks */
+const struct vh_clock *vh_clock_system(void);
+
+/* vh_clock_ms - monotonic time in whole milliseconds */
+int64_t vh_clock_ms(const struct vh_clock *clock);
+
+/* vh_clock_wall_ms - milliseconds since 1970-01-01T00:00:00Z */
+int64_t vh_clock_wall_ms(const struct vh_clock *clock);
+
+static inline int64_t vh_time_ms(struct timespec t)
+{
+	return (int64_t)t.tv_sec * VH_MS_PER_S + t.tv_nsec / VH_NS_PER_MS;
+}
+
+static inline struct timespec vh_time_from_ms(int64_t ms)
+{
+	struct timespec t = { .tv_sec = (time_t)(ms / VH_MS_PER_S),
+			      .tv_nsec = (ms % VH_MS_PER_S) * VH_NS_PER_MS };
+
+	return t;
+}
+
+/**
+ * struct vh_fake_clock - a clock that moves only when told to
+ * @clock: pass this one on
+ * @mono: present monotonic time
+ * @wall: present wall-clock time
+ */
+struct vh_fake_clock {
+	struct vh_clock clock;
+	struct timespec mono;
+	struct timespec wall;
+};
+
+void vh_fake_clock_init(struct vh_fake_clock *fake, int64_t start_ms);
+void vh_fake_clock_advance(struct vh_fake_clock *fake, int64_t ms);
+
+#endif
--- /dev/null
+++ b/packages/base/include/vh/invariant.h
@@ -0,0 +1,45 @@
+#ifndef VH_INVARIANT_H
+#define VH_INVARIANT_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/**
+ * enum vh_inv - the promises, by number
+ *
+ * docs/ARCHITECTURE.md states each in full.
+ */
+enum vh_inv {
+	VH_I1_CAPACITY,
+	VH_I2_ONE_PLACE,
+	VH_I3_KEYS,
+	VH_I4_LIMITS,
+	VH_I5_ANSWERS,
+	VH_I6_NOT_RUN,
+	VH_I7_AT_MOST_ONCE,
+	VH_I8_LEAVING,
+	VH_I9_DRAIN,
+	VH_I10_CONFIG,
+	VH_INV_COUNT
+};
+
+/**
+ * vh_invariant - checks one promise
+ * @inv: which one
+ * @ok: whether it holds
+ * @fmt: what was seen, for the log
+ *
+ * Counts the check. When @ok is false it also counts a violation and logs it;
+ * after vh_invariant_set_abort(true) it aborts the process. Returns @ok.
+ */
+bool vh_invariant(enum vh_inv inv, bool ok, const char *fmt, ...)
+	__attribute__((format(printf, 3, 4)));
+
+void vh_invariant_set_abort(bool on);
+uint64_t vh_invariant_checked(enum vh_inv inv);
+uint64_t vh_invariant_violated(enum vh_inv inv);
+
+/* vh_invariant_name - for example "I1_capacity" */
+const char *vh_invariant_name(enum vh_inv inv);
+
+#endif
--- /dev/null
+++ b/packages/base/include/vh/log.h
@@ -0,0 +1,29 @@
+#ifndef VH_LOG_H
+#define VH_LOG_H
+
+#include <glib.h>
+#include <stdbool.h>
+
+/**
+ * vh_log_init - sends GLib's logs to standard error as JSON lines
+ * @node: name put into each line as "node"; copied
+ * @min_level: the least severe level written, e.g. G_LOG_LEVEL_INFO
+ *
+ * A line has the keys ts (RFC 3339, UTC), level, node and msg, then the
+ * fields given to vh_log(). Keys and bodies of callers are never logged.
+ */
+void vh_log_init(const char *node, GLogLevelFlags min_level);
+
+/* vh_log_level_from_name - "debug", "info", "warning", "error"; 0 if unknown */
+GLogLevelFlags vh_log_level_from_name(const char *name);
+
+/**
+ * vh_log - writes one line with typed fields
+ * @level: G_LOG_LEVEL_DEBUG, _INFO, _MESSAGE, _WARNING or _CRITICAL
+ * @msg: constant text
+ * @...: pairs of const char * name and const char * value, ended by NULL
+ */
+void vh_log(GLogLevelFlags level, const char *msg, ...)
+	__attribute__((sentinel));
+
+#endif
--- /dev/null
+++ b/tools/deps.sh
@@ -0,0 +1,15 @@
+#!/bin/sh
+# Installs what the build needs from Debian's packages, if it is missing.
+set -eu
+packages="gcc g++ cmake ninja-build pkg-config clang clang-format clang-tidy \
+cppcheck libevent-dev libmsgpack-dev libglib2.0-dev libjansson-dev libgtest-dev \
+curl"
+missing=""
+for p in $packages; do
+	dpkg-query -W -f='${Status}' "$p" 2>/dev/null | grep -q 'ok installed' ||
+		missing="$missing $p"
+done
+[ -z "$missing" ] && exit 0
+echo "installing:$missing"
+apt-get update -qq
+DEBIAN_FRONTEND=noninteractive apt-get install -y -qq $missing >/dev/null
