--- a/packages/base/src/error.c
+++ b/packages/base/src/error.c
@@ -32,7 +32,10 @@
 	[VH_ERR_INTERNAL] = { "internal", 500, VH_UNKNOWN, 0 },
 };
 
-G_DEFINE_QUARK(vh - error - quark, vh_error)
+GQuark vh_error_quark(void)
+{
+	return g_quark_from_static_string("vh-error-quark");
+}
 
 const struct vh_err_info *vh_err_info(enum vh_err kind)
 {
