Settle the interfaces between packages

Cause: several people build side by side; parts meet at headers and at the platform's HTTP interface.

--- /dev/null
+++ b/packages/kernel/tests/test_kernel.cc
@@ -0,0 +1,130 @@
+#include <gtest/gtest.h>
+
+#include <string>
+
+extern "C" {
+#include "vh/kernel.h"
+}
+
+namespace
+{
+struct probe {
+	std::string *trace;
+	const char *name;
+	struct vh_kernel *kernel;
+	struct vh_service service;
+	bool fail;
+};
+
+bool start(void *self, struct vh_kernel *kernel, GError **err)
+{
+	auto *p = static_cast<struct probe *>(self);
+
+	p->kernel = kernel;
+	if (p->fail) {
+		g_set_error(err, VH_ERROR, VH_ERR_INTERNAL, "no");
+		return false;
+	}
+	*p->trace += std::string("+") + p->name;
+	return true;
+}
+
+void drain(void *self)
+{
+	auto *p = static_cast<struct probe *>(self);
+
+	*p->trace += std::string("~") + p->name;
+	vh_kernel_drained(p->kernel, &p->service);
+}
+
+void stop(void *self)
+{
+	auto *p = static_cast<struct probe *>(self);
+
+	*p->trace += std::string("-") + p->name;
+}
+
+void setup(struct probe *p, std::string *trace, const char *name)
+{
+	*p = {};
+	p->trace = trace;
+	p->name = name;
+	p->service.name = name;
+	p->service.self = p;
+	p->service.start = start;
+	p->service.drain = drain;
+	p->service.stop = stop;
+}
+} // namespace
+
+TEST(Kernel, StartsInOrderDrainsAndStopsInReverse)
+{
+	std::string trace;
+	struct vh_kernel k;
+	struct probe a, b;
+	GError *err = nullptr;
+
+	vh_kernel_init(&k, vh_clock_system());
+	setup(&a, &trace, "a");
+	setup(&b, &trace, "b");
+	vh_kernel_add(&k, &a.service);
+	vh_kernel_add(&k, &b.service);
+	EXPECT_EQ(vh_kernel_find(&k, "b"), &b.service);
+	EXPECT_EQ(vh_kernel_find(&k, "c"), nullptr);
+	ASSERT_TRUE(vh_kernel_start(&k, &err));
+	vh_kernel_defer(
+		&k,
+		[](void *ctx) {
+			vh_kernel_drain(static_cast<struct vh_kernel *>(ctx));
+		},
+		&k);
+	vh_kernel_loop(&k);
+	EXPECT_EQ(trace, "+a+b~b~a-b-a");
+	vh_kernel_finish(&k);
+}
+
+TEST(Kernel, FailedStartStopsWhatRan)
+{
+	std::string trace;
+	struct vh_kernel k;
+	struct probe a, b;
+	GError *err = nullptr;
+
+	vh_kernel_init(&k, vh_clock_system());
+	setup(&a, &trace, "a");
+	setup(&b, &trace, "b");
+	b.fail = true;
+	vh_kernel_add(&k, &a.service);
+	vh_kernel_add(&k, &b.service);
+	EXPECT_FALSE(vh_kernel_start(&k, &err));
+	EXPECT_EQ(trace, "+a-a");
+	g_clear_error(&err);
+	vh_kernel_finish(&k);
+}
+
+TEST(Timer, FiresOnceAndCanBeStopped)
+{
+	struct vh_kernel k;
+	struct vh_timer fires, stopped;
+	static int count;
+
+	count = 0;
+	vh_kernel_init(&k, vh_clock_system());
+	vh_timer_init(
+		&fires, &k,
+		[](void *ctx) {
+			count++;
+			vh_kernel_stop(static_cast<struct vh_kernel *>(ctx));
+		},
+		&k);
+	vh_timer_init(
+		&stopped, &k, [](void *) { count += 100; }, nullptr);
+	vh_timer_start(&stopped, 0);
+	vh_timer_stop(&stopped);
+	vh_timer_start(&fires, 1);
+	vh_kernel_loop(&k);
+	EXPECT_EQ(count, 1);
+	vh_timer_finish(&fires);
+	vh_timer_finish(&stopped);
+	vh_kernel_finish(&k);
+}
--- /dev/null
+++ b/packages/policy/include/vh/place.h
@@ -0,0 +1,63 @@
+#ifndef VH_PLACE_H
+#define VH_PLACE_H
+
+#include "vh/job.h"
+
+/**
+ * struct vh_candidate - a worker as placement sees it
+ * @capacity: what it holds
+ * @free: capacity less commitments
+ * @rack, @zone, @region: small numbers given by the user; equal means same
+ * @same_job: tasks of the same service or job already there
+ * @same_rack, @same_zone: tasks of the same service or job in its rack, zone
+ * @failures: recent failures blamed on the worker
+ * @usable: false: skipped
+ */
+struct vh_candidate {
+	struct vh_res capacity;
+	struct vh_res free;
+	uint32_t rack;
+	uint32_t zone;
+	uint32_t region;
+	uint32_t same_job;
+	uint32_t same_rack;
+	uint32_t same_zone;
+	uint32_t failures;
+	bool usable;
+};
+
+/** struct vh_want - what is to be placed */
+struct vh_want {
+	struct vh_res size;
+	enum vh_class cls;
+	uint32_t region; /* preferred; UINT32_MAX for none */
+	bool spread;
+};
+
+enum vh_place_reason {
+	VH_PLACE_OK,
+	VH_PLACE_NONE_USABLE, /* no worker is usable now */
+	VH_PLACE_NEVER_FITS,  /* larger than any worker's capacity */
+	VH_PLACE_FULL,	      /* would fit an empty worker */
+};
+
+/**
+ * struct vh_place_result - the decision and why
+ * @index: chosen candidate; n if none
+ * @short_dim: for FULL and NEVER_FITS: the dimension short at the closest one
+ * @short_by: by how much
+ * @closest: that candidate; n if none
+ */
+struct vh_place_result {
+	enum vh_place_reason reason;
+	size_t index;
+	enum vh_dim short_dim;
+	uint32_t short_by;
+	size_t closest;
+};
+
+/* vh_place - pure; the same input gives the same decision */
+void vh_place(const struct vh_want *want, const struct vh_candidate *cands,
+	      size_t n, struct vh_place_result *out);
+
+#endif
--- /dev/null
+++ b/packages/state/include/vh/rack.h
@@ -0,0 +1,163 @@
+#ifndef VH_RACK_H
+#define VH_RACK_H
+
+#include "vh/sync.h"
+
+/**
+ * struct vh_vm - a worker as the platform's VM list gives it
+ * @gone: no longer listed, or listed as failed
+ */
+struct vh_vm {
+	struct vh_slice id;
+	struct vh_slice address; /* IP number */
+	uint16_t port;
+	struct vh_slice region;
+	struct vh_slice zone;
+	struct vh_slice rack;
+	struct vh_res capacity;
+	bool leaving;
+	bool gone;
+};
+
+/**
+ * struct vh_place_req - a home asks a rack's owner to run a task
+ * @start: not_after_ms is ignored; the rack sets it
+ * @deadline_ms: owner's clock: not decided later; 0 for none
+ */
+struct vh_place_req {
+	struct vh_start start;
+	int64_t deadline_ms;
+};
+
+/**
+ * struct vh_worker_view - what placement may look at, one per worker
+ * @free: capacity less what is committed
+ * @n_tasks: tasks committed
+ * @usable: adopted, not leaving, lease alive, not set aside
+ */
+struct vh_worker_view {
+	struct vh_slice id;
+	struct vh_res capacity;
+	struct vh_res free;
+	uint32_t n_tasks;
+	bool usable;
+};
+
+/**
+ * struct vh_rack_callbacks - what a rack tells its user
+ * @choose: picks a worker for @start among @n views; returns an index, or @n
+ *	    and sets *@why
+ * @placed: the worker took the start on
+ * @refused: it surely did not begin and will not (the commitment is undone)
+ * @ended: an attempt ended. Call vh_rack_end_settled() once the home has it;
+ *	   until then the end is told again after each adoption.
+ */
+struct vh_rack_callbacks {
+	size_t (*choose)(void *ctx, const struct vh_start *start,
+			 const struct vh_worker_view *views, size_t n,
+			 enum vh_err *why);
+	void (*placed)(void *ctx, struct vh_slice task, uint32_t attempt,
+		       struct vh_slice home, struct vh_slice worker);
+	void (*refused)(void *ctx, struct vh_slice task, uint32_t attempt,
+			struct vh_slice home, enum vh_err why);
+	void (*ended)(void *ctx, struct vh_slice worker,
+		      const struct vh_ended *ended);
+	void *ctx;
+};
+
+struct vh_rack_settings {
+	struct vh_slice name;
+	int64_t lease_ms;
+	int64_t renew_ms; /* renewal period */
+	int64_t start_void_ms;
+	int64_t clock_margin_ms; /* for drift over one lease */
+};
+
+/**
+ * struct vh_rack - one rack in the hands of its owner
+ *
+ * Pure: what is committed on each worker, what was told to it and what it
+ * said. Asserts I1 and I2 on each change. The user carries sync requests to
+ * workers: vh_rack_sync_due() says which are wanted.
+ */
+struct vh_rack;
+
+struct vh_rack *vh_rack_new(const struct vh_rack_settings *settings,
+			    const struct vh_rack_callbacks *callbacks);
+void vh_rack_free(struct vh_rack *r);
+
+/* vh_rack_vm - tells of a worker of this rack, whenever the list changes */
+void vh_rack_vm(struct vh_rack *r, const struct vh_vm *vm, int64_t now_ms);
+
+/* vh_rack_own - begins to own under @epoch; no worker is adopted yet */
+void vh_rack_own(struct vh_rack *r, uint64_t epoch, int64_t now_ms);
+
+/* vh_rack_disown - forgets all commitments; no callbacks */
+void vh_rack_disown(struct vh_rack *r);
+uint64_t vh_rack_epoch(const struct vh_rack *r); /* 0: not owned */
+
+/**
+ * vh_rack_fence_home - refuses starts of this home under older epochs
+ *
+ * Returns true if every worker of the rack that may run anything has been
+ * adopted, so that vh_rack_tasks_of() is the whole truth.
+ */
+bool vh_rack_fence_home(struct vh_rack *r, struct vh_slice home,
+			uint64_t home_epoch);
+
+/* vh_rack_tasks_of - calls @fn for each run of this home committed here,
+ * with the worker's id; ended but unsettled runs are told by ended() instead */
+void vh_rack_tasks_of(const struct vh_rack *r, struct vh_slice home,
+		      void (*fn)(void *ctx, const struct vh_running *run,
+				 struct vh_slice worker),
+		      void *ctx);
+
+/**
+ * vh_rack_place - decides on a start
+ *
+ * VH_OK: committed; placed() or refused() follows. The same task and attempt
+ * asked again is VH_OK again and decided once. Else nothing was committed and
+ * the error says why (VH_ERR_NO_CAPACITY, VH_ERR_NEVER_FITS,
+ * VH_ERR_STALE_EPOCH, VH_ERR_NOT_READY, VH_ERR_DEADLINE).
+ */
+enum vh_err vh_rack_place(struct vh_rack *r, const struct vh_place_req *req,
+			  int64_t now_ms);
+
+/* vh_rack_stop - asks to stop a run; ended() follows. VH_ERR_NOT_FOUND. */
+enum vh_err vh_rack_stop(struct vh_rack *r, struct vh_slice task,
+			 uint32_t attempt, enum vh_stop_mode mode);
+
+/**
+ * vh_rack_sync_due - the next worker that wants an exchange now
+ * @worker: set to its id
+ * @req: filled; its arrays are valid until the next call on @r
+ * @now_ms: read right before; starts whose time has run out are not sent
+ *
+ * Returns false if none is due. Each worker has one exchange under way at the
+ * most: a returned one must be ended with vh_rack_sync_done() or
+ * vh_rack_sync_failed().
+ */
+bool vh_rack_sync_due(struct vh_rack *r, int64_t now_ms,
+		      struct vh_slice *worker, struct vh_sync_req *req);
+void vh_rack_sync_done(struct vh_rack *r, struct vh_slice worker,
+		       const struct vh_sync_reply *reply, int64_t now_ms);
+
+/* vh_rack_sync_failed - VH_ERR_UNREACHABLE: surely not received;
+ * VH_ERR_STALE_EPOCH: fenced, the rack is disowned; else: unknown, told again */
+void vh_rack_sync_failed(struct vh_rack *r, struct vh_slice worker,
+			 enum vh_err err, int64_t now_ms);
+
+/* vh_rack_end_settled - the home has made the end durable */
+void vh_rack_end_settled(struct vh_rack *r, struct vh_slice task,
+			 uint32_t attempt);
+
+/* vh_rack_tick - lapses leases; returns when it wants the next call */
+int64_t vh_rack_tick(struct vh_rack *r, int64_t now_ms);
+
+/* vh_rack_views - calls @fn with each worker and where to reach it */
+void vh_rack_views(const struct vh_rack *r,
+		   void (*fn)(void *ctx, const struct vh_worker_view *view,
+			      const struct vh_vm *vm),
+		   void *ctx);
+
+#endif
--- /dev/null
+++ b/packages/state/include/vh/sync.h
@@ -0,0 +1,133 @@
+#ifndef VH_SYNC_H
+#define VH_SYNC_H
+
+#include "vh/error.h"
+#include "vh/job.h"
+
+/**
+ * enum vh_end - how a task's attempt ended
+ * @VH_END_DONE: the program ended with exit code 0
+ * @VH_END_FAILED: the program ended with another exit code
+ * @VH_END_STOPPED: stopped on request (cancel or preemption)
+ * @VH_END_LOST: began, and its worker or lease was lost
+ * @VH_END_VOID: surely never began
+ */
+enum vh_end {
+	VH_END_DONE,
+	VH_END_FAILED,
+	VH_END_STOPPED,
+	VH_END_LOST,
+	VH_END_VOID,
+	VH_END_COUNT
+};
+
+const char *vh_end_name(enum vh_end end);
+enum vh_end vh_end_from_name(struct vh_slice name); /* VH_END_COUNT: unknown */
+
+/* A task is named "JOB/INDEX"; with the attempt number that is one run. */
+
+/**
+ * struct vh_start - an order to a worker to run a task
+ * @home: unit "home/TEAM/K" that the job belongs to
+ * @home_epoch: epoch under which the home decided it
+ * @not_after_ms: on the worker's clock: begun by then or never
+ */
+struct vh_start {
+	struct vh_slice task;
+	uint32_t attempt;
+	struct vh_slice home;
+	uint64_t home_epoch;
+	enum vh_class cls;
+	struct vh_res size;
+	struct vh_slice service;
+	struct vh_slice input;
+	int64_t not_after_ms;
+};
+
+enum vh_stop_mode {
+	VH_STOP_KILL,
+	VH_STOP_CHECKPOINT,
+	VH_STOP_THROTTLE
+};
+
+struct vh_stop {
+	struct vh_slice task;
+	uint32_t attempt;
+	enum vh_stop_mode mode;
+};
+
+/**
+ * struct vh_sync_req - what an owner tells a worker; also a lease renewal
+ * @epoch: the rack's epoch; the worker refuses any lower than it has seen
+ * @lease_until_ms: on the worker's clock; 0 leaves the lease as it is
+ * @ack: ends up to this sequence number may be forgotten
+ * @full: answer with all running tasks, not only with what changed
+ * @wait_ms: hold the answer until a task ends, at most this long
+ */
+struct vh_sync_req {
+	uint64_t epoch;
+	struct vh_slice owner;
+	int64_t lease_until_ms;
+	uint64_t ack;
+	bool full;
+	uint32_t wait_ms;
+	const struct vh_start *starts;
+	size_t n_starts;
+	const struct vh_stop *stops;
+	size_t n_stops;
+};
+
+struct vh_running {
+	struct vh_slice task;
+	uint32_t attempt;
+	struct vh_slice home;
+	uint64_t home_epoch;
+	enum vh_class cls;
+	struct vh_res size;
+	struct vh_slice service;
+	uint32_t used_cpu_milli;
+	uint32_t used_mem_mb;
+	int64_t since_ms; /* on the worker's clock */
+};
+
+struct vh_ended {
+	uint64_t seq; /* 1, 2, ... for one incarnation of the worker */
+	struct vh_slice task;
+	uint32_t attempt;
+	struct vh_slice home;
+	enum vh_end end;
+	int32_t exit_code;
+	struct vh_slice result;
+};
+
+/** struct vh_refused - a start that the worker did not and will not begin */
+struct vh_refused {
+	struct vh_slice task;
+	uint32_t attempt;
+	struct vh_slice why;
+};
+
+/**
+ * struct vh_sync_reply - a worker's answer
+ * @epoch: highest epoch that it has seen
+ * @clock_ms: its monotonic clock when it answered
+ * @incarnation: changes whenever the worker starts anew, without tasks
+ * @leaving: the worker says itself that it is leaving
+ *
+ * A start that is not in @refused was taken on.
+ */
+struct vh_sync_reply {
+	uint64_t epoch;
+	int64_t clock_ms;
+	struct vh_slice incarnation;
+	bool leaving;
+	bool full;
+	const struct vh_running *running;
+	size_t n_running;
+	const struct vh_ended *ended;
+	size_t n_ended;
+	const struct vh_refused *refused;
+	size_t n_refused;
+};
+
+#endif
