Let nodes find and call each other

Frames of msgpack over TCP, authenticated on both sides by HMAC. Each node pings one other a heartbeat in random order; news of states and summaries rides on pings and acknowledgements within a byte budget, so that a node's load does not grow with their number. Calls have ids and time limits and say whether they were surely not received.

--- a/packages/peer/include/vh/peer.h
+++ b/packages/peer/include/vh/peer.h
@@ -5,6 +5,7 @@
 
 #define VH_PEER_FRAME_MAX (1u << 20) /* bytes; larger ones end a connection */
 #define VH_PEER_SUMMARY_MAX 512	     /* bytes */
+#define VH_NODE_NAME_MAX 48	     /* bytes in an id, region or zone */
 
 enum vh_node_state {
 	VH_NODE_ALIVE,
--- /dev/null
+++ b/packages/peer/src/members.c
@@ -0,0 +1,311 @@
+#include "members.h"
+
+#include "vh/log.h"
+
+/* The dead are remembered for this many times the time to be declared dead. */
+#define DEAD_KEPT_FACTOR 10
+
+static struct vh_slice copy(struct vh_slice s)
+{
+	return vh_slice(vh_slice_dup(s), s.len);
+}
+
+static void set_slice(struct vh_slice *to, struct vh_slice s)
+{
+	struct vh_slice old = *to;
+
+	if (vh_slice_eq(old, s))
+		return;
+	*to = copy(s);
+	g_free((char *)old.data);
+}
+
+static size_t add_node(struct vh_members *t, const struct vh_node *node)
+{
+	struct vh_node *n;
+
+	if (t->n == t->cap) {
+		t->cap = t->cap ? t->cap * 2 : 8;
+		t->nodes = g_renew(struct vh_node, t->nodes, t->cap);
+		t->members = g_renew(struct vh_member, t->members, t->cap);
+	}
+	n = &t->nodes[t->n];
+	*n = *node;
+	n->id = copy(node->id);
+	n->address = copy(node->address);
+	n->region = copy(node->region);
+	n->zone = copy(node->zone);
+	n->summary = copy(node->summary);
+	memset(&t->members[t->n], 0, sizeof(t->members[t->n]));
+	t->changed = true;
+	return t->n++;
+}
+
+static void free_node(struct vh_node *n)
+{
+	g_free((char *)n->id.data);
+	g_free((char *)n->address.data);
+	g_free((char *)n->region.data);
+	g_free((char *)n->zone.data);
+	g_free((char *)n->summary.data);
+}
+
+static void remove_node(struct vh_members *t, size_t i)
+{
+	free_node(&t->nodes[i]);
+	t->n--;
+	t->nodes[i] = t->nodes[t->n];
+	t->members[i] = t->members[t->n];
+	t->n_order = 0;
+	t->changed = true;
+}
+
+void vh_members_init(struct vh_members *t, const struct vh_node *self,
+		     int64_t suspect_ms, int64_t dead_ms, uint32_t seed)
+{
+	memset(t, 0, sizeof(*t));
+	t->suspect_ms = suspect_ms;
+	t->dead_ms = dead_ms;
+	t->rng = g_rand_new_with_seed(seed);
+	add_node(t, self);
+}
+
+void vh_members_finish(struct vh_members *t)
+{
+	for (size_t i = 0; i < t->n; i++)
+		free_node(&t->nodes[i]);
+	g_free(t->nodes);
+	g_free(t->members);
+	g_free(t->order);
+	g_rand_free(t->rng);
+	memset(t, 0, sizeof(*t));
+}
+
+size_t vh_members_find(const struct vh_members *t, struct vh_slice id)
+{
+	size_t i = 0;
+
+	while (i < t->n && !vh_slice_eq(t->nodes[i].id, id))
+		i++;
+	return i;
+}
+
+static void set_state(struct vh_members *t, size_t i, enum vh_node_state state,
+		      int64_t now_ms)
+{
+	struct vh_member *m = &t->members[i];
+
+	if (t->nodes[i].state != state)
+		t->changed = true;
+	t->nodes[i].state = state;
+	m->spread = 0;
+	m->changed_ms = now_ms;
+	if (state == VH_NODE_SUSPECT && !m->suspect_since_ms)
+		m->suspect_since_ms = now_ms;
+	if (state == VH_NODE_ALIVE || state == VH_NODE_DEAD)
+		m->suspect_since_ms = 0;
+}
+
+/* Does the news supersede what is known here? */
+static bool is_newer(const struct vh_node *n, const struct vh_member *m,
+		     const struct vh_news *news)
+{
+	if (news->counter != m->counter)
+		return news->counter > m->counter;
+	if (news->node.incarnation != n->incarnation)
+		return news->node.incarnation > n->incarnation;
+	return news->node.state > n->state;
+}
+
+/* Another process had or has this id, or others think this one is gone. */
+static void refute(struct vh_members *t, const struct vh_news *news)
+{
+	struct vh_node *self = &t->nodes[0];
+	struct vh_member *m = &t->members[0];
+	bool same = news->node.incarnation == self->incarnation;
+
+	if (same &&
+	    (news->counter < m->counter ||
+	     (news->counter == m->counter && news->node.state <= self->state)))
+		return;
+	if (!same && news->counter < m->counter)
+		return;
+	m->counter = news->counter + 1;
+	m->spread = 0;
+	m->summary_spread = 0;
+}
+
+static void take_summary(struct vh_members *t, size_t i,
+			 const struct vh_news *news)
+{
+	struct vh_member *m = &t->members[i];
+
+	if (!news->has_summary || news->summary_version <= m->summary_version)
+		return;
+	set_slice(&t->nodes[i].summary, news->node.summary);
+	m->summary_version = news->summary_version;
+	m->summary_spread = 0;
+}
+
+void vh_members_merge(struct vh_members *t, const struct vh_news *news,
+		      int64_t now_ms)
+{
+	const struct vh_node *from = &news->node;
+	size_t i = vh_members_find(t, from->id);
+	struct vh_node *n;
+	struct vh_member *m;
+
+	if (!i) {
+		refute(t, news);
+		return;
+	}
+	if (i == t->n) {
+		struct vh_node fresh = *from;
+
+		if (from->state == VH_NODE_DEAD)
+			return;
+		fresh.summary = vh_slice(NULL, 0);
+		i = add_node(t, &fresh);
+		t->members[i].counter = news->counter;
+		t->nodes[i].heard_ms = now_ms;
+		set_state(t, i, from->state, now_ms);
+		take_summary(t, i, news);
+		return;
+	}
+	n = &t->nodes[i];
+	m = &t->members[i];
+	if (is_newer(n, m, news)) {
+		bool reborn = from->incarnation != n->incarnation;
+		bool refuted = news->counter > m->counter;
+
+		if (reborn)
+			m->summary_version = 0;
+		n->incarnation = from->incarnation;
+		n->port = from->port;
+		set_slice(&n->address, from->address);
+		set_slice(&n->region, from->region);
+		set_slice(&n->zone, from->zone);
+		m->counter = news->counter;
+		if (reborn || refuted) {
+			m->suspect_since_ms = 0;
+			n->heard_ms = now_ms;
+		}
+		t->changed |= reborn;
+		set_state(t, i, from->state, now_ms);
+	}
+	if (from->incarnation == n->incarnation)
+		take_summary(t, i, news);
+}
+
+void vh_members_heard(struct vh_members *t, size_t i, int64_t now_ms)
+{
+	t->nodes[i].heard_ms = now_ms;
+	if (t->nodes[i].state == VH_NODE_LEAVING)
+		t->members[i].suspect_since_ms = 0;
+}
+
+void vh_members_unheard(struct vh_members *t, size_t i, int64_t now_ms)
+{
+	struct vh_member *m = &t->members[i];
+
+	if (t->nodes[i].state == VH_NODE_ALIVE)
+		set_state(t, i, VH_NODE_SUSPECT, now_ms);
+	else if (!m->suspect_since_ms && t->nodes[i].state != VH_NODE_DEAD)
+		m->suspect_since_ms = now_ms;
+}
+
+void vh_members_tick(struct vh_members *t, int64_t now_ms)
+{
+	for (size_t i = t->n; i-- > 1;) {
+		struct vh_member *m = &t->members[i];
+
+		if (t->nodes[i].state == VH_NODE_DEAD) {
+			if (now_ms - m->changed_ms >
+			    t->dead_ms * DEAD_KEPT_FACTOR)
+				remove_node(t, i);
+		} else if (m->suspect_since_ms &&
+			   now_ms - m->suspect_since_ms >=
+				   t->dead_ms - t->suspect_ms) {
+			set_state(t, i, VH_NODE_DEAD, now_ms);
+		}
+	}
+}
+
+void vh_members_paused(struct vh_members *t, int64_t ms)
+{
+	for (size_t i = 1; i < t->n; i++) {
+		t->members[i].changed_ms += ms;
+		if (t->members[i].suspect_since_ms)
+			t->members[i].suspect_since_ms += ms;
+	}
+}
+
+static void shuffle(struct vh_members *t)
+{
+	t->order = g_renew(size_t, t->order, t->cap);
+	t->n_order = 0;
+	t->next = 0;
+	for (size_t i = 1; i < t->n; i++) {
+		size_t at;
+
+		if (t->nodes[i].state == VH_NODE_DEAD)
+			continue;
+		at = (size_t)g_rand_int_range(t->rng, 0,
+					      (gint32)t->n_order + 1);
+		if (at != t->n_order)
+			t->order[t->n_order] = t->order[at];
+		t->order[at] = i;
+		t->n_order++;
+	}
+}
+
+size_t vh_members_next_probe(struct vh_members *t)
+{
+	for (int round = 0; round < 2; round++) {
+		while (t->next < t->n_order) {
+			size_t i = t->order[t->next++];
+
+			if (i < t->n && t->nodes[i].state != VH_NODE_DEAD)
+				return i;
+		}
+		shuffle(t);
+	}
+	return t->n;
+}
+
+size_t vh_members_random(struct vh_members *t, size_t except, size_t *out,
+			 size_t n)
+{
+	size_t got = 0, seen = 0;
+
+	for (size_t i = 1; i < t->n; i++) {
+		size_t at;
+
+		if (i == except || t->nodes[i].state != VH_NODE_ALIVE)
+			continue;
+		seen++;
+		if (got < n) {
+			out[got++] = i;
+			continue;
+		}
+		at = (size_t)g_rand_int_range(t->rng, 0, (gint32)seen);
+		if (at < n)
+			out[at] = i;
+	}
+	return got;
+}
+
+void vh_members_leave(struct vh_members *t, int64_t now_ms)
+{
+	t->members[0].counter++;
+	set_state(t, 0, VH_NODE_LEAVING, now_ms);
+}
+
+void vh_members_set_summary(struct vh_members *t, struct vh_slice summary)
+{
+	if (vh_slice_eq(t->nodes[0].summary, summary))
+		return;
+	set_slice(&t->nodes[0].summary, summary);
+	t->members[0].summary_version++;
+	t->members[0].summary_spread = 0;
+}
--- /dev/null
+++ b/packages/peer/src/peer_impl.h
@@ -0,0 +1,160 @@
+#ifndef VH_PEER_IMPL_H
+#define VH_PEER_IMPL_H
+
+#include <event2/listener.h>
+
+#include "link.h"
+#include "members.h"
+#include "vh/peer.h"
+
+#define VH_PEER_METHODS 256
+#define VH_PEER_CALL_BUCKETS 1024
+
+/**
+ * struct vh_call - a call under way
+ * @node: who is asked
+ * @link: the connection that it was sent on; NULL until it is sent
+ * @address: where a connection is being made to, while @link is NULL
+ */
+struct vh_call {
+	struct vh_peer *peer;
+	uint64_t id;
+	char node[VH_NODE_NAME_MAX + 1];
+	struct vh_link *link;
+	char address[VH_ADDRESS_MAX];
+	uint16_t port;
+	bool local;
+	unsigned int method;
+	struct vh_buf body;
+	struct event *timeout;
+	void (*done)(void *ctx, enum vh_err err, struct vh_slice body);
+	void *ctx;
+	struct vh_call *next;
+	struct vh_call **prev;
+};
+
+struct vh_peer_reply {
+	struct vh_peer *peer;
+	struct vh_link *link; /* NULL: asked by this node itself */
+	uint64_t call;
+	struct vh_peer_reply *next;
+	struct vh_peer_reply **prev;
+};
+
+/* Work for the next turn of the loop: an answer, or a call to oneself. */
+struct vh_later {
+	struct vh_later *next;
+	uint64_t local_call; /* 0: an answer */
+	void (*done)(void *ctx, enum vh_err err, struct vh_slice body);
+	void *ctx;
+	enum vh_err err;
+	struct vh_buf body;
+};
+
+struct vh_calls {
+	struct vh_call *buckets[VH_PEER_CALL_BUCKETS];
+	uint64_t last_id;
+	struct vh_peer_reply *replies;
+	struct vh_later *later;
+	struct vh_later **later_tail;
+	struct vh_timer timer;
+};
+
+/* An address that a connection was made to and what came of it. */
+struct vh_target {
+	struct vh_target *next;
+	char address[VH_ADDRESS_MAX];
+	uint16_t port;
+	unsigned int failures;
+	int64_t not_before_ms;
+	bool connecting;
+};
+
+/**
+ * struct vh_probe - a ping that has no answer yet
+ * @asker: for whom it was sent, and @asker_seq its number there; NULL: self
+ */
+struct vh_probe {
+	struct vh_probe *next;
+	uint64_t seq;
+	char id[VH_NODE_NAME_MAX + 1]; /* empty: a seed whose id is not known */
+	char address[VH_ADDRESS_MAX];
+	uint16_t port;
+	struct vh_link *link; /* NULL until sent */
+	int64_t since_ms;
+	bool helped;
+	struct vh_link *asker;
+	uint64_t asker_seq;
+};
+
+struct vh_probes {
+	struct vh_probe *head;
+	uint64_t last_seq;
+	uint64_t rounds;
+	size_t next_seed;
+	int64_t next_ms;
+	int64_t last_tick_ms;
+};
+
+struct vh_watch {
+	struct vh_watch *next;
+	void (*fn)(void *ctx);
+	void *ctx;
+};
+
+struct vh_handler {
+	void (*fn)(void *ctx, const struct vh_node *from, struct vh_slice body,
+		   struct vh_peer_reply *reply);
+	void *ctx;
+};
+
+struct vh_peer {
+	struct vh_kernel *kernel;
+	struct vh_service service;
+	struct vh_peer_settings settings;
+	struct vh_link_owner owner;
+	struct vh_members members;
+	struct evconnlistener *listener;
+	uint16_t port;
+	struct vh_link *links;
+	struct vh_target *targets;
+	struct vh_calls calls;
+	struct vh_probes probes;
+	struct vh_handler handlers[VH_PEER_METHODS];
+	struct vh_watch *watches;
+	struct vh_timer tick;
+	int64_t drain_at_ms; /* 0: not draining */
+	GRand *rng;
+};
+
+/* connect.c: connections */
+bool vh_peer_listen(struct vh_peer *p, GError **err);
+struct vh_link *vh_peer_ready_link(struct vh_peer *p, struct vh_slice id);
+
+/* vh_peer_connect - starts a connection unless one is being made; false
+ * during the backoff after a failure */
+bool vh_peer_connect(struct vh_peer *p, struct vh_slice address, uint16_t port);
+void vh_peer_connected(struct vh_peer *p, const struct vh_link *link);
+void vh_peer_forget_link(struct vh_peer *p, struct vh_link *link);
+void vh_peer_check_links(struct vh_peer *p, int64_t now_ms);
+void vh_peer_close_all(struct vh_peer *p);
+
+/* calls.c: calls and their answers */
+void vh_calls_init(struct vh_peer *p);
+void vh_calls_finish(struct vh_peer *p);
+void vh_calls_link_ready(struct vh_peer *p, struct vh_link *link);
+void vh_calls_link_closed(struct vh_peer *p, struct vh_link *link);
+bool vh_calls_asked(struct vh_peer *p, struct vh_link *link,
+		    const struct vh_frame *f);
+bool vh_calls_answered(struct vh_peer *p, const struct vh_frame *f);
+
+/* probe.c: heartbeats */
+void vh_probes_tick(struct vh_peer *p, int64_t now_ms);
+void vh_probes_finish(struct vh_peer *p);
+void vh_probes_link_ready(struct vh_peer *p, struct vh_link *link);
+void vh_probes_link_closed(struct vh_peer *p, struct vh_link *link);
+void vh_probes_keepalive(struct vh_peer *p, struct vh_link *link);
+bool vh_probes_frame(struct vh_peer *p, struct vh_link *link,
+		     const struct vh_frame *f);
+
+#endif
--- /dev/null
+++ b/packages/peer/tests/test_peer.cc
@@ -0,0 +1,298 @@
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+extern "C" {
+#include "vh/log.h"
+#include "vh/peer.h"
+}
+
+namespace
+{
+struct node {
+	struct vh_kernel *kernel;
+	struct vh_peer *peer;
+};
+
+/* Several nodes on one loop, each with a service list of its own. */
+class Peers : public ::testing::Test
+{
+      protected:
+	void SetUp() override
+	{
+		vh_kernel_init(&kernel, vh_clock_system());
+	}
+
+	void TearDown() override
+	{
+		for (auto *p : peers) {
+			if (p)
+				stop(p);
+		}
+		vh_kernel_finish(&kernel);
+	}
+
+	struct vh_peer *start(const std::string &id, uint16_t port,
+			      const std::string &secret,
+			      const std::vector<uint16_t> &seed_ports)
+	{
+		std::vector<std::string> texts;
+		std::vector<struct vh_slice> seeds;
+		struct vh_peer_settings s = {};
+		GError *err = nullptr;
+
+		for (auto sp : seed_ports)
+			texts.push_back("127.0.0.1:" + std::to_string(sp));
+		for (auto &t : texts)
+			seeds.push_back(vh_slice(t.data(), t.size()));
+		s.id = vh_slice(id.data(), id.size());
+		s.address = vh_slice_str("127.0.0.1");
+		s.port = port;
+		s.region = vh_slice_str("lahore");
+		s.zone = vh_slice_str("lahore-a");
+		s.secret = vh_slice(secret.data(), secret.size());
+		s.seeds = seeds.data();
+		s.n_seeds = seeds.size();
+		s.heartbeat_ms = 40;
+		s.suspect_ms = 200;
+		s.dead_ms = 500;
+		auto *p = vh_peer_new(&s, &kernel);
+		auto *svc = vh_peer_service(p);
+
+		EXPECT_TRUE(svc->start(svc->self, &kernel, &err));
+		peers.push_back(p);
+		return p;
+	}
+
+	void stop(struct vh_peer *p)
+	{
+		auto *svc = vh_peer_service(p);
+
+		svc->stop(svc->self);
+		vh_peer_free(p);
+		for (auto &q : peers) {
+			if (q == p)
+				q = nullptr;
+		}
+	}
+
+	bool run_until(const std::function<bool()> &cond, int limit_ms = 20000)
+	{
+		int64_t end = vh_kernel_now_ms(&kernel) + limit_ms;
+		struct timeval tv = { 0, 5000 };
+
+		while (!cond() && vh_kernel_now_ms(&kernel) < end) {
+			event_base_loopexit(kernel.base, &tv);
+			event_base_loop(kernel.base, EVLOOP_NO_EXIT_ON_EMPTY);
+		}
+		return cond();
+	}
+
+	static bool sees(struct vh_peer *p, const char *id,
+			 enum vh_node_state state)
+	{
+		auto *n = vh_peer_node(p, vh_slice_str(id));
+
+		return n && n->state == state;
+	}
+
+	struct vh_kernel kernel;
+	std::vector<struct vh_peer *> peers;
+};
+
+struct result {
+	int calls = 0;
+	enum vh_err err = VH_OK;
+	std::string body;
+};
+
+void done(void *ctx, enum vh_err err, struct vh_slice body)
+{
+	auto *r = static_cast<struct result *>(ctx);
+
+	r->calls++;
+	r->err = err;
+	r->body.assign(body.data ? body.data : "", body.len);
+}
+
+void echo(void *ctx, const struct vh_node *from, struct vh_slice body,
+	  struct vh_peer_reply *reply)
+{
+	std::string out(from->id.data, from->id.len);
+
+	(void)ctx;
+	out += ":" + std::string(body.data ? body.data : "", body.len);
+	vh_peer_answer(reply, VH_OK, vh_slice(out.data(), out.size()));
+}
+
+void hold(void *ctx, const struct vh_node *from, struct vh_slice body,
+	  struct vh_peer_reply *reply)
+{
+	(void)from;
+	(void)body;
+	static_cast<std::vector<struct vh_peer_reply *> *>(ctx)->push_back(
+		reply);
+}
+} // namespace
+
+TEST_F(Peers, JoinThroughSeedsAndLearnOthersByNews)
+{
+	auto *a = start("a", 0, "s", {});
+	auto *b = start("b", 0, "s", { vh_peer_port(a) });
+	auto *c = start("c", 0, "s", { vh_peer_port(a) });
+
+	EXPECT_TRUE(run_until([&] {
+		return sees(a, "b", VH_NODE_ALIVE) &&
+		       sees(a, "c", VH_NODE_ALIVE) &&
+		       sees(b, "c", VH_NODE_ALIVE) &&
+		       sees(c, "b", VH_NODE_ALIVE);
+	}));
+	EXPECT_EQ(vh_peer_node(b, vh_slice_str("c"))->port, vh_peer_port(c));
+}
+
+TEST_F(Peers, WrongSecretLearnsNothing)
+{
+	auto *a = start("a", 0, "right", {});
+	auto *b = start("b", 0, "wrong", { vh_peer_port(a) });
+	auto *c = start("c", 0, "right", { vh_peer_port(a) });
+	const struct vh_node *nodes;
+
+	ASSERT_TRUE(run_until([&] { return sees(a, "c", VH_NODE_ALIVE); }));
+	run_until([] { return false; }, 300);
+	EXPECT_EQ(vh_peer_nodes(b, &nodes), 1u);
+	EXPECT_EQ(vh_peer_nodes(a, &nodes), 2u);
+	EXPECT_TRUE(sees(c, "a", VH_NODE_ALIVE));
+}
+
+TEST_F(Peers, CallsToOthersAndToOneself)
+{
+	auto *a = start("a", 0, "s", {});
+	auto *b = start("b", 0, "s", { vh_peer_port(a) });
+	struct result self, other, none, method;
+
+	vh_peer_handle(a, 20, echo, nullptr);
+	vh_peer_handle(b, 20, echo, nullptr);
+	ASSERT_TRUE(run_until([&] { return sees(a, "b", VH_NODE_ALIVE); }));
+	vh_peer_call(a, vh_slice_str("b"), 20, vh_slice_str("x"), 5000, done,
+		     &other);
+	vh_peer_call(a, vh_slice_str("a"), 20, vh_slice_str("y"), 5000, done,
+		     &self);
+	vh_peer_call(a, vh_slice_str("nobody"), 20, vh_slice_str("z"), 5000,
+		     done, &none);
+	vh_peer_call(a, vh_slice_str("b"), 21, vh_slice_str("z"), 5000, done,
+		     &method);
+	EXPECT_EQ(self.calls + none.calls, 0) << "answers come later";
+	ASSERT_TRUE(run_until([&] {
+		return self.calls && other.calls && none.calls && method.calls;
+	}));
+	EXPECT_EQ(self.body, "a:y");
+	EXPECT_EQ(other.body, "a:x");
+	EXPECT_EQ(none.err, VH_ERR_UNREACHABLE);
+	EXPECT_EQ(method.err, VH_ERR_METHOD);
+}
+
+TEST_F(Peers, LargeBodiesAndOnesThatDoNotFit)
+{
+	auto *a = start("a", 0, "s", {});
+	auto *b = start("b", 0, "s", { vh_peer_port(a) });
+	std::string big(900000, 'q'), huge(VH_PEER_FRAME_MAX, 'q');
+	struct result r1, r2;
+
+	vh_peer_handle(b, 20, echo, nullptr);
+	ASSERT_TRUE(run_until([&] { return sees(a, "b", VH_NODE_ALIVE); }));
+	vh_peer_call(a, vh_slice_str("b"), 20, vh_slice(big.data(), big.size()),
+		     5000, done, &r1);
+	vh_peer_call(a, vh_slice_str("b"), 20,
+		     vh_slice(huge.data(), huge.size()), 5000, done, &r2);
+	ASSERT_TRUE(run_until([&] { return r1.calls && r2.calls; }));
+	EXPECT_EQ(r1.err, VH_OK);
+	EXPECT_EQ(r1.body.size(), big.size() + 2);
+	EXPECT_EQ(r2.err, VH_ERR_TOO_LARGE);
+}
+
+TEST_F(Peers, OutcomeIsUnknownAfterSendingAndUnreachableBefore)
+{
+	auto *a = start("a", 0, "s", {});
+	auto *b = start("b", 0, "s", { vh_peer_port(a) });
+	std::vector<struct vh_peer_reply *> held;
+	struct result late, cut, gone;
+
+	vh_peer_handle(b, 20, hold, &held);
+	ASSERT_TRUE(run_until([&] { return sees(a, "b", VH_NODE_ALIVE); }));
+	vh_peer_call(a, vh_slice_str("b"), 20, vh_slice_str(""), 50, done,
+		     &late);
+	ASSERT_TRUE(run_until([&] { return late.calls > 0; }));
+	EXPECT_EQ(late.err, VH_ERR_UNKNOWN_OUTCOME);
+	ASSERT_EQ(held.size(), 1u);
+	vh_peer_answer(held[0], VH_OK, vh_slice_str("too late"));
+	vh_peer_call(a, vh_slice_str("b"), 20, vh_slice_str(""), 20000, done,
+		     &cut);
+	ASSERT_TRUE(run_until([&] { return held.size() == 2; }));
+	stop(b);
+	ASSERT_TRUE(run_until([&] { return cut.calls > 0; }));
+	EXPECT_EQ(cut.err, VH_ERR_UNKNOWN_OUTCOME);
+	EXPECT_EQ(late.calls, 1);
+	vh_peer_call(a, vh_slice_str("b"), 20, vh_slice_str(""), 20000, done,
+		     &gone);
+	ASSERT_TRUE(run_until([&] { return gone.calls > 0; }));
+	EXPECT_EQ(gone.err, VH_ERR_UNREACHABLE);
+}
+
+TEST_F(Peers, DeadLeavingAndRestarted)
+{
+	auto *a = start("a", 0, "s", {});
+	auto *b = start("b", 0, "s", { vh_peer_port(a) });
+	auto *c = start("c", 0, "s", { vh_peer_port(a) });
+
+	ASSERT_TRUE(run_until([&] {
+		return sees(a, "b", VH_NODE_ALIVE) &&
+		       sees(b, "c", VH_NODE_ALIVE) &&
+		       sees(c, "b", VH_NODE_ALIVE);
+	}));
+	uint64_t old = vh_peer_node(a, vh_slice_str("b"))->incarnation;
+	uint16_t port = vh_peer_port(b);
+
+	stop(b);
+	EXPECT_TRUE(run_until([&] {
+		return sees(a, "b", VH_NODE_DEAD) && sees(c, "b", VH_NODE_DEAD);
+	}));
+	b = start("b", port, "s", { vh_peer_port(a) });
+	EXPECT_TRUE(run_until([&] {
+		return sees(a, "b", VH_NODE_ALIVE) &&
+		       sees(c, "b", VH_NODE_ALIVE) &&
+		       sees(b, "c", VH_NODE_ALIVE);
+	}));
+	EXPECT_NE(vh_peer_node(c, vh_slice_str("b"))->incarnation, old);
+	vh_peer_leave(c);
+	EXPECT_TRUE(run_until([&] {
+		return sees(a, "c", VH_NODE_LEAVING) &&
+		       sees(b, "c", VH_NODE_LEAVING);
+	}));
+	stop(c);
+	EXPECT_TRUE(run_until([&] { return sees(a, "c", VH_NODE_DEAD); }));
+}
+
+TEST_F(Peers, SummariesSpread)
+{
+	auto *a = start("a", 0, "s", {});
+	auto *b = start("b", 0, "s", { vh_peer_port(a) });
+	auto *c = start("c", 0, "s", { vh_peer_port(a) });
+
+	auto has = [&](struct vh_peer *p, const char *id, const char *text) {
+		auto *n = vh_peer_node(p, vh_slice_str(id));
+
+		return n && vh_slice_eq_str(n->summary, text);
+	};
+	vh_peer_set_summary(b, vh_slice_str("one"));
+	EXPECT_TRUE(run_until([&] { return has(c, "b", "one"); }));
+	vh_peer_set_summary(b, vh_slice_str("two"));
+	EXPECT_TRUE(run_until(
+		[&] { return has(c, "b", "two") && has(a, "b", "two"); }));
+}
