--- a/packages/model/include/vh/objects.h
+++ b/packages/model/include/vh/objects.h
@@ -6,6 +6,7 @@
 #include "vh/buf.h"
 #include "vh/error.h"
 #include "vh/job.h"
+#include "vh/problem.h"
 
 #define VH_KEY_HASH_BYTES 32 /* SHA-256 of the key's text */
 
@@ -119,35 +120,6 @@
 	struct vh_objects_priv *priv;
 };
 
-/**
- * struct vh_problem - one mistake in a set of objects
- * @warning: true: the set may still be published
- */
-struct vh_problem {
-	char *file;
-	char *group;
-	char *key;  /* may be NULL */
-	char *text; /* what is wrong and what would be right */
-	bool warning;
-};
-
-struct vh_problems {
-	struct vh_problem *items;
-	size_t n;
-	size_t n_errors; /* items that are not warnings */
-};
-
-void vh_problems_init(struct vh_problems *p);
-void vh_problems_finish(struct vh_problems *p);
-
-/**
- * struct vh_source - one INI file of a set
- */
-struct vh_source {
-	struct vh_slice file; /* name for messages */
-	struct vh_slice text;
-};
-
 /**
  * vh_objects_load - reads and checks a whole set
  * @set: uninitialized memory; on true it holds the set, to be given back with
