--- a/packages/model/include/vh/objects.h
+++ b/packages/model/include/vh/objects.h
@@ -143,6 +143,12 @@
 const struct vh_service_object *vh_objects_service(const struct vh_objects *set,
 						   struct vh_slice name);
 
+/* vh_key_hash - SHA-256 of a key or token, VH_KEY_HASH_BYTES bytes */
+void vh_key_hash(struct vh_slice key, unsigned char *hash);
+
+/* vh_key_hash_parse - from hexadecimal; false if malformed */
+bool vh_key_hash_parse(const char *hex, unsigned char *out);
+
 /**
  * vh_objects_authenticate - finds the key that a caller presents
  * @key: the key's text
--- a/packages/model/src/objects.c
+++ b/packages/model/src/objects.c
@@ -196,7 +196,22 @@
 		    name);
 }
 
-static void hash_key(struct vh_slice key, unsigned char *hash)
+bool vh_key_hash_parse(const char *hex, unsigned char *out)
+{
+	if (strlen(hex) != 2 * VH_KEY_HASH_BYTES)
+		return false;
+	for (size_t i = 0; i < VH_KEY_HASH_BYTES; i++) {
+		int hi = g_ascii_xdigit_value(hex[2 * i]);
+		int lo = g_ascii_xdigit_value(hex[2 * i + 1]);
+
+		if (hi < 0 || lo < 0)
+			return false;
+		out[i] = (unsigned char)(hi << 4 | lo);
+	}
+	return true;
+}
+
+void vh_key_hash(struct vh_slice key, unsigned char *hash)
 {
 	GChecksum *sum = g_checksum_new(G_CHECKSUM_SHA256);
 	gsize len = VH_KEY_HASH_BYTES;
@@ -215,7 +230,7 @@
 
 	if (!key.len)
 		return NULL;
-	hash_key(key, hash);
+	vh_key_hash(key, hash);
 	want = vh_slice((const char *)hash, sizeof(hash));
 	for (size_t i = 0; i < set->n_keys; i++) {
 		const char *have = (const char *)set->priv->hashes[i];
--- a/packages/model/src/objects_read.c
+++ b/packages/model/src/objects_read.c
@@ -272,21 +272,6 @@
 		   &t->preempt_per_min, problems);
 }
 
-static bool hash_parse(const char *hex, unsigned char *out)
-{
-	if (strlen(hex) != 2 * VH_KEY_HASH_BYTES)
-		return false;
-	for (size_t i = 0; i < VH_KEY_HASH_BYTES; i++) {
-		int hi = g_ascii_xdigit_value(hex[2 * i]);
-		int lo = g_ascii_xdigit_value(hex[2 * i + 1]);
-
-		if (hi < 0 || lo < 0)
-			return false;
-		out[i] = (unsigned char)(hi << 4 | lo);
-	}
-	return true;
-}
-
 static void read_key(struct vh_objects *set, const struct vh_ini_group *g,
 		     const struct object_groups *groups, struct vh_key *k,
 		     struct vh_problems *problems)
@@ -296,7 +281,7 @@
 
 	k->name = keep(set, g->name);
 	k->team = team < 0 ? NULL : &set->teams[team];
-	if (!hex || !hash_parse(hex, k->hash)) {
+	if (!hex || !vh_key_hash_parse(hex, k->hash)) {
 		vh_ini_problem(problems, g, "sha256",
 			       "%s; expected %d hexadecimal digits, the "
 			       "SHA-256 of the key's text",
