Add the log's records, streams and claims

Batches carry writer, sequence number and epoch under one checksum. A stream reads in order, drops duplicates and batches of deposed epochs, sends an append again under the same number until it is seen in the log, and tells when retention has removed unread records.

--- a/packages/state/include/vh/record.h
+++ b/packages/state/include/vh/record.h
@@ -36,7 +36,8 @@
  *
  * Format: msgpack array [version, writer, seq, epoch, checksum, records],
  * records being a byte string of concatenated [kind, body] arrays, checksum
- * the first 8 bytes of its SHA-256.
+ * the first 8 bytes of the SHA-256 of the packed writer, seq and epoch and
+ * the records.
  */
 struct vh_batch {
 	struct vh_slice writer;
--- a/packages/state/include/vh/stream.h
+++ b/packages/state/include/vh/stream.h
@@ -77,6 +77,34 @@
 	uint64_t seed; /* of the backoff's jitter */
 };
 
+/**
+ * struct vh_stream_stats - counters
+ * @batches: applied, others' and own
+ * @corrupt: torn, altered or of an unknown version; skipped
+ * @duplicates: dropped by their writer's sequence number
+ * @stale: dropped by their epoch
+ * @appends: sent, repeats included
+ * @records: put into own batches
+ * @append_errors: appends whose reply was an error
+ * @timeouts: replies given up
+ * @refused: appends refused for want of room
+ * @service_errors: answers of the log that contradict earlier ones
+ * @gone: times that retention had removed unread records
+ */
+struct vh_stream_stats {
+	uint64_t batches;
+	uint64_t corrupt;
+	uint64_t duplicates;
+	uint64_t stale;
+	uint64_t appends;
+	uint64_t records;
+	uint64_t append_errors;
+	uint64_t timeouts;
+	uint64_t refused;
+	uint64_t service_errors;
+	uint64_t gone;
+};
+
 /**
  * struct vh_stream - reads one stream in order and appends to it in batches
  *
@@ -90,16 +118,29 @@
 				const struct vh_stream_callbacks *callbacks);
 void vh_stream_free(struct vh_stream *s);
 
-/* vh_stream_start - begins reading at @from; @epoch goes into own batches */
+/**
+ * vh_stream_start - begins reading at @from, or anew there after gone()
+ *
+ * A batch under way at a later start may or may not have been seen by others:
+ * its appends end with VH_ERR_UNKNOWN_OUTCOME. Nothing is appended before the
+ * first start.
+ */
 void vh_stream_start(struct vh_stream *s, uint64_t from, int64_t now_ms);
+
+/* vh_stream_set_epoch - goes into batches of records queued from now on */
 void vh_stream_set_epoch(struct vh_stream *s, uint64_t epoch);
 
+/* vh_stream_set_opened - the newest epoch of a VH_REC_OPEN that a snapshot
+ * tells of: batches of older ones are dropped */
+void vh_stream_set_opened(struct vh_stream *s, uint64_t epoch);
+
 /**
  * vh_stream_append - queues one record
  * @done: called once, after the record was applied through
  *	  callbacks->batch(): VH_OK and its offset. VH_ERR_STALE_EPOCH: a newer
  *	  owner opened the stream first and the record has no effect.
  *	  VH_ERR_LOG_UNAVAILABLE: refused now, the record will never appear.
+ *	  VH_ERR_UNKNOWN_OUTCOME: only after gone() and a new start.
  *
  * There is no other failure: once queued, a record is tried until one of
  * these is certain. Its user may stop waiting, then the outcome is unknown.
@@ -122,4 +163,6 @@
  * append that reached the end of the stream; INT64_MIN if none did */
 int64_t vh_stream_fresh_ms(const struct vh_stream *s);
 
+const struct vh_stream_stats *vh_stream_stats(const struct vh_stream *s);
+
 #endif
--- /dev/null
+++ b/packages/state/src/stream.c
@@ -0,0 +1,254 @@
+#include "stream_priv.h"
+
+#define READ_MAX_BYTES (256 * 1024)
+
+struct vh_stream *vh_stream_new(const struct vh_stream_settings *settings,
+				const struct vh_log_transport *transport,
+				const struct vh_stream_callbacks *callbacks)
+{
+	struct vh_stream *s = g_new0(struct vh_stream, 1);
+
+	s->settings = *settings;
+	s->transport = *transport;
+	s->callbacks = *callbacks;
+	s->rand = g_rand_new_with_seed(
+		(guint32)(settings->seed ^ settings->seed >> 32));
+	s->fresh_ms = INT64_MIN;
+	vh_backoff_reset(&s->read_backoff);
+	vh_backoff_reset(&s->append.backoff);
+	s->append.start_ms = INT64_MIN;
+	stream_queue_init(&s->waiting);
+	stream_queue_init(&s->append.items);
+	return s;
+}
+
+void vh_stream_free(struct vh_stream *s)
+{
+	if (!s)
+		return;
+	for (struct stream_call *call = s->calls; call; call = call->next)
+		call->stream = NULL;
+	stream_append_finish(s);
+	vh_writers_finish(&s->writers);
+	g_rand_free(s->rand);
+	g_free(s);
+}
+
+struct stream_call *stream_call_new(struct vh_stream *s)
+{
+	struct stream_call *call = g_new0(struct stream_call, 1);
+
+	call->stream = s;
+	call->token = ++s->tokens;
+	call->start_ms = s->now_ms;
+	call->next = s->calls;
+	s->calls = call;
+	return call;
+}
+
+void stream_call_free(struct stream_call *call)
+{
+	struct stream_call **at;
+
+	if (call->stream) {
+		at = &call->stream->calls;
+		while (*at != call)
+			at = &(*at)->next;
+		*at = call->next;
+	}
+	g_free(call);
+}
+
+void vh_stream_start(struct vh_stream *s, uint64_t from, int64_t now_ms)
+{
+	s->now_ms = now_ms;
+	if (s->next)
+		stream_append_restart(s);
+	s->started = true;
+	s->next = from ? from : 1;
+	s->reading = false;
+	vh_backoff_reset(&s->read_backoff);
+}
+
+void vh_stream_set_epoch(struct vh_stream *s, uint64_t epoch)
+{
+	s->epoch = epoch;
+}
+
+void vh_stream_set_opened(struct vh_stream *s, uint64_t epoch)
+{
+	if (epoch <= s->opened)
+		return;
+	s->opened = epoch;
+	stream_append_fence(s);
+}
+
+uint64_t vh_stream_next(const struct vh_stream *s)
+{
+	return s->next;
+}
+
+bool vh_stream_caught_up(const struct vh_stream *s)
+{
+	return s->caught_up;
+}
+
+int64_t vh_stream_fresh_ms(const struct vh_stream *s)
+{
+	return s->fresh_ms;
+}
+
+const struct vh_stream_stats *vh_stream_stats(const struct vh_stream *s)
+{
+	return &s->stats;
+}
+
+static bool batch_opens(const struct vh_batch *batch)
+{
+	struct vh_slice rest = batch->records;
+	struct vh_slice body;
+	uint32_t kind;
+
+	while (vh_record_next(&rest, &kind, &body)) {
+		if (kind == VH_REC_OPEN)
+			return true;
+	}
+	return false;
+}
+
+static bool batch_accept(struct vh_stream *s, const struct vh_batch *batch)
+{
+	if (!vh_writers_accept(&s->writers, batch->writer, batch->seq)) {
+		s->stats.duplicates++;
+		return false;
+	}
+	if (batch->epoch < s->opened) {
+		s->stats.stale++;
+		stream_append_fence(s);
+		return false;
+	}
+	if (batch->epoch > s->opened && batch_opens(batch))
+		s->opened = batch->epoch;
+	return true;
+}
+
+void stream_take(struct vh_stream *s, struct vh_slice bytes)
+{
+	uint64_t offset = s->next++;
+	struct vh_batch batch;
+
+	if (!vh_batch_unpack(bytes, &batch, NULL)) {
+		s->stats.corrupt++;
+		return;
+	}
+	if (!batch_accept(s, &batch))
+		return;
+	s->stats.batches++;
+	s->callbacks.batch(s->callbacks.ctx, offset, &batch);
+	if (vh_slice_eq(batch.writer, s->settings.writer))
+		stream_append_applied(s, batch.seq, offset);
+	stream_append_fence(s);
+}
+
+static void read_failed(struct vh_stream *s)
+{
+	vh_backoff_fail(&s->read_backoff, s->rand, s->now_ms);
+}
+
+static void read_gone(struct vh_stream *s, uint64_t first)
+{
+	s->started = false;
+	s->caught_up = false;
+	s->stats.gone++;
+	s->callbacks.gone(s->callbacks.ctx, first);
+}
+
+/* Returns false if the service's answer contradicts itself or earlier ones. */
+static bool read_take(struct vh_stream *s, const struct vh_log_read *r)
+{
+	for (size_t i = 0; i < r->n; i++) {
+		if (r->entries[i].offset < s->next)
+			continue;
+		if (r->entries[i].offset > s->next)
+			return false;
+		stream_take(s, r->entries[i].bytes);
+	}
+	return r->next >= s->next;
+}
+
+static void read_done(void *arg, const struct vh_log_read *r)
+{
+	struct stream_call *call = arg;
+	struct vh_stream *s = call->stream;
+	bool current = s && s->reading && call->token == s->read_token;
+	int64_t start_ms = call->start_ms;
+
+	stream_call_free(call);
+	if (!current)
+		return;
+	s->reading = false;
+	if (r->err != VH_OK && r->err != VH_ERR_OFFSET_GONE) {
+		read_failed(s);
+		return;
+	}
+	if (r->first > s->next) {
+		read_gone(s, r->first);
+		return;
+	}
+	if (r->err != VH_OK || !read_take(s, r)) {
+		s->stats.service_errors++;
+		read_failed(s);
+		return;
+	}
+	vh_backoff_reset(&s->read_backoff);
+	stream_append_missed(s);
+	if (r->next == s->next) {
+		s->caught_up = true;
+		if (start_ms > s->fresh_ms)
+			s->fresh_ms = start_ms;
+	}
+}
+
+static void read_start(struct vh_stream *s)
+{
+	struct stream_call *call = stream_call_new(s);
+
+	s->reading = true;
+	s->read_token = call->token;
+	s->read_start_ms = s->now_ms;
+	s->read_wait_ms = s->caught_up ? s->settings.poll_wait_ms : 0;
+	s->transport.read(s->transport.ctx, s->settings.name, s->next,
+			  READ_MAX_BYTES, s->read_wait_ms, read_done, call);
+}
+
+static int64_t read_tick(struct vh_stream *s)
+{
+	int64_t limit;
+
+	if (!s->started)
+		return INT64_MAX;
+	if (s->reading) {
+		limit = s->read_start_ms + s->read_wait_ms +
+			s->settings.reply_timeout_ms;
+		if (s->now_ms < limit)
+			return limit;
+		s->reading = false;
+		s->stats.timeouts++;
+		read_failed(s);
+	}
+	if (s->now_ms < s->read_backoff.until_ms)
+		return s->read_backoff.until_ms;
+	read_start(s);
+	return s->now_ms + s->settings.reply_timeout_ms;
+}
+
+int64_t vh_stream_tick(struct vh_stream *s, int64_t now_ms)
+{
+	int64_t append_at;
+	int64_t read_at;
+
+	s->now_ms = now_ms;
+	append_at = stream_append_tick(s);
+	read_at = read_tick(s);
+	return append_at < read_at ? append_at : read_at;
+}
--- /dev/null
+++ b/packages/state/src/table.h
@@ -0,0 +1,50 @@
+#ifndef VH_TABLE_H
+#define VH_TABLE_H
+
+#include "vh/slice.h"
+
+/**
+ * struct vh_table_node - embed it in what a table holds
+ * @key: borrowed; must live as long as the node is in the table
+ */
+struct vh_table_node {
+	struct vh_table_node *next;
+	uint64_t hash;
+	struct vh_slice key;
+};
+
+/**
+ * struct vh_table - hash table from slices to embedded nodes
+ *
+ * Zeroed memory is an empty table. Nodes belong to the user.
+ */
+struct vh_table {
+	struct vh_table_node **buckets;
+	size_t n_buckets;
+	size_t n;
+};
+
+/* vh_table_finish - frees the buckets, not the nodes */
+void vh_table_finish(struct vh_table *t);
+struct vh_table_node *vh_table_find(const struct vh_table *t,
+				    struct vh_slice key);
+
+/* vh_table_add - @node->key is set and not in the table yet */
+void vh_table_add(struct vh_table *t, struct vh_table_node *node);
+void vh_table_remove(struct vh_table *t, struct vh_table_node *node);
+
+/**
+ * vh_table_next - goes through all nodes in no order
+ * @at: starts as 0
+ *
+ * Returns NULL at the end. Only the returned node may be removed meanwhile.
+ */
+struct vh_table_iter {
+	size_t bucket;
+	struct vh_table_node *next;
+};
+
+struct vh_table_node *vh_table_next(const struct vh_table *t,
+				    struct vh_table_iter *it);
+
+#endif
--- /dev/null
+++ b/packages/state/src/writers.h
@@ -0,0 +1,26 @@
+#ifndef VH_WRITERS_H
+#define VH_WRITERS_H
+
+#include "table.h"
+
+/**
+ * struct vh_writers - the last sequence number of each writer of a stream
+ *
+ * Keeps the writers heard last, VH_WRITERS_MAX of them. Zeroed memory is
+ * empty.
+ */
+#define VH_WRITERS_MAX 1024
+
+struct vh_writers {
+	struct vh_table table;
+	struct vh_writer *newest;
+	struct vh_writer *oldest;
+};
+
+void vh_writers_finish(struct vh_writers *w);
+
+/* vh_writers_accept - false if @seq was seen of @writer; remembers it else */
+bool vh_writers_accept(struct vh_writers *w, struct vh_slice writer,
+		       uint64_t seq);
+
+#endif
