Serve the callers' and the operators' HTTP API

Two evhttp listeners with limits on headers, bodies and connections; callers that send or take too slowly are cut off. Keys are checked at arrival, when waiting work starts, and for all waiting work when the configuration changes. Requests wait in a queue that is fair between teams and are shed by class. Jobs are read strictly from JSON and sent again to their home under one id.

--- /dev/null
+++ b/packages/gateway/include/vh/gateway.h
@@ -0,0 +1,73 @@
+#ifndef VH_GATEWAY_H
+#define VH_GATEWAY_H
+
+#include "vh/kernel.h"
+#include "vh/objects.h"
+
+/**
+ * struct vh_operator_token - who may use the operators' listener
+ * @name: recorded as the author of a publish
+ * @hash: SHA-256 of the token's text
+ */
+struct vh_operator_token {
+	struct vh_slice name;
+	unsigned char hash[VH_KEY_HASH_BYTES];
+};
+
+/**
+ * struct vh_gateway_settings - settings of the two HTTP listeners
+ * @node: id of this node; with the peer's incarnation it begins request ids
+ * @callers_port: 0 for any, see vh_gateway_callers_port()
+ * @max_body_bytes: of a caller's request; larger ones are answered 413
+ * @max_connections: of callers at once; 0 for 10,240
+ * @read_timeout_ms: time for one whole request to arrive; 0 for 10 s
+ * @idle_timeout_ms: a connection without a request is closed after it; 0 for
+ *		     60 s
+ * @max_active: requests handled at once, further ones wait; 0 for 2,048
+ * @buffered_bytes: bodies of requests and answers held at once; 0 for 32 MiB
+ * @config_max_age_ms: keys are trusted for so long without word from the log
+ *		       or from most nodes; 0 for 5 s
+ * @drain_settle_ms: readiness is false for so long before the listener
+ *		     closes; 0 for 1 s
+ */
+struct vh_gateway_settings {
+	struct vh_slice node;
+	struct vh_slice region;
+	struct vh_slice zone;
+	struct vh_slice callers_address;
+	uint16_t callers_port;
+	struct vh_slice operators_address;
+	uint16_t operators_port;
+	const struct vh_operator_token *operators;
+	size_t n_operators;
+	uint32_t max_body_bytes;
+	uint32_t max_connections;
+	uint32_t read_timeout_ms;
+	uint32_t idle_timeout_ms;
+	uint32_t max_active;
+	uint64_t buffered_bytes;
+	int64_t config_max_age_ms;
+	int64_t drain_settle_ms;
+};
+
+struct vh_gateway;
+
+/**
+ * vh_gateway_new - the service "gateway": HTTP for callers and operators
+ *
+ * Settings are copied. Add vh_gateway_service() to the kernel after the
+ * services "peer", "config", "jobs", "upstreams" and "status", which it finds
+ * by name when it starts. A missing one is answered 503 "not_ready".
+ */
+struct vh_gateway *vh_gateway_new(const struct vh_gateway_settings *settings,
+				  struct vh_kernel *kernel);
+
+/* vh_gateway_free - after the kernel has stopped its services */
+void vh_gateway_free(struct vh_gateway *g);
+struct vh_service *vh_gateway_service(struct vh_gateway *g);
+
+/* The ports in use; 0 before the start. */
+uint16_t vh_gateway_callers_port(const struct vh_gateway *g);
+uint16_t vh_gateway_operators_port(const struct vh_gateway *g);
+
+#endif
--- /dev/null
+++ b/packages/gateway/src/admit.c
@@ -0,0 +1,128 @@
+#include "admit.h"
+
+void vh_admit_init(struct vh_admit *a, uint32_t max_active,
+		   uint32_t max_waiting)
+{
+	memset(a, 0, sizeof(*a));
+	a->max_active = max_active;
+	a->max_waiting = max_waiting;
+	a->nodes = 1;
+	vh_fairq_init(&a->waiting);
+}
+
+void vh_admit_finish(struct vh_admit *a)
+{
+	while (a->teams) {
+		struct vh_admit_team *t = a->teams;
+
+		a->teams = t->next;
+		g_free(t);
+	}
+	vh_fairq_finish(&a->waiting);
+}
+
+static struct vh_admit_team *get_team(struct vh_admit *a, struct vh_slice name)
+{
+	struct vh_admit_team *t = a->teams;
+
+	while (t && !vh_slice_eq_str(name, t->name))
+		t = t->next;
+	if (t)
+		return t;
+	t = g_new0(struct vh_admit_team, 1);
+	if (name.len && name.len <= VH_NAME_MAX)
+		memcpy(t->name, name.data, name.len);
+	t->next = a->teams;
+	a->teams = t;
+	return t;
+}
+
+/* This node's part of a limit of the whole fleet. */
+static uint32_t part_of(const struct vh_admit *a, uint32_t limit)
+{
+	return (limit + a->nodes - 1) / a->nodes;
+}
+
+static bool take_token(const struct vh_admit *a, struct vh_admit_team *t,
+		       uint32_t requests_per_s, int64_t now_ms)
+{
+	double rate = part_of(a, requests_per_s);
+
+	if (!t->seen)
+		t->tokens = rate;
+	else
+		t->tokens +=
+			rate * (double)(now_ms - t->filled_ms) / VH_MS_PER_S;
+	t->seen = true;
+	t->filled_ms = now_ms;
+	if (t->tokens > rate)
+		t->tokens = rate;
+	if (t->tokens < 1)
+		return false;
+	t->tokens -= 1;
+	return true;
+}
+
+static bool must_shed(const struct vh_admit *a, enum vh_class cls)
+{
+	static const uint32_t quarters[VH_CLASS_COUNT] = {
+		[VH_CLASS_URGENT] = 4,
+		[VH_CLASS_SERVICE] = 3,
+		[VH_CLASS_BATCH] = 2,
+	};
+
+	return a->waiting.n >= (uint64_t)a->max_waiting * quarters[cls] / 4;
+}
+
+enum vh_err vh_admit_arrive(struct vh_admit *a, const struct vh_team *team,
+			    enum vh_class cls, int64_t now_ms,
+			    struct vh_admit_item *item)
+{
+	struct vh_admit_team *t = get_team(a, team->name);
+	const struct vh_limit *limit = team->limit;
+	uint32_t weight = team->share ? team->share->weight : 1;
+	bool must_wait = a->active >= a->max_active || a->waiting.n;
+
+	item->team = t;
+	if (must_wait && must_shed(a, cls))
+		return VH_ERR_OVERLOADED;
+	if (limit && limit->concurrent_requests &&
+	    t->active >= part_of(a, limit->concurrent_requests))
+		return VH_ERR_RATE_LIMITED;
+	if (limit && limit->requests_per_s &&
+	    !take_token(a, t, limit->requests_per_s, now_ms))
+		return VH_ERR_RATE_LIMITED;
+	t->active++;
+	if (must_wait) {
+		vh_fairq_push(&a->waiting, team->name, weight, cls,
+			      &item->wait);
+		return VH_OK;
+	}
+	item->active = true;
+	a->active++;
+	return VH_OK;
+}
+
+struct vh_admit_item *vh_admit_next(struct vh_admit *a)
+{
+	struct vh_admit_item *item;
+
+	if (a->active >= a->max_active)
+		return NULL;
+	item = (struct vh_admit_item *)vh_fairq_pop(&a->waiting);
+	if (!item)
+		return NULL;
+	item->active = true;
+	a->active++;
+	return item;
+}
+
+void vh_admit_leave(struct vh_admit *a, struct vh_admit_item *item)
+{
+	if (item->wait.flow)
+		vh_fairq_remove(&a->waiting, &item->wait);
+	if (item->active)
+		a->active--;
+	item->active = false;
+	item->team->active--;
+}
--- /dev/null
+++ b/packages/gateway/src/conn.c
@@ -0,0 +1,217 @@
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+
+#include "listener_impl.h"
+
+#define READ_AHEAD_MAX 65536 /* bytes taken off the socket but not parsed */
+
+static size_t bucket_of(const struct bufferevent *bev)
+{
+	return ((uintptr_t)bev >> 6) % VH_CONN_BUCKETS;
+}
+
+static int64_t now_ms(const struct vh_conn *c)
+{
+	return vh_kernel_now_ms(c->listener->kernel);
+}
+
+void vh_conn_set_state(struct vh_conn *c, enum vh_conn_state state)
+{
+	c->state = state;
+	c->since_ms = now_ms(c);
+}
+
+static void input_changed(struct evbuffer *buf,
+			  const struct evbuffer_cb_info *info, void *ctx)
+{
+	struct vh_conn *c = ctx;
+
+	(void)buf;
+	if (info->n_added && c->state == VH_CONN_IDLE)
+		vh_conn_set_state(c, VH_CONN_READING);
+}
+
+static void output_changed(struct evbuffer *buf,
+			   const struct evbuffer_cb_info *info, void *ctx)
+{
+	struct vh_conn *c = ctx;
+
+	c->unsent = evbuffer_get_length(buf);
+	if (info->n_deleted && c->state == VH_CONN_STREAMING)
+		c->since_ms = now_ms(c);
+	if (!info->n_deleted || c->state != VH_CONN_WRITING)
+		return;
+	c->since_ms = now_ms(c);
+	if (c->unsent)
+		return;
+	vh_conn_set_state(c, evbuffer_get_length(bufferevent_get_input(c->bev))
+				     ? VH_CONN_READING
+				     : VH_CONN_IDLE);
+}
+
+/* At the limit no more connections are accepted until one ends. */
+static void pause_accepting(struct vh_listener *l, bool pause)
+{
+	if (!l->bound || l->paused == pause)
+		return;
+	l->paused = pause;
+	if (pause)
+		evconnlistener_disable(
+			evhttp_bound_socket_get_listener(l->bound));
+	else
+		evconnlistener_enable(
+			evhttp_bound_socket_get_listener(l->bound));
+}
+
+struct bufferevent *vh_conn_accept(struct event_base *base, void *listener)
+{
+	struct vh_listener *l = listener;
+	struct vh_conn *c = g_new0(struct vh_conn, 1);
+	struct vh_conn **bucket;
+
+	/* The library closes the socket itself when this option is not set,
+	 * so that our reference does not hold it open. */
+	c->bev = bufferevent_socket_new(base, -1, 0);
+	bufferevent_incref(c->bev);
+	bufferevent_setwatermark(c->bev, EV_READ, 0, READ_AHEAD_MAX);
+	c->listener = l;
+	vh_conn_set_state(c, VH_CONN_IDLE);
+	evbuffer_add_cb(bufferevent_get_input(c->bev), input_changed, c);
+	evbuffer_add_cb(bufferevent_get_output(c->bev), output_changed, c);
+	c->next = l->conns;
+	c->prev = &l->conns;
+	if (c->next)
+		c->next->prev = &c->next;
+	l->conns = c;
+	bucket = &l->buckets[bucket_of(c->bev)];
+	c->bucket_next = *bucket;
+	*bucket = c;
+	++*l->accepted;
+	if (++l->n_conns >= l->settings.max_connections)
+		pause_accepting(l, true);
+	return c->bev;
+}
+
+void vh_conn_watch_end(struct vh_conn *c)
+{
+	bufferevent_data_cb readcb, writecb;
+	bufferevent_event_cb eventcb;
+	void *arg;
+
+	/* The library must not be called for bytes of a next request now. */
+	bufferevent_getcb(c->bev, &readcb, &writecb, &eventcb, &arg);
+	bufferevent_setcb(c->bev, NULL, writecb, eventcb, arg);
+	bufferevent_enable(c->bev, EV_READ);
+}
+
+struct vh_conn *vh_conn_find(struct vh_listener *l, struct bufferevent *bev)
+{
+	struct vh_conn *c = l->buckets[bucket_of(bev)];
+
+	while (c && c->bev != bev)
+		c = c->bucket_next;
+	return c;
+}
+
+void vh_conn_forget(struct vh_conn *c)
+{
+	struct vh_listener *l = c->listener;
+	struct vh_conn **at = &l->buckets[bucket_of(c->bev)];
+
+	while (*at != c)
+		at = &(*at)->bucket_next;
+	*at = c->bucket_next;
+	*c->prev = c->next;
+	if (c->next)
+		c->next->prev = c->prev;
+	if (c->exchange)
+		c->exchange->conn = NULL;
+	evbuffer_remove_cb(bufferevent_get_input(c->bev), input_changed, c);
+	evbuffer_remove_cb(bufferevent_get_output(c->bev), output_changed, c);
+	bufferevent_decref(c->bev);
+	if (--l->n_conns < l->settings.max_connections)
+		pause_accepting(l, false);
+	g_free(c);
+}
+
+void vh_conn_closed(struct evhttp_connection *evcon, void *conn)
+{
+	struct vh_conn *c = conn;
+	struct vh_exchange *ex = c->exchange;
+
+	(void)evcon;
+	vh_conn_forget(c);
+	if (ex && ex->on_gone)
+		ex->on_gone(ex->gone_ctx);
+}
+
+/* The library has freed its connection without a request ever served. */
+static bool is_dead(const struct vh_conn *c)
+{
+	bufferevent_data_cb readcb, writecb;
+	bufferevent_event_cb eventcb;
+	void *arg;
+
+	bufferevent_getcb(c->bev, &readcb, &writecb, &eventcb, &arg);
+	return !eventcb;
+}
+
+/* Ends a connection; the library then sees its end and frees it. */
+static void cut_off(struct vh_conn *c)
+{
+	c->cut = true;
+	shutdown(bufferevent_getfd(c->bev), SHUT_RDWR);
+}
+
+static bool has_unread_bytes(const struct vh_conn *c)
+{
+	int n = 0;
+
+	return !ioctl(bufferevent_getfd(c->bev), FIONREAD, &n) && n > 0;
+}
+
+static void sweep_one(struct vh_conn *c, int64_t now)
+{
+	struct vh_listener *l = c->listener;
+	int64_t age = now - c->since_ms;
+	bool late = false;
+
+	if (c->cut)
+		return;
+	switch (c->state) {
+	case VH_CONN_IDLE:
+		if (l->draining && now >= l->close_at_ms &&
+		    age >= l->settle_ms && !has_unread_bytes(c))
+			cut_off(c);
+		else if (age > l->settings.idle_timeout_ms &&
+			 !has_unread_bytes(c))
+			cut_off(c);
+		return;
+	case VH_CONN_READING:
+	case VH_CONN_WRITING:
+		late = age > l->settings.read_timeout_ms;
+		break;
+	case VH_CONN_STREAMING:
+		late = c->unsent && age > l->settings.read_timeout_ms;
+		break;
+	case VH_CONN_SERVING:
+		break;
+	}
+	if (late) {
+		++*l->slow;
+		cut_off(c);
+	}
+}
+
+void vh_conn_sweep(struct vh_listener *l, int64_t now)
+{
+	struct vh_conn *next;
+
+	for (struct vh_conn *c = l->conns; c; c = next) {
+		next = c->next;
+		if (!c->evcon && is_dead(c))
+			vh_conn_forget(c);
+		else
+			sweep_one(c, now);
+	}
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.c
@@ -0,0 +1,311 @@
+#include "gateway_impl.h"
+
+#include <event2/util.h>
+
+#include "vh/log.h"
+
+#define HEADER_BYTES 16384
+#define OPERATORS_BODY_BYTES (1u << 20)
+#define OPERATORS_CONNECTIONS 256
+#define DEFAULT_BODY_BYTES (16u << 20)
+#define DEFAULT_CONNECTIONS 10240
+#define DEFAULT_READ_MS 10000
+#define DEFAULT_IDLE_MS 60000
+#define DEFAULT_ACTIVE 2048
+#define DEFAULT_BUFFERED (32u << 20)
+#define DEFAULT_CONFIG_MAX_AGE_MS 5000
+#define DEFAULT_SETTLE_MS 1000
+#define WAITING_PER_ACTIVE 2
+#define TICK_MS 500
+
+const struct vh_objects *vh_gateway_objects(const struct vh_gateway *g)
+{
+	const struct vh_config_ops *ops = g->config ? g->config->ops : NULL;
+
+	return ops ? ops->objects(g->config->self) : NULL;
+}
+
+/* Nodes that are heard, oneself included. */
+static size_t living_nodes(const struct vh_gateway *g)
+{
+	const struct vh_node *nodes;
+	size_t n, living = 1;
+
+	if (!g->peer)
+		return 1;
+	n = vh_peer_nodes(g->peer, &nodes);
+	for (size_t i = 1; i < n; i++)
+		living += nodes[i].state == VH_NODE_ALIVE ||
+			  nodes[i].state == VH_NODE_LEAVING;
+	return living;
+}
+
+bool vh_gateway_trusts(struct vh_gateway *g)
+{
+	const struct vh_config_ops *ops = g->config ? g->config->ops : NULL;
+
+	if (!ops)
+		return false;
+	return vh_trust_update(&g->trust, ops->age_ms(g->config->self),
+			       living_nodes(g));
+}
+
+void vh_gateway_request_id(struct vh_gateway *g, char id[VH_REQUEST_ID_MAX])
+{
+	g_snprintf(id, VH_REQUEST_ID_MAX,
+		   "%.*s-%" G_GINT64_MODIFIER "x-%" G_GUINT64_FORMAT,
+		   VH_FMT(g->settings.node), g->incarnation, ++g->last_request);
+}
+
+int64_t vh_gateway_now_us(const struct vh_gateway *g)
+{
+	struct timespec t = g->kernel->clock->mono(g->kernel->clock->ctx);
+
+	return (int64_t)t.tv_sec * 1000000 + t.tv_nsec / 1000;
+}
+
+void vh_gateway_count_refusal(struct vh_gateway *g, const char *team,
+			      enum vh_err err)
+{
+	char labels[128];
+
+	g_snprintf(labels, sizeof(labels), "team=\"%s\",kind=\"%s\"", team,
+		   vh_err_info(err)->name);
+	++*vh_metrics_counter(&g->kernel->metrics, "vh_refusals_total", labels);
+}
+
+struct vh_stats *vh_gateway_stats(struct vh_gateway *g, const char *team,
+				  enum vh_class cls)
+{
+	struct vh_metrics *m = &g->kernel->metrics;
+	struct vh_stats *s = g->stats;
+	char labels[96];
+
+	while (s && (s->cls != cls || strcmp(s->team, team)))
+		s = s->next;
+	if (s)
+		return s;
+	s = g_new0(struct vh_stats, 1);
+	g_strlcpy(s->team, team, sizeof(s->team));
+	s->cls = cls;
+	g_snprintf(labels, sizeof(labels), "team=\"%s\",class=\"%s\"", team,
+		   vh_class_name(cls));
+	s->waiting =
+		vh_metrics_histogram(m, "vh_request_waiting_seconds", labels);
+	s->service =
+		vh_metrics_histogram(m, "vh_request_service_seconds", labels);
+	s->total = vh_metrics_histogram(m, "vh_request_total_seconds", labels);
+	s->next = g->stats;
+	g->stats = s;
+	return s;
+}
+
+static void config_changed(void *ctx)
+{
+	vh_work_config_changed(ctx);
+}
+
+static void tick(void *ctx)
+{
+	struct vh_gateway *g = ctx;
+
+	g->admit.nodes = (uint32_t)living_nodes(g);
+	vh_gateway_trusts(g);
+	vh_timer_start(&g->tick, TICK_MS);
+}
+
+static bool gateway_start(void *self, struct vh_kernel *kernel, GError **err)
+{
+	struct vh_gateway *g = self;
+	struct vh_service *peer = vh_kernel_find(kernel, "peer");
+
+	g->config = vh_kernel_find(kernel, "config");
+	g->jobs = vh_kernel_find(kernel, "jobs");
+	g->upstreams = vh_kernel_find(kernel, "upstreams");
+	g->status = vh_kernel_find(kernel, "status");
+	if (peer) {
+		g->peer = peer->self;
+		g->incarnation = vh_peer_self(g->peer)->incarnation;
+	}
+	if (g->config) {
+		const struct vh_config_ops *ops = g->config->ops;
+
+		ops->watch(g->config->self, config_changed, g);
+	}
+	if (!vh_listener_start(g->operators, err) ||
+	    !vh_listener_start(g->callers, err))
+		return false;
+	vh_timer_start(&g->tick, 0);
+	return true;
+}
+
+static void callers_drained(void *ctx)
+{
+	struct vh_gateway *g = ctx;
+
+	vh_kernel_drained(g->kernel, &g->service);
+}
+
+static void gateway_drain(void *self)
+{
+	struct vh_gateway *g = self;
+
+	g->draining = true;
+	vh_listener_drain(g->callers, g->settings.drain_settle_ms,
+			  callers_drained, g);
+	vh_callers_drain(g);
+}
+
+static void gateway_stop(void *self)
+{
+	struct vh_gateway *g = self;
+
+	vh_timer_stop(&g->tick);
+}
+
+static struct vh_slice copy(struct vh_slice s)
+{
+	return vh_slice(vh_slice_dup(s), s.len);
+}
+
+static void copy_settings(struct vh_gateway_settings *to,
+			  const struct vh_gateway_settings *from)
+{
+	struct vh_operator_token *tokens =
+		g_new0(struct vh_operator_token, from->n_operators + 1);
+
+	*to = *from;
+	to->node = copy(from->node);
+	to->region = copy(from->region);
+	to->zone = copy(from->zone);
+	to->callers_address = copy(from->callers_address);
+	to->operators_address = copy(from->operators_address);
+	for (size_t i = 0; i < from->n_operators; i++) {
+		tokens[i] = from->operators[i];
+		tokens[i].name = copy(from->operators[i].name);
+	}
+	to->operators = tokens;
+	if (!to->max_body_bytes)
+		to->max_body_bytes = DEFAULT_BODY_BYTES;
+	if (!to->max_connections)
+		to->max_connections = DEFAULT_CONNECTIONS;
+	if (!to->read_timeout_ms)
+		to->read_timeout_ms = DEFAULT_READ_MS;
+	if (!to->idle_timeout_ms)
+		to->idle_timeout_ms = DEFAULT_IDLE_MS;
+	if (!to->max_active)
+		to->max_active = DEFAULT_ACTIVE;
+	if (!to->buffered_bytes)
+		to->buffered_bytes = DEFAULT_BUFFERED;
+	if (!to->config_max_age_ms)
+		to->config_max_age_ms = DEFAULT_CONFIG_MAX_AGE_MS;
+	if (!to->drain_settle_ms)
+		to->drain_settle_ms = DEFAULT_SETTLE_MS;
+}
+
+static void free_settings(struct vh_gateway_settings *s)
+{
+	for (size_t i = 0; i < s->n_operators; i++)
+		g_free((char *)s->operators[i].name.data);
+	g_free((struct vh_operator_token *)s->operators);
+	g_free((char *)s->node.data);
+	g_free((char *)s->region.data);
+	g_free((char *)s->zone.data);
+	g_free((char *)s->callers_address.data);
+	g_free((char *)s->operators_address.data);
+}
+
+static void make_listeners(struct vh_gateway *g)
+{
+	const struct vh_gateway_settings *s = &g->settings;
+	struct vh_listener_settings callers = {
+		.name = "callers",
+		.address = s->callers_address,
+		.port = s->callers_port,
+		.max_header_bytes = HEADER_BYTES,
+		.max_body_bytes = s->max_body_bytes,
+		.max_connections = s->max_connections,
+		.read_timeout_ms = s->read_timeout_ms,
+		.idle_timeout_ms = s->idle_timeout_ms,
+		.buffered_bytes = s->buffered_bytes,
+		.handle = vh_callers_handle,
+		.ctx = g,
+	};
+	struct vh_listener_settings operators = callers;
+
+	operators.name = "operators";
+	operators.address = s->operators_address;
+	operators.port = s->operators_port;
+	operators.max_body_bytes = OPERATORS_BODY_BYTES;
+	operators.max_connections = OPERATORS_CONNECTIONS;
+	operators.handle = vh_operators_handle;
+	g->callers = vh_listener_new(&callers, g->kernel);
+	g->operators = vh_listener_new(&operators, g->kernel);
+}
+
+struct vh_gateway *vh_gateway_new(const struct vh_gateway_settings *settings,
+				  struct vh_kernel *kernel)
+{
+	struct vh_gateway *g = g_new0(struct vh_gateway, 1);
+
+	g->kernel = kernel;
+	copy_settings(&g->settings, settings);
+	evutil_secure_rng_get_bytes(&g->incarnation, sizeof(g->incarnation));
+	g->rng = g_rand_new_with_seed((guint32)g->incarnation);
+	vh_trust_init(&g->trust, g->settings.config_max_age_ms);
+	vh_admit_init(&g->admit, g->settings.max_active,
+		      g->settings.max_active * WAITING_PER_ACTIVE);
+	make_listeners(g);
+	vh_timer_init(&g->tick, kernel, tick, g);
+	vh_timer_init(&g->reaper, kernel, vh_work_free_ended, g);
+	g->service.name = "gateway";
+	g->service.self = g;
+	g->service.start = gateway_start;
+	g->service.drain = gateway_drain;
+	g->service.stop = gateway_stop;
+	return g;
+}
+
+void vh_gateway_free(struct vh_gateway *g)
+{
+	struct vh_work *next;
+
+	if (!g)
+		return;
+	for (struct vh_work *w = g->works; w; w = next) {
+		next = w->next;
+		if (w->release)
+			w->release(w);
+		g_free(w);
+	}
+	vh_work_free_ended(g);
+	vh_listener_free(g->callers);
+	vh_listener_free(g->operators);
+	vh_timer_finish(&g->tick);
+	vh_timer_finish(&g->reaper);
+	vh_admit_finish(&g->admit);
+	while (g->stats) {
+		struct vh_stats *s = g->stats;
+
+		g->stats = s->next;
+		g_free(s);
+	}
+	free_settings(&g->settings);
+	g_rand_free(g->rng);
+	g_free(g);
+}
+
+struct vh_service *vh_gateway_service(struct vh_gateway *g)
+{
+	return &g->service;
+}
+
+uint16_t vh_gateway_callers_port(const struct vh_gateway *g)
+{
+	return vh_listener_port(g->callers);
+}
+
+uint16_t vh_gateway_operators_port(const struct vh_gateway *g)
+{
+	return vh_listener_port(g->operators);
+}
--- /dev/null
+++ b/packages/gateway/src/gateway_impl.h
@@ -0,0 +1,128 @@
+#ifndef VH_GATEWAY_IMPL_H
+#define VH_GATEWAY_IMPL_H
+
+#include "admit.h"
+#include "listener.h"
+#include "trust.h"
+#include "vh/core.h"
+#include "vh/gateway.h"
+
+#define VH_REQUEST_ID_MAX 96 /* bytes with NUL */
+
+/**
+ * struct vh_stats - what is counted for one team and class
+ */
+struct vh_stats {
+	struct vh_stats *next;
+	char team[VH_NAME_MAX + 1];
+	enum vh_class cls;
+	struct vh_histogram *waiting;
+	struct vh_histogram *service;
+	struct vh_histogram *total;
+};
+
+/**
+ * struct vh_work - a caller's request from its arrival to its answer
+ * @ex: NULL once it is answered
+ * @pending: callbacks still to come; it is freed after the last
+ * @next_ended: list of those that are freed in the next turn of the loop
+ * @run: begins it once it is admitted
+ * @release: gives back what the kind of request holds; may be NULL
+ * @recheck: the key must still be valid while it waits
+ * @key: SHA-256 of the key that it came with
+ * @arrived_us, @started_us: monotonic
+ */
+struct vh_work {
+	struct vh_gateway *g;
+	struct vh_exchange *ex;
+	struct vh_admit_item admit;
+	bool admitted;
+	unsigned int pending;
+	void (*run)(struct vh_work *w);
+	void (*release)(struct vh_work *w);
+	void *detail;
+	bool recheck;
+	char team[VH_NAME_MAX + 1];
+	char target[VH_NAME_MAX + 1]; /* queue or service */
+	char id[VH_REQUEST_ID_MAX];
+	enum vh_class cls;
+	int64_t arrived_us;
+	int64_t started_us;
+	struct vh_work *next;
+	struct vh_work **prev;
+	struct vh_work *next_ended;
+};
+
+struct vh_gateway {
+	struct vh_gateway_settings settings;
+	struct vh_kernel *kernel;
+	struct vh_service service;
+	struct vh_listener *callers;
+	struct vh_listener *operators;
+	struct vh_service *config;
+	struct vh_service *jobs;
+	struct vh_service *upstreams;
+	struct vh_service *status;
+	struct vh_peer *peer;
+	struct vh_trust trust;
+	struct vh_admit admit;
+	struct vh_work *works;
+	struct vh_work *ended;
+	struct vh_stats *stats;
+	struct vh_timer tick;
+	struct vh_timer reaper;
+	uint64_t incarnation;
+	uint64_t last_request;
+	bool draining;
+	GRand *rng;
+};
+
+/* gateway.c */
+const struct vh_objects *vh_gateway_objects(const struct vh_gateway *g);
+
+/* vh_gateway_trusts - may keys be gone by now? */
+bool vh_gateway_trusts(struct vh_gateway *g);
+void vh_gateway_request_id(struct vh_gateway *g, char id[VH_REQUEST_ID_MAX]);
+int64_t vh_gateway_now_us(const struct vh_gateway *g);
+void vh_gateway_count_refusal(struct vh_gateway *g, const char *team,
+			      enum vh_err err);
+struct vh_stats *vh_gateway_stats(struct vh_gateway *g, const char *team,
+				  enum vh_class cls);
+
+/* work.c */
+struct vh_work *vh_work_new(struct vh_gateway *g, struct vh_exchange *ex);
+
+/* vh_work_admit - queues or runs it; refuses it if the node must */
+void vh_work_admit(struct vh_work *w, const struct vh_team *team);
+
+/* vh_work_key - the valid key that it came with, else NULL */
+const struct vh_key *vh_work_key(const struct vh_work *w);
+
+/* Each answers, if the caller is still there, and ends the work. */
+void vh_work_json(struct vh_work *w, int status, struct vh_slice body);
+void vh_work_error(struct vh_work *w, enum vh_err err, struct vh_slice message);
+void vh_work_error_as(struct vh_work *w, enum vh_err err,
+		      enum vh_outcome outcome, struct vh_slice message);
+
+/* vh_work_end - the answer was given directly through w->ex, now invalid */
+void vh_work_end(struct vh_work *w);
+
+/* vh_work_called_back - one pending callback has come; false: nothing is left
+ * to answer and @w may be gone */
+bool vh_work_called_back(struct vh_work *w);
+void vh_work_free_ended(void *gateway);
+void vh_work_config_changed(struct vh_gateway *g);
+void vh_work_run_waiting(struct vh_gateway *g);
+
+/* callers.c, operators.c: the two APIs */
+void vh_callers_handle(void *gateway, struct vh_exchange *ex);
+void vh_callers_drain(struct vh_gateway *g);
+void vh_operators_handle(void *gateway, struct vh_exchange *ex);
+
+/* jobs_api.c */
+void vh_jobs_api_submit(struct vh_work *w);
+void vh_jobs_api_get(struct vh_work *w, struct vh_slice id, int64_t wait_ms);
+void vh_jobs_api_cancel(struct vh_work *w, struct vh_slice id);
+void vh_jobs_api_drain(struct vh_work *w);
+
+#endif
--- /dev/null
+++ b/packages/gateway/src/job_json.h
@@ -0,0 +1,31 @@
+#ifndef VH_JOB_JSON_H
+#define VH_JOB_JSON_H
+
+#include "vh/buf.h"
+#include "vh/error.h"
+#include "vh/objects.h"
+
+/**
+ * struct vh_job_request - a job as read from a caller's JSON
+ * @spec: points into @json and @tasks and to the queue's name
+ */
+struct vh_job_request {
+	struct vh_job_spec spec;
+	struct vh_task_spec *tasks;
+	void *json;
+};
+
+/**
+ * vh_job_request_read - reads and checks a job
+ * @r: uninitialized; holds the job on VH_OK, nothing otherwise
+ * @queue: where it was sent; gives class and priority where the job has none
+ * @message: gets what is wrong and where
+ *
+ * Returns VH_OK, VH_ERR_BAD_REQUEST or VH_ERR_TOO_LARGE.
+ */
+enum vh_err vh_job_request_read(struct vh_job_request *r, struct vh_slice body,
+				const struct vh_queue *queue,
+				struct vh_buf *message);
+void vh_job_request_finish(struct vh_job_request *r);
+
+#endif
--- /dev/null
+++ b/packages/gateway/src/listener.c
@@ -0,0 +1,157 @@
+#include "listener.h"
+
+#include <arpa/inet.h>
+#include <event2/listener.h>
+
+#include "listener_impl.h"
+
+#define SWEEP_MS 250
+#define LIBRARY_TIMEOUT_S 86400 /* the library's own limit does not count */
+#define METHODS                                                 \
+	(EVHTTP_REQ_GET | EVHTTP_REQ_POST | EVHTTP_REQ_DELETE | \
+	 EVHTTP_REQ_PUT | EVHTTP_REQ_HEAD | EVHTTP_REQ_PATCH |  \
+	 EVHTTP_REQ_OPTIONS)
+
+static void on_request(struct evhttp_request *req, void *ctx)
+{
+	struct vh_listener *l = ctx;
+	struct evhttp_connection *evcon = evhttp_request_get_connection(req);
+	struct vh_conn *c =
+		vh_conn_find(l, evhttp_connection_get_bufferevent(evcon));
+	struct vh_exchange *ex = g_new0(struct vh_exchange, 1);
+
+	if (!c->evcon) {
+		c->evcon = evcon;
+		evhttp_connection_set_closecb(evcon, vh_conn_closed, c);
+	}
+	vh_conn_set_state(c, VH_CONN_SERVING);
+	vh_conn_watch_end(c);
+	c->exchange = ex;
+	ex->listener = l;
+	ex->conn = c;
+	ex->req = req;
+	ex->since_ms = c->since_ms;
+	ex->next = l->exchanges;
+	ex->prev = &l->exchanges;
+	if (ex->next)
+		ex->next->prev = &ex->next;
+	l->exchanges = ex;
+	l->settings.handle(l->settings.ctx, ex);
+}
+
+static void on_sweep(void *ctx)
+{
+	struct vh_listener *l = ctx;
+	int64_t now = vh_kernel_now_ms(l->kernel);
+
+	if (l->draining && l->bound && now >= l->close_at_ms) {
+		evhttp_del_accept_socket(l->http, l->bound);
+		l->bound = NULL;
+	}
+	vh_conn_sweep(l, now);
+	if (l->draining && !l->bound && !l->n_conns && l->drained) {
+		void (*drained)(void *ctx) = l->drained;
+
+		l->drained = NULL;
+		drained(l->drained_ctx);
+	}
+	vh_timer_start(&l->sweep, SWEEP_MS);
+}
+
+struct vh_listener *vh_listener_new(const struct vh_listener_settings *settings,
+				    struct vh_kernel *kernel)
+{
+	struct vh_listener *l = g_new0(struct vh_listener, 1);
+	char labels[64];
+
+	l->settings = *settings;
+	l->address = vh_slice_dup(settings->address);
+	l->kernel = kernel;
+	g_snprintf(labels, sizeof(labels), "listener=\"%s\"", settings->name);
+	l->accepted = vh_metrics_counter(&kernel->metrics,
+					 "vh_http_connections_total", labels);
+	l->slow = vh_metrics_counter(&kernel->metrics,
+				     "vh_http_slow_cut_off_total", labels);
+	vh_timer_init(&l->sweep, kernel, on_sweep, l);
+	return l;
+}
+
+bool vh_listener_start(struct vh_listener *l, GError **err)
+{
+	struct sockaddr_in at = { 0 };
+	socklen_t len = sizeof(at);
+
+	l->http = evhttp_new(l->kernel->base);
+	evhttp_set_bevcb(l->http, vh_conn_accept, l);
+	evhttp_set_gencb(l->http, on_request, l);
+	evhttp_set_allowed_methods(l->http, METHODS);
+	evhttp_set_max_headers_size(l->http,
+				    (ev_ssize_t)l->settings.max_header_bytes);
+	evhttp_set_max_body_size(l->http,
+				 (ev_ssize_t)l->settings.max_body_bytes);
+	evhttp_set_flags(l->http, EVHTTP_SERVER_LINGERING_CLOSE);
+	evhttp_set_timeout(l->http, LIBRARY_TIMEOUT_S);
+	evhttp_set_default_content_type(l->http, NULL);
+	l->bound = evhttp_bind_socket_with_handle(l->http, l->address,
+						  l->settings.port);
+	if (!l->bound) {
+		g_set_error(err, VH_ERROR, VH_ERR_INTERNAL,
+			    "cannot listen on %s:%u for %s: %s", l->address,
+			    l->settings.port, l->settings.name,
+			    g_strerror(errno));
+		return false;
+	}
+	getsockname(evhttp_bound_socket_get_fd(l->bound),
+		    (struct sockaddr *)&at, &len);
+	l->port = ntohs(at.sin_port);
+	vh_timer_start(&l->sweep, SWEEP_MS);
+	return true;
+}
+
+void vh_listener_free(struct vh_listener *l)
+{
+	struct vh_conn *next;
+
+	if (!l)
+		return;
+	for (struct vh_exchange *ex = l->exchanges; ex; ex = ex->next) {
+		ex->on_gone = NULL;
+		if (!ex->conn)
+			evhttp_request_free(ex->req);
+	}
+	if (l->http)
+		evhttp_free(l->http);
+	while (l->exchanges) {
+		struct vh_exchange *ex = l->exchanges;
+
+		l->exchanges = ex->next;
+		g_free(ex);
+	}
+	for (struct vh_conn *c = l->conns; c; c = next) {
+		next = c->next;
+		vh_conn_forget(c);
+	}
+	vh_timer_finish(&l->sweep);
+	g_free(l->address);
+	g_free(l);
+}
+
+uint16_t vh_listener_port(const struct vh_listener *l)
+{
+	return l->port;
+}
+
+size_t vh_listener_connections(const struct vh_listener *l)
+{
+	return l->n_conns;
+}
+
+void vh_listener_drain(struct vh_listener *l, int64_t settle_ms,
+		       void (*done)(void *ctx), void *ctx)
+{
+	l->draining = true;
+	l->settle_ms = settle_ms;
+	l->close_at_ms = vh_kernel_now_ms(l->kernel) + settle_ms;
+	l->drained = done;
+	l->drained_ctx = ctx;
+}
--- /dev/null
+++ b/packages/gateway/src/listener.h
@@ -0,0 +1,118 @@
+#ifndef VH_LISTENER_H
+#define VH_LISTENER_H
+
+#include <event2/http.h>
+
+#include "vh/kernel.h"
+
+struct vh_listener;
+struct vh_exchange;
+
+/**
+ * struct vh_listener_settings - limits of one HTTP listener
+ * @name: label of its counters
+ * @handle: serves one whole request
+ */
+struct vh_listener_settings {
+	const char *name;
+	struct vh_slice address;
+	uint16_t port;
+	size_t max_header_bytes;
+	size_t max_body_bytes;
+	size_t max_connections;
+	int64_t read_timeout_ms;
+	int64_t idle_timeout_ms;
+	uint64_t buffered_bytes;
+	void (*handle)(void *ctx, struct vh_exchange *ex);
+	void *ctx;
+};
+
+/**
+ * struct vh_exchange - one request and its answer
+ * @on_gone: called if the caller goes away first; the exchange must still be
+ *	     answered, which then only frees it
+ * @since_ms: when the whole request had arrived
+ */
+struct vh_exchange {
+	struct vh_listener *listener;
+	struct vh_conn *conn; /* NULL: the caller has gone */
+	struct evhttp_request *req;
+	void (*on_gone)(void *ctx);
+	void *gone_ctx;
+	int64_t since_ms;
+	struct vh_exchange *next;
+	struct vh_exchange **prev;
+};
+
+struct vh_listener *vh_listener_new(const struct vh_listener_settings *settings,
+				    struct vh_kernel *kernel);
+bool vh_listener_start(struct vh_listener *l, GError **err);
+void vh_listener_free(struct vh_listener *l);
+uint16_t vh_listener_port(const struct vh_listener *l);
+
+/**
+ * vh_listener_drain - begins to end without cutting anything off
+ * @settle_ms: connections are still accepted for so long
+ * @done: called when no connection is left
+ *
+ * From now on each answer closes its connection. Connections without a
+ * request are closed once they have been idle for @settle_ms.
+ */
+void vh_listener_drain(struct vh_listener *l, int64_t settle_ms,
+		       void (*done)(void *ctx), void *ctx);
+
+size_t vh_listener_connections(const struct vh_listener *l);
+
+/* Views of the request; valid until it is answered. */
+enum evhttp_cmd_type vh_exchange_method(const struct vh_exchange *ex);
+struct vh_slice vh_exchange_path(const struct vh_exchange *ex);
+struct vh_slice vh_exchange_query(const struct vh_exchange *ex);
+struct vh_slice vh_exchange_header(const struct vh_exchange *ex,
+				   const char *name);
+struct vh_slice vh_exchange_body(const struct vh_exchange *ex);
+
+/* vh_exchange_param - a parameter of the query, undecoded; false if absent */
+bool vh_exchange_param(const struct vh_exchange *ex, const char *name,
+		       struct vh_slice *value);
+
+/* vh_exchange_bearer - the token of "Authorization: Bearer", or empty */
+struct vh_slice vh_exchange_bearer(const struct vh_exchange *ex);
+
+/* vh_exchange_set - adds a header to the answer */
+void vh_exchange_set(struct vh_exchange *ex, const char *name,
+		     const char *value);
+
+/* vh_exchange_answer - answers and frees @ex */
+void vh_exchange_answer(struct vh_exchange *ex, int status, const char *type,
+			struct vh_slice body);
+void vh_exchange_json(struct vh_exchange *ex, int status, struct vh_slice body);
+
+/* vh_exchange_error - answers with the table's row for @err; @message may be
+ * empty */
+void vh_exchange_error(struct vh_exchange *ex, enum vh_err err,
+		       struct vh_slice message);
+void vh_exchange_error_as(struct vh_exchange *ex, enum vh_err err,
+			  enum vh_outcome outcome, struct vh_slice message);
+
+/* vh_error_json - appends {"error":{...} without the last brace */
+void vh_error_json(struct vh_buf *out, enum vh_err err, enum vh_outcome outcome,
+		   struct vh_slice message);
+
+/* vh_json_string - appends a quoted and escaped string */
+void vh_json_string(struct vh_buf *out, struct vh_slice s);
+
+/**
+ * Streamed answers: begin, any number of more, then end or abort.
+ *
+ * @length: bytes of the whole body, or -1 if not known. abort cuts the
+ * connection so that the caller sees that the answer is not whole.
+ */
+void vh_exchange_begin(struct vh_exchange *ex, int status, int64_t length);
+void vh_exchange_more(struct vh_exchange *ex, struct evbuffer *data);
+void vh_exchange_end(struct vh_exchange *ex);
+void vh_exchange_abort(struct vh_exchange *ex);
+
+/* vh_exchange_unsent - bytes of the answer that the caller has yet to take */
+size_t vh_exchange_unsent(const struct vh_exchange *ex);
+
+#endif
