--- /dev/null
+++ b/packages/core/src/config.c
@@ -0,0 +1,472 @@
+#include "config.h"
+
+#include <inttypes.h>
+#include <jansson.h>
+
+#include "vh/codec.h"
+#include "vh/invariant.h"
+#include "vh/log.h"
+
+#define PUBLISH_TIMEOUT_MS 10000
+#define HISTORY_MAX 256
+#define MAX_WATCHERS 8
+
+struct publish {
+	struct publish *next;
+	struct vh_config *config;
+	struct vh_timer timer;
+	char id[64];
+	bool judged;
+	enum vh_err verdict;
+	uint64_t version;
+	void (*done)(void *ctx, enum vh_err err, uint64_t version,
+		     struct vh_slice message);
+	void *ctx;
+};
+
+struct history_row {
+	uint64_t version;
+	uint64_t base;
+	int64_t wall_ms;
+	char *author;
+};
+
+struct watcher {
+	void (*fn)(void *ctx);
+	void *ctx;
+};
+
+struct vh_config {
+	struct vh_core *core;
+	struct vh_service service;
+	struct vh_hub_stream *stream;
+	struct vh_objects *objects; /* NULL until the first version */
+	struct vh_buf text;
+	uint64_t version;
+	uint64_t publishes; /* made here, for their ids */
+	struct publish *pending;
+	struct history_row history[HISTORY_MAX];
+	size_t n_history;
+	struct watcher watchers[MAX_WATCHERS];
+	size_t n_watchers;
+};
+
+/* A publish as its record holds it; slices borrow from the record. */
+struct publish_record {
+	struct vh_slice id;
+	uint64_t base;
+	struct vh_slice author;
+	int64_t wall_ms;
+	struct vh_slice text;
+};
+
+static bool record_unpack(struct vh_unpack *u, struct vh_slice body,
+			  struct publish_record *r)
+{
+	if (!vh_unpack_init(u, body, NULL))
+		return false;
+	r->id = vh_unpack_slice(u);
+	r->base = vh_unpack_u64(u);
+	r->author = vh_unpack_slice(u);
+	r->wall_ms = vh_unpack_i64(u);
+	r->text = vh_unpack_slice(u);
+	return u->ok;
+}
+
+static void objects_release(void *ctx)
+{
+	vh_objects_finish(ctx);
+	g_free(ctx);
+}
+
+/* Reads a set; NULL and a message if it does not pass. */
+static struct vh_objects *objects_read(struct vh_slice text, char **message)
+{
+	struct vh_objects *set = g_new0(struct vh_objects, 1);
+	struct vh_source source = { VH_SLICE("publish"), text };
+	struct vh_problems problems;
+	bool ok;
+
+	vh_problems_init(&problems);
+	ok = vh_objects_load(set, &source, 1, &problems);
+	if (!ok && message) {
+		GString *all = g_string_new(NULL);
+
+		for (size_t i = 0; i < problems.n; i++) {
+			const struct vh_problem *p = &problems.items[i];
+
+			if (p->warning)
+				continue;
+			g_string_append_printf(all, "%s[%s] %s%s%s",
+					       all->len ? "; " : "", p->group,
+					       p->key ? p->key : "",
+					       p->key ? ": " : "", p->text);
+		}
+		*message = g_string_free(all, FALSE);
+	}
+	vh_problems_finish(&problems);
+	if (ok)
+		return set;
+	g_free(set);
+	return NULL;
+}
+
+static void remember(struct vh_config *c, const struct publish_record *r,
+		     uint64_t version)
+{
+	struct history_row *row;
+
+	if (c->n_history == HISTORY_MAX) {
+		g_free(c->history[0].author);
+		memmove(&c->history[0], &c->history[1],
+			(HISTORY_MAX - 1) * sizeof(c->history[0]));
+		c->n_history--;
+	}
+	row = &c->history[c->n_history++];
+	row->version = version;
+	row->base = r->base;
+	row->wall_ms = r->wall_ms;
+	row->author = vh_slice_dup(r->author);
+}
+
+static enum vh_err judge(struct vh_config *c, const struct publish_record *r,
+			 uint64_t offset)
+{
+	struct vh_objects *set;
+
+	if (r->base != c->version)
+		return VH_ERR_VERSION;
+	set = objects_read(r->text, NULL);
+	if (!set)
+		return VH_ERR_INVALID_CONFIG;
+	vh_invariant(VH_I10_CONFIG, offset > c->version,
+		     "version %" PRIu64 " after %" PRIu64, offset, c->version);
+	if (c->objects)
+		vh_kernel_defer(c->core->kernel, objects_release, c->objects);
+	c->objects = set;
+	c->version = offset;
+	vh_buf_clear(&c->text);
+	vh_objects_render(set, &c->text);
+	remember(c, r, offset);
+	return VH_OK;
+}
+
+static struct publish *find_pending(struct vh_config *c, struct vh_slice id)
+{
+	struct publish *p = c->pending;
+
+	while (p && !vh_slice_eq_str(id, p->id))
+		p = p->next;
+	return p;
+}
+
+static void apply(struct vh_config *c, uint64_t offset, struct vh_slice body)
+{
+	struct publish_record r;
+	struct vh_unpack u;
+	struct publish *p;
+	enum vh_err verdict = VH_ERR_CORRUPT;
+
+	if (record_unpack(&u, body, &r)) {
+		verdict = judge(c, &r, offset);
+		p = find_pending(c, r.id);
+		if (p) {
+			p->judged = true;
+			p->verdict = verdict;
+			p->version = c->version;
+		}
+	}
+	vh_unpack_finish(&u);
+	if (verdict != VH_OK)
+		return;
+	vh_log(G_LOG_LEVEL_INFO, "configuration in force", NULL);
+	for (size_t i = 0; i < c->n_watchers; i++)
+		c->watchers[i].fn(c->watchers[i].ctx);
+}
+
+static void on_batch(void *ctx, uint64_t offset, const struct vh_batch *batch)
+{
+	struct vh_slice rest = batch->records;
+	struct vh_slice body;
+	uint32_t kind;
+
+	while (vh_record_next(&rest, &kind, &body)) {
+		if (kind == VH_REC_PUBLISH)
+			apply(ctx, offset, body);
+	}
+}
+
+static void on_gone(void *ctx, uint64_t first)
+{
+	struct vh_config *c = ctx;
+
+	vh_log(G_LOG_LEVEL_WARNING, "configuration records removed by retention",
+	       NULL);
+	vh_hub_restart(c->stream, first);
+}
+
+static void publish_release(void *ctx)
+{
+	struct publish *p = ctx;
+
+	vh_timer_finish(&p->timer);
+	g_free(p);
+}
+
+/* Ends @p towards its asker; the struct goes when the loop turns. */
+static void publish_end(struct publish *p, enum vh_err err, const char *message)
+{
+	struct publish **at = &p->config->pending;
+	void (*done)(void *ctx, enum vh_err err, uint64_t version,
+		     struct vh_slice message) = p->done;
+
+	while (*at != p)
+		at = &(*at)->next;
+	*at = p->next;
+	vh_timer_stop(&p->timer);
+	vh_kernel_defer(p->config->core->kernel, publish_release, p);
+	done(p->ctx, err, p->judged ? p->version : p->config->version,
+	     vh_slice_str(message));
+}
+
+static const char *verdict_text(enum vh_err verdict)
+{
+	switch (verdict) {
+	case VH_OK:
+		return "";
+	case VH_ERR_VERSION:
+		return "another publish was first";
+	case VH_ERR_LOG_UNAVAILABLE:
+		return "the log takes no records; nothing was published";
+	case VH_ERR_UNKNOWN_OUTCOME:
+		return "the log has not confirmed it in time; ask for the "
+		       "version later";
+	default:
+		return "the set was refused";
+	}
+}
+
+static struct publish *find_by_number(struct vh_config *c, uintptr_t number)
+{
+	char id[64];
+
+	g_snprintf(id, sizeof(id), "%s/%" PRIuPTR, c->core->writer, number);
+	return find_pending(c, vh_slice_str(id));
+}
+
+struct append_ref {
+	struct vh_config *config;
+	uintptr_t number;
+};
+
+static void append_done(void *arg, enum vh_err err, uint64_t offset)
+{
+	struct append_ref ref = *(struct append_ref *)arg;
+	struct publish *p = find_by_number(ref.config, ref.number);
+
+	(void)offset;
+	g_free(arg);
+	if (!p)
+		return;
+	if (err == VH_OK)
+		err = p->judged ? p->verdict : VH_ERR_UNKNOWN_OUTCOME;
+	publish_end(p, err, verdict_text(err));
+}
+
+static void publish_timeout(void *ctx)
+{
+	publish_end(ctx, VH_ERR_UNKNOWN_OUTCOME,
+		    verdict_text(VH_ERR_UNKNOWN_OUTCOME));
+}
+
+static void publish_append(struct vh_config *c, struct publish *p,
+			   uint64_t base, struct vh_slice author,
+			   struct vh_slice text)
+{
+	struct append_ref *ref = g_new(struct append_ref, 1);
+	struct vh_buf body;
+
+	ref->config = c;
+	ref->number = c->publishes;
+	vh_buf_init(&body);
+	vh_pack_array(&body, 5);
+	vh_pack_slice(&body, vh_slice_str(p->id));
+	vh_pack_u64(&body, base);
+	vh_pack_slice(&body, author);
+	vh_pack_i64(&body, vh_clock_wall_ms(c->core->kernel->clock));
+	vh_pack_slice(&body, text);
+	vh_hub_append(c->stream, VH_REC_PUBLISH, vh_buf_slice(&body),
+		      append_done, ref);
+	vh_buf_finish(&body);
+}
+
+static void ops_publish(void *self, uint64_t base, struct vh_slice author,
+			struct vh_slice text,
+			void (*done)(void *ctx, enum vh_err err,
+				     uint64_t version,
+				     struct vh_slice message),
+			void *ctx)
+{
+	struct vh_config *c = self;
+	char *message = NULL;
+	struct vh_objects *set = objects_read(text, &message);
+	struct publish *p;
+
+	if (!set) {
+		done(ctx, VH_ERR_INVALID_CONFIG, c->version,
+		     vh_slice_str(message));
+		g_free(message);
+		return;
+	}
+	objects_release(set);
+	if (base != c->version) {
+		done(ctx, VH_ERR_VERSION, c->version,
+		     vh_slice_str(verdict_text(VH_ERR_VERSION)));
+		return;
+	}
+	p = g_new0(struct publish, 1);
+	p->config = c;
+	p->done = done;
+	p->ctx = ctx;
+	g_snprintf(p->id, sizeof(p->id), "%s/%" PRIu64, c->core->writer,
+		   ++c->publishes);
+	p->next = c->pending;
+	c->pending = p;
+	vh_timer_init(&p->timer, c->core->kernel, publish_timeout, p);
+	vh_timer_start(&p->timer, PUBLISH_TIMEOUT_MS);
+	publish_append(c, p, base, author, text);
+}
+
+const struct vh_objects *config_objects(const struct vh_config *c)
+{
+	return c->objects;
+}
+
+uint64_t config_version(const struct vh_config *c)
+{
+	return c->version;
+}
+
+int64_t config_age_ms(const struct vh_config *c)
+{
+	return c->stream ? vh_hub_age_ms(c->stream) : INT64_MAX;
+}
+
+void config_watch(struct vh_config *c, void (*fn)(void *ctx), void *ctx)
+{
+	g_return_if_fail(c->n_watchers < MAX_WATCHERS);
+	c->watchers[c->n_watchers].fn = fn;
+	c->watchers[c->n_watchers++].ctx = ctx;
+}
+
+static const struct vh_objects *ops_objects(void *self)
+{
+	return config_objects(self);
+}
+
+static uint64_t ops_version(void *self)
+{
+	return config_version(self);
+}
+
+static int64_t ops_age_ms(void *self)
+{
+	return config_age_ms(self);
+}
+
+static struct vh_slice ops_text(void *self)
+{
+	return vh_buf_slice(&((struct vh_config *)self)->text);
+}
+
+static void ops_watch(void *self, void (*fn)(void *ctx), void *ctx)
+{
+	config_watch(self, fn, ctx);
+}
+
+static void ops_history(void *self, struct vh_buf *json)
+{
+	struct vh_config *c = self;
+	json_t *rows = json_array();
+	char *out;
+
+	for (size_t i = c->n_history; i-- > 0;) {
+		const struct history_row *r = &c->history[i];
+
+		json_array_append_new(
+			rows, json_pack("{s:I,s:I,s:s,s:I}", "version",
+					(json_int_t)r->version, "base",
+					(json_int_t)r->base, "author",
+					r->author, "published_ms",
+					(json_int_t)r->wall_ms));
+	}
+	out = json_dumps(rows, JSON_COMPACT);
+	vh_buf_add_str(json, out);
+	free(out);
+	json_decref(rows);
+}
+
+static bool config_start(void *self, struct vh_kernel *kernel, GError **err)
+{
+	struct vh_config *c = self;
+	struct vh_stream_callbacks callbacks = { on_batch, on_gone, c };
+
+	(void)kernel;
+	(void)err;
+	c->stream = vh_hub_open(&c->core->hub, vh_slice_str("config"), 0,
+				&callbacks);
+	return true;
+}
+
+static void config_stop(void *self)
+{
+	struct vh_config *c = self;
+
+	vh_hub_close(c->stream);
+	c->stream = NULL;
+}
+
+struct vh_config *config_new(struct vh_core *core)
+{
+	static const struct vh_config_ops ops = {
+		.objects = ops_objects,
+		.version = ops_version,
+		.age_ms = ops_age_ms,
+		.publish = ops_publish,
+		.text = ops_text,
+		.watch = ops_watch,
+		.history = ops_history,
+	};
+	struct vh_config *c = g_new0(struct vh_config, 1);
+
+	c->core = core;
+	c->service.name = "config";
+	c->service.self = c;
+	c->service.ops = &ops;
+	c->service.start = config_start;
+	c->service.stop = config_stop;
+	return c;
+}
+
+void config_free(struct vh_config *c)
+{
+	if (!c)
+		return;
+	while (c->pending) {
+		struct publish *p = c->pending;
+
+		c->pending = p->next;
+		publish_release(p);
+	}
+	if (c->objects)
+		objects_release(c->objects);
+	for (size_t i = 0; i < c->n_history; i++)
+		g_free(c->history[i].author);
+	vh_buf_finish(&c->text);
+	g_free(c);
+}
+
+struct vh_service *config_service(struct vh_config *c)
+{
+	return &c->service;
+}
--- /dev/null
+++ b/packages/core/src/core.c
@@ -0,0 +1,80 @@
+#include <inttypes.h>
+
+#include "config.h"
+#include "homes.h"
+#include "jobs.h"
+#include "owners.h"
+#include "racks.h"
+#include "status.h"
+#include "upstreams.h"
+
+#define MAX_LOG_READERS 128
+
+const struct vh_objects *core_objects(const struct vh_core *core)
+{
+	return config_objects(core->config);
+}
+
+bool core_is_self(const struct vh_core *core, const struct vh_claim *claim)
+{
+	return claim->incarnation == core->incarnation &&
+	       vh_slice_eq_str(claim->node, core->id);
+}
+
+struct vh_core *vh_core_new(const struct vh_core_settings *settings,
+			    struct vh_kernel *kernel, struct vh_peer *peer)
+{
+	struct vh_core *core = g_new0(struct vh_core, 1);
+	uint32_t rate = settings->appends_per_s ? settings->appends_per_s : 1;
+
+	core->kernel = kernel;
+	core->peer = peer;
+	core->id = vh_slice_dup(settings->id);
+	core->region = vh_slice_dup(settings->region);
+	core->zone = vh_slice_dup(settings->zone);
+	core->incarnation = vh_peer_self(peer)->incarnation;
+	core->writer = g_strdup_printf("%s/%" PRIx64, core->id,
+				       core->incarnation);
+	core->log = vh_log_client_new(kernel, settings->log_address,
+				      settings->log_port, MAX_LOG_READERS);
+	vh_hub_init(&core->hub, kernel, vh_log_client_transport(core->log),
+		    vh_slice_str(core->writer), VH_MS_PER_S / rate);
+	core->vms = vh_vm_list_new(kernel, settings->vms_address,
+				   settings->vms_port);
+	core->config = config_new(core);
+	core->owners = owners_new(core);
+	core->racks = racks_new(core);
+	core->homes = homes_new(core);
+	core->jobs = jobs_new(core);
+	core->upstreams = upstreams_new(core);
+	core->status = status_new(core);
+	vh_kernel_add(kernel, vh_vm_list_service(core->vms));
+	vh_kernel_add(kernel, config_service(core->config));
+	vh_kernel_add(kernel, owners_service(core->owners));
+	vh_kernel_add(kernel, racks_service(core->racks));
+	vh_kernel_add(kernel, homes_service(core->homes));
+	vh_kernel_add(kernel, jobs_service(core->jobs));
+	vh_kernel_add(kernel, upstreams_service(core->upstreams));
+	vh_kernel_add(kernel, status_service(core->status));
+	return core;
+}
+
+void vh_core_free(struct vh_core *core)
+{
+	if (!core)
+		return;
+	status_free(core->status);
+	upstreams_free(core->upstreams);
+	jobs_free(core->jobs);
+	homes_free(core->homes);
+	racks_free(core->racks);
+	owners_free(core->owners);
+	config_free(core->config);
+	vh_vm_list_free(core->vms);
+	vh_log_client_free(core->log);
+	g_free(core->id);
+	g_free(core->region);
+	g_free(core->zone);
+	g_free(core->writer);
+	g_free(core);
+}
--- /dev/null
+++ b/packages/core/src/core_priv.h
@@ -0,0 +1,44 @@
+#ifndef VH_CORE_PRIV_H
+#define VH_CORE_PRIV_H
+
+#include "hub.h"
+#include "vh/claims.h"
+#include "vh/core_node.h"
+#include "vh/log_client.h"
+#include "vh/vm_list.h"
+
+struct vh_config;
+struct vh_owners;
+struct vh_racks;
+struct vh_homes;
+struct vh_jobs;
+struct vh_upstreams;
+struct vh_status;
+
+struct vh_core {
+	struct vh_kernel *kernel;
+	struct vh_peer *peer;
+	char *id;
+	char *region;
+	char *zone;
+	char *writer; /* id and incarnation */
+	uint64_t incarnation;
+	struct vh_log_client *log;
+	struct vh_vm_list *vms;
+	struct vh_hub hub;
+	struct vh_config *config;
+	struct vh_owners *owners;
+	struct vh_racks *racks;
+	struct vh_homes *homes;
+	struct vh_jobs *jobs;
+	struct vh_upstreams *upstreams;
+	struct vh_status *status;
+};
+
+/* The objects in force, or NULL. */
+const struct vh_objects *core_objects(const struct vh_core *core);
+
+/* Does @claim name this process? */
+bool core_is_self(const struct vh_core *core, const struct vh_claim *claim);
+
+#endif
--- /dev/null
+++ b/packages/core/src/ends.h
@@ -0,0 +1,37 @@
+#ifndef VH_ENDS_H
+#define VH_ENDS_H
+
+#include "core_priv.h"
+#include "wire.h"
+
+/*
+ * Ends of runs on this node's racks, told to their homes again and again until
+ * a home answers that the end is durable.
+ */
+struct ends {
+	struct vh_core *core;
+	struct end_item *items;
+	size_t n;
+	struct vh_timer timer;
+	void (*settled)(void *ctx, struct vh_slice rack, struct vh_slice task,
+			uint32_t attempt);
+	void *ctx;
+};
+
+void ends_init(struct ends *e, struct vh_core *core,
+	       void (*settled)(void *ctx, struct vh_slice rack,
+			       struct vh_slice task, uint32_t attempt),
+	       void *ctx);
+void ends_finish(struct ends *e);
+
+/* Takes on an end; one already held is left as it is. */
+void ends_add(struct ends *e, struct vh_slice rack, struct vh_slice worker,
+	      const struct vh_ended *ended);
+
+/* Is an end held for a run of @home on @rack? Such ends are sent at once. */
+bool ends_held(struct ends *e, struct vh_slice rack, struct vh_slice home);
+
+/* Forgets the ends of a rack that is no longer owned. */
+void ends_drop_rack(struct ends *e, struct vh_slice rack);
+
+#endif
--- /dev/null
+++ b/packages/core/src/home_place.c
@@ -0,0 +1,302 @@
+#include "home_priv.h"
+
+#include "owners.h"
+
+#define DISPATCH_MAX 128
+#define PLACE_TIMEOUT_MS 4000
+#define AGAIN_MS 300
+#define RETRY_MS 100
+#define FULL_MS 100
+#define IDLE_MS 50
+#define STOP_TIMEOUT_MS 2000
+
+static struct vh_slice rack_region(const struct vh_core *core,
+				   const struct home_rack *r)
+{
+	const struct vh_vm *vms;
+	size_t n = vh_vm_list_workers(core->vms, &vms);
+
+	for (size_t i = 0; i < n; i++) {
+		if (vh_slice_eq_str(vms[i].rack, r->name))
+			return vms[i].region;
+	}
+	return vh_slice("", 0);
+}
+
+static bool rack_owner(const struct home *h, const char *rack,
+		       struct vh_claim *claim)
+{
+	char unit[VH_UNIT_MAX + 1];
+
+	g_snprintf(unit, sizeof(unit), "rack/%s", rack);
+	return owners_get(h->homes->core->owners, vh_slice_str(unit), claim);
+}
+
+static bool rack_open(const struct home *h, const struct home_rack *r)
+{
+	struct vh_claim claim;
+
+	return r->full_until_ms <= home_now_ms(h) &&
+	       rack_owner(h, r->name, &claim);
+}
+
+/* The wanted region first, then any; in turn within each. */
+static struct home_rack *choose_rack(struct home *h, struct vh_slice region)
+{
+	struct home_rack *near[256], *far[256];
+	size_t n_near = 0, n_far = 0;
+
+	for (struct home_rack *r = h->racks; r; r = r->next) {
+		if (!rack_open(h, r))
+			continue;
+		if (vh_slice_eq(rack_region(h->homes->core, r), region)) {
+			if (n_near < G_N_ELEMENTS(near))
+				near[n_near++] = r;
+		} else if (n_far < G_N_ELEMENTS(far)) {
+			far[n_far++] = r;
+		}
+	}
+	h->turn++;
+	if (n_near)
+		return near[h->turn % n_near];
+	return n_far ? far[h->turn % n_far] : NULL;
+}
+
+static struct vh_slice wanted_region(const struct home *h,
+				     const struct vh_job *job)
+{
+	if (job->spec.region.len)
+		return job->spec.region;
+	return vh_slice_str(h->homes->core->region);
+}
+
+static void send_place(struct home *h, struct vh_task *task, bool again);
+
+static void retry_due(void *ctx)
+{
+	struct home_op *op = ctx;
+	struct home *h = op->home;
+	struct vh_task *task = vh_home_task(h->state, vh_slice_str(op->id));
+	uint32_t attempt = op->attempt;
+
+	home_op_free(op);
+	if (task && task->attempt == attempt && task->state == VH_TASK_ASKED)
+		send_place(h, task, true);
+}
+
+/* Runs the repeats that are due; they wait as ops of the home. */
+static void run_repeats(struct home *h)
+{
+	int64_t now = home_now_ms(h);
+	struct home_op *op = h->ops;
+
+	while (op) {
+		struct home_op *next = op->next;
+
+		if (op->again_due && op->due_ms <= now) {
+			retry_due(op);
+			next = h->ops;
+		}
+		op = next;
+	}
+}
+
+static void repeat_later(struct home *h, const char *task, uint32_t attempt)
+{
+	struct home_op *op = home_op_new(h, true);
+
+	op->again_due = true;
+	op->due_ms = home_now_ms(h) + AGAIN_MS;
+	op->id = g_strdup(task);
+	op->attempt = attempt;
+}
+
+static void surely_not(struct home *h, struct home_op *op, struct vh_task *task,
+		       enum vh_err err)
+{
+	struct home_rack *r = home_rack_find(h, vh_slice_str(op->rack));
+	int64_t now = home_now_ms(h);
+
+	if (r && (err == VH_ERR_NO_CAPACITY || err == VH_ERR_NOT_READY))
+		r->full_until_ms = now + FULL_MS;
+	vh_home_not_begun(h->state, task, op->attempt, err,
+			  err == VH_ERR_NO_CAPACITY ? now : now + RETRY_MS);
+}
+
+static bool fate_unknown(const struct home_op *op, enum vh_err err)
+{
+	if (op->again)
+		return err != VH_OK && err != VH_ERR_CANCELLED;
+	return err == VH_ERR_UNKNOWN_OUTCOME || err == VH_ERR_INTERNAL;
+}
+
+static void place_done(void *ctx, enum vh_err err, struct vh_slice body)
+{
+	struct home_op *op = ctx;
+	struct home *h = op->home;
+	struct vh_task *task;
+
+	if (!h) {
+		home_op_free(op);
+		return;
+	}
+	task = vh_home_task(h->state, vh_slice_str(op->id));
+	if (task && task->attempt == op->attempt &&
+	    task->state == VH_TASK_ASKED) {
+		if (fate_unknown(op, err))
+			repeat_later(h, op->id, op->attempt);
+		else if (err == VH_OK)
+			vh_home_begun(h->state, task, op->attempt, body);
+		else
+			surely_not(h, op, task, err);
+	}
+	home_op_free(op);
+	home_poke(h);
+}
+
+static int64_t deadline_left(const struct home *h, const struct vh_job *job)
+{
+	int64_t left;
+
+	if (!job->spec.deadline_ms)
+		return 0;
+	left = job->accepted_ms + job->spec.deadline_ms - home_now_ms(h);
+	return left > 0 ? left : 1;
+}
+
+static char *task_id(const struct vh_task *task)
+{
+	return g_strdup_printf("%.*s/%u", VH_FMT(task->job->id), task->index);
+}
+
+static void send_place(struct home *h, struct vh_task *task, bool again)
+{
+	const struct vh_task_spec *spec = &task->job->spec.tasks[task->index];
+	struct home_op *op = home_op_new(h, true);
+	struct wire_place msg = { .again = again };
+	struct vh_claim claim;
+	struct vh_buf body;
+
+	op->id = task_id(task);
+	op->rack = vh_slice_dup(task->rack);
+	op->attempt = task->attempt;
+	op->again = again;
+	if (!rack_owner(h, op->rack, &claim)) {
+		place_done(op, again ? VH_ERR_NOT_OWNER : VH_ERR_UNREACHABLE,
+			   vh_slice("", 0));
+		return;
+	}
+	msg.rack = vh_slice_str(op->rack);
+	msg.start.task = vh_slice_str(op->id);
+	msg.start.attempt = task->attempt;
+	msg.start.home = vh_slice_str(h->unit);
+	msg.start.home_epoch = h->epoch;
+	msg.start.cls = task->job->spec.cls;
+	msg.start.size = spec->size;
+	msg.start.service = task->job->spec.service;
+	msg.start.input = spec->input;
+	msg.deadline_in_ms = deadline_left(h, task->job);
+	vh_buf_init(&body);
+	wire_place_pack(&body, &msg);
+	vh_peer_call(h->homes->core->peer, claim.node, VH_METHOD_PLACE,
+		     vh_buf_slice(&body), PLACE_TIMEOUT_MS, place_done, op);
+	vh_buf_finish(&body);
+}
+
+static void attempt_recorded(void *arg, enum vh_err err, uint64_t offset)
+{
+	struct home_op *op = arg;
+	struct home *h = op->home;
+	struct vh_task *task = vh_home_task(h->state, vh_slice_str(op->id));
+	uint32_t attempt = op->attempt;
+
+	(void)offset;
+	home_op_free(op);
+	if (!task || task->attempt != attempt)
+		return;
+	if (err == VH_OK)
+		send_place(h, task, false);
+	else if (err == VH_ERR_LOG_UNAVAILABLE)
+		vh_home_not_begun(h->state, task, attempt, err,
+				  home_now_ms(h) + RETRY_MS);
+}
+
+static void record_attempt(struct home *h, struct vh_task *task,
+			   struct vh_slice body)
+{
+	struct home_op *op = home_op_new(h, false);
+
+	op->id = task_id(task);
+	op->attempt = task->attempt;
+	vh_hub_append(h->stream, VH_REC_ATTEMPT, body, attempt_recorded, op);
+}
+
+/* Returns false if nothing more can be started now. */
+static bool start_one(struct home *h, struct vh_task *task)
+{
+	struct home_rack *r = choose_rack(h, wanted_region(h, task->job));
+	struct vh_buf body;
+	enum vh_err err;
+
+	if (!r) {
+		task->why = VH_ERR_NO_CAPACITY;
+		return false;
+	}
+	vh_buf_init(&body);
+	err = vh_home_begin(h->state, task, vh_slice_str(r->name), &body);
+	if (err == VH_OK && body.len)
+		record_attempt(h, task, vh_buf_slice(&body));
+	else if (err == VH_OK)
+		send_place(h, task, false);
+	vh_buf_finish(&body);
+	return true;
+}
+
+void home_dispatch(void *ctx)
+{
+	struct home *h = ctx;
+	struct vh_task *tasks[DISPATCH_MAX];
+	size_t n;
+
+	if (!h->open || h->homes->stopping)
+		return;
+	run_repeats(h);
+	n = vh_home_waiting(h->state, home_now_ms(h), tasks, DISPATCH_MAX);
+	for (size_t i = 0; i < n; i++) {
+		if (!start_one(h, tasks[i]))
+			break;
+	}
+	home_answer_waits(h);
+	if (!vh_timer_pending(&h->dispatch))
+		vh_timer_start(&h->dispatch, IDLE_MS);
+}
+
+static void stop_done(void *ctx, enum vh_err err, struct vh_slice body)
+{
+	(void)err;
+	(void)body;
+	home_op_free(ctx);
+}
+
+void home_send_stop(struct home *h, const struct vh_task *task,
+		    enum vh_stop_mode mode)
+{
+	char *rack = vh_slice_dup(task->rack);
+	char *id = task_id(task);
+	struct wire_stop msg = {
+		.rack = vh_slice_str(rack),
+		.stop = { vh_slice_str(id), task->attempt, mode },
+	};
+	struct vh_claim claim;
+	struct vh_buf body;
+
+	vh_buf_init(&body);
+	wire_stop_pack(&body, &msg);
+	if (rack_owner(h, rack, &claim))
+		vh_peer_call(h->homes->core->peer, claim.node, VH_METHOD_STOP,
+			     vh_buf_slice(&body), STOP_TIMEOUT_MS, stop_done,
+			     home_op_new(h, true));
+	vh_buf_finish(&body);
+	g_free(rack);
+	g_free(id);
+}
--- /dev/null
+++ b/packages/core/src/home_priv.h
@@ -0,0 +1,108 @@
+#ifndef VH_HOME_PRIV_H
+#define VH_HOME_PRIV_H
+
+#include "homes.h"
+#include "wire.h"
+
+struct home;
+
+/*
+ * Something under way for a home: an append or a call to another node. The
+ * home keeps a list of its own, so that it can go before they end.
+ */
+struct home_op {
+	struct home_op *next;
+	struct home *home; /* NULL once the home has gone */
+	bool call; /* a peer call: ends later even if the home has gone */
+	struct vh_peer_reply *reply; /* whom to answer, or NULL */
+	char *id; /* of the job or task */
+	char *rack;
+	uint32_t attempt;
+	bool again;
+	bool again_due;
+	int64_t due_ms;
+	char **suspects; /* of a seal: runs thought to be there */
+	uint32_t *suspect_attempts;
+	size_t n_suspects;
+};
+
+/* A rack as one home sees it. */
+struct home_rack {
+	struct home_rack *next;
+	char *name;
+	uint64_t sealed_epoch; /* rack epoch at which it last told all */
+	bool sealed;
+	bool busy; /* a seal is under way */
+	int64_t full_until_ms; /* refused for lack of room lately */
+};
+
+/* A caller that waits for a change of a job. */
+struct job_wait {
+	struct job_wait *next;
+	char *id;
+	uint64_t version;
+	bool until_durable; /* waits for the acceptance instead */
+	int64_t deadline_ms;
+	struct vh_peer_reply *reply;
+};
+
+struct home {
+	struct home *next;
+	struct vh_homes *homes;
+	char *unit;
+	char *team;
+	uint32_t index;
+	uint64_t epoch;
+	struct vh_home *state;
+	struct vh_hub_stream *stream;
+	bool asked_open;
+	bool open;
+	bool closing;
+	struct home_rack *racks;
+	struct home_op *ops;
+	struct job_wait *waits;
+	struct vh_timer dispatch;
+	struct vh_timer upkeep;
+	uint64_t replica_serial;
+	uint64_t turn; /* rotates the choice of racks */
+};
+
+struct vh_homes {
+	struct vh_core *core;
+	struct vh_service service;
+	struct home *list;
+	bool stopping;
+};
+
+/* homes.c */
+struct home *home_find(struct vh_homes *hs, struct vh_slice unit);
+struct home_op *home_op_new(struct home *h, bool call);
+void home_op_free(struct home_op *op);
+int64_t home_now_ms(const struct home *h);
+struct home_rack *home_rack_find(struct home *h, struct vh_slice name);
+
+/* Looks at what waits, soon. */
+void home_poke(struct home *h);
+
+/* home_place.c */
+void home_dispatch(void *ctx);
+void home_send_stop(struct home *h, const struct vh_task *task,
+		    enum vh_stop_mode mode);
+
+/* home_seal.c */
+void home_seal_racks(struct home *h);
+void home_racks_refresh(struct home *h);
+
+/* home_rpc.c */
+void home_rpc_register(struct vh_homes *hs);
+void home_answer_waits(struct home *h);
+void home_drop_waits(struct home *h);
+
+/* replicas.c: keeps the replicas of the team's services at their number. */
+void home_keep_replicas(struct home *h);
+
+/* job_json.c */
+void job_to_json(const struct vh_job *job, struct vh_buf *out);
+bool job_ended(const struct vh_job *job);
+
+#endif
--- /dev/null
+++ b/packages/core/src/homes.c
@@ -0,0 +1,379 @@
+#include "home_priv.h"
+
+#include "config.h"
+#include "owners.h"
+#include "vh/log.h"
+
+#define UPKEEP_MS 300
+#define DISPATCH_MS 20
+#define MAX_ATTEMPTS 8
+
+struct home *home_find(struct vh_homes *hs, struct vh_slice unit)
+{
+	for (struct home *h = hs->list; h; h = h->next) {
+		if (vh_slice_eq_str(unit, h->unit) && !h->closing)
+			return h;
+	}
+	return NULL;
+}
+
+int64_t home_now_ms(const struct home *h)
+{
+	return vh_kernel_now_ms(h->homes->core->kernel);
+}
+
+struct home_op *home_op_new(struct home *h, bool call)
+{
+	struct home_op *op = g_new0(struct home_op, 1);
+
+	op->home = h;
+	op->call = call;
+	op->next = h->ops;
+	h->ops = op;
+	return op;
+}
+
+static void op_release(struct home_op *op)
+{
+	for (size_t i = 0; i < op->n_suspects; i++)
+		g_free(op->suspects[i]);
+	g_free(op->suspects);
+	g_free(op->suspect_attempts);
+	g_free(op->id);
+	g_free(op->rack);
+	g_free(op);
+}
+
+void home_op_free(struct home_op *op)
+{
+	if (op->home) {
+		struct home_op **at = &op->home->ops;
+
+		while (*at != op)
+			at = &(*at)->next;
+		*at = op->next;
+	}
+	op_release(op);
+}
+
+void home_poke(struct home *h)
+{
+	if (!vh_timer_pending(&h->dispatch))
+		vh_timer_start(&h->dispatch, 0);
+}
+
+/* The home goes: appends will never be told about, calls end without it. */
+static void drop_ops(struct home *h)
+{
+	while (h->ops) {
+		struct home_op *op = h->ops;
+
+		h->ops = op->next;
+		op->home = NULL;
+		if (op->reply)
+			vh_peer_answer(op->reply, VH_ERR_UNKNOWN_OUTCOME,
+				       vh_slice("", 0));
+		op->reply = NULL;
+		if (!op->call || op->again_due)
+			op_release(op);
+	}
+}
+
+static void home_release(void *ctx)
+{
+	struct home *h = ctx;
+	struct home **at = &h->homes->list;
+
+	while (*at != h)
+		at = &(*at)->next;
+	*at = h->next;
+	home_drop_waits(h);
+	vh_hub_close(h->stream);
+	drop_ops(h);
+	vh_timer_finish(&h->dispatch);
+	vh_timer_finish(&h->upkeep);
+	vh_home_free(h->state);
+	while (h->racks) {
+		struct home_rack *r = h->racks;
+
+		h->racks = r->next;
+		g_free(r->name);
+		g_free(r);
+	}
+	g_free(h->unit);
+	g_free(h->team);
+	g_free(h);
+}
+
+static void home_lose(struct home *h)
+{
+	if (h->closing)
+		return;
+	vh_log(G_LOG_LEVEL_INFO, "gave up a home", "home", h->unit, NULL);
+	h->closing = true;
+	h->open = false;
+	vh_timer_stop(&h->dispatch);
+	vh_timer_stop(&h->upkeep);
+	vh_home_close(h->state);
+	/* Callbacks of the home's own stream may be on the stack. */
+	vh_kernel_defer(h->homes->core->kernel, home_release, h);
+}
+
+static void on_batch(void *ctx, uint64_t offset, const struct vh_batch *batch)
+{
+	struct home *h = ctx;
+	struct vh_slice rest = batch->records;
+	struct vh_slice body;
+	uint32_t kind;
+
+	while (vh_record_next(&rest, &kind, &body))
+		vh_home_apply(h->state, offset, batch->epoch, kind, body,
+			      home_now_ms(h));
+	if (h->open)
+		home_poke(h);
+}
+
+static void on_gone(void *ctx, uint64_t first)
+{
+	struct home *h = ctx;
+
+	vh_log(G_LOG_LEVEL_WARNING, "home records removed by retention", "home",
+	       h->unit, NULL);
+	vh_hub_restart(h->stream, first);
+}
+
+static void set_limit(struct home *h)
+{
+	const struct vh_objects *set = core_objects(h->homes->core);
+	const struct vh_team *team =
+		set ? vh_objects_team(set, vh_slice_str(h->team)) : NULL;
+
+	if (team)
+		vh_home_set_limit(h->state, team->limit);
+}
+
+static void open_done(void *arg, enum vh_err err, uint64_t offset)
+{
+	struct home_op *op = arg;
+	struct home *h = op->home;
+	struct vh_slice names[1024];
+	size_t n = 0;
+
+	(void)offset;
+	home_op_free(op);
+	if (err != VH_OK || h->closing) {
+		h->asked_open = false;
+		return;
+	}
+	home_racks_refresh(h);
+	for (struct home_rack *r = h->racks; r; r = r->next) {
+		if (n < G_N_ELEMENTS(names))
+			names[n++] = vh_slice_str(r->name);
+	}
+	vh_home_open(h->state, h->epoch, names, n, home_now_ms(h));
+	set_limit(h);
+	h->open = true;
+	vh_log(G_LOG_LEVEL_INFO, "opened a home", "home", h->unit, NULL);
+	home_seal_racks(h);
+	home_poke(h);
+}
+
+/* Once the stream is read to its end and the racks are known. */
+static void try_open(struct home *h)
+{
+	struct vh_core *core = h->homes->core;
+
+	if (h->asked_open || !vh_stream_caught_up(vh_hub_stream(h->stream)) ||
+	    !vh_vm_list_known(core->vms))
+		return;
+	h->asked_open = true;
+	vh_hub_append(h->stream, VH_REC_OPEN, vh_slice("", 0), open_done,
+		      home_op_new(h, false));
+}
+
+struct expire_ctx {
+	struct home *home;
+};
+
+static void expired(void *ctx, struct vh_slice body)
+{
+	struct home *h = ctx;
+
+	vh_hub_append(h->stream, VH_REC_END, body, NULL, NULL);
+}
+
+static void stop_cancelled(void *ctx, struct vh_job *job)
+{
+	struct home *h = ctx;
+
+	if (!job->cancelled || !job->n_unended)
+		return;
+	for (uint32_t i = 0; i < job->spec.n_tasks; i++) {
+		if (job->tasks[i].state == VH_TASK_RUNNING)
+			home_send_stop(h, &job->tasks[i], VH_STOP_KILL);
+	}
+}
+
+static void upkeep(void *ctx)
+{
+	struct home *h = ctx;
+
+	vh_timer_start(&h->upkeep, UPKEEP_MS);
+	if (!h->open) {
+		try_open(h);
+		return;
+	}
+	home_racks_refresh(h);
+	home_seal_racks(h);
+	vh_home_expire(h->state, home_now_ms(h),
+		       vh_clock_wall_ms(h->homes->core->kernel->clock), expired,
+		       h);
+	vh_home_each_job(h->state, stop_cancelled, h);
+	home_keep_replicas(h);
+	home_poke(h);
+}
+
+/* "home/TEAM/K" to its parts; false for other units. */
+static bool unit_parse(struct vh_slice unit, struct vh_slice *team,
+		       uint32_t *index)
+{
+	static const struct vh_slice prefix = VH_SLICE("home/");
+	uint64_t k;
+	size_t slash;
+
+	if (unit.len <= prefix.len ||
+	    memcmp(unit.data, prefix.data, prefix.len))
+		return false;
+	for (slash = unit.len; slash-- > prefix.len;) {
+		if (unit.data[slash] == '/')
+			break;
+	}
+	if (slash <= prefix.len ||
+	    !vh_slice_to_u64(vh_slice(unit.data + slash + 1,
+				      unit.len - slash - 1),
+			     &k))
+		return false;
+	*team = vh_slice(unit.data + prefix.len, slash - prefix.len);
+	*index = (uint32_t)k;
+	return true;
+}
+
+static void home_gain(struct vh_homes *hs, struct vh_slice unit,
+		      struct vh_slice team, uint32_t index, uint64_t epoch)
+{
+	const struct vh_objects *set = core_objects(hs->core);
+	const struct vh_team *t = set ? vh_objects_team(set, team) : NULL;
+	struct home *h = g_new0(struct home, 1);
+	struct vh_stream_callbacks callbacks = { on_batch, on_gone, h };
+	struct vh_home_settings settings = {
+		.index = index,
+		.homes = t ? t->homes : 1,
+		.dedupe_window_ms =
+			(int64_t)(set ? set->fleet.dedupe_window_s : 86400) *
+			VH_MS_PER_S,
+		.max_attempts = MAX_ATTEMPTS,
+	};
+	char *name;
+
+	h->homes = hs;
+	h->unit = vh_slice_dup(unit);
+	h->team = vh_slice_dup(team);
+	h->index = index;
+	h->epoch = epoch;
+	settings.team = vh_slice_str(h->team);
+	h->state = vh_home_new(&settings);
+	vh_timer_init(&h->dispatch, hs->core->kernel, home_dispatch, h);
+	vh_timer_init(&h->upkeep, hs->core->kernel, upkeep, h);
+	h->next = hs->list;
+	hs->list = h;
+	name = g_strdup_printf("home.%s.%u", h->team, index);
+	h->stream = vh_hub_open(&hs->core->hub, vh_slice_str(name), epoch,
+				&callbacks);
+	g_free(name);
+	vh_timer_start(&h->upkeep, DISPATCH_MS);
+	vh_log(G_LOG_LEVEL_INFO, "own a home", "home", h->unit, NULL);
+}
+
+static void on_claim(void *ctx, const struct vh_claim *claim)
+{
+	struct vh_homes *hs = ctx;
+	struct vh_slice team;
+	uint32_t index;
+	struct home *h;
+
+	if (!unit_parse(claim->unit, &team, &index))
+		return;
+	h = home_find(hs, claim->unit);
+	if (h)
+		home_lose(h);
+	if (core_is_self(hs->core, claim))
+		home_gain(hs, claim->unit, team, index, claim->epoch);
+}
+
+static void on_objects(void *ctx)
+{
+	struct vh_homes *hs = ctx;
+
+	for (struct home *h = hs->list; h; h = h->next) {
+		if (h->open)
+			set_limit(h);
+	}
+}
+
+static bool homes_start(void *self, struct vh_kernel *kernel, GError **err)
+{
+	struct vh_homes *hs = self;
+
+	(void)kernel;
+	(void)err;
+	owners_watch(hs->core->owners, on_claim, hs);
+	config_watch(hs->core->config, on_objects, hs);
+	home_rpc_register(hs);
+	return true;
+}
+
+static void homes_stop(void *self)
+{
+	struct vh_homes *hs = self;
+
+	hs->stopping = true;
+	for (struct home *h = hs->list; h; h = h->next) {
+		vh_timer_stop(&h->dispatch);
+		vh_timer_stop(&h->upkeep);
+	}
+}
+
+struct vh_homes *homes_new(struct vh_core *core)
+{
+	struct vh_homes *hs = g_new0(struct vh_homes, 1);
+
+	hs->core = core;
+	hs->service.name = "homes";
+	hs->service.self = hs;
+	hs->service.start = homes_start;
+	hs->service.stop = homes_stop;
+	return hs;
+}
+
+void homes_free(struct vh_homes *hs)
+{
+	if (!hs)
+		return;
+	while (hs->list)
+		home_release(hs->list);
+	g_free(hs);
+}
+
+struct vh_service *homes_service(struct vh_homes *hs)
+{
+	return &hs->service;
+}
+
+void homes_each(struct vh_homes *hs,
+		void (*fn)(void *ctx, struct vh_home *home), void *ctx)
+{
+	for (struct home *h = hs->list; h; h = h->next) {
+		if (h->open)
+			fn(ctx, h->state);
+	}
+}
--- /dev/null
+++ b/packages/core/src/hub.h
@@ -0,0 +1,48 @@
+#ifndef VH_HUB_H
+#define VH_HUB_H
+
+#include "vh/kernel.h"
+#include "vh/stream.h"
+
+/**
+ * struct vh_hub - this node's streams of the log, each ticked by the loop
+ */
+struct vh_hub {
+	struct vh_kernel *kernel;
+	const struct vh_log_transport *transport;
+	struct vh_slice writer;
+	int64_t min_gap_ms;
+	uint64_t next_seed;
+};
+
+/* One open stream. */
+struct vh_hub_stream;
+
+void vh_hub_init(struct vh_hub *hub, struct vh_kernel *kernel,
+		 const struct vh_log_transport *transport,
+		 struct vh_slice writer, int64_t min_gap_ms);
+
+/* vh_hub_open - opens a stream at its front; callbacks come from the loop */
+struct vh_hub_stream *vh_hub_open(struct vh_hub *hub, struct vh_slice name,
+				  uint64_t epoch,
+				  const struct vh_stream_callbacks *callbacks);
+
+/* vh_hub_close - appends not yet done are never told about */
+void vh_hub_close(struct vh_hub_stream *hs);
+
+/* vh_hub_append - vh_stream_append(), then soon a tick */
+void vh_hub_append(struct vh_hub_stream *hs, enum vh_rec_kind kind,
+		   struct vh_slice body,
+		   void (*done)(void *arg, enum vh_err err, uint64_t offset),
+		   void *arg);
+
+/* vh_hub_restart - reads on from @from, after the callback gone() */
+void vh_hub_restart(struct vh_hub_stream *hs, uint64_t from);
+
+struct vh_stream *vh_hub_stream(struct vh_hub_stream *hs);
+
+/* vh_hub_age_ms - time since the end of the stream was last seen; INT64_MAX
+ * if it never was */
+int64_t vh_hub_age_ms(const struct vh_hub_stream *hs);
+
+#endif
--- /dev/null
+++ b/packages/core/src/racks.c
@@ -0,0 +1,712 @@
+#include "racks.h"
+
+#include "config.h"
+#include "ends.h"
+#include "owners.h"
+#include "placement.h"
+#include "vh/log.h"
+#include "vh/worker_client.h"
+
+#define PUMP_MS 50
+#define CLOCK_MARGIN_MS 500
+#define VOID_KEEP_MS 60000
+
+/* A worker of a known rack and the way to it. */
+struct worker {
+	struct worker *next;
+	struct rack *rack;
+	char *id;
+	char *address;
+	uint16_t port;
+	struct vh_worker_client *client;
+};
+
+/* A call that waits for a start's fate. */
+struct place_wait {
+	struct place_wait *next;
+	char *task;
+	uint32_t attempt;
+	struct vh_peer_reply *reply;
+};
+
+/* A start that was promised never to begin. */
+struct voided {
+	struct voided *next;
+	char *task;
+	uint32_t attempt;
+	int64_t until_ms;
+};
+
+struct rack {
+	struct rack *next;
+	struct vh_racks *racks;
+	char *name;
+	char *unit;
+	struct vh_rack *state;
+	bool owned;
+	struct worker *workers;
+	struct place_wait *waits;
+	struct voided *voided;
+	struct vh_timer timer;
+};
+
+struct vh_racks {
+	struct vh_core *core;
+	struct vh_service service;
+	struct rack *list;
+	struct ends ends;
+	uint64_t *placed;
+	uint64_t *refused;
+	bool stopping;
+};
+
+static void pump(void *ctx);
+
+static struct rack *rack_find(const struct vh_racks *rs, struct vh_slice name)
+{
+	for (struct rack *r = rs->list; r; r = r->next) {
+		if (vh_slice_eq_str(name, r->name))
+			return r;
+	}
+	return NULL;
+}
+
+static struct worker *worker_find(struct rack *r, struct vh_slice id)
+{
+	for (struct worker *w = r->workers; w; w = w->next) {
+		if (vh_slice_eq_str(id, w->id))
+			return w;
+	}
+	return NULL;
+}
+
+static void pump_soon(struct rack *r)
+{
+	vh_timer_start(&r->timer, 0);
+}
+
+/* Answers every call that waits for this run. */
+static bool answer_waits(struct rack *r, struct vh_slice task, uint32_t attempt,
+			 enum vh_err err, struct vh_slice body)
+{
+	struct place_wait **at = &r->waits;
+	bool any = false;
+
+	while (*at) {
+		struct place_wait *w = *at;
+
+		if (w->attempt != attempt || !vh_slice_eq_str(task, w->task)) {
+			at = &w->next;
+			continue;
+		}
+		*at = w->next;
+		vh_peer_answer(w->reply, err, body);
+		g_free(w->task);
+		g_free(w);
+		any = true;
+	}
+	return any;
+}
+
+static void on_placed(void *ctx, struct vh_slice task, uint32_t attempt,
+		      struct vh_slice home, struct vh_slice worker)
+{
+	struct rack *r = ctx;
+
+	(void)home;
+	++*r->racks->placed;
+	answer_waits(r, task, attempt, VH_OK, worker);
+}
+
+static void on_refused(void *ctx, struct vh_slice task, uint32_t attempt,
+		       struct vh_slice home, enum vh_err why)
+{
+	struct rack *r = ctx;
+	struct vh_ended ended = { .task = task,
+				  .attempt = attempt,
+				  .home = home,
+				  .end = VH_END_VOID };
+
+	++*r->racks->refused;
+	if (!answer_waits(r, task, attempt, why, vh_slice("", 0)))
+		ends_add(&r->racks->ends, vh_slice_str(r->name),
+			 vh_slice("", 0), &ended);
+}
+
+static void on_ended(void *ctx, struct vh_slice worker,
+		     const struct vh_ended *ended)
+{
+	struct rack *r = ctx;
+
+	answer_waits(r, ended->task, ended->attempt, VH_OK, worker);
+	ends_add(&r->racks->ends, vh_slice_str(r->name), worker, ended);
+}
+
+static size_t on_choose(void *ctx, const struct vh_start *start,
+			const struct vh_worker_view *views, size_t n,
+			enum vh_err *why)
+{
+	struct rack *r = ctx;
+
+	return placement_choose(r->racks->core, start, views, n, why);
+}
+
+static void on_settled(void *ctx, struct vh_slice rack, struct vh_slice task,
+		       uint32_t attempt)
+{
+	struct rack *r = rack_find(ctx, rack);
+
+	if (r && r->owned) {
+		vh_rack_end_settled(r->state, task, attempt);
+		pump_soon(r);
+	}
+}
+
+struct sync_ref {
+	struct rack *rack;
+	char *worker;
+};
+
+/* The rack may have been lost to another owner meanwhile. */
+static void check_disowned(struct rack *r)
+{
+	if (r->owned && !vh_rack_epoch(r->state)) {
+		vh_log(G_LOG_LEVEL_INFO, "fenced off a rack", "rack", r->name,
+		       NULL);
+		r->owned = false;
+	}
+}
+
+static void sync_done(void *ctx, enum vh_err err,
+		      const struct vh_sync_reply *reply)
+{
+	struct sync_ref ref = *(struct sync_ref *)ctx;
+	int64_t now = vh_kernel_now_ms(ref.rack->racks->core->kernel);
+	struct vh_slice worker = vh_slice_str(ref.worker);
+
+	g_free(ctx);
+	if (err == VH_OK)
+		vh_rack_sync_done(ref.rack->state, worker, reply, now);
+	else
+		vh_rack_sync_failed(ref.rack->state, worker, err, now);
+	g_free(ref.worker);
+	check_disowned(ref.rack);
+	pump_soon(ref.rack);
+}
+
+static void send_sync(struct rack *r, struct vh_slice worker,
+		      const struct vh_sync_req *req)
+{
+	struct worker *w = worker_find(r, worker);
+	struct sync_ref *ref;
+
+	if (!w || !w->client) {
+		vh_rack_sync_failed(r->state, worker, VH_ERR_UNREACHABLE,
+				    vh_kernel_now_ms(r->racks->core->kernel));
+		return;
+	}
+	ref = g_new(struct sync_ref, 1);
+	ref->rack = r;
+	ref->worker = vh_slice_dup(worker);
+	vh_worker_client_sync(w->client, req, sync_done, ref);
+}
+
+static void pump(void *ctx)
+{
+	struct rack *r = ctx;
+	struct vh_kernel *kernel = r->racks->core->kernel;
+	struct vh_sync_req req;
+	struct vh_slice worker;
+
+	if (!r->owned || r->racks->stopping)
+		return;
+	vh_rack_tick(r->state, vh_kernel_now_ms(kernel));
+	while (vh_rack_sync_due(r->state, vh_kernel_now_ms(kernel), &worker,
+				&req)) {
+		req.owner = vh_slice_str(r->racks->core->writer);
+		send_sync(r, worker, &req);
+	}
+	if (!vh_timer_pending(&r->timer))
+		vh_timer_start(&r->timer, PUMP_MS);
+}
+
+static void rack_settings(struct vh_racks *rs, const char *name,
+			  struct vh_rack_settings *out)
+{
+	const struct vh_objects *set = core_objects(rs->core);
+
+	out->name = vh_slice_str(name);
+	out->lease_ms = set ? set->fleet.lease_ms : 30000;
+	out->renew_ms = out->lease_ms / 3;
+	out->start_void_ms = set ? set->fleet.start_void_ms : 5000;
+	out->clock_margin_ms = CLOCK_MARGIN_MS;
+}
+
+static struct vh_rack *state_new(struct rack *r)
+{
+	struct vh_rack_settings settings;
+	struct vh_rack_callbacks callbacks = {
+		.choose = on_choose,
+		.placed = on_placed,
+		.refused = on_refused,
+		.ended = on_ended,
+		.ctx = r,
+	};
+
+	rack_settings(r->racks, r->name, &settings);
+	return vh_rack_new(&settings, &callbacks);
+}
+
+static struct rack *rack_new(struct vh_racks *rs, struct vh_slice name)
+{
+	struct rack *r = g_new0(struct rack, 1);
+
+	r->racks = rs;
+	r->name = vh_slice_dup(name);
+	r->unit = g_strdup_printf("rack/%s", r->name);
+	vh_timer_init(&r->timer, rs->core->kernel, pump, r);
+	r->state = state_new(r);
+	r->next = rs->list;
+	rs->list = r;
+	return r;
+}
+
+static void worker_free(struct worker *w)
+{
+	vh_worker_client_free(w->client);
+	g_free(w->id);
+	g_free(w->address);
+	g_free(w);
+}
+
+static void worker_address(struct worker *w, const struct vh_vm *vm)
+{
+	if (w->client && w->port == vm->port &&
+	    vh_slice_eq_str(vm->address, w->address))
+		return;
+	vh_worker_client_free(w->client);
+	g_free(w->address);
+	w->address = vh_slice_dup(vm->address);
+	w->port = vm->port;
+	w->client = vh_worker_client_new(w->rack->racks->core->kernel,
+					 vm->address, vm->port);
+}
+
+static void on_vm(void *ctx, const struct vh_vm *vm)
+{
+	struct vh_racks *rs = ctx;
+	struct worker *w;
+	struct rack *r;
+
+	if (!vm)
+		return;
+	r = rack_find(rs, vm->rack);
+	if (!r)
+		r = rack_new(rs, vm->rack);
+	w = worker_find(r, vm->id);
+	if (!w) {
+		w = g_new0(struct worker, 1);
+		w->rack = r;
+		w->id = vh_slice_dup(vm->id);
+		w->next = r->workers;
+		r->workers = w;
+	}
+	worker_address(w, vm);
+	vh_rack_vm(r->state, vm, vh_kernel_now_ms(rs->core->kernel));
+	pump_soon(r);
+}
+
+static void drop_waits(struct rack *r)
+{
+	while (r->waits) {
+		struct place_wait *w = r->waits;
+
+		r->waits = w->next;
+		vh_peer_answer(w->reply, VH_ERR_UNKNOWN_OUTCOME,
+			       vh_slice("", 0));
+		g_free(w->task);
+		g_free(w);
+	}
+}
+
+static void rack_gained(struct rack *r, uint64_t epoch)
+{
+	vh_log(G_LOG_LEVEL_INFO, "own a rack", "rack", r->name, NULL);
+	r->owned = true;
+	vh_rack_own(r->state, epoch,
+		    vh_kernel_now_ms(r->racks->core->kernel));
+	pump_soon(r);
+}
+
+static void rack_lost(struct rack *r)
+{
+	vh_log(G_LOG_LEVEL_INFO, "gave up a rack", "rack", r->name, NULL);
+	r->owned = false;
+	vh_rack_disown(r->state);
+	drop_waits(r);
+	ends_drop_rack(&r->racks->ends, vh_slice_str(r->name));
+}
+
+static void on_claim(void *ctx, const struct vh_claim *claim)
+{
+	static const struct vh_slice prefix = VH_SLICE("rack/");
+	struct vh_racks *rs = ctx;
+	struct vh_slice name;
+	struct rack *r;
+
+	if (claim->unit.len <= prefix.len ||
+	    memcmp(claim->unit.data, prefix.data, prefix.len))
+		return;
+	name = vh_slice(claim->unit.data + prefix.len,
+			claim->unit.len - prefix.len);
+	r = rack_find(rs, name);
+	if (core_is_self(rs->core, claim)) {
+		if (!r)
+			r = rack_new(rs, name);
+		rack_gained(r, claim->epoch);
+	} else if (r && vh_rack_epoch(r->state)) {
+		rack_lost(r);
+	}
+}
+
+static bool is_voided(struct rack *r, struct vh_slice task, uint32_t attempt)
+{
+	int64_t now = vh_kernel_now_ms(r->racks->core->kernel);
+	struct voided **at = &r->voided;
+	bool found = false;
+
+	while (*at) {
+		struct voided *v = *at;
+
+		if (now > v->until_ms) {
+			*at = v->next;
+			g_free(v->task);
+			g_free(v);
+			continue;
+		}
+		found = found || (v->attempt == attempt &&
+				  vh_slice_eq_str(task, v->task));
+		at = &v->next;
+	}
+	return found;
+}
+
+static void void_start(struct rack *r, struct vh_slice task, uint32_t attempt)
+{
+	struct voided *v = g_new0(struct voided, 1);
+
+	v->task = vh_slice_dup(task);
+	v->attempt = attempt;
+	v->until_ms = vh_kernel_now_ms(r->racks->core->kernel) + VOID_KEEP_MS;
+	v->next = r->voided;
+	r->voided = v;
+}
+
+struct run_query {
+	struct vh_slice task;
+	uint32_t attempt;
+	bool found;
+};
+
+static void match_run(void *ctx, const struct vh_running *run,
+		      struct vh_slice worker)
+{
+	struct run_query *q = ctx;
+
+	(void)worker;
+	if (run->attempt == q->attempt && vh_slice_eq(run->task, q->task))
+		q->found = true;
+}
+
+static bool run_known(struct rack *r, const struct vh_start *s)
+{
+	struct run_query q = { s->task, s->attempt, false };
+
+	vh_rack_tasks_of(r->state, s->home, match_run, &q);
+	return q.found;
+}
+
+/* Is the asking home's epoch older than one that the claims show? */
+static bool home_is_stale(struct vh_racks *rs, const struct vh_start *s)
+{
+	struct vh_claim claim;
+
+	owners_get(rs->core->owners, s->home, &claim);
+	return s->home_epoch < claim.epoch;
+}
+
+/* The home does not know what became of this start. */
+static enum vh_err place_again(struct rack *r, const struct vh_start *s)
+{
+	if (ends_held(&r->racks->ends, vh_slice_str(r->name), s->home))
+		return VH_ERR_NOT_READY;
+	if (run_known(r, s))
+		return VH_OK;
+	if (!vh_rack_fence_home(r->state, s->home, s->home_epoch))
+		return VH_ERR_NOT_READY;
+	void_start(r, s->task, s->attempt);
+	return VH_ERR_CANCELLED;
+}
+
+static enum vh_err place_first(struct rack *r, const struct wire_place *msg)
+{
+	int64_t now = vh_kernel_now_ms(r->racks->core->kernel);
+	struct vh_place_req req = { .start = msg->start };
+
+	if (msg->deadline_in_ms)
+		req.deadline_ms = now + msg->deadline_in_ms;
+	if (is_voided(r, msg->start.task, msg->start.attempt))
+		return VH_ERR_CANCELLED;
+	return vh_rack_place(r->state, &req, now);
+}
+
+static void place(struct vh_racks *rs, const struct wire_place *msg,
+		  struct vh_peer_reply *reply)
+{
+	struct rack *r = rack_find(rs, msg->rack);
+	struct place_wait *w;
+	enum vh_err err;
+
+	if (!r || !r->owned) {
+		vh_peer_answer(reply, VH_ERR_NOT_OWNER, vh_slice("", 0));
+		return;
+	}
+	if (home_is_stale(rs, &msg->start)) {
+		vh_peer_answer(reply, VH_ERR_STALE_EPOCH, vh_slice("", 0));
+		return;
+	}
+	if (msg->again) {
+		err = place_again(r, &msg->start);
+		vh_peer_answer(reply, err, vh_slice("", 0));
+		return;
+	}
+	w = g_new0(struct place_wait, 1);
+	w->task = vh_slice_dup(msg->start.task);
+	w->attempt = msg->start.attempt;
+	w->reply = reply;
+	w->next = r->waits;
+	r->waits = w;
+	err = place_first(r, msg);
+	if (err != VH_OK)
+		answer_waits(r, msg->start.task, msg->start.attempt, err,
+			     vh_slice("", 0));
+	pump_soon(r);
+}
+
+static void on_place(void *ctx, const struct vh_node *from,
+		     struct vh_slice body, struct vh_peer_reply *reply)
+{
+	struct wire_place msg;
+	struct vh_unpack u;
+
+	(void)from;
+	if (wire_place_unpack(&u, body, &msg))
+		place(ctx, &msg, reply);
+	else
+		vh_peer_answer(reply, VH_ERR_BAD_REQUEST, vh_slice("", 0));
+	vh_unpack_finish(&u);
+}
+
+static void on_stop(void *ctx, const struct vh_node *from, struct vh_slice body,
+		    struct vh_peer_reply *reply)
+{
+	enum vh_err err = VH_ERR_BAD_REQUEST;
+	struct wire_stop msg;
+	struct vh_unpack u;
+	struct rack *r;
+
+	(void)from;
+	if (wire_stop_unpack(&u, body, &msg)) {
+		r = rack_find(ctx, msg.rack);
+		err = VH_ERR_NOT_OWNER;
+		if (r && r->owned) {
+			err = vh_rack_stop(r->state, msg.stop.task,
+					   msg.stop.attempt, msg.stop.mode);
+			pump_soon(r);
+		}
+	}
+	vh_unpack_finish(&u);
+	vh_peer_answer(reply, err, vh_slice("", 0));
+}
+
+struct run_list {
+	struct vh_buf runs;
+	size_t n;
+};
+
+static void add_run(void *ctx, const struct vh_running *run,
+		    struct vh_slice worker)
+{
+	struct run_list *list = ctx;
+
+	wire_run_pack(&list->runs, run, worker);
+	list->n++;
+}
+
+static void seal_one(struct vh_racks *rs, struct vh_slice name,
+		     struct vh_slice home, uint64_t home_epoch,
+		     struct vh_buf *out)
+{
+	struct rack *r = rack_find(rs, name);
+	struct run_list list = { { 0 }, 0 };
+	bool complete = false;
+	uint64_t epoch = 0;
+
+	if (r && r->owned) {
+		epoch = vh_rack_epoch(r->state);
+		complete = vh_rack_fence_home(r->state, home, home_epoch);
+		if (ends_held(&rs->ends, name, home))
+			complete = false;
+		vh_rack_tasks_of(r->state, home, add_run, &list);
+	}
+	vh_pack_array(out, 4);
+	vh_pack_slice(out, name);
+	vh_pack_u64(out, epoch);
+	vh_pack_bool(out, complete);
+	vh_pack_array(out, list.n);
+	vh_buf_add_slice(out, vh_buf_slice(&list.runs));
+	vh_buf_finish(&list.runs);
+}
+
+static void on_seal(void *ctx, const struct vh_node *from, struct vh_slice body,
+		    struct vh_peer_reply *reply)
+{
+	struct vh_unpack u, names;
+	struct vh_slice home;
+	struct vh_buf out;
+	uint64_t epoch;
+	uint32_t n;
+
+	(void)from;
+	vh_buf_init(&out);
+	vh_unpack_init(&u, body, NULL);
+	home = vh_unpack_slice(&u);
+	epoch = vh_unpack_u64(&u);
+	n = vh_unpack_array(&u, &names);
+	if (u.ok) {
+		vh_pack_array(&out, n);
+		for (uint32_t i = 0; i < n; i++)
+			seal_one(ctx, vh_unpack_slice(&names), home, epoch,
+				 &out);
+	}
+	vh_peer_answer(reply, u.ok ? VH_OK : VH_ERR_BAD_REQUEST,
+		       vh_buf_slice(&out));
+	vh_unpack_finish(&u);
+	vh_buf_finish(&out);
+}
+
+static bool racks_start(void *self, struct vh_kernel *kernel, GError **err)
+{
+	struct vh_racks *rs = self;
+
+	(void)err;
+	rs->placed = vh_metrics_counter(&kernel->metrics,
+					"vh_starts_placed_total", "");
+	rs->refused = vh_metrics_counter(&kernel->metrics,
+					 "vh_starts_refused_total", "");
+	vh_vm_list_watch(rs->core->vms, on_vm, rs);
+	owners_watch(rs->core->owners, on_claim, rs);
+	vh_peer_handle(rs->core->peer, VH_METHOD_PLACE, on_place, rs);
+	vh_peer_handle(rs->core->peer, VH_METHOD_STOP, on_stop, rs);
+	vh_peer_handle(rs->core->peer, VH_METHOD_SEAL, on_seal, rs);
+	return true;
+}
+
+static void racks_stop(void *self)
+{
+	struct vh_racks *rs = self;
+
+	rs->stopping = true;
+	for (struct rack *r = rs->list; r; r = r->next)
+		vh_timer_stop(&r->timer);
+}
+
+struct vh_racks *racks_new(struct vh_core *core)
+{
+	struct vh_racks *rs = g_new0(struct vh_racks, 1);
+
+	rs->core = core;
+	ends_init(&rs->ends, core, on_settled, rs);
+	rs->service.name = "racks";
+	rs->service.self = rs;
+	rs->service.start = racks_start;
+	rs->service.stop = racks_stop;
+	return rs;
+}
+
+static void rack_free(struct rack *r)
+{
+	while (r->workers) {
+		struct worker *w = r->workers;
+
+		r->workers = w->next;
+		worker_free(w);
+	}
+	drop_waits(r);
+	while (r->voided) {
+		struct voided *v = r->voided;
+
+		r->voided = v->next;
+		g_free(v->task);
+		g_free(v);
+	}
+	vh_timer_finish(&r->timer);
+	vh_rack_free(r->state);
+	g_free(r->name);
+	g_free(r->unit);
+	g_free(r);
+}
+
+void racks_free(struct vh_racks *rs)
+{
+	if (!rs)
+		return;
+	while (rs->list) {
+		struct rack *r = rs->list;
+
+		rs->list = r->next;
+		rack_free(r);
+	}
+	ends_finish(&rs->ends);
+	g_free(rs);
+}
+
+struct vh_service *racks_service(struct vh_racks *rs)
+{
+	return &rs->service;
+}
+
+size_t racks_unsettled(const struct vh_racks *rs)
+{
+	return rs->ends.n;
+}
+
+struct each_ctx {
+	struct rack *rack;
+	void (*fn)(void *ctx, struct vh_slice rack,
+		   const struct vh_worker_view *view, const struct vh_vm *vm);
+	void *ctx;
+};
+
+static void each_view(void *ctx, const struct vh_worker_view *view,
+		      const struct vh_vm *vm)
+{
+	struct each_ctx *each = ctx;
+
+	each->fn(each->ctx, vh_slice_str(each->rack->name), view, vm);
+}
+
+void racks_each_worker(const struct vh_racks *rs,
+		       void (*fn)(void *ctx, struct vh_slice rack,
+				  const struct vh_worker_view *view,
+				  const struct vh_vm *vm),
+		       void *ctx)
+{
+	struct each_ctx each = { NULL, fn, ctx };
+
+	for (struct rack *r = rs->list; r; r = r->next) {
+		each.rack = r;
+		if (r->owned)
+			vh_rack_views(r->state, each_view, &each);
+	}
+}
--- /dev/null
+++ b/packages/core/src/racks.h
@@ -0,0 +1,26 @@
+#ifndef VH_RACKS_H
+#define VH_RACKS_H
+
+#include "core_priv.h"
+#include "vh/rack.h"
+
+/*
+ * Service "racks": the racks that this node owns. Carries exchanges to
+ * workers, decides starts that homes ask for, and tells homes of ends until
+ * they have made them durable.
+ */
+struct vh_racks *racks_new(struct vh_core *core);
+void racks_free(struct vh_racks *r);
+struct vh_service *racks_service(struct vh_racks *r);
+
+/* Calls @fn with each worker of each owned rack. */
+void racks_each_worker(const struct vh_racks *r,
+		       void (*fn)(void *ctx, struct vh_slice rack,
+				  const struct vh_worker_view *view,
+				  const struct vh_vm *vm),
+		       void *ctx);
+
+/* Ends not yet settled with their homes. */
+size_t racks_unsettled(const struct vh_racks *r);
+
+#endif
--- /dev/null
+++ b/packages/core/src/status.h
@@ -0,0 +1,11 @@
+#ifndef VH_STATUS_H
+#define VH_STATUS_H
+
+#include "core_priv.h"
+
+/* Service "status": this node's view for operators, as JSON. */
+struct vh_status *status_new(struct vh_core *core);
+void status_free(struct vh_status *s);
+struct vh_service *status_service(struct vh_status *s);
+
+#endif
--- /dev/null
+++ b/packages/core/src/wire.h
@@ -0,0 +1,54 @@
+#ifndef VH_WIRE_H
+#define VH_WIRE_H
+
+#include "vh/codec.h"
+#include "vh/rack.h"
+
+/* Bodies of the calls between homes and racks. Slices borrow. */
+
+void wire_pack_res(struct vh_buf *out, const struct vh_res *res);
+void wire_unpack_res(struct vh_unpack *u, struct vh_res *res);
+
+/**
+ * struct wire_place - VH_METHOD_PLACE, answered with the worker's id
+ * @again: the same start was asked before and its fate is unknown: tell it,
+ *	   or make sure that it never begins (VH_ERR_CANCELLED)
+ * @deadline_in_ms: time left, 0 for no limit
+ */
+struct wire_place {
+	struct vh_slice rack;
+	struct vh_start start;
+	int64_t deadline_in_ms;
+	bool again;
+};
+
+void wire_place_pack(struct vh_buf *out, const struct wire_place *p);
+bool wire_place_unpack(struct vh_unpack *u, struct vh_slice body,
+		       struct wire_place *p);
+
+/** struct wire_ended - VH_METHOD_ENDED, answered VH_OK once durable */
+struct wire_ended {
+	struct vh_ended ended;
+	struct vh_slice worker;
+};
+
+void wire_ended_pack(struct vh_buf *out, const struct wire_ended *e);
+bool wire_ended_unpack(struct vh_unpack *u, struct vh_slice body,
+		       struct wire_ended *e);
+
+/** struct wire_stop - VH_METHOD_STOP */
+struct wire_stop {
+	struct vh_slice rack;
+	struct vh_stop stop;
+};
+
+void wire_stop_pack(struct vh_buf *out, const struct wire_stop *s);
+bool wire_stop_unpack(struct vh_unpack *u, struct vh_slice body,
+		      struct wire_stop *s);
+
+void wire_run_pack(struct vh_buf *out, const struct vh_running *run,
+		   struct vh_slice worker);
+void wire_run_unpack(struct vh_unpack *u, struct vh_running *run,
+		     struct vh_slice *worker);
+
+#endif
--- /dev/null
+++ b/packages/platform/include/vh/http_pool.h
@@ -0,0 +1,56 @@
+#ifndef VH_HTTP_POOL_H
+#define VH_HTTP_POOL_H
+
+#include <event2/http.h>
+
+#include "vh/kernel.h"
+
+/**
+ * struct vh_http_reply - what came back
+ * @status: HTTP status, 0 if the exchange failed
+ * @body: valid during the callback
+ * @headers: valid during the callback; NULL if the exchange failed
+ */
+struct vh_http_reply {
+	int status;
+	struct vh_slice body;
+	struct evkeyvalq *headers;
+};
+
+/**
+ * struct vh_http_request
+ * @path: with its query; copied
+ * @content_type: NULL if there is no body
+ */
+struct vh_http_request {
+	enum evhttp_cmd_type method;
+	const char *path;
+	const char *content_type;
+	struct vh_slice body;
+	int64_t timeout_ms;
+};
+
+/**
+ * struct vh_http_pool - kept connections to one address
+ *
+ * At most @max_conns exchanges at a time, the rest wait in order. A failed
+ * exchange says nothing about whether the other side acted on it.
+ */
+struct vh_http_pool;
+
+struct vh_http_pool *vh_http_pool_new(struct vh_kernel *kernel,
+				      struct vh_slice address, uint16_t port,
+				      size_t max_conns, size_t max_reply_bytes);
+
+/* vh_http_pool_free - open exchanges are dropped without a callback */
+void vh_http_pool_free(struct vh_http_pool *pool);
+
+/* vh_http_pool_send - @done is called once, later */
+void vh_http_pool_send(
+	struct vh_http_pool *pool, const struct vh_http_request *request,
+	void (*done)(void *ctx, const struct vh_http_reply *reply), void *ctx);
+
+/* vh_http_pool_bytes - body and estimated header bytes so far, both ways */
+uint64_t vh_http_pool_bytes(const struct vh_http_pool *pool);
+
+#endif
--- /dev/null
+++ b/packages/platform/include/vh/log_client.h
@@ -0,0 +1,27 @@
+#ifndef VH_LOG_CLIENT_H
+#define VH_LOG_CLIENT_H
+
+#include "vh/kernel.h"
+#include "vh/stream.h"
+
+/**
+ * struct vh_log_client - the platform's log service over HTTP
+ *
+ * Gives a struct vh_log_transport. Appends and reads use connections of their
+ * own, so that held reads delay no append.
+ */
+struct vh_log_client;
+
+/* vh_log_client_new - @max_readers: reads held at the same time */
+struct vh_log_client *vh_log_client_new(struct vh_kernel *kernel,
+					struct vh_slice address, uint16_t port,
+					size_t max_readers);
+void vh_log_client_free(struct vh_log_client *c);
+const struct vh_log_transport *
+vh_log_client_transport(const struct vh_log_client *c);
+uint64_t vh_log_client_bytes(const struct vh_log_client *c);
+
+/* vh_log_client_appends - appends sent so far */
+uint64_t vh_log_client_appends(const struct vh_log_client *c);
+
+#endif
