--- a/packages/core/src/config.c
+++ b/packages/core/src/config.c
@@ -200,8 +200,8 @@
 {
 	struct vh_config *c = ctx;
 
-	vh_log(G_LOG_LEVEL_WARNING, "configuration records removed by retention",
-	       NULL);
+	vh_log(G_LOG_LEVEL_WARNING,
+	       "configuration records removed by retention", NULL);
 	vh_hub_restart(c->stream, first);
 }
 
@@ -303,8 +303,7 @@
 static void ops_publish(void *self, uint64_t base, struct vh_slice author,
 			struct vh_slice text,
 			void (*done)(void *ctx, enum vh_err err,
-				     uint64_t version,
-				     struct vh_slice message),
+				     uint64_t version, struct vh_slice message),
 			void *ctx)
 {
 	struct vh_config *c = self;
@@ -393,12 +392,12 @@
 	for (size_t i = c->n_history; i-- > 0;) {
 		const struct history_row *r = &c->history[i];
 
-		json_array_append_new(
-			rows, json_pack("{s:I,s:I,s:s,s:I}", "version",
-					(json_int_t)r->version, "base",
-					(json_int_t)r->base, "author",
-					r->author, "published_ms",
-					(json_int_t)r->wall_ms));
+		json_array_append_new(rows,
+				      json_pack("{s:I,s:I,s:s,s:I}", "version",
+						(json_int_t)r->version, "base",
+						(json_int_t)r->base, "author",
+						r->author, "published_ms",
+						(json_int_t)r->wall_ms));
 	}
 	out = json_dumps(rows, JSON_COMPACT);
 	vh_buf_add_str(json, out);
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -33,8 +33,8 @@
 	core->region = vh_slice_dup(settings->region);
 	core->zone = vh_slice_dup(settings->zone);
 	core->incarnation = vh_peer_self(peer)->incarnation;
-	core->writer = g_strdup_printf("%s/%" PRIx64, core->id,
-				       core->incarnation);
+	core->writer =
+		g_strdup_printf("%s/%" PRIx64, core->id, core->incarnation);
 	core->log = vh_log_client_new(kernel, settings->log_address,
 				      settings->log_port, MAX_LOG_READERS);
 	vh_hub_init(&core->hub, kernel, vh_log_client_transport(core->log),
--- a/packages/core/src/home_priv.h
+++ b/packages/core/src/home_priv.h
@@ -15,7 +15,7 @@
 	struct home *home; /* NULL once the home has gone */
 	bool call; /* a peer call: ends later even if the home has gone */
 	struct vh_peer_reply *reply; /* whom to answer, or NULL */
-	char *id; /* of the job or task */
+	char *id;		     /* of the job or task */
 	char *rack;
 	uint32_t attempt;
 	bool again;
@@ -32,7 +32,7 @@
 	char *name;
 	uint64_t sealed_epoch; /* rack epoch at which it last told all */
 	bool sealed;
-	bool busy; /* a seal is under way */
+	bool busy;	       /* a seal is under way */
 	int64_t full_until_ms; /* refused for lack of room lately */
 };
 
--- a/packages/core/src/home_rpc.c
+++ b/packages/core/src/home_rpc.c
@@ -112,8 +112,8 @@
 		vh_peer_answer(op_reply(op), VH_OK, vh_slice_str(op->id));
 	else
 		vh_peer_answer(op_reply(op),
-			       err == VH_ERR_STALE_EPOCH ? VH_ERR_NOT_OWNER :
-							   err,
+			       err == VH_ERR_STALE_EPOCH ? VH_ERR_NOT_OWNER
+							 : err,
 			       NO_BODY);
 	if (err != VH_OK && job && !job->durable)
 		vh_home_submit_failed(h->state, job);
@@ -220,8 +220,8 @@
 	if (err == VH_OK && job)
 		answer_job(op_reply(op), job);
 	else
-		vh_peer_answer(op_reply(op), err == VH_OK ? VH_ERR_NOT_FOUND : err,
-			       NO_BODY);
+		vh_peer_answer(op_reply(op),
+			       err == VH_OK ? VH_ERR_NOT_FOUND : err, NO_BODY);
 	home_op_free(op);
 	home_poke(h);
 }
--- a/packages/core/src/homes.c
+++ b/packages/core/src/homes.c
@@ -249,9 +249,8 @@
 			break;
 	}
 	if (slash <= prefix.len ||
-	    !vh_slice_to_u64(vh_slice(unit.data + slash + 1,
-				      unit.len - slash - 1),
-			     &k))
+	    !vh_slice_to_u64(
+		    vh_slice(unit.data + slash + 1, unit.len - slash - 1), &k))
 		return false;
 	*team = vh_slice(unit.data + prefix.len, slash - prefix.len);
 	*index = (uint32_t)k;
--- a/packages/core/src/hub.c
+++ b/packages/core/src/hub.c
@@ -51,10 +51,9 @@
 	call_over(call.hs);
 }
 
-static void hub_append(void *ctx, struct vh_slice stream, struct vh_slice bytes,
-		       void (*done)(void *arg, enum vh_err err,
-				    uint64_t offset),
-		       void *arg)
+static void
+hub_append(void *ctx, struct vh_slice stream, struct vh_slice bytes,
+	   void (*done)(void *arg, enum vh_err err, uint64_t offset), void *arg)
 {
 	struct vh_hub_stream *hs = ctx;
 	const struct vh_log_transport *t = hs->hub->transport;
--- a/packages/core/src/job_json.c
+++ b/packages/core/src/job_json.c
@@ -25,10 +25,11 @@
 
 static json_t *task_json(const struct vh_task *task)
 {
-	json_t *o = json_pack(
-		"{s:I,s:s,s:I,s:s}", "index", (json_int_t)task->index, "state",
-		vh_task_state_name(task->state), "attempt",
-		(json_int_t)task->attempt, "outcome", task_outcome(task));
+	json_t *o =
+		json_pack("{s:I,s:s,s:I,s:s}", "index", (json_int_t)task->index,
+			  "state", vh_task_state_name(task->state), "attempt",
+			  (json_int_t)task->attempt, "outcome",
+			  task_outcome(task));
 
 	if (task->worker.len)
 		json_object_set_new(o, "worker", text(task->worker));
--- a/packages/core/src/jobs.c
+++ b/packages/core/src/jobs.c
@@ -26,7 +26,7 @@
 	struct vh_buf body;
 	int64_t deadline_ms;
 	int64_t call_timeout_ms;
-	bool once; /* never repeated after an unknown outcome */
+	bool once;    /* never repeated after an unknown outcome */
 	bool unknown; /* some try may have taken effect */
 	enum vh_err last;
 	void (*done)(struct ask *a, enum vh_err err, struct vh_slice body);
@@ -88,9 +88,8 @@
 {
 	struct ask *a = ctx;
 
-	if (worth_retry(err) &&
-	    !(a->once && err == VH_ERR_UNKNOWN_OUTCOME &&
-	      a->method == VH_METHOD_REQUEST_BEGIN))
+	if (worth_retry(err) && !(a->once && err == VH_ERR_UNKNOWN_OUTCOME &&
+				  a->method == VH_METHOD_REQUEST_BEGIN))
 		ask_again(a, err);
 	else
 		ask_end(a, err, body);
@@ -103,8 +102,7 @@
 	int64_t left = a->deadline_ms - now;
 	struct vh_claim claim;
 
-	if (!owners_get(a->jobs->core->owners, vh_slice_str(a->unit),
-			&claim)) {
+	if (!owners_get(a->jobs->core->owners, vh_slice_str(a->unit), &claim)) {
 		ask_again(a, VH_ERR_NOT_READY);
 		return;
 	}
@@ -136,8 +134,8 @@
 {
 	uint32_t k = (uint32_t)(vh_slice_hash(key, 0) % team->homes);
 
-	g_snprintf(a->unit, sizeof(a->unit), "home/%.*s/%u",
-		   VH_FMT(team->name), k);
+	g_snprintf(a->unit, sizeof(a->unit), "home/%.*s/%u", VH_FMT(team->name),
+		   k);
 }
 
 /* "TEAM.K.EPOCH.N" to "home/TEAM/K"; false if it is another team's or none. */
@@ -183,18 +181,17 @@
 	a->fn.submit(a->ctx, err, body, explain_error(err));
 }
 
-static void ops_submit(void *self, const struct vh_submit *submit,
-		       int64_t timeout_ms,
-		       void (*done)(void *ctx, enum vh_err err,
-				    struct vh_slice id,
-				    struct vh_slice message),
-		       void *ctx)
+static void
+ops_submit(void *self, const struct vh_submit *submit, int64_t timeout_ms,
+	   void (*done)(void *ctx, enum vh_err err, struct vh_slice id,
+			struct vh_slice message),
+	   void *ctx)
 {
 	struct ask *a = ask_new(self, VH_METHOD_SUBMIT, timeout_ms);
 	bool has_key = submit->key.len > 0;
 	struct vh_slice given = has_key ? submit->key : submit->request;
-	char *key = g_strdup_printf("%s/%.*s", has_key ? "k" : "r",
-				    VH_FMT(given));
+	char *key =
+		g_strdup_printf("%s/%.*s", has_key ? "k" : "r", VH_FMT(given));
 	struct vh_buf spec;
 
 	a->done = submit_done;
@@ -242,11 +239,10 @@
 	ask_try(a);
 }
 
-static void ops_get(void *self, struct vh_slice team, struct vh_slice id,
-		    int64_t wait_ms,
-		    void (*done)(void *ctx, enum vh_err err,
-				 struct vh_slice json),
-		    void *ctx)
+static void
+ops_get(void *self, struct vh_slice team, struct vh_slice id, int64_t wait_ms,
+	void (*done)(void *ctx, enum vh_err err, struct vh_slice json),
+	void *ctx)
 {
 	ask_job(self, VH_METHOD_JOB_GET, team, id, wait_ms, done, ctx);
 }
--- a/packages/core/src/owners.c
+++ b/packages/core/src/owners.c
@@ -4,7 +4,7 @@
 #include "vh/log.h"
 
 #define TICK_MS 200
-#define DEAD_GRACE_MS 4000 /* unheard nodes count as dead only after it */
+#define DEAD_GRACE_MS 4000	/* unheard nodes count as dead only after it */
 #define REBALANCE_AFTER_MS 3000 /* of unchanged membership */
 #define MAX_WATCHERS 4
 #define MAX_NODES 512
--- a/packages/core/src/status.c
+++ b/packages/core/src/status.c
@@ -96,16 +96,15 @@
 
 	for (size_t i = 0; i < n; i++)
 		json_array_append_new(
-			list,
-			json_pack("{s:o,s:o,s:I,s:o,s:o,s:s,s:I}", "id",
-				  text(nodes[i].id), "address",
-				  text(nodes[i].address), "port",
-				  (json_int_t)nodes[i].port, "region",
-				  text(nodes[i].region), "zone",
-				  text(nodes[i].zone), "state",
-				  states[nodes[i].state], "heard_ms_ago",
-				  (json_int_t)(i ? now - nodes[i].heard_ms :
-						   0)));
+			list, json_pack("{s:o,s:o,s:I,s:o,s:o,s:s,s:I}", "id",
+					text(nodes[i].id), "address",
+					text(nodes[i].address), "port",
+					(json_int_t)nodes[i].port, "region",
+					text(nodes[i].region), "zone",
+					text(nodes[i].zone), "state",
+					states[nodes[i].state], "heard_ms_ago",
+					(json_int_t)(i ? now - nodes[i].heard_ms
+						       : 0)));
 	emit(list, out);
 }
 
@@ -123,13 +122,13 @@
 		       const struct vh_vm *vm)
 {
 	json_array_append_new(
-		ctx, json_pack("{s:o,s:o,s:o,s:b,s:b,s:I,s:o,s:o}", "id",
-			       text(view->id), "rack", text(rack), "zone",
-			       text(vm->zone), "usable", view->usable,
-			       "leaving", vm->leaving, "tasks",
-			       (json_int_t)view->n_tasks, "capacity",
-			       res_json(&view->capacity), "free",
-			       res_json(&view->free)));
+		ctx,
+		json_pack("{s:o,s:o,s:o,s:b,s:b,s:I,s:o,s:o}", "id",
+			  text(view->id), "rack", text(rack), "zone",
+			  text(vm->zone), "usable", view->usable, "leaving",
+			  vm->leaving, "tasks", (json_int_t)view->n_tasks,
+			  "capacity", res_json(&view->capacity), "free",
+			  res_json(&view->free)));
 }
 
 static void ops_workers(void *self, struct vh_buf *out)
@@ -147,15 +146,15 @@
 
 	vh_home_counts(home, &c);
 	json_array_append_new(
-		ctx, json_pack("{s:o,s:I,s:I,s:I,s:I,s:I,s:I,s:o}", "home",
-			       text(vh_home_unit(home)), "epoch",
-			       (json_int_t)vh_home_epoch(home), "jobs",
-			       (json_int_t)c.jobs, "waiting",
-			       (json_int_t)c.waiting, "running",
-			       (json_int_t)c.running, "unsealed_racks",
-			       (json_int_t)vh_home_unsealed(home), "keys",
-			       (json_int_t)c.keys, "committed",
-			       res_json(&c.committed)));
+		ctx,
+		json_pack("{s:o,s:I,s:I,s:I,s:I,s:I,s:I,s:o}", "home",
+			  text(vh_home_unit(home)), "epoch",
+			  (json_int_t)vh_home_epoch(home), "jobs",
+			  (json_int_t)c.jobs, "waiting", (json_int_t)c.waiting,
+			  "running", (json_int_t)c.running, "unsealed_racks",
+			  (json_int_t)vh_home_unsealed(home), "keys",
+			  (json_int_t)c.keys, "committed",
+			  res_json(&c.committed)));
 }
 
 static void ops_jobs(void *self, struct vh_buf *out)
