Let owners declare a lease lapsed only with fresh claims

A deposed owner that had not read the claims could call a run lost whose lease its successor had renewed; vh_rack_fresh() closes that. A worker's new incarnation has another clock, so requests name the one they mean. A rack's new owner is reconciled by unsealing it. Two exchanges a worker are allowed, so that a start does not wait behind a held one.

--- a/packages/state/include/vh/home.h
+++ b/packages/state/include/vh/home.h
@@ -34,7 +34,8 @@
 	struct vh_job *job;
 	uint32_t index;
 	enum vh_task_state state;
-	uint32_t attempt;     /* attempts begun so far */
+	uint32_t attempt; /* number of the newest one; see vh_home_begin() */
+	uint32_t lost;	  /* attempts that began and were lost */
 	struct vh_slice rack; /* asked or running there; empty if none */
 	struct vh_slice worker;
 	enum vh_end end; /* when ENDING or ENDED */
@@ -105,6 +106,19 @@
 void vh_home_seal_rack(struct vh_home *h, struct vh_slice rack);
 size_t vh_home_unsealed(const struct vh_home *h);
 
+/**
+ * vh_home_unseal_rack - the rack has a new owner, or came into being
+ *
+ * Tasks that run there are in doubt until the rack has told all again: those
+ * it does not tell of by vh_home_seal_rack() were lost. Others go on. Tasks
+ * still VH_TASK_ASKED there are not decided by this: their request is asked
+ * again of the new owner (vh_place_req.again).
+ */
+void vh_home_unseal_rack(struct vh_home *h, struct vh_slice rack);
+
+/* vh_home_is_unsealed - does the home wait for this rack to tell all? */
+bool vh_home_is_unsealed(const struct vh_home *h, struct vh_slice rack);
+
 /* vh_home_rack_removed - the rack is gone with all that ran there: counts as
  * sealed, and runs on it have ended as VH_END_LOST */
 void vh_home_rack_removed(struct vh_home *h, struct vh_slice rack);
@@ -159,6 +173,10 @@
  * idempotent, VH_TASK_RECORDING and @body holds a VH_REC_ATTEMPT to append
  * first (its being applied makes it VH_TASK_ASKED). VH_ERR_LIMIT_REACHED or
  * VH_ERR_NOT_READY (unsealed racks) otherwise.
+ *
+ * Attempt numbers are never used twice: those of the home's Nth owner start
+ * at (N - 1) << 16 | 1, so that words on an earlier owner's attempt are told
+ * apart from this one's.
  */
 enum vh_err vh_home_begin(struct vh_home *h, struct vh_task *task,
 			  struct vh_slice rack, struct vh_buf *body);
@@ -186,8 +204,9 @@
  * waiting tasks end as not run. The user stops what runs. */
 bool vh_home_cancel(struct vh_home *h, struct vh_job *job, struct vh_buf *body);
 
-/* vh_home_expire - ends waiting tasks whose deadline has passed: each gives a
- * VH_REC_END body through @fn */
+/* vh_home_expire - ends waiting tasks whose deadline has passed, and those that
+ * sealing found lost for good: each gives a VH_REC_END body through @fn. Call
+ * it after vh_home_seal_rack() and vh_home_rack_removed() and now and then. */
 void vh_home_expire(struct vh_home *h, int64_t now_ms, int64_t wall_ms,
 		    void (*fn)(void *ctx, struct vh_slice body), void *ctx);
 
--- a/packages/state/include/vh/rack.h
+++ b/packages/state/include/vh/rack.h
@@ -23,10 +23,13 @@
  * struct vh_place_req - a home asks a rack's owner to run a task
  * @start: not_after_ms is ignored; the rack sets it
  * @deadline_ms: owner's clock: not decided later; 0 for none
+ * @again: this attempt was asked before, perhaps of another owner of the rack:
+ *	   it is not decided anew before all workers have been adopted
  */
 struct vh_place_req {
 	struct vh_start start;
 	int64_t deadline_ms;
+	bool again;
 };
 
 /**
@@ -50,8 +53,14 @@
  * @placed: the worker took the start on
  * @refused: it surely did not begin and will not (the commitment is undone)
  * @ended: an attempt ended. Call vh_rack_end_settled() once the home has it;
- *	   until then the end is told again after each adoption.
+ *	   until then the end is told again, every VH_RACK_RETELL_MS and
+ *	   after each adoption.
+ *
+ * Slices are valid during the call. The callbacks come from within calls on
+ * the rack, and may call vh_rack_end_settled() and vh_rack_place() only.
  */
+#define VH_RACK_RETELL_MS 2000
+
 struct vh_rack_callbacks {
 	size_t (*choose)(void *ctx, const struct vh_start *start,
 			 const struct vh_worker_view *views, size_t n,
@@ -71,6 +80,7 @@
 	int64_t renew_ms; /* renewal period */
 	int64_t start_void_ms;
 	int64_t clock_margin_ms; /* for drift over one lease */
+	bool hold; /* two exchanges with a worker: see vh_rack_sync_due() */
 };
 
 /**
@@ -89,13 +99,29 @@
 /* vh_rack_vm - tells of a worker of this rack, whenever the list changes */
 void vh_rack_vm(struct vh_rack *r, const struct vh_vm *vm, int64_t now_ms);
 
-/* vh_rack_own - begins to own under @epoch; no worker is adopted yet */
+/**
+ * vh_rack_own - begins to own under @epoch; no worker is adopted yet
+ *
+ * Fence every home right after it, with the epoch that "claims" gives it, and
+ * again whenever a home gets a new owner: that is what keeps a deposed home
+ * from starting anything here.
+ */
 void vh_rack_own(struct vh_rack *r, uint64_t epoch, int64_t now_ms);
 
 /* vh_rack_disown - forgets all commitments; no callbacks */
 void vh_rack_disown(struct vh_rack *r);
 uint64_t vh_rack_epoch(const struct vh_rack *r); /* 0: not owned */
 
+/**
+ * vh_rack_fresh - the rack was still ours at @fresh_ms
+ *
+ * Tell it from vh_stream_fresh_ms() of "claims" after each of its changes. A
+ * lapsed lease counts only once the claims were read after the lapse: before,
+ * an owner that has been deposed cannot know that its successor did not renew
+ * the lease. While the log is down, runs of lost workers stay committed.
+ */
+void vh_rack_fresh(struct vh_rack *r, int64_t fresh_ms);
+
 /**
  * vh_rack_fence_home - refuses starts of this home under older epochs
  *
@@ -106,7 +132,8 @@
 			uint64_t home_epoch);
 
 /* vh_rack_tasks_of - calls @fn for each run of this home committed here,
- * with the worker's id; ended but unsettled runs are told by ended() instead */
+ * with the worker's id. Ended but unsettled runs are among them: ended() is
+ * told for them as well. */
 void vh_rack_tasks_of(const struct vh_rack *r, struct vh_slice home,
 		      void (*fn)(void *ctx, const struct vh_running *run,
 				 struct vh_slice worker),
@@ -118,8 +145,15 @@
  * VH_OK: committed; placed() or refused() follows. The same task and attempt
  * asked again is VH_OK again and decided once. Else nothing was committed and
  * the error says why (VH_ERR_NO_CAPACITY, VH_ERR_NEVER_FITS,
- * VH_ERR_STALE_EPOCH, VH_ERR_NOT_READY, VH_ERR_DEADLINE).
+ * VH_ERR_STALE_EPOCH, VH_ERR_NOT_READY, VH_ERR_DEADLINE, VH_ERR_NOT_OWNER).
+ *
+ * A request whose answer was lost is asked again with @again set until an
+ * answer comes; so is one that was answered VH_OK when neither placed() nor
+ * refused() has followed. Decisions are remembered for VH_RACK_MEMORY_MS; a
+ * request must not arrive later than that after it was sent.
  */
+#define VH_RACK_MEMORY_MS 60000
+
 enum vh_err vh_rack_place(struct vh_rack *r, const struct vh_place_req *req,
 			  int64_t now_ms);
 
@@ -133,15 +167,27 @@
  * @req: filled; its arrays are valid until the next call on @r
  * @now_ms: read right before; starts whose time has run out are not sent
  *
- * Returns false if none is due. Each worker has one exchange under way at the
- * most: a returned one must be ended with vh_rack_sync_done() or
- * vh_rack_sync_failed().
+ * Returns false if none is due. A returned exchange must be ended with
+ * vh_rack_exchange_done() or vh_rack_exchange_failed(), naming @req->exchange.
+ *
+ * With settings.hold a worker has at most two exchanges under way: one held by
+ * the worker until a task ends or the lease wants renewal (@req->wait_ms is
+ * not 0), and one with starts, stops or a first adoption, which must not wait
+ * behind it. Without, it has one, held for VH_RACK_SHORT_HOLD_MS at the most;
+ * then vh_rack_sync_done() and vh_rack_sync_failed() may name it by its worker.
  */
+#define VH_RACK_SHORT_HOLD_MS 200
+
 bool vh_rack_sync_due(struct vh_rack *r, int64_t now_ms,
 		      struct vh_slice *worker, struct vh_sync_req *req);
 void vh_rack_sync_done(struct vh_rack *r, struct vh_slice worker,
 		       const struct vh_sync_reply *reply, int64_t now_ms);
 
+void vh_rack_exchange_done(struct vh_rack *r, uint64_t exchange,
+			   const struct vh_sync_reply *reply, int64_t now_ms);
+void vh_rack_exchange_failed(struct vh_rack *r, uint64_t exchange,
+			     enum vh_err err, int64_t now_ms);
+
 /* vh_rack_sync_failed - VH_ERR_UNREACHABLE: surely not received;
  * VH_ERR_STALE_EPOCH: fenced, the rack is disowned; else: unknown, told again */
 void vh_rack_sync_failed(struct vh_rack *r, struct vh_slice worker,
--- a/packages/state/include/vh/sync.h
+++ b/packages/state/include/vh/sync.h
@@ -59,6 +59,10 @@
 /**
  * struct vh_sync_req - what an owner tells a worker; also a lease renewal
  * @epoch: the rack's epoch; the worker refuses any lower than it has seen
+ * @incarnation: what the owner takes the worker for; empty: any. Times on the
+ *		 worker's clock and @ack mean nothing to another incarnation: it
+ *		 grants no lease, forgets no end, begins and stops nothing
+ * @exchange: names the exchange to vh_rack_exchange_done(); not on the wire
  * @lease_until_ms: on the worker's clock; 0 leaves the lease as it is
  * @ack: ends up to this sequence number may be forgotten
  * @full: answer with all running tasks, not only with what changed
@@ -67,6 +71,8 @@
 struct vh_sync_req {
 	uint64_t epoch;
 	struct vh_slice owner;
+	struct vh_slice incarnation;
+	uint64_t exchange;
 	int64_t lease_until_ms;
 	uint64_t ack;
 	bool full;
