--- a/packages/base/include/vh/slice.h
+++ b/packages/base/include/vh/slice.h
@@ -41,7 +41,11 @@
 
 static inline bool vh_slice_eq(struct vh_slice a, struct vh_slice b)
 {
-	return a.len == b.len && (!a.len || !memcmp(a.data, b.data, a.len));
+	if (a.len != b.len)
+		return false;
+	if (!a.len)
+		return true;
+	return a.data && b.data && !memcmp(a.data, b.data, a.len);
 }
 
 static inline bool vh_slice_eq_str(struct vh_slice a, const char *b)
--- a/packages/core/include/vh/core.h
+++ b/packages/core/include/vh/core.h
@@ -18,7 +18,8 @@
  * @age_ms: how old this node's newest word from the log, directly or through
  *	    a peer, is; grows while both are out of reach
  * @publish: makes a new version. @base is the version that it was made from.
- *	     @text is a whole set in INI. @done: VH_OK and the new version;
+ *	     @id (may be empty) is kept in the history. @text is a whole set in
+ *	     INI. @done: VH_OK and the new version;
  *	     VH_ERR_VERSION and the version in force; VH_ERR_INVALID_CONFIG;
  *	     VH_ERR_LOG_UNAVAILABLE (not published); VH_ERR_UNKNOWN_OUTCOME.
  * @text: the set in force as canonical INI
@@ -29,13 +30,16 @@
 	uint64_t (*version)(void *self);
 	int64_t (*age_ms)(void *self);
 	void (*publish)(void *self, uint64_t base, struct vh_slice author,
-			struct vh_slice text,
+			struct vh_slice id, struct vh_slice text,
 			void (*done)(void *ctx, enum vh_err err,
 				     uint64_t version, struct vh_slice message),
 			void *ctx);
 	struct vh_slice (*text)(void *self);
 	void (*watch)(void *self, void (*fn)(void *ctx), void *ctx);
-	void (*history)(void *self, struct vh_buf *json);
+	/* the JSON of GET /v1/config/history, newest first, at most @limit */
+	void (*history)(void *self, size_t limit, struct vh_buf *json);
+	/* canonical text of an older version; false if it is not kept */
+	bool (*text_at)(void *self, uint64_t version, struct vh_buf *text);
 };
 
 /**
--- a/packages/core/src/config.c
+++ b/packages/core/src/config.c
@@ -4,11 +4,13 @@
 #include <jansson.h>
 
 #include "vh/codec.h"
+#include "vh/delta.h"
 #include "vh/invariant.h"
 #include "vh/log.h"
 
 #define PUBLISH_TIMEOUT_MS 10000
 #define HISTORY_MAX 256
+#define TEXTS_MAX 16 /* newest versions whose text is kept */
 #define MAX_WATCHERS 8
 
 struct publish {
@@ -29,6 +31,10 @@
 	uint64_t base;
 	int64_t wall_ms;
 	char *author;
+	char *id;
+	size_t bytes;
+	json_t *changed; /* array of groups */
+	char *text;	 /* canonical; NULL once too old */
 };
 
 struct watcher {
@@ -51,13 +57,17 @@
 	size_t n_watchers;
 };
 
-/* A publish as its record holds it; slices borrow from the record. */
+/*
+ * A publish as its record holds it; slices borrow from the record. The record
+ * carries only the groups that differ from the base version.
+ */
 struct publish_record {
-	struct vh_slice id;
+	struct vh_slice serial; /* unique, of the publishing process */
+	struct vh_slice id;	/* the operator's own */
 	uint64_t base;
 	struct vh_slice author;
 	int64_t wall_ms;
-	struct vh_slice text;
+	struct vh_slice delta;
 };
 
 static bool record_unpack(struct vh_unpack *u, struct vh_slice body,
@@ -65,11 +75,12 @@
 {
 	if (!vh_unpack_init(u, body, NULL))
 		return false;
+	r->serial = vh_unpack_slice(u);
 	r->id = vh_unpack_slice(u);
 	r->base = vh_unpack_u64(u);
 	r->author = vh_unpack_slice(u);
 	r->wall_ms = vh_unpack_i64(u);
-	r->text = vh_unpack_slice(u);
+	r->delta = vh_unpack_slice(u);
 	return u->ok;
 }
 
@@ -111,43 +122,82 @@
 	return NULL;
 }
 
+static void row_finish(struct history_row *row)
+{
+	g_free(row->author);
+	g_free(row->id);
+	g_free(row->text);
+	json_decref(row->changed);
+}
+
+static void add_change(void *ctx, const struct vh_group_change *c)
+{
+	json_array_append_new(ctx, json_stringn(c->group.data, c->group.len));
+}
+
+/* Adds the version to the history; @text is its canonical text. */
 static void remember(struct vh_config *c, const struct publish_record *r,
-		     uint64_t version)
+		     uint64_t version, struct vh_slice text)
 {
 	struct history_row *row;
 
 	if (c->n_history == HISTORY_MAX) {
-		g_free(c->history[0].author);
+		row_finish(&c->history[0]);
 		memmove(&c->history[0], &c->history[1],
 			(HISTORY_MAX - 1) * sizeof(c->history[0]));
 		c->n_history--;
 	}
+	if (c->n_history >= TEXTS_MAX) {
+		row = &c->history[c->n_history - TEXTS_MAX];
+		g_free(row->text);
+		row->text = NULL;
+	}
 	row = &c->history[c->n_history++];
 	row->version = version;
 	row->base = r->base;
 	row->wall_ms = r->wall_ms;
 	row->author = vh_slice_dup(r->author);
+	row->id = vh_slice_dup(r->id);
+	row->bytes = text.len;
+	row->changed = json_array();
+	row->text = vh_slice_dup(text);
+	vh_objects_diff(vh_buf_slice(&c->text), text, add_change, row->changed);
 }
 
-static enum vh_err judge(struct vh_config *c, const struct publish_record *r,
-			 uint64_t offset)
+static void set_replace(struct vh_config *c, const struct publish_record *r,
+			uint64_t offset, struct vh_objects *set)
 {
-	struct vh_objects *set;
+	struct vh_buf text;
 
-	if (r->base != c->version)
-		return VH_ERR_VERSION;
-	set = objects_read(r->text, NULL);
-	if (!set)
-		return VH_ERR_INVALID_CONFIG;
 	vh_invariant(VH_I10_CONFIG, offset > c->version,
 		     "version %" PRIu64 " after %" PRIu64, offset, c->version);
 	if (c->objects)
 		vh_kernel_defer(c->core->kernel, objects_release, c->objects);
 	c->objects = set;
 	c->version = offset;
-	vh_buf_clear(&c->text);
-	vh_objects_render(set, &c->text);
-	remember(c, r, offset);
+	vh_buf_init(&text);
+	vh_objects_render(set, &text);
+	remember(c, r, offset, vh_buf_slice(&text));
+	vh_buf_finish(&c->text);
+	c->text = text;
+}
+
+/* Decides on a publish; the same on every node, from the log alone. */
+static enum vh_err judge(struct vh_config *c, const struct publish_record *r,
+			 uint64_t offset)
+{
+	struct vh_objects *set = NULL;
+	struct vh_buf text;
+
+	if (r->base != c->version)
+		return VH_ERR_VERSION;
+	vh_buf_init(&text);
+	if (vh_objects_delta_apply(vh_buf_slice(&c->text), r->delta, &text))
+		set = objects_read(vh_buf_slice(&text), NULL);
+	vh_buf_finish(&text);
+	if (!set)
+		return VH_ERR_INVALID_CONFIG;
+	set_replace(c, r, offset, set);
 	return VH_OK;
 }
 
@@ -169,7 +219,7 @@
 
 	if (record_unpack(&u, body, &r)) {
 		verdict = judge(c, &r, offset);
-		p = find_pending(c, r.id);
+		p = find_pending(c, r.serial);
 		if (p) {
 			p->judged = true;
 			p->verdict = verdict;
@@ -280,8 +330,7 @@
 }
 
 static void publish_append(struct vh_config *c, struct publish *p,
-			   uint64_t base, struct vh_slice author,
-			   struct vh_slice text)
+			   const struct publish_record *r)
 {
 	struct append_ref *ref = g_new(struct append_ref, 1);
 	struct vh_buf body;
@@ -289,26 +338,43 @@
 	ref->config = c;
 	ref->number = c->publishes;
 	vh_buf_init(&body);
-	vh_pack_array(&body, 5);
+	vh_pack_array(&body, 6);
 	vh_pack_slice(&body, vh_slice_str(p->id));
-	vh_pack_u64(&body, base);
-	vh_pack_slice(&body, author);
-	vh_pack_i64(&body, vh_clock_wall_ms(c->core->kernel->clock));
-	vh_pack_slice(&body, text);
+	vh_pack_slice(&body, r->id);
+	vh_pack_u64(&body, r->base);
+	vh_pack_slice(&body, r->author);
+	vh_pack_i64(&body, r->wall_ms);
+	vh_pack_slice(&body, r->delta);
 	vh_hub_append(c->stream, VH_REC_PUBLISH, vh_buf_slice(&body),
 		      append_done, ref);
 	vh_buf_finish(&body);
 }
 
+static struct publish *publish_new(struct vh_config *c)
+{
+	struct publish *p = g_new0(struct publish, 1);
+
+	p->config = c;
+	g_snprintf(p->id, sizeof(p->id), "%s/%" PRIu64, c->core->writer,
+		   ++c->publishes);
+	p->next = c->pending;
+	c->pending = p;
+	vh_timer_init(&p->timer, c->core->kernel, publish_timeout, p);
+	vh_timer_start(&p->timer, PUBLISH_TIMEOUT_MS);
+	return p;
+}
+
 static void ops_publish(void *self, uint64_t base, struct vh_slice author,
-			struct vh_slice text,
+			struct vh_slice id, struct vh_slice text,
 			void (*done)(void *ctx, enum vh_err err,
 				     uint64_t version, struct vh_slice message),
 			void *ctx)
 {
 	struct vh_config *c = self;
+	struct publish_record r = { .id = id, .base = base, .author = author };
 	char *message = NULL;
 	struct vh_objects *set = objects_read(text, &message);
+	struct vh_buf canonical, delta;
 	struct publish *p;
 
 	if (!set) {
@@ -317,23 +383,26 @@
 		g_free(message);
 		return;
 	}
-	objects_release(set);
 	if (base != c->version) {
+		objects_release(set);
 		done(ctx, VH_ERR_VERSION, c->version,
 		     vh_slice_str(verdict_text(VH_ERR_VERSION)));
 		return;
 	}
-	p = g_new0(struct publish, 1);
-	p->config = c;
+	vh_buf_init(&canonical);
+	vh_buf_init(&delta);
+	vh_objects_render(set, &canonical);
+	objects_release(set);
+	vh_objects_delta(vh_buf_slice(&c->text), vh_buf_slice(&canonical),
+			 &delta);
+	r.delta = vh_buf_slice(&delta);
+	r.wall_ms = vh_clock_wall_ms(c->core->kernel->clock);
+	p = publish_new(c);
 	p->done = done;
 	p->ctx = ctx;
-	g_snprintf(p->id, sizeof(p->id), "%s/%" PRIu64, c->core->writer,
-		   ++c->publishes);
-	p->next = c->pending;
-	c->pending = p;
-	vh_timer_init(&p->timer, c->core->kernel, publish_timeout, p);
-	vh_timer_start(&p->timer, PUBLISH_TIMEOUT_MS);
-	publish_append(c, p, base, author, text);
+	publish_append(c, p, &r);
+	vh_buf_finish(&canonical);
+	vh_buf_finish(&delta);
 }
 
 const struct vh_objects *config_objects(const struct vh_config *c)
@@ -383,26 +452,41 @@
 	config_watch(self, fn, ctx);
 }
 
-static void ops_history(void *self, struct vh_buf *json)
+static json_t *row_json(const struct history_row *r)
+{
+	return json_pack("{s:I,s:I,s:s,s:I,s:s,s:I,s:O}", "version",
+			 (json_int_t)r->version, "base", (json_int_t)r->base,
+			 "author", r->author, "at_ms", (json_int_t)r->wall_ms,
+			 "id", r->id, "bytes", (json_int_t)r->bytes, "changed",
+			 r->changed);
+}
+
+static void ops_history(void *self, size_t limit, struct vh_buf *json)
 {
 	struct vh_config *c = self;
 	json_t *rows = json_array();
+	json_t *root = json_pack("{s:o}", "versions", rows);
 	char *out;
 
-	for (size_t i = c->n_history; i-- > 0;) {
-		const struct history_row *r = &c->history[i];
-
-		json_array_append_new(rows,
-				      json_pack("{s:I,s:I,s:s,s:I}", "version",
-						(json_int_t)r->version, "base",
-						(json_int_t)r->base, "author",
-						r->author, "published_ms",
-						(json_int_t)r->wall_ms));
-	}
-	out = json_dumps(rows, JSON_COMPACT);
+	for (size_t i = c->n_history; i-- > 0 && limit-- > 0;)
+		json_array_append_new(rows, row_json(&c->history[i]));
+	out = json_dumps(root, JSON_COMPACT);
 	vh_buf_add_str(json, out);
 	free(out);
-	json_decref(rows);
+	json_decref(root);
+}
+
+static bool ops_text_at(void *self, uint64_t version, struct vh_buf *text)
+{
+	struct vh_config *c = self;
+
+	for (size_t i = 0; i < c->n_history; i++) {
+		if (c->history[i].version != version || !c->history[i].text)
+			continue;
+		vh_buf_add_str(text, c->history[i].text);
+		return true;
+	}
+	return false;
 }
 
 static bool config_start(void *self, struct vh_kernel *kernel, GError **err)
@@ -435,6 +519,7 @@
 		.text = ops_text,
 		.watch = ops_watch,
 		.history = ops_history,
+		.text_at = ops_text_at,
 	};
 	struct vh_config *c = g_new0(struct vh_config, 1);
 
@@ -460,7 +545,7 @@
 	if (c->objects)
 		objects_release(c->objects);
 	for (size_t i = 0; i < c->n_history; i++)
-		g_free(c->history[i].author);
+		row_finish(&c->history[i]);
 	vh_buf_finish(&c->text);
 	g_free(c);
 }
--- a/packages/core/src/ends.c
+++ b/packages/core/src/ends.c
@@ -148,20 +148,6 @@
 	tell(item);
 }
 
-bool ends_held(struct ends *e, struct vh_slice rack, struct vh_slice home)
-{
-	bool held = false;
-
-	for (struct end_item *item = e->items; item; item = item->next) {
-		if (!vh_slice_eq_str(rack, item->rack) ||
-		    !vh_slice_eq_str(home, item->home))
-			continue;
-		tell(item);
-		held = true;
-	}
-	return held;
-}
-
 void ends_drop_rack(struct ends *e, struct vh_slice rack)
 {
 	struct end_item **at = &e->items;
--- a/packages/core/src/ends.h
+++ b/packages/core/src/ends.h
@@ -28,9 +28,6 @@
 void ends_add(struct ends *e, struct vh_slice rack, struct vh_slice worker,
 	      const struct vh_ended *ended);
 
-/* Is an end held for a run of @home on @rack? Such ends are sent at once. */
-bool ends_held(struct ends *e, struct vh_slice rack, struct vh_slice home);
-
 /* Forgets the ends of a rack that is no longer owned. */
 void ends_drop_rack(struct ends *e, struct vh_slice rack);
 
--- a/packages/core/src/home_place.c
+++ b/packages/core/src/home_place.c
@@ -37,7 +37,7 @@
 	struct vh_claim claim;
 
 	return r->full_until_ms <= home_now_ms(h) &&
-	       rack_owner(h, r->name, &claim);
+	       rack_owner(h, r->name, &claim) && r->sealed_epoch == claim.epoch;
 }
 
 /* The wanted region first, then any; in turn within each. */
--- a/packages/core/src/home_priv.h
+++ b/packages/core/src/home_priv.h
@@ -21,17 +21,13 @@
 	bool again;
 	bool again_due;
 	int64_t due_ms;
-	char **suspects; /* of a seal: runs thought to be there */
-	uint32_t *suspect_attempts;
-	size_t n_suspects;
 };
 
 /* A rack as one home sees it. */
 struct home_rack {
 	struct home_rack *next;
 	char *name;
-	uint64_t sealed_epoch; /* rack epoch at which it last told all */
-	bool sealed;
+	uint64_t sealed_epoch; /* rack epoch at which it told all; 0: not yet */
 	bool busy;	       /* a seal is under way */
 	int64_t full_until_ms; /* refused for lack of room lately */
 };
@@ -81,6 +77,9 @@
 int64_t home_now_ms(const struct home *h);
 struct home_rack *home_rack_find(struct home *h, struct vh_slice name);
 
+/* Appends the ends of tasks that can no longer start or were lost. */
+void home_expire(struct home *h);
+
 /* Looks at what waits, soon. */
 void home_poke(struct home *h);
 
@@ -93,6 +92,9 @@
 void home_seal_racks(struct home *h);
 void home_racks_refresh(struct home *h);
 
+/* The rack has another owner now. */
+void home_rack_claimed(struct home *h, struct vh_slice rack);
+
 /* home_rpc.c */
 void home_rpc_register(struct vh_homes *hs);
 void home_answer_waits(struct home *h);
--- a/packages/core/src/homes.c
+++ b/packages/core/src/homes.c
@@ -35,10 +35,6 @@
 
 static void op_release(struct home_op *op)
 {
-	for (size_t i = 0; i < op->n_suspects; i++)
-		g_free(op->suspects[i]);
-	g_free(op->suspects);
-	g_free(op->suspect_attempts);
 	g_free(op->id);
 	g_free(op->rack);
 	g_free(op);
@@ -79,14 +75,8 @@
 	}
 }
 
-static void home_release(void *ctx)
+static void home_free(struct home *h)
 {
-	struct home *h = ctx;
-	struct home **at = &h->homes->list;
-
-	while (*at != h)
-		at = &(*at)->next;
-	*at = h->next;
 	home_drop_waits(h);
 	vh_hub_close(h->stream);
 	drop_ops(h);
@@ -105,6 +95,17 @@
 	g_free(h);
 }
 
+static void home_release(void *ctx)
+{
+	struct home *h = ctx;
+	struct home **at = &h->homes->list;
+
+	while (*at != h)
+		at = &(*at)->next;
+	*at = h->next;
+	home_free(h);
+}
+
 static void home_lose(struct home *h)
 {
 	if (h->closing)
@@ -152,6 +153,20 @@
 		vh_home_set_limit(h->state, team->limit);
 }
 
+static void expired(void *ctx, struct vh_slice body)
+{
+	struct home *h = ctx;
+
+	vh_hub_append(h->stream, VH_REC_END, body, NULL, NULL);
+}
+
+void home_expire(struct home *h)
+{
+	vh_home_expire(h->state, home_now_ms(h),
+		       vh_clock_wall_ms(h->homes->core->kernel->clock), expired,
+		       h);
+}
+
 static void open_done(void *arg, enum vh_err err, uint64_t offset)
 {
 	struct home_op *op = arg;
@@ -191,17 +206,6 @@
 		      home_op_new(h, false));
 }
 
-struct expire_ctx {
-	struct home *home;
-};
-
-static void expired(void *ctx, struct vh_slice body)
-{
-	struct home *h = ctx;
-
-	vh_hub_append(h->stream, VH_REC_END, body, NULL, NULL);
-}
-
 static void stop_cancelled(void *ctx, struct vh_job *job)
 {
 	struct home *h = ctx;
@@ -225,9 +229,7 @@
 	}
 	home_racks_refresh(h);
 	home_seal_racks(h);
-	vh_home_expire(h->state, home_now_ms(h),
-		       vh_clock_wall_ms(h->homes->core->kernel->clock), expired,
-		       h);
+	home_expire(h);
 	vh_home_each_job(h->state, stop_cancelled, h);
 	home_keep_replicas(h);
 	home_poke(h);
@@ -295,11 +297,20 @@
 
 static void on_claim(void *ctx, const struct vh_claim *claim)
 {
+	static const struct vh_slice rack = VH_SLICE("rack/");
 	struct vh_homes *hs = ctx;
 	struct vh_slice team;
 	uint32_t index;
 	struct home *h;
 
+	if (claim->unit.len > rack.len &&
+	    !memcmp(claim->unit.data, rack.data, rack.len)) {
+		for (h = hs->list; h; h = h->next)
+			home_rack_claimed(h,
+					  vh_slice(claim->unit.data + rack.len,
+						   claim->unit.len - rack.len));
+		return;
+	}
 	if (!unit_parse(claim->unit, &team, &index))
 		return;
 	h = home_find(hs, claim->unit);
@@ -358,8 +369,12 @@
 {
 	if (!hs)
 		return;
-	while (hs->list)
-		home_release(hs->list);
+	while (hs->list) {
+		struct home *h = hs->list;
+
+		hs->list = h->next;
+		home_free(h);
+	}
 	g_free(hs);
 }
 
--- a/packages/core/src/jobs.c
+++ b/packages/core/src/jobs.c
@@ -40,6 +40,13 @@
 	void *ctx;
 };
 
+static void ask_free(struct ask *a)
+{
+	vh_timer_finish(&a->timer);
+	vh_buf_finish(&a->body);
+	g_free(a);
+}
+
 static void ask_release(void *ctx)
 {
 	struct ask *a = ctx;
@@ -48,9 +55,7 @@
 	while (*at != a)
 		at = &(*at)->next;
 	*at = a->next;
-	vh_timer_finish(&a->timer);
-	vh_buf_finish(&a->body);
-	g_free(a);
+	ask_free(a);
 }
 
 static void ask_end(struct ask *a, enum vh_err err, struct vh_slice body)
@@ -344,8 +349,12 @@
 {
 	if (!j)
 		return;
-	while (j->asks)
-		ask_release(j->asks);
+	while (j->asks) {
+		struct ask *a = j->asks;
+
+		j->asks = a->next;
+		ask_free(a);
+	}
 	g_free(j);
 }
 
--- a/packages/core/src/owners.c
+++ b/packages/core/src/owners.c
@@ -70,6 +70,12 @@
 	return o->stream && vh_stream_caught_up(vh_hub_stream(o->stream));
 }
 
+int64_t owners_fresh_ms(const struct vh_owners *o)
+{
+	return o->stream ? vh_stream_fresh_ms(vh_hub_stream(o->stream))
+			 : INT64_MIN;
+}
+
 int64_t owners_age_ms(const struct vh_owners *o)
 {
 	return o->stream ? vh_hub_age_ms(o->stream) : INT64_MAX;
--- a/packages/core/src/racks.c
+++ b/packages/core/src/racks.c
@@ -9,7 +9,6 @@
 
 #define PUMP_MS 50
 #define CLOCK_MARGIN_MS 500
-#define VOID_KEEP_MS 60000
 
 /* A worker of a known rack and the way to it. */
 struct worker {
@@ -29,14 +28,6 @@
 	struct vh_peer_reply *reply;
 };
 
-/* A start that was promised never to begin. */
-struct voided {
-	struct voided *next;
-	char *task;
-	uint32_t attempt;
-	int64_t until_ms;
-};
-
 struct rack {
 	struct rack *next;
 	struct vh_racks *racks;
@@ -46,7 +37,6 @@
 	bool owned;
 	struct worker *workers;
 	struct place_wait *waits;
-	struct voided *voided;
 	struct vh_timer timer;
 };
 
@@ -164,7 +154,7 @@
 
 struct sync_ref {
 	struct rack *rack;
-	char *worker;
+	uint64_t exchange;
 };
 
 /* The rack may have been lost to another owner meanwhile. */
@@ -182,14 +172,14 @@
 {
 	struct sync_ref ref = *(struct sync_ref *)ctx;
 	int64_t now = vh_kernel_now_ms(ref.rack->racks->core->kernel);
-	struct vh_slice worker = vh_slice_str(ref.worker);
 
 	g_free(ctx);
 	if (err == VH_OK)
-		vh_rack_sync_done(ref.rack->state, worker, reply, now);
+		vh_rack_exchange_done(ref.rack->state, ref.exchange, reply,
+				      now);
 	else
-		vh_rack_sync_failed(ref.rack->state, worker, err, now);
-	g_free(ref.worker);
+		vh_rack_exchange_failed(ref.rack->state, ref.exchange, err,
+					now);
 	check_disowned(ref.rack);
 	pump_soon(ref.rack);
 }
@@ -201,13 +191,14 @@
 	struct sync_ref *ref;
 
 	if (!w || !w->client) {
-		vh_rack_sync_failed(r->state, worker, VH_ERR_UNREACHABLE,
-				    vh_kernel_now_ms(r->racks->core->kernel));
+		vh_rack_exchange_failed(
+			r->state, req->exchange, VH_ERR_UNREACHABLE,
+			vh_kernel_now_ms(r->racks->core->kernel));
 		return;
 	}
 	ref = g_new(struct sync_ref, 1);
 	ref->rack = r;
-	ref->worker = vh_slice_dup(worker);
+	ref->exchange = req->exchange;
 	vh_worker_client_sync(w->client, req, sync_done, ref);
 }
 
@@ -220,6 +211,7 @@
 
 	if (!r->owned || r->racks->stopping)
 		return;
+	vh_rack_fresh(r->state, owners_fresh_ms(r->racks->core->owners));
 	vh_rack_tick(r->state, vh_kernel_now_ms(kernel));
 	while (vh_rack_sync_due(r->state, vh_kernel_now_ms(kernel), &worker,
 				&req)) {
@@ -240,6 +232,7 @@
 	out->renew_ms = out->lease_ms / 3;
 	out->start_void_ms = set ? set->fleet.start_void_ms : 5000;
 	out->clock_margin_ms = CLOCK_MARGIN_MS;
+	out->hold = true;
 }
 
 static struct vh_rack *state_new(struct rack *r)
@@ -329,6 +322,19 @@
 	}
 }
 
+static bool is_home(struct vh_slice unit)
+{
+	return unit.len > 5 && !memcmp(unit.data, "home/", 5);
+}
+
+static void fence_home(void *ctx, const struct vh_claim *claim)
+{
+	struct rack *r = ctx;
+
+	if (is_home(claim->unit))
+		vh_rack_fence_home(r->state, claim->unit, claim->epoch);
+}
+
 static void rack_gained(struct rack *r, uint64_t epoch)
 {
 	vh_log(G_LOG_LEVEL_INFO, "own a rack", "rack", r->name, NULL);
@@ -353,6 +359,13 @@
 	struct vh_slice name;
 	struct rack *r;
 
+	if (is_home(claim->unit)) {
+		for (r = rs->list; r; r = r->next) {
+			if (r->owned)
+				fence_home(r, claim);
+		}
+		return;
+	}
 	if (claim->unit.len <= prefix.len ||
 	    memcmp(claim->unit.data, prefix.data, prefix.len))
 		return;
@@ -368,63 +381,6 @@
 	}
 }
 
-static bool is_voided(struct rack *r, struct vh_slice task, uint32_t attempt)
-{
-	int64_t now = vh_kernel_now_ms(r->racks->core->kernel);
-	struct voided **at = &r->voided;
-	bool found = false;
-
-	while (*at) {
-		struct voided *v = *at;
-
-		if (now > v->until_ms) {
-			*at = v->next;
-			g_free(v->task);
-			g_free(v);
-			continue;
-		}
-		found = found || (v->attempt == attempt &&
-				  vh_slice_eq_str(task, v->task));
-		at = &v->next;
-	}
-	return found;
-}
-
-static void void_start(struct rack *r, struct vh_slice task, uint32_t attempt)
-{
-	struct voided *v = g_new0(struct voided, 1);
-
-	v->task = vh_slice_dup(task);
-	v->attempt = attempt;
-	v->until_ms = vh_kernel_now_ms(r->racks->core->kernel) + VOID_KEEP_MS;
-	v->next = r->voided;
-	r->voided = v;
-}
-
-struct run_query {
-	struct vh_slice task;
-	uint32_t attempt;
-	bool found;
-};
-
-static void match_run(void *ctx, const struct vh_running *run,
-		      struct vh_slice worker)
-{
-	struct run_query *q = ctx;
-
-	(void)worker;
-	if (run->attempt == q->attempt && vh_slice_eq(run->task, q->task))
-		q->found = true;
-}
-
-static bool run_known(struct rack *r, const struct vh_start *s)
-{
-	struct run_query q = { s->task, s->attempt, false };
-
-	vh_rack_tasks_of(r->state, s->home, match_run, &q);
-	return q.found;
-}
-
 /* Is the asking home's epoch older than one that the claims show? */
 static bool home_is_stale(struct vh_racks *rs, const struct vh_start *s)
 {
@@ -434,28 +390,13 @@
 	return s->home_epoch < claim.epoch;
 }
 
-/* The home does not know what became of this start. */
-static enum vh_err place_again(struct rack *r, const struct vh_start *s)
-{
-	if (ends_held(&r->racks->ends, vh_slice_str(r->name), s->home))
-		return VH_ERR_NOT_READY;
-	if (run_known(r, s))
-		return VH_OK;
-	if (!vh_rack_fence_home(r->state, s->home, s->home_epoch))
-		return VH_ERR_NOT_READY;
-	void_start(r, s->task, s->attempt);
-	return VH_ERR_CANCELLED;
-}
-
-static enum vh_err place_first(struct rack *r, const struct wire_place *msg)
+static enum vh_err decide(struct rack *r, const struct wire_place *msg)
 {
 	int64_t now = vh_kernel_now_ms(r->racks->core->kernel);
-	struct vh_place_req req = { .start = msg->start };
+	struct vh_place_req req = { .start = msg->start, .again = msg->again };
 
 	if (msg->deadline_in_ms)
 		req.deadline_ms = now + msg->deadline_in_ms;
-	if (is_voided(r, msg->start.task, msg->start.attempt))
-		return VH_ERR_CANCELLED;
 	return vh_rack_place(r->state, &req, now);
 }
 
@@ -474,18 +415,13 @@
 		vh_peer_answer(reply, VH_ERR_STALE_EPOCH, vh_slice("", 0));
 		return;
 	}
-	if (msg->again) {
-		err = place_again(r, &msg->start);
-		vh_peer_answer(reply, err, vh_slice("", 0));
-		return;
-	}
 	w = g_new0(struct place_wait, 1);
 	w->task = vh_slice_dup(msg->start.task);
 	w->attempt = msg->start.attempt;
 	w->reply = reply;
 	w->next = r->waits;
 	r->waits = w;
-	err = place_first(r, msg);
+	err = decide(r, msg);
 	if (err != VH_OK)
 		answer_waits(r, msg->start.task, msg->start.attempt, err,
 			     vh_slice("", 0));
@@ -554,8 +490,6 @@
 	if (r && r->owned) {
 		epoch = vh_rack_epoch(r->state);
 		complete = vh_rack_fence_home(r->state, home, home_epoch);
-		if (ends_held(&rs->ends, name, home))
-			complete = false;
 		vh_rack_tasks_of(r->state, home, add_run, &list);
 	}
 	vh_pack_array(out, 4);
@@ -642,13 +576,6 @@
 		worker_free(w);
 	}
 	drop_waits(r);
-	while (r->voided) {
-		struct voided *v = r->voided;
-
-		r->voided = v->next;
-		g_free(v->task);
-		g_free(v);
-	}
 	vh_timer_finish(&r->timer);
 	vh_rack_free(r->state);
 	g_free(r->name);
--- a/packages/platform/src/worker_client.c
+++ b/packages/platform/src/worker_client.c
@@ -6,6 +6,7 @@
 #include "vh/log.h"
 
 #define SYNC_TIMEOUT_MS 2000
+#define EXCHANGES 2 /* one may be held by the worker */
 #define MAX_SYNC_BYTES (4u << 20)
 
 struct vh_worker_client {
@@ -24,7 +25,8 @@
 {
 	struct vh_worker_client *c = g_new0(struct vh_worker_client, 1);
 
-	c->pool = vh_http_pool_new(kernel, address, port, 1, MAX_SYNC_BYTES);
+	c->pool = vh_http_pool_new(kernel, address, port, EXCHANGES,
+				   MAX_SYNC_BYTES);
 	return c;
 }
 
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -4,12 +4,16 @@
 build=build-lint
 cmake -S . -B "$build" -G Ninja -DCMAKE_BUILD_TYPE=Debug \
 	-DCMAKE_C_COMPILER=clang -DCMAKE_CXX_COMPILER=clang++ >/dev/null
-git ls-files -co --exclude-standard 'packages/*.c' |
+sources() {
+	git ls-files -co --exclude-standard 'packages/*.c' |
+		while read -r f; do [ -e "$f" ] && echo "$f"; done
+}
+sources |
 	xargs -P 10 -n 2 clang-tidy -quiet -p "$build" 2>"$build/tidy.err" || {
 	grep -v 'warnings generated' "$build/tidy.err" >&2 || true
 	exit 1
 }
-git ls-files -co --exclude-standard 'packages/*.c' |
+sources |
 	xargs cppcheck -j 10 --quiet --error-exitcode=1 --inline-suppr \
 		--enable=warning,performance,portability \
 		--suppress=missingIncludeSystem --suppress=varFuncNullUB \
