--- /dev/null
+++ b/packages/policy/src/waitlist.c
@@ -0,0 +1,309 @@
+#include "vh/waitlist.h"
+
+/* After this long a waiting task counts as one priority higher. */
+#define AGE_STEP_MS 30000
+#define AGE_STEPS_MAX 8
+#define QUARTERS 4
+
+static uint64_t age_steps(const struct vh_demand *d, int64_t now_ms)
+{
+	int64_t steps = (now_ms - d->accepted_ms) / AGE_STEP_MS;
+
+	if (steps <= 0)
+		return 0;
+	return steps < AGE_STEPS_MAX ? (uint64_t)steps : AGE_STEPS_MAX;
+}
+
+static int rank(const struct vh_demand *d)
+{
+	if (d->want.cls == VH_CLASS_URGENT)
+		return 0;
+	return d->want.cls == VH_CLASS_SERVICE && d->share < d->due ? 1 : 2;
+}
+
+bool vh_demand_before(const struct vh_demand *a, const struct vh_demand *b,
+		      int64_t now_ms)
+{
+	uint64_t pa = a->priority + age_steps(a, now_ms);
+	uint64_t pb = b->priority + age_steps(b, now_ms);
+
+	if (rank(a) != rank(b))
+		return rank(a) < rank(b);
+	if (a->share != b->share)
+		return a->share < b->share;
+	if (a->team != b->team)
+		return a->team < b->team;
+	if (pa != pb)
+		return pa > pb;
+	if (a->accepted_ms != b->accepted_ms)
+		return a->accepted_ms < b->accepted_ms;
+	return a->id < b->id;
+}
+
+static void remove_at(struct vh_waitlist *w, size_t i)
+{
+	w->items[i] = w->items[--w->n];
+}
+
+static void forget_stale(struct vh_waitlist *w, int64_t now_ms)
+{
+	for (size_t i = 0; i < w->n;) {
+		const struct vh_waiting *x = &w->items[i];
+		bool late =
+			x->demand.deadline_ms && now_ms > x->demand.deadline_ms;
+
+		if (late || now_ms - x->heard_ms > VH_DEMAND_FRESH_MS)
+			remove_at(w, i);
+		else
+			i++;
+	}
+}
+
+/* A team's share as last heard goes to all its demands, or the order would
+ * have cycles. */
+static void set_team_share(struct vh_waitlist *w, const struct vh_demand *d,
+			   uint64_t share)
+{
+	for (size_t i = 0; i < w->n; i++) {
+		if (w->items[i].demand.team != d->team)
+			continue;
+		w->items[i].demand.share = share;
+		w->items[i].demand.due = d->due;
+	}
+}
+
+static size_t find(const struct vh_waitlist *w, uint64_t id)
+{
+	size_t i = 0;
+
+	while (i < w->n && w->items[i].demand.id != id)
+		i++;
+	return i;
+}
+
+/* Adds or refreshes; of a full list the last in order is dropped. */
+static void note(struct vh_waitlist *w, const struct vh_demand *demand,
+		 int64_t now_ms)
+{
+	size_t at = find(w, demand->id);
+
+	if (at == VH_WAITLIST_MAX) {
+		at = 0;
+		for (size_t i = 1; i < w->n; i++) {
+			if (vh_demand_before(&w->items[at].demand,
+					     &w->items[i].demand, now_ms))
+				at = i;
+		}
+		w->dropped++;
+		if (vh_demand_before(&w->items[at].demand, demand, now_ms))
+			return;
+	} else if (at == w->n) {
+		w->n++;
+	}
+	w->items[at].demand = *demand;
+	w->items[at].heard_ms = now_ms;
+	set_team_share(w, demand, demand->share);
+}
+
+/** struct turn - the workers while those before a demand are served */
+struct turn {
+	struct vh_candidate workers[VH_WAITLIST_WORKERS];
+	const struct vh_worker_load *loads;
+	size_t n;
+	size_t kept; /* worker kept for a demand that has waited long; n: none */
+	uint64_t kept_for;
+	int64_t kept_until_ms; /* when that demand could start */
+};
+
+/* When the worker is expected to have room, by quarters of what comes back. */
+static int64_t room_at_ms(const struct vh_worker_load *load,
+			  const struct vh_res *size, int64_t now_ms)
+{
+	const struct vh_candidate *c = &load->worker;
+
+	if (vh_res_fits(size, &c->free))
+		return now_ms;
+	for (int q = 1; q <= QUARTERS; q++) {
+		struct vh_res later = c->free;
+
+		if (!load->ready_ms[q - 1])
+			continue;
+		for (int d = 0; d < VH_DIMS; d++)
+			later.v[d] += (uint32_t)((uint64_t)(c->capacity.v[d] -
+							    c->free.v[d]) *
+						 (unsigned int)q / QUARTERS);
+		if (vh_res_fits(size, &later))
+			return load->ready_ms[q - 1] > now_ms
+				       ? load->ready_ms[q - 1]
+				       : now_ms;
+	}
+	return INT64_MAX;
+}
+
+/* Keeps the worker that has room first for the demand that has waited longest,
+ * if its team is not above its due share. */
+static void keep_worker(struct turn *t, const struct vh_waitlist *w,
+			int64_t now_ms)
+{
+	const struct vh_demand *oldest = NULL;
+
+	for (size_t i = 0; i < w->n; i++) {
+		const struct vh_demand *d = &w->items[i].demand;
+
+		if (now_ms - d->accepted_ms >= VH_RESERVE_AFTER_MS &&
+		    d->share <= d->due &&
+		    (!oldest || d->accepted_ms < oldest->accepted_ms))
+			oldest = d;
+	}
+	for (size_t i = 0; oldest && i < t->n; i++) {
+		const struct vh_candidate *c = &t->loads[i].worker;
+		int64_t at;
+
+		if (!c->usable ||
+		    !vh_res_fits(&oldest->want.size, &c->capacity))
+			continue;
+		at = room_at_ms(&t->loads[i], &oldest->want.size, now_ms);
+		if (t->kept < t->n && at >= t->kept_until_ms)
+			continue;
+		t->kept = i;
+		t->kept_until_ms = at;
+		t->kept_for = oldest->id;
+	}
+}
+
+/* Places one demand on what those before it have left. */
+static bool serve(struct turn *t, const struct vh_demand *d, int64_t now_ms,
+		  struct vh_place_result *out)
+{
+	bool backfills = d->run_ms && t->kept_until_ms < INT64_MAX &&
+			 now_ms + d->run_ms <= t->kept_until_ms;
+	bool hide = t->kept < t->n && d->id != t->kept_for && !backfills;
+	bool usable = hide && t->workers[t->kept].usable;
+
+	if (hide)
+		t->workers[t->kept].usable = false;
+	vh_place(&d->want, t->workers, t->n, out);
+	if (hide)
+		t->workers[t->kept].usable = usable;
+	if (out->reason != VH_PLACE_OK)
+		return false;
+	vh_res_sub(&t->workers[out->index].free, &d->want.size);
+	return true;
+}
+
+/* The first in order of those not yet served. */
+static size_t next_in_order(const struct vh_demand *left, size_t n,
+			    int64_t now_ms)
+{
+	size_t first = 0;
+
+	for (size_t i = 1; i < n; i++) {
+		if (vh_demand_before(&left[i], &left[first], now_ms))
+			first = i;
+	}
+	return first;
+}
+
+/* Serves demands in order up to the one asked for. */
+static void take_turns(const struct vh_waitlist *w, struct turn *t, uint64_t id,
+		       int64_t now_ms, struct vh_ask *out)
+{
+	struct vh_demand left[VH_WAITLIST_MAX];
+	size_t n = w->n;
+	bool served_before = false;
+
+	for (size_t i = 0; i < n; i++)
+		left[i] = w->items[i].demand;
+	while (n) {
+		size_t at = next_in_order(left, n, now_ms);
+		struct vh_demand d = left[at];
+		bool ok = serve(t, &d, now_ms, &out->place);
+
+		if (d.id == id) {
+			out->result = ok ? VH_ASK_START : VH_ASK_FULL;
+			if (!ok && served_before)
+				out->result = VH_ASK_TURN;
+			return;
+		}
+		if (!out->before++)
+			out->next_team = d.team;
+		served_before |= ok;
+		left[at] = left[--n];
+		for (size_t i = 0; ok && i < n; i++) {
+			if (left[i].team == d.team)
+				left[i].share += d.step;
+		}
+	}
+}
+
+void vh_waitlist_ask(struct vh_waitlist *w, const struct vh_demand *demand,
+		     const struct vh_worker_load *loads, size_t n,
+		     int64_t now_ms, struct vh_ask *out)
+{
+	struct turn t = { .loads = loads, .n = n, .kept = n };
+
+	*out = (struct vh_ask){ .result = VH_ASK_FULL };
+	forget_stale(w, now_ms);
+	if (demand->deadline_ms && now_ms > demand->deadline_ms) {
+		out->result = VH_ASK_DEADLINE;
+		vh_waitlist_remove(w, demand->id);
+		return;
+	}
+	for (size_t i = 0; i < n; i++)
+		t.workers[i] = loads[i].worker;
+	vh_place(&demand->want, t.workers, n, &out->place);
+	if (out->place.reason == VH_PLACE_NEVER_FITS) {
+		out->result = VH_ASK_NEVER;
+		vh_waitlist_remove(w, demand->id);
+		return;
+	}
+	note(w, demand, now_ms);
+	keep_worker(&t, w, now_ms);
+	take_turns(w, &t, demand->id, now_ms, out);
+	if (out->result == VH_ASK_START) {
+		vh_waitlist_remove(w, demand->id);
+		set_team_share(w, demand, demand->share + demand->step);
+	}
+}
+
+void vh_waitlist_remove(struct vh_waitlist *w, uint64_t id)
+{
+	size_t at = find(w, id);
+
+	if (at < w->n)
+		remove_at(w, at);
+}
+
+/* Open addressing over at most half of the slots; 0 is an empty slot. */
+#define ID_SLOTS (2 * VH_WAITLIST_MAX)
+
+static size_t id_slot(const size_t *slots, const struct vh_waitlist *w,
+		      uint64_t id)
+{
+	size_t at = (id ^ id >> 32) % ID_SLOTS;
+
+	while (slots[at] && w->items[slots[at] - 1].demand.id != id)
+		at = (at + 1) % ID_SLOTS;
+	return at;
+}
+
+void vh_waitlist_remove_all(struct vh_waitlist *w, const uint64_t *ids,
+			    size_t n)
+{
+	size_t slots[ID_SLOTS] = { 0 }, kept = 0;
+	bool gone[VH_WAITLIST_MAX] = { false };
+
+	for (size_t i = 0; i < w->n; i++)
+		slots[id_slot(slots, w, w->items[i].demand.id)] = i + 1;
+	for (size_t i = 0; i < n; i++) {
+		size_t at = slots[id_slot(slots, w, ids[i])];
+
+		if (at)
+			gone[at - 1] = true;
+	}
+	for (size_t i = 0; i < w->n; i++) {
+		if (!gone[i])
+			w->items[kept++] = w->items[i];
+	}
+	w->n = kept;
+}
