--- /dev/null
+++ b/packages/ctl/src/cmd_config.c
@@ -0,0 +1,322 @@
+#include "print.h"
+#include "publish.h"
+#include "set.h"
+#include "vh/delta.h"
+
+static json_t *set_summary(const struct ctl_set *set)
+{
+	const struct vh_objects *o = &set->objects;
+
+	return json_pack("{s:I,s:I,s:I,s:I,s:I,s:I}", "shares",
+			 (json_int_t)o->n_shares, "limits",
+			 (json_int_t)o->n_limits, "teams",
+			 (json_int_t)o->n_teams, "keys", (json_int_t)o->n_keys,
+			 "queues", (json_int_t)o->n_queues, "services",
+			 (json_int_t)o->n_services);
+}
+
+int cmd_check(struct ctl *c, int argc, char **argv)
+{
+	struct ctl_set set;
+	bool ok;
+
+	if (argc < 1)
+		return ctl_usage(c, "check needs files or a folder");
+	if (!ctl_set_read(c, &set, argv, argc))
+		return CTL_FAILED;
+	ok = set.ok;
+	if (c->json) {
+		json_t *json = json_pack("{s:b,s:o}", "ok", ok, "problems",
+					 problems_json(&set.problems));
+
+		if (ok)
+			json_object_set_new(json, "objects", set_summary(&set));
+		print_json(c, json);
+		json_decref(json);
+	} else {
+		print_problems(c, &set.problems);
+		if (ok)
+			fprintf(c->out, "no mistakes, %zu warnings\n",
+				set.problems.n);
+		else
+			fprintf(c->out, "%zu mistakes\n",
+				set.problems.n_errors);
+	}
+	ctl_set_finish(&set);
+	return ok ? CTL_OK : CTL_INVALID;
+}
+
+static void print_lines(struct ctl *c, char mark, struct vh_slice lines,
+			struct vh_slice other)
+{
+	char *text = vh_slice_dup(lines);
+	char *others = vh_slice_dup(other);
+	char **a = g_strsplit(text, "\n", -1);
+	char **b = g_strsplit(others, "\n", -1);
+
+	for (size_t i = 0; a[i]; i++) {
+		if (*a[i] && !g_strv_contains((const char *const *)b, a[i]))
+			fprintf(c->out, "  %c %s\n", mark, a[i]);
+	}
+	g_strfreev(a);
+	g_strfreev(b);
+	g_free(text);
+	g_free(others);
+}
+
+/* What print_change() needs. */
+struct diff {
+	struct ctl *c;
+	json_t *changes;
+};
+
+static void print_change(void *ctx, const struct vh_group_change *change)
+{
+	struct diff *d = ctx;
+	char *group = vh_slice_dup(change->group);
+
+	if (!d->c->json) {
+		fprintf(d->c->out, "%s [%s]\n", vh_change_name(change->change),
+			group);
+		print_lines(d->c, '-', change->from, change->to);
+		print_lines(d->c, '+', change->to, change->from);
+	}
+	json_array_append_new(
+		d->changes,
+		json_pack("{s:s,s:s,s:s%,s:s%}", "group", group, "change",
+			  vh_change_name(change->change), "from",
+			  change->from.len ? change->from.data : "",
+			  change->from.len, "to",
+			  change->to.len ? change->to.data : "",
+			  change->to.len));
+	g_free(group);
+}
+
+int cmd_diff(struct ctl *c, int argc, char **argv)
+{
+	struct diff d = { .c = c };
+	struct ctl_answer answer;
+	struct ctl_set set;
+	int code;
+
+	if (argc < 1)
+		return ctl_usage(c, "diff needs files or a folder");
+	if (!ctl_set_read(c, &set, argv, argc))
+		return CTL_FAILED;
+	print_problems(c, &set.problems);
+	if (!set.ok) {
+		ctl_set_finish(&set);
+		return CTL_INVALID;
+	}
+	code = fetch_set(c, &answer);
+	if (code == CTL_OK) {
+		d.changes = json_array();
+		vh_objects_diff(vh_buf_slice(&answer.body),
+				vh_buf_slice(&set.text), print_change, &d);
+		if (c->json)
+			print_json(c, d.changes);
+		else if (!json_array_size(d.changes))
+			fprintf(c->out,
+				"no difference to version %" G_GUINT64_FORMAT
+				"\n",
+				answer.version);
+		json_decref(d.changes);
+	}
+	ctl_answer_finish(&answer);
+	ctl_set_finish(&set);
+	return code;
+}
+
+/* The version that the set was made from: option, mark in the files, or the
+ * version in force now. */
+static int find_base(struct ctl *c, const struct ctl_set *set, uint64_t *base)
+{
+	struct ctl_answer answer;
+	int code;
+
+	if (c->opt.base >= 0 || set->base >= 0) {
+		*base = (uint64_t)(c->opt.base >= 0 ? c->opt.base : set->base);
+		return CTL_OK;
+	}
+	code = fetch_set(c, &answer);
+	*base = answer.version;
+	ctl_answer_finish(&answer);
+	if (code == CTL_OK)
+		fprintf(c->err,
+			"vhctl: no --base and no \"# version\" line: made from "
+			"version %" G_GUINT64_FORMAT ", in force now\n",
+			*base);
+	return code;
+}
+
+int cmd_publish(struct ctl *c, int argc, char **argv)
+{
+	struct ctl_set set;
+	uint64_t version;
+	uint64_t base;
+	int code;
+
+	if (argc < 1)
+		return ctl_usage(c, "publish needs files or a folder");
+	if (!ctl_set_read(c, &set, argv, argc))
+		return CTL_FAILED;
+	print_problems(c, &set.problems);
+	code = set.ok ? find_base(c, &set, &base) : CTL_INVALID;
+	if (code == CTL_OK)
+		code = publish_text(c, base, vh_buf_slice(&set.text), &version);
+	ctl_set_finish(&set);
+	return code == CTL_OK ? publish_report(c, version) : code;
+}
+
+int cmd_rollback(struct ctl *c, int argc, char **argv)
+{
+	struct ctl_answer now;
+	struct ctl_answer old;
+	uint64_t version;
+	uint64_t to;
+	char *path;
+	int code;
+
+	if (argc != 1 || !vh_slice_to_u64(vh_slice_str(argv[0]), &to))
+		return ctl_usage(c, "rollback needs the number of a version");
+	path = g_strdup_printf("/v1/config?version=%" G_GUINT64_FORMAT, to);
+	ctl_get(c, NULL, path, &old);
+	g_free(path);
+	if (old.status != 200) {
+		code = ctl_explain_failure(c, &old);
+		ctl_answer_finish(&old);
+		return code;
+	}
+	code = fetch_set(c, &now);
+	if (code == CTL_OK)
+		code = publish_text(c,
+				    c->opt.base >= 0 ? (uint64_t)c->opt.base
+						     : now.version,
+				    vh_buf_slice(&old.body), &version);
+	ctl_answer_finish(&now);
+	ctl_answer_finish(&old);
+	return code == CTL_OK ? publish_report(c, version) : code;
+}
+
+/* What collect_group() needs. */
+struct filter {
+	const char *kind;
+	const char *name;
+	struct vh_buf *out;
+	json_t *list;
+};
+
+static void collect_group(void *ctx, const struct vh_group_change *change)
+{
+	struct filter *f = ctx;
+	char *group = vh_slice_dup(change->group);
+	char **parts = g_strsplit(group, " ", 2);
+	char *name = parts[1] ? g_strndup(parts[1] + 1, strlen(parts[1]) - 2)
+			      : g_strdup("");
+
+	if ((!f->kind || !strcmp(parts[0], f->kind)) &&
+	    (!f->name || !strcmp(name, f->name))) {
+		char *keys = vh_slice_dup(change->to);
+		char **lines = g_strsplit(g_strstrip(keys), "\n", -1);
+		char *joined = g_strjoinv(", ", lines);
+
+		vh_buf_printf(f->out, "[%s]\n%.*s", group, VH_FMT(change->to));
+		json_array_append_new(
+			f->list, json_pack("{s:s,s:s,s:s}", "kind", parts[0],
+					   "name", name, "keys", joined));
+		g_free(joined);
+		g_strfreev(lines);
+		g_free(keys);
+	}
+	g_free(name);
+	g_strfreev(parts);
+	g_free(group);
+}
+
+static int fetch_filtered(struct ctl *c, int argc, char **argv,
+			  struct ctl_answer *answer, struct vh_buf *out,
+			  json_t *list)
+{
+	struct filter f = { .kind = argc > 0 ? argv[0] : NULL,
+			    .name = argc > 1 ? argv[1] : NULL,
+			    .out = out,
+			    .list = list };
+	int code = fetch_set(c, answer);
+
+	if (code != CTL_OK)
+		return code;
+	vh_objects_diff(vh_slice(NULL, 0), vh_buf_slice(&answer->body),
+			collect_group, &f);
+	if (f.name && !json_array_size(list)) {
+		fprintf(c->err, "vhctl: there is no [%s \"%s\"]\n", f.kind,
+			f.name);
+		return CTL_FAILED;
+	}
+	return CTL_OK;
+}
+
+int cmd_get(struct ctl *c, int argc, char **argv)
+{
+	json_t *list = json_array();
+	struct ctl_answer answer;
+	struct vh_buf out;
+	int code;
+
+	vh_buf_init(&out);
+	code = fetch_filtered(c, argc, argv, &answer, &out, list);
+	if (code == CTL_OK && c->json) {
+		json_t *json =
+			json_pack("{s:I,s:O}", "version",
+				  (json_int_t)answer.version, "objects", list);
+
+		print_json(c, json);
+		json_decref(json);
+	} else if (code == CTL_OK) {
+		fprintf(c->out, "# version %" G_GUINT64_FORMAT "\n",
+			answer.version);
+		fwrite(out.data ? out.data : "", 1, out.len, c->out);
+	}
+	vh_buf_finish(&out);
+	json_decref(list);
+	ctl_answer_finish(&answer);
+	return code;
+}
+
+int cmd_list(struct ctl *c, int argc, char **argv)
+{
+	json_t *list = json_array();
+	struct ctl_answer answer;
+	struct vh_buf out;
+	int code;
+
+	vh_buf_init(&out);
+	code = fetch_filtered(c, MIN(argc, 1), argv, &answer, &out, list);
+	if (code == CTL_OK)
+		print_value(c, list);
+	vh_buf_finish(&out);
+	json_decref(list);
+	ctl_answer_finish(&answer);
+	return code;
+}
+
+int cmd_history(struct ctl *c, int argc, char **argv)
+{
+	char *path =
+		g_strdup_printf("/v1/config/history?limit=%d", c->opt.limit);
+	struct ctl_answer answer;
+	json_t *json;
+	int code = CTL_OK;
+
+	(void)argc;
+	(void)argv;
+	ctl_get(c, NULL, path, &answer);
+	g_free(path);
+	json = answer.status == 200 ? ctl_answer_json(&answer) : NULL;
+	if (json)
+		print_value(c, json);
+	else
+		code = ctl_explain_failure(c, &answer);
+	json_decref(json);
+	ctl_answer_finish(&answer);
+	return code;
+}
--- /dev/null
+++ b/packages/ctl/src/ctl.c
@@ -0,0 +1,261 @@
+#include "ctl.h"
+
+#include <stdlib.h>
+
+#define TIMEOUT_DEFAULT_S 10
+#define SERVER_DEFAULT "127.0.0.1:8081"
+
+/* One option; its value goes to @offset in struct ctl_options. */
+struct option_spec {
+	const char *name;
+	GOptionArg arg;
+	size_t offset;
+	const char *help;
+	const char *value;
+};
+
+#define OPT(field) offsetof(struct ctl_options, field)
+
+static const struct option_spec common_options[] = {
+	{ "server", G_OPTION_ARG_STRING, OPT(server),
+	  "operators' listeners, tried in turn (VHCTL_SERVER, " SERVER_DEFAULT
+	  ")",
+	  "IP:PORT[,...]" },
+	{ "nodes", G_OPTION_ARG_STRING, OPT(nodes),
+	  "operators' listeners of all nodes; by default the servers' answer "
+	  "(VHCTL_NODES)",
+	  "IP:PORT[,...]" },
+	{ "token-file", G_OPTION_ARG_FILENAME, OPT(token_file),
+	  "file with the operator's token (VHCTL_TOKEN holds a token)",
+	  "FILE" },
+	{ "output", G_OPTION_ARG_STRING, OPT(output), "text (default) or json",
+	  "FORMAT" },
+	{ "timeout", G_OPTION_ARG_INT, OPT(timeout_s),
+	  "longest time for one call, default 10", "SECONDS" },
+};
+
+static const struct option_spec command_options[] = {
+	{ "base", G_OPTION_ARG_INT64, OPT(base),
+	  "version that the change was made from", "VERSION" },
+	{ "wait", G_OPTION_ARG_NONE, OPT(wait),
+	  "until it is in force on every live node", NULL },
+	{ "name", G_OPTION_ARG_STRING, OPT(name), "name of the new key",
+	  "NAME" },
+	{ "limit", G_OPTION_ARG_INT, OPT(limit), "how many, default 20", "N" },
+	{ "out", G_OPTION_ARG_FILENAME, OPT(out), "file to write", "FILE" },
+	{ "interval", G_OPTION_ARG_INT, OPT(interval_s),
+	  "seconds between two looks, default 2", "SECONDS" },
+	{ "count", G_OPTION_ARG_INT, OPT(count),
+	  "number of looks, default 0: until stopped", "N" },
+};
+
+static GOptionEntry make_entry(const struct option_spec *spec,
+			       struct ctl_options *opt)
+{
+	GOptionEntry entry = { .long_name = spec->name,
+			       .arg = spec->arg,
+			       .arg_data = (char *)opt + spec->offset,
+			       .description = spec->help,
+			       .arg_description = spec->value };
+
+	return entry;
+}
+
+static bool has_option(const struct ctl_command *command, const char *name)
+{
+	return command->options && g_strv_contains(command->options, name);
+}
+
+static GOptionContext *make_context(struct ctl *c,
+				    const struct ctl_command *command)
+{
+	GOptionEntry entries[G_N_ELEMENTS(common_options) +
+			     G_N_ELEMENTS(command_options) + 1] = { 0 };
+	char *usage =
+		command ? g_strdup_printf("%s %s", command->name, command->args)
+			: g_strdup("COMMAND ...");
+	GOptionContext *context = g_option_context_new(usage);
+	size_t n = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(common_options); i++)
+		entries[n++] = make_entry(&common_options[i], &c->opt);
+	for (size_t i = 0; i < G_N_ELEMENTS(command_options); i++) {
+		if (command && has_option(command, command_options[i].name))
+			entries[n++] = make_entry(&command_options[i], &c->opt);
+	}
+	g_option_context_add_main_entries(context, entries, NULL);
+	g_option_context_set_help_enabled(context, FALSE);
+	g_option_context_set_strict_posix(context, command == NULL);
+	g_free(usage);
+	return context;
+}
+
+int ctl_usage(struct ctl *c, const char *fmt, ...)
+{
+	va_list ap;
+	char *text;
+
+	va_start(ap, fmt);
+	text = g_strdup_vprintf(fmt, ap);
+	va_end(ap);
+	fprintf(c->err, "vhctl: %s; see vhctl help\n", text);
+	g_free(text);
+	return CTL_USAGE;
+}
+
+static const struct ctl_command *find_command(const char *name)
+{
+	for (size_t i = 0; ctl_commands[i].name; i++) {
+		if (!strcmp(ctl_commands[i].name, name))
+			return &ctl_commands[i];
+	}
+	return NULL;
+}
+
+static int help_command(struct ctl *c, const struct ctl_command *command)
+{
+	GOptionContext *context = make_context(c, command);
+	char *text;
+
+	g_option_context_set_summary(context, command->summary);
+	text = g_option_context_get_help(context, TRUE, NULL);
+	fprintf(c->out, "%s\nExamples:\n%s", text, command->examples);
+	g_free(text);
+	g_option_context_free(context);
+	return CTL_OK;
+}
+
+static int help_all(struct ctl *c)
+{
+	fputs("vhctl COMMAND [OPTIONS] [ARGUMENTS]\n\nCommands:\n", c->out);
+	for (size_t i = 0; ctl_commands[i].name; i++)
+		fprintf(c->out, "  %-9s %-28s %s\n", ctl_commands[i].name,
+			ctl_commands[i].args, ctl_commands[i].summary);
+	fputs("  help      [COMMAND]                    options and examples\n"
+	      "\nExit codes:\n"
+	      "  0 done\n"
+	      "  1 refused, or not found\n"
+	      "  2 wrong command line\n"
+	      "  3 the objects have mistakes\n"
+	      "  4 another publish came first\n"
+	      "  5 no node answered, or none could serve it now\n"
+	      "  6 published, but not in force everywhere in time\n"
+	      "  7 may have taken effect; how to find out is said\n",
+	      c->out);
+	return CTL_OK;
+}
+
+static bool read_token(struct ctl *c)
+{
+	GError *err = NULL;
+
+	if (!c->opt.token_file) {
+		c->token = g_strdup(g_getenv("VHCTL_TOKEN"));
+		return true;
+	}
+	if (!g_file_get_contents(c->opt.token_file, &c->token, NULL, &err)) {
+		fprintf(c->err, "vhctl: %s\n", err->message);
+		g_error_free(err);
+		return false;
+	}
+	g_strstrip(c->token);
+	return true;
+}
+
+static void default_from_env(char **option, const char *name,
+			     const char *fallback)
+{
+	const char *env = g_getenv(name);
+
+	if (*option)
+		return;
+	*option = g_strdup(env && *env ? env : fallback);
+}
+
+static int finish_options(struct ctl *c)
+{
+	default_from_env(&c->opt.server, "VHCTL_SERVER", SERVER_DEFAULT);
+	default_from_env(&c->opt.nodes, "VHCTL_NODES", NULL);
+	if (c->opt.output && strcmp(c->opt.output, "json") != 0 &&
+	    strcmp(c->opt.output, "text") != 0)
+		return ctl_usage(c, "--output is text or json");
+	if (c->opt.timeout_s < 1 || c->opt.limit < 1 || c->opt.interval_s < 1 ||
+	    c->opt.count < 0)
+		return ctl_usage(c, "a number is out of range");
+	c->json = c->opt.output && !strcmp(c->opt.output, "json");
+	return read_token(c) ? CTL_OK : CTL_USAGE;
+}
+
+static bool wants_help(const char *arg)
+{
+	return !strcmp(arg, "help") || !strcmp(arg, "--help") ||
+	       !strcmp(arg, "-h");
+}
+
+/* Parses options with the context of @command; exit code. */
+static int parse(struct ctl *c, const struct ctl_command *command, int *argc,
+		 char ***argv)
+{
+	GOptionContext *context = make_context(c, command);
+	GError *err = NULL;
+	int code = CTL_OK;
+
+	if (!g_option_context_parse(context, argc, argv, &err)) {
+		code = ctl_usage(c, "%s", err->message);
+		g_error_free(err);
+	}
+	g_option_context_free(context);
+	return code;
+}
+
+static int dispatch(struct ctl *c, int argc, char **argv)
+{
+	const struct ctl_command *command;
+	int code;
+
+	/* options may stand before the command, too */
+	if (argc > 1 && argv[1][0] == '-' && !wants_help(argv[1])) {
+		code = parse(c, NULL, &argc, &argv);
+		if (code != CTL_OK)
+			return code;
+	}
+	if (argc < 2 || (wants_help(argv[1]) && argc < 3))
+		return argc < 2 ? ctl_usage(c, "no command") : help_all(c);
+	command = find_command(argv[wants_help(argv[1]) ? 2 : 1]);
+	if (!command)
+		return ctl_usage(c, "there is no command \"%s\"",
+				 argv[wants_help(argv[1]) ? 2 : 1]);
+	if (wants_help(argv[1]) || (argc > 2 && wants_help(argv[2])))
+		return help_command(c, command);
+	argc--;
+	argv++;
+	code = parse(c, command, &argc, &argv);
+	if (code == CTL_OK)
+		code = finish_options(c);
+	return code == CTL_OK ? command->run(c, argc - 1, argv + 1) : code;
+}
+
+int ctl_main(struct event_base *loop, FILE *out, FILE *err, int argc,
+	     char **argv)
+{
+	struct ctl c = { .loop = loop, .out = out, .err = err };
+	char **copy = g_new0(char *, argc + 1);
+	int code;
+
+	c.opt.base = -1;
+	c.opt.timeout_s = TIMEOUT_DEFAULT_S;
+	c.opt.limit = 20;
+	c.opt.interval_s = 2;
+	for (int i = 0; i < argc; i++)
+		copy[i] = argv[i];
+	code = dispatch(&c, argc, copy);
+	g_free(copy);
+	g_free(c.opt.server);
+	g_free(c.opt.nodes);
+	g_free(c.opt.token_file);
+	g_free(c.opt.output);
+	g_free(c.opt.name);
+	g_free(c.opt.out);
+	g_free(c.token);
+	return code;
+}
--- /dev/null
+++ b/packages/ctl/src/ctl.h
@@ -0,0 +1,97 @@
+#ifndef CTL_H
+#define CTL_H
+
+#include <event2/event.h>
+#include <glib.h>
+#include <jansson.h>
+#include <stdio.h>
+
+#include "vh/buf.h"
+
+/** enum ctl_exit - exit codes, as the manual page vhctl(1) lists them */
+enum ctl_exit {
+	CTL_OK,
+	CTL_FAILED,	  /* refused, or not found */
+	CTL_USAGE,	  /* wrong command line */
+	CTL_INVALID,	  /* the objects have mistakes */
+	CTL_CONFLICT,	  /* another publish came first */
+	CTL_UNREACHABLE,  /* no node answered, or none could serve it now */
+	CTL_NOT_IN_FORCE, /* published, but not in force everywhere in time */
+	CTL_UNKNOWN	  /* may have taken effect */
+};
+
+/**
+ * struct ctl_options - options of all commands
+ * @base: -1: not given
+ */
+struct ctl_options {
+	char *server;
+	char *nodes;
+	char *token_file;
+	char *output;
+	char *name;
+	char *out;
+	gint64 base;
+	gint timeout_s;
+	gint limit;
+	gint interval_s;
+	gint count;
+	gboolean wait;
+};
+
+/**
+ * struct ctl - one run of vhctl
+ * @loop: calls run on it, one at a time
+ * @out: for results
+ * @err: for messages
+ */
+struct ctl {
+	struct event_base *loop;
+	FILE *out;
+	FILE *err;
+	struct ctl_options opt;
+	char *token;
+	bool json;
+};
+
+/**
+ * struct ctl_command
+ * @args: what follows the command, for its help
+ * @options: NULL-terminated names of its options, beside those of all commands
+ */
+struct ctl_command {
+	const char *name;
+	const char *args;
+	const char *summary;
+	const char *examples;
+	const char *const *options;
+	int (*run)(struct ctl *c, int argc, char **argv);
+};
+
+/* ctl_commands - ended by one without a name */
+extern const struct ctl_command ctl_commands[];
+
+/* ctl_main - parses the command line and runs it; returns the exit code */
+int ctl_main(struct event_base *loop, FILE *out, FILE *err, int argc,
+	     char **argv);
+
+/* ctl_usage - says what is wrong with the command line; returns CTL_USAGE */
+int ctl_usage(struct ctl *c, const char *fmt, ...)
+	__attribute__((format(printf, 2, 3)));
+
+int cmd_check(struct ctl *c, int argc, char **argv);
+int cmd_diff(struct ctl *c, int argc, char **argv);
+int cmd_publish(struct ctl *c, int argc, char **argv);
+int cmd_rollback(struct ctl *c, int argc, char **argv);
+int cmd_get(struct ctl *c, int argc, char **argv);
+int cmd_list(struct ctl *c, int argc, char **argv);
+int cmd_history(struct ctl *c, int argc, char **argv);
+int cmd_key(struct ctl *c, int argc, char **argv);
+int cmd_status(struct ctl *c, int argc, char **argv);
+int cmd_nodes(struct ctl *c, int argc, char **argv);
+int cmd_workers(struct ctl *c, int argc, char **argv);
+int cmd_jobs(struct ctl *c, int argc, char **argv);
+int cmd_explain(struct ctl *c, int argc, char **argv);
+int cmd_drain(struct ctl *c, int argc, char **argv);
+
+#endif
--- /dev/null
+++ b/packages/ctl/src/nodes.c
@@ -0,0 +1,151 @@
+#include "nodes.h"
+
+static struct ctl_node *node_add(struct ctl_nodes *nodes)
+{
+	struct ctl_node *node;
+
+	nodes->items = g_renew(struct ctl_node, nodes->items, nodes->n + 1);
+	node = &nodes->items[nodes->n++];
+	memset(node, 0, sizeof(*node));
+	node->version = -1;
+	return node;
+}
+
+static void nodes_from_option(struct ctl *c, struct ctl_nodes *nodes)
+{
+	char **items = g_strsplit(c->opt.nodes, ",", -1);
+
+	for (size_t i = 0; items[i]; i++) {
+		struct ctl_node *node = node_add(nodes);
+
+		node->id = g_strdup(g_strstrip(items[i]));
+		node->endpoint = g_strdup(node->id);
+		node->state = g_strdup("alive");
+	}
+	g_strfreev(items);
+}
+
+static void nodes_from_json(struct ctl *c, struct ctl_nodes *nodes,
+			    const json_t *json)
+{
+	json_t *item;
+	size_t i;
+
+	json_array_foreach(json_object_get(json, "nodes"), i, item)
+	{
+		struct ctl_node *node = node_add(nodes);
+		const char *id = "?";
+		const char *state = "alive";
+		const char *endpoint = NULL;
+		json_int_t version = -1;
+
+		json_unpack(item, "{s?s,s?s,s?s,s?I}", "id", &id, "state",
+			    &state, "operators", &endpoint, "version",
+			    &version);
+		node->id = g_strdup(id);
+		node->state = g_strdup(state);
+		/* the first is the node that answered */
+		if (!endpoint && i == 0 && !strchr(c->opt.server, ','))
+			endpoint = c->opt.server;
+		node->endpoint = g_strdup(endpoint);
+		node->version = version;
+	}
+}
+
+int ctl_nodes_find(struct ctl *c, struct ctl_nodes *nodes)
+{
+	struct ctl_answer answer;
+	int code = CTL_OK;
+	json_t *json;
+
+	memset(nodes, 0, sizeof(*nodes));
+	if (c->opt.nodes) {
+		nodes_from_option(c, nodes);
+		return CTL_OK;
+	}
+	ctl_get(c, NULL, "/v1/nodes", &answer);
+	json = answer.status == 200 ? ctl_answer_json(&answer) : NULL;
+	if (json)
+		nodes_from_json(c, nodes, json);
+	else
+		code = ctl_explain_failure(c, &answer);
+	json_decref(json);
+	ctl_answer_finish(&answer);
+	return code;
+}
+
+void ctl_nodes_finish(struct ctl_nodes *nodes)
+{
+	for (size_t i = 0; i < nodes->n; i++) {
+		g_free(nodes->items[i].id);
+		g_free(nodes->items[i].endpoint);
+		g_free(nodes->items[i].state);
+	}
+	g_free(nodes->items);
+	memset(nodes, 0, sizeof(*nodes));
+}
+
+bool ctl_node_is_dead(const struct ctl_node *node)
+{
+	return !strcmp(node->state, "dead");
+}
+
+int64_t ctl_node_version(struct ctl *c, const struct ctl_node *node)
+{
+	struct ctl_answer answer;
+	json_int_t version = -1;
+	json_t *json;
+
+	if (!node->endpoint)
+		return node->version;
+	ctl_get(c, node->endpoint, "/v1/status", &answer);
+	json = answer.status == 200 ? ctl_answer_json(&answer) : NULL;
+	if (json)
+		json_unpack(json, "{s:I}", "version", &version);
+	json_decref(json);
+	ctl_answer_finish(&answer);
+	return version;
+}
+
+static bool gather_one(struct ctl *c, const struct ctl_node *node,
+		       const char *path, const char *member, json_t *all)
+{
+	struct ctl_answer answer;
+	json_t *json = NULL;
+	json_t *items;
+
+	if (!node->endpoint)
+		return false;
+	if (ctl_get(c, node->endpoint, path, &answer) && answer.status == 200)
+		json = ctl_answer_json(&answer);
+	items = json_object_get(json, member);
+	if (items)
+		json_array_extend(all, items);
+	json_decref(json);
+	ctl_answer_finish(&answer);
+	return items != NULL;
+}
+
+int ctl_nodes_gather(struct ctl *c, const char *path, const char *member,
+		     json_t **json)
+{
+	json_t *all = json_array();
+	json_t *missing = json_array();
+	struct ctl_nodes nodes;
+	int code = ctl_nodes_find(c, &nodes);
+
+	for (size_t i = 0; i < nodes.n; i++) {
+		const struct ctl_node *node = &nodes.items[i];
+
+		if (ctl_node_is_dead(node) ||
+		    gather_one(c, node, path, member, all))
+			continue;
+		fprintf(c->err, "vhctl: no answer from node %s%s\n", node->id,
+			node->endpoint ? "" : "; name its listener by --nodes");
+		json_array_append_new(missing, json_string(node->id));
+		code = CTL_UNREACHABLE;
+	}
+	*json = json_pack("{s:o,s:o}", member, all, "missing", missing);
+	ctl_nodes_finish(&nodes);
+	return code;
+}
--- /dev/null
+++ b/packages/ctl/src/print.c
@@ -0,0 +1,179 @@
+#include "print.h"
+
+#define COLUMNS_MAX 24
+#define COLUMN_MAX 60 /* characters of a column before it is cut */
+
+void print_json(struct ctl *c, const json_t *value)
+{
+	json_dumpf(value, c->out, JSON_INDENT(2));
+	fputc('\n', c->out);
+}
+
+/* A plain value, or a short form of one that is not; free with g_free(). */
+static char *cell_text(const json_t *v)
+{
+	char *text;
+	char *copy;
+
+	if (json_is_string(v))
+		return g_strdup(json_string_value(v));
+	if (!v || json_is_null(v))
+		return g_strdup("-");
+	text = json_dumps(v, JSON_ENCODE_ANY | JSON_COMPACT);
+	copy = g_strdup(text);
+	free(text);
+	return copy;
+}
+
+static bool is_table(const json_t *v)
+{
+	size_t i;
+	json_t *row;
+
+	if (!json_is_array(v))
+		return false;
+	json_array_foreach(v, i, row)
+	{
+		if (!json_is_object(row))
+			return false;
+	}
+	return true;
+}
+
+/* Collects the names of the rows' members in the order of appearance. */
+static size_t table_columns(const json_t *rows, const char **names)
+{
+	size_t n = 0;
+	size_t i;
+	json_t *row;
+
+	json_array_foreach(rows, i, row)
+	{
+		const char *key;
+		json_t *v;
+
+		json_object_foreach(row, key, v)
+		{
+			size_t at = 0;
+
+			while (at < n && strcmp(names[at], key) != 0)
+				at++;
+			if (at == n && n < COLUMNS_MAX)
+				names[n++] = key;
+		}
+	}
+	return n;
+}
+
+static size_t column_width(const json_t *rows, const char *name)
+{
+	size_t width = strlen(name);
+	size_t i;
+	json_t *row;
+
+	json_array_foreach(rows, i, row)
+	{
+		char *text = cell_text(json_object_get(row, name));
+		size_t len = strlen(text);
+
+		width = MAX(width, len);
+		g_free(text);
+	}
+	return MIN(width, COLUMN_MAX);
+}
+
+static void print_table(struct ctl *c, const json_t *rows)
+{
+	const char *names[COLUMNS_MAX];
+	size_t widths[COLUMNS_MAX];
+	size_t n = table_columns(rows, names);
+	size_t i;
+	json_t *row;
+
+	for (size_t k = 0; k < n; k++) {
+		widths[k] = column_width(rows, names[k]);
+		fprintf(c->out, "%-*s%s", k + 1 < n ? (int)widths[k] : 0,
+			names[k], k + 1 < n ? "  " : "\n");
+	}
+	json_array_foreach(rows, i, row)
+	{
+		for (size_t k = 0; k < n; k++) {
+			char *text = cell_text(json_object_get(row, names[k]));
+			bool last = k + 1 == n;
+
+			fprintf(c->out, "%-*.*s%s", last ? 0 : (int)widths[k],
+				last ? 1024 : COLUMN_MAX, text,
+				last ? "\n" : "  ");
+			g_free(text);
+		}
+	}
+	if (!json_array_size(rows))
+		fputs("(none)\n", c->out);
+}
+
+static void print_text(struct ctl *c, const json_t *value, int depth)
+{
+	const char *key;
+	json_t *v;
+
+	if (is_table(value)) {
+		print_table(c, value);
+		return;
+	}
+	if (!json_is_object(value)) {
+		char *text = cell_text(value);
+
+		fprintf(c->out, "%s\n", text);
+		g_free(text);
+		return;
+	}
+	json_object_foreach((json_t *)value, key, v)
+	{
+		if (is_table(v) && depth == 0 && json_object_size(value) == 1) {
+			print_table(c, v);
+		} else if (json_is_object(v) || is_table(v)) {
+			fprintf(c->out, "%*s%s:\n", 2 * depth, "", key);
+			print_text(c, v, depth + 1);
+		} else {
+			char *text = cell_text(v);
+
+			fprintf(c->out, "%*s%s: %s\n", 2 * depth, "", key,
+				text);
+			g_free(text);
+		}
+	}
+}
+
+void print_value(struct ctl *c, const json_t *value)
+{
+	if (c->json)
+		print_json(c, value);
+	else
+		print_text(c, value, 0);
+}
+
+void print_problems(struct ctl *c, const struct vh_problems *problems)
+{
+	struct vh_buf buf;
+
+	vh_buf_init(&buf);
+	vh_problems_render(problems, &buf);
+	fwrite(buf.data ? buf.data : "", 1, buf.len, c->err);
+	vh_buf_finish(&buf);
+}
+
+json_t *problems_json(const struct vh_problems *problems)
+{
+	json_t *array = json_array();
+
+	for (size_t i = 0; i < problems->n; i++) {
+		const struct vh_problem *p = &problems->items[i];
+
+		json_array_append_new(array, json_pack("{s:s,s:s,s:s?,s:s,s:b}",
+						       "file", p->file, "group",
+						       p->group, "key", p->key,
+						       "text", p->text,
+						       "warning", p->warning));
+	}
+	return array;
+}
--- /dev/null
+++ b/packages/ctl/src/set.c
@@ -0,0 +1,160 @@
+#include "set.h"
+
+#include <stdlib.h>
+
+#define VERSION_MARK "# version "
+
+/* Files read so far. */
+struct files {
+	GPtrArray *names;
+	GPtrArray *texts;
+};
+
+static void files_init(struct files *f)
+{
+	f->names = g_ptr_array_new_with_free_func(g_free);
+	f->texts = g_ptr_array_new_with_free_func(g_free);
+}
+
+static void files_finish(struct files *f)
+{
+	g_ptr_array_free(f->names, TRUE);
+	g_ptr_array_free(f->texts, TRUE);
+}
+
+static bool add_file(struct ctl *c, struct files *f, const char *path)
+{
+	GError *err = NULL;
+	char *text;
+
+	if (!g_file_get_contents(path, &text, NULL, &err)) {
+		fprintf(c->err, "vhctl: %s\n", err->message);
+		g_error_free(err);
+		return false;
+	}
+	g_ptr_array_add(f->names, g_strdup(path));
+	g_ptr_array_add(f->texts, text);
+	return true;
+}
+
+static bool add_stdin(struct files *f)
+{
+	struct vh_buf buf;
+	size_t n;
+
+	vh_buf_init(&buf);
+	do {
+		n = fread(vh_buf_reserve(&buf, 4096), 1, 4096, stdin);
+		buf.len += n;
+	} while (n);
+	g_ptr_array_add(f->names, g_strdup("(standard input)"));
+	g_ptr_array_add(f->texts, vh_slice_dup(vh_buf_slice(&buf)));
+	vh_buf_finish(&buf);
+	return true;
+}
+
+static int cmp_str(const void *a, const void *b)
+{
+	return strcmp(*(char *const *)a, *(char *const *)b);
+}
+
+static bool add_folder(struct ctl *c, struct files *f, const char *path)
+{
+	GPtrArray *names = g_ptr_array_new_with_free_func(g_free);
+	GDir *dir = g_dir_open(path, 0, NULL);
+	const char *name;
+	bool ok = true;
+
+	while (dir && (name = g_dir_read_name(dir))) {
+		if (g_str_has_suffix(name, ".ini"))
+			g_ptr_array_add(names,
+					g_build_filename(path, name, NULL));
+	}
+	if (dir)
+		g_dir_close(dir);
+	if (names->len)
+		qsort(names->pdata, names->len, sizeof(char *), cmp_str);
+	else
+		fprintf(c->err, "vhctl: no *.ini in %s\n", path);
+	ok = names->len > 0;
+	for (unsigned int i = 0; ok && i < names->len; i++)
+		ok = add_file(c, f, names->pdata[i]);
+	g_ptr_array_free(names, TRUE);
+	return ok;
+}
+
+static int64_t find_base(const char *text)
+{
+	const char *at = text;
+	char *end;
+	int64_t v;
+
+	while (at && strncmp(at, VERSION_MARK, strlen(VERSION_MARK)) != 0) {
+		at = strchr(at, '\n');
+		if (at)
+			at++;
+	}
+	if (!at)
+		return -1;
+	at += strlen(VERSION_MARK);
+	v = (int64_t)g_ascii_strtoull(at, &end, 10);
+	return end == at ? -1 : v;
+}
+
+static void set_load(struct ctl_set *set, const struct vh_source *sources,
+		     size_t n)
+{
+	memset(set, 0, sizeof(*set));
+	set->base = -1;
+	vh_problems_init(&set->problems);
+	set->ok = vh_objects_load(&set->objects, sources, n, &set->problems);
+	if (set->ok)
+		vh_objects_render(&set->objects, &set->text);
+}
+
+bool ctl_set_read(struct ctl *c, struct ctl_set *set, char **paths, int n)
+{
+	struct vh_source *sources;
+	struct files f;
+	bool ok = true;
+
+	files_init(&f);
+	for (int i = 0; ok && i < n; i++) {
+		if (!strcmp(paths[i], "-"))
+			ok = add_stdin(&f);
+		else if (g_file_test(paths[i], G_FILE_TEST_IS_DIR))
+			ok = add_folder(c, &f, paths[i]);
+		else
+			ok = add_file(c, &f, paths[i]);
+	}
+	if (!ok) {
+		files_finish(&f);
+		return false;
+	}
+	sources = g_new0(struct vh_source, f.names->len + 1);
+	for (unsigned int i = 0; i < f.names->len; i++) {
+		sources[i].file = vh_slice_str(f.names->pdata[i]);
+		sources[i].text = vh_slice_str(f.texts->pdata[i]);
+	}
+	set_load(set, sources, f.names->len);
+	for (unsigned int i = 0; i < f.texts->len && set->base < 0; i++)
+		set->base = find_base(f.texts->pdata[i]);
+	g_free(sources);
+	files_finish(&f);
+	return true;
+}
+
+void ctl_set_parse(struct ctl_set *set, const char *name, struct vh_slice text)
+{
+	struct vh_source source = { vh_slice_str(name), text };
+
+	set_load(set, &source, 1);
+}
+
+void ctl_set_finish(struct ctl_set *set)
+{
+	if (set->ok)
+		vh_objects_finish(&set->objects);
+	vh_problems_finish(&set->problems);
+	vh_buf_finish(&set->text);
+}
