Stand in for the log service, the VM list and the workers

Three programs serve docs/PLATFORM.md on loopback, each with POST /control for faults. The workers of a run live in one process, so that a witness sees every begin and end in time order: it checks capacity, one place, limits, at most once and leaving from outside the product.

--- /dev/null
+++ b/packages/standins/src/httpd.h
@@ -0,0 +1,96 @@
+#ifndef VH_HTTPD_H
+#define VH_HTTPD_H
+
+#include <event2/http.h>
+#include <event2/keyvalq_struct.h>
+#include <jansson.h>
+
+#include "vh/kernel.h"
+
+struct vh_httpd;
+
+/**
+ * struct vh_httpd_req - a request that waits for its answer
+ * @server: where it came in
+ * @ev: libevent's part
+ * @path: decoded path without the query
+ * @query: parsed query
+ * @body: whole body
+ * @ctx: for the handler
+ * @on_gone: called when the server stops while the request is held; the
+ *	     handler then forgets it. May be NULL.
+ *
+ * It is valid until it is answered by one of the functions below.
+ */
+struct vh_httpd_req {
+	struct vh_httpd *server;
+	struct evhttp_request *ev;
+	char *path;
+	struct evkeyvalq query;
+	struct vh_buf body;
+	void *ctx;
+	void (*on_gone)(struct vh_httpd_req *req);
+	struct vh_timer delay;
+	struct vh_buf reply;
+	int status;
+	const char *type;
+	bool dropped;
+};
+
+/**
+ * struct vh_httpd - an HTTP server on one port of 127.0.0.1
+ * @handle: called with each request; answers it now or later
+ * @port: the port, known after vh_httpd_start()
+ */
+struct vh_httpd {
+	struct vh_kernel *kernel;
+	struct evhttp *http;
+	void (*handle)(void *ctx, struct vh_httpd_req *req);
+	void *ctx;
+	uint16_t port;
+	struct _GPtrArray *held;
+};
+
+void vh_httpd_init(struct vh_httpd *s, struct vh_kernel *kernel,
+		   void (*handle)(void *ctx, struct vh_httpd_req *req),
+		   void *ctx);
+
+/* vh_httpd_start - listens on @port, or on any free one for 0 */
+bool vh_httpd_start(struct vh_httpd *s, uint16_t port, GError **err);
+
+/* vh_httpd_stop - closes all connections; held requests get no answer */
+void vh_httpd_stop(struct vh_httpd *s);
+
+bool vh_httpd_is(const struct vh_httpd_req *req, enum evhttp_cmd_type method,
+		 const char *path);
+
+/* vh_httpd_query - value of a query parameter, or @missing */
+int64_t vh_httpd_query(const struct vh_httpd_req *req, const char *name,
+		       int64_t missing);
+
+/* vh_httpd_header - adds a header to the answer */
+void vh_httpd_header(struct vh_httpd_req *req, const char *name,
+		     const char *value);
+
+void vh_httpd_reply(struct vh_httpd_req *req, int status, const char *type,
+		    struct vh_slice body);
+
+/* vh_httpd_reply_after - answers after @delay_ms; the body is copied */
+void vh_httpd_reply_after(struct vh_httpd_req *req, int64_t delay_ms,
+			  int status, const char *type, struct vh_slice body);
+
+/* vh_httpd_reply_json - takes over the reference to @json */
+void vh_httpd_reply_json(struct vh_httpd_req *req, int status, json_t *json);
+
+/* vh_httpd_reply_error - {"kind":KIND,"message":...} */
+void vh_httpd_reply_error(struct vh_httpd_req *req, int status,
+			  const char *kind, const char *message);
+
+/* vh_httpd_drop - closes the connection without an answer */
+void vh_httpd_drop(struct vh_httpd_req *req);
+void vh_httpd_drop_after(struct vh_httpd_req *req, int64_t delay_ms);
+
+/* vh_httpd_json - parses the body; on an error answers 400 and gives NULL */
+json_t *vh_httpd_json(struct vh_httpd_req *req);
+
+#endif
--- /dev/null
+++ b/packages/standins/src/main_log.c
@@ -0,0 +1,45 @@
+#include "log_server.h"
+#include "program.h"
+
+static int port, latency_ms, jitter_ms, retain_records, retain_ms, seed = 1;
+static int max_appends_per_s;
+
+static const GOptionEntry entries[] = {
+	{ "port", 0, 0, G_OPTION_ARG_INT, &port, "port, 0 for any", "N" },
+	{ "latency-ms", 0, 0, G_OPTION_ARG_INT, &latency_ms,
+	  "time to an answer", "MS" },
+	{ "jitter-ms", 0, 0, G_OPTION_ARG_INT, &jitter_ms,
+	  "random part added to it", "MS" },
+	{ "retain-records", 0, 0, G_OPTION_ARG_INT, &retain_records,
+	  "records kept per stream, 0 for all", "N" },
+	{ "retain-ms", 0, 0, G_OPTION_ARG_INT, &retain_ms,
+	  "how long a record is kept, 0 for ever", "MS" },
+	{ "max-appends-per-s", 0, 0, G_OPTION_ARG_INT, &max_appends_per_s,
+	  "more get a 429, 0 for no limit", "N" },
+	{ "seed", 0, 0, G_OPTION_ARG_INT, &seed, "of all that is random", "N" },
+	G_OPTION_ENTRY_NULL
+};
+
+int main(int argc, char **argv)
+{
+	struct vh_program p;
+	struct vh_log_server s;
+	struct vh_log_faults faults = { 0 };
+	GError *err = NULL;
+
+	vh_program_options(&argc, &argv, entries,
+			   "The platform's log service, in memory.");
+	vh_program_init(&p, vh_clock_system());
+	faults.latency_ms = latency_ms;
+	faults.jitter_ms = jitter_ms;
+	faults.max_appends_per_s = max_appends_per_s;
+	if (!vh_log_server_start(&s, &p.kernel, (uint16_t)port, &faults,
+				 (uint64_t)retain_records, retain_ms,
+				 (uint32_t)seed, &err))
+		return vh_program_fail(err);
+	vh_program_ready("vh-standin-log", s.http.port);
+	vh_kernel_loop(&p.kernel);
+	vh_log_server_stop(&s);
+	vh_program_finish(&p);
+	return 0;
+}
--- /dev/null
+++ b/packages/standins/src/vm_server.h
@@ -0,0 +1,27 @@
+#ifndef VH_VM_SERVER_H
+#define VH_VM_SERVER_H
+
+#include "httpd.h"
+#include "vm_list.h"
+
+/**
+ * struct vh_vm_server - the platform's VM list over HTTP
+ *
+ * POST /control takes {"vm":ID or "rack":NAME,"state":STATE},
+ * {"add":{VM}}, {"down":bool} and {"lag_ms":N}.
+ */
+struct vh_vm_server {
+	struct vh_httpd http;
+	struct vh_vm_list list;
+	struct vh_timer tick;
+	struct _GPtrArray *waiting;
+	bool down;
+};
+
+/* vh_vm_server_start - the VMs of @fleet are seen at once */
+bool vh_vm_server_start(struct vh_vm_server *s, struct vh_kernel *kernel,
+			uint16_t port, const struct vh_fleet *fleet,
+			int64_t lag_ms, GError **err);
+void vh_vm_server_stop(struct vh_vm_server *s);
+
+#endif
--- /dev/null
+++ b/packages/standins/src/witness.h
@@ -0,0 +1,92 @@
+#ifndef VH_WITNESS_H
+#define VH_WITNESS_H
+
+#include <glib.h>
+#include <jansson.h>
+
+#include "vh/invariant.h"
+#include "vh/res.h"
+
+/**
+ * struct vh_witness_run - one attempt of a task as a worker saw it
+ * @team: from the unit that is its home
+ * @token: names the caller's task over all jobs and attempts; NULL: none
+ * @idempotent: false: must never begin twice
+ * @end: "running" until it ends
+ */
+struct vh_witness_run {
+	char *task;
+	uint32_t attempt;
+	char *team;
+	char *worker;
+	char *token;
+	bool idempotent;
+	struct vh_res size;
+	int64_t begin_ms;
+	int64_t end_ms;
+	const char *end;
+};
+
+struct vh_witness_limit {
+	struct vh_res running;
+	uint32_t tasks;
+};
+
+/**
+ * struct vh_witness - checks the promises from outside the product
+ * @max_runs: ended runs kept for the ledger
+ * @max_tokens: tokens kept; tasks past that are counted as untracked
+ * @grace_ms: how long a replaced limit may still be in force
+ *
+ * Pure. It sees every begin and end on all workers of a run, in time order,
+ * and shares no code with what it checks.
+ */
+struct vh_witness {
+	GHashTable *running; /* task to GPtrArray of runs */
+	GQueue *ended;
+	GHashTable *teams;
+	GHashTable *tokens;
+	GPtrArray *violations; /* texts */
+	uint64_t checks[VH_INV_COUNT];
+	uint64_t violated[VH_INV_COUNT];
+	uint64_t begun;
+	uint64_t untracked;
+	size_t max_runs;
+	size_t max_tokens;
+	int64_t grace_ms;
+};
+
+void vh_witness_init(struct vh_witness *w, size_t max_runs, size_t max_tokens,
+		     int64_t grace_ms);
+void vh_witness_finish(struct vh_witness *w);
+
+/* vh_witness_set_limit - a team's upper limit from @now_ms on */
+void vh_witness_set_limit(struct vh_witness *w, const char *team,
+			  const struct vh_witness_limit *limit, int64_t now_ms);
+
+/* vh_witness_begin - checks I2, I4 and I7; strings are copied */
+void vh_witness_begin(struct vh_witness *w, const struct vh_witness_run *run);
+
+/* vh_witness_once - something named @token begins at @where; checks I7 */
+void vh_witness_once(struct vh_witness *w, const char *token, bool idempotent,
+		     const char *where, int64_t now_ms);
+
+/* vh_witness_end - @end is a constant string */
+void vh_witness_end(struct vh_witness *w, const char *task, uint32_t attempt,
+		    const char *worker, const char *end, int64_t now_ms);
+
+/* vh_witness_check - counts a check that somebody else made */
+bool vh_witness_check(struct vh_witness *w, enum vh_inv inv, bool ok,
+		      const char *fmt, ...)
+	__attribute__((format(printf, 4, 5)));
+
+/* vh_witness_begins - how often tasks with this token began */
+uint32_t vh_witness_begins(const struct vh_witness *w, const char *token);
+
+/* vh_witness_json - {"checks":{},"violations":{},"trace":[],...} */
+json_t *vh_witness_json(const struct vh_witness *w);
+
+/* vh_witness_ledger - running runs, then ended ones, oldest first */
+json_t *vh_witness_ledger(const struct vh_witness *w);
+
+#endif
--- /dev/null
+++ b/packages/standins/src/worker.h
@@ -0,0 +1,141 @@
+#ifndef VH_WORKER_H
+#define VH_WORKER_H
+
+#include <glib.h>
+
+#include "vh/res.h"
+
+/** struct vh_worker_start - an order to begin a task; times are its clock's */
+struct vh_worker_start {
+	const char *task;
+	uint32_t attempt;
+	const char *home;
+	uint64_t home_epoch;
+	const char *cls;
+	struct vh_res size;
+	const char *service;
+	const char *input;
+	int64_t not_after_ms;
+};
+
+/**
+ * struct vh_worker_task - a running task
+ * @ends_ms: when its program ends, INT64_MAX for never
+ * @requests: requests under way at this replica
+ */
+struct vh_worker_task {
+	char *task;
+	uint32_t attempt;
+	char *home;
+	uint64_t home_epoch;
+	char *cls;
+	struct vh_res size;
+	char *service;
+	char *echo;
+	char *token;
+	bool idempotent;
+	int exit_code;
+	int64_t since_ms;
+	int64_t ends_ms;
+	uint32_t requests;
+};
+
+/** struct vh_worker_ended - an end that is not acknowledged */
+struct vh_worker_ended {
+	uint64_t seq;
+	char *task;
+	uint32_t attempt;
+	char *home;
+	const char *end;
+	int exit_code;
+	char *result;
+};
+
+/* What a worker's own clock shows when it starts anew. */
+#define VH_WORKER_BOOT_CLOCK_MS 1000
+
+struct vh_worker;
+
+/**
+ * struct vh_worker_callbacks - what a worker tells
+ * @began: just before a task counts as running
+ * @ended: @end is "done", "failed", "stopped" or "lost"
+ * @overcommitted: a start asked for more than is free; it is refused
+ */
+struct vh_worker_callbacks {
+	void (*began)(void *ctx, const struct vh_worker *w,
+		      const struct vh_worker_task *t);
+	void (*ended)(void *ctx, const struct vh_worker *w,
+		      const struct vh_worker_task *t, const char *end,
+		      int64_t at_ms);
+	void (*overcommitted)(void *ctx, const struct vh_worker *w,
+			      const struct vh_worker_start *start);
+	void *ctx;
+};
+
+/**
+ * struct vh_worker - a worker as docs/PLATFORM.md describes it
+ *
+ * Pure: every function takes the time of one clock that all workers share;
+ * a worker's own clock is @clock_offset_ms ahead of it. vh_worker_advance()
+ * comes before any other function.
+ */
+struct vh_worker {
+	char *id;
+	struct vh_res capacity;
+	struct vh_res committed;
+	int64_t clock_offset_ms;
+	uint32_t incarnation;
+	uint64_t epoch;
+	int64_t lease_until_ms; /* shared clock */
+	bool leaving;
+	int64_t leaving_since_ms;
+	int64_t paused_at_ms; /* INT64_MAX: not paused */
+	double fail_tasks;
+	GRand *rand;
+	GPtrArray *tasks;
+	GQueue ended;
+	uint64_t next_seq;
+	GHashTable *ended_set; /* "task/attempt" */
+	GQueue ended_order;
+	struct vh_worker_callbacks callbacks;
+};
+
+void vh_worker_init(struct vh_worker *w, const char *id,
+		    const struct vh_res *capacity, int64_t clock_offset_ms,
+		    uint32_t seed, const struct vh_worker_callbacks *callbacks);
+void vh_worker_finish(struct vh_worker *w);
+
+/* vh_worker_advance - does all that was due up to @now_ms, in order */
+void vh_worker_advance(struct vh_worker *w, int64_t now_ms);
+int64_t vh_worker_due_ms(const struct vh_worker *w);
+
+/* vh_worker_accept_epoch - false, and nothing done, for a stale one */
+bool vh_worker_accept_epoch(struct vh_worker *w, uint64_t epoch);
+
+/* vh_worker_renew - until @until_ms of its own clock; 0 changes nothing */
+void vh_worker_renew(struct vh_worker *w, int64_t until_ms);
+void vh_worker_ack(struct vh_worker *w, uint64_t seq);
+
+/* vh_worker_begin - NULL if it runs now; else why not: "late", "full",
+ * "no_lease" or "duplicate" */
+const char *vh_worker_begin(struct vh_worker *w,
+			    const struct vh_worker_start *start,
+			    int64_t now_ms);
+
+/* vh_worker_stop - mode "kill", "checkpoint" or "throttle" */
+void vh_worker_stop(struct vh_worker *w, const char *task, uint32_t attempt,
+		    const char *mode, int64_t now_ms);
+
+/* vh_worker_restart - loses everything; a new incarnation with another clock */
+void vh_worker_restart(struct vh_worker *w, int64_t now_ms);
+void vh_worker_pause(struct vh_worker *w, int64_t now_ms);
+void vh_worker_resume(struct vh_worker *w, int64_t now_ms);
+void vh_worker_leave(struct vh_worker *w, bool leaving, int64_t now_ms);
+
+/* vh_worker_replica - a replica of @service with a free slot and connection,
+ * or NULL; the caller counts in its @requests */
+struct vh_worker_task *vh_worker_replica(const struct vh_worker *w,
+					 const char *service);
+
+#endif
--- /dev/null
+++ b/packages/standins/src/worker_server.h
@@ -0,0 +1,107 @@
+#ifndef VH_WORKER_SERVER_H
+#define VH_WORKER_SERVER_H
+
+#include "fleet.h"
+#include "httpd.h"
+#include "witness.h"
+#include "worker.h"
+
+struct vh_worker_server;
+
+/**
+ * struct vh_worker_host - one worker with its port
+ * @drop_replies: probability that a request is done and not answered
+ * @lose_requests: probability that a request is not even read
+ * @latency_ms: added to each answer
+ */
+struct vh_worker_host {
+	struct vh_worker_server *server;
+	struct vh_fleet_vm vm;
+	struct vh_worker worker;
+	struct vh_httpd http;
+	struct vh_timer resume;
+	GPtrArray *held;     /* sync requests that wait for an end */
+	GPtrArray *requests; /* service requests under way */
+	GPtrArray *stalled;  /* came in during a pause, in order */
+	double drop_replies;
+	double lose_requests;
+	int64_t latency_ms;
+	bool failed;
+	bool has_ended; /* since held requests were last looked at */
+};
+
+struct vh_worker_settings {
+	uint16_t port;	    /* of /control, /witness, /ledger, /vms, /stats */
+	uint16_t base_port; /* of the first worker; 0: any */
+	int64_t latency_ms;
+	int64_t leaving_grace_ms;
+	int64_t limit_grace_ms;
+	size_t max_runs;
+	size_t max_tokens;
+	uint32_t seed;
+};
+
+/** struct vh_worker_counts - what the workers did, GET /stats */
+struct vh_worker_counts {
+	uint64_t syncs;
+	uint64_t sync_bytes_in;
+	uint64_t sync_bytes_out;
+	uint64_t stale_epochs;
+	uint64_t starts;
+	uint64_t refused;
+	uint64_t requests;
+	uint64_t requests_not_run;
+};
+
+/**
+ * struct vh_worker_server - all workers of a run, and their witness
+ *
+ * They live in one process so that one clock orders all that they see.
+ */
+struct vh_worker_server {
+	struct vh_kernel *kernel;
+	struct vh_worker_settings settings;
+	struct vh_worker_host *hosts;
+	size_t n_hosts;
+	struct vh_httpd control;
+	struct vh_witness witness;
+	struct vh_worker_counts counts;
+	struct vh_timer tick;
+	GRand *rand;
+};
+
+bool vh_worker_server_start(struct vh_worker_server *s,
+			    struct vh_kernel *kernel,
+			    const struct vh_fleet *fleet,
+			    const struct vh_worker_settings *settings,
+			    GError **err);
+void vh_worker_server_stop(struct vh_worker_server *s);
+
+/* vh_worker_server_advance - brings every worker up to the present */
+void vh_worker_server_advance(struct vh_worker_server *s);
+
+/* vh_worker_host_serve - handles one request to a worker's port */
+void vh_worker_host_serve(void *ctx, struct vh_httpd_req *req);
+
+/* vh_worker_host_serve_stalled - handles what came in during a pause */
+void vh_worker_host_serve_stalled(struct vh_worker_host *h);
+
+/* vh_worker_host_release - answers the sync requests held at a worker */
+void vh_worker_host_release(struct vh_worker_host *h);
+
+/* vh_worker_host_drop_requests - drops the requests of a replica that ended;
+ * all of them for NULL */
+void vh_worker_host_drop_requests(struct vh_worker_host *h,
+				  const struct vh_worker_task *replica);
+
+/* vh_worker_control_serve - handles one request to the control port */
+void vh_worker_control_serve(void *ctx, struct vh_httpd_req *req);
+
+/* vh_worker_host_fail - the VM is gone: nothing answers, nothing runs */
+void vh_worker_host_fail(struct vh_worker_host *h);
+
+/* vh_worker_host_recover - a failed VM starts anew on its port */
+bool vh_worker_host_recover(struct vh_worker_host *h, GError **err);
+void vh_worker_host_pause(struct vh_worker_host *h, int64_t ms);
+
+#endif
--- /dev/null
+++ b/packages/standins/tests/test_witness.cc
@@ -0,0 +1,129 @@
+#include <gtest/gtest.h>
+
+#include <string>
+
+extern "C" {
+#include "witness.h"
+}
+
+namespace
+{
+class Witness : public ::testing::Test
+{
+      protected:
+	struct vh_witness w;
+
+	void SetUp() override
+	{
+		vh_witness_init(&w, 3, 5, 1000);
+	}
+
+	void TearDown() override
+	{
+		vh_witness_finish(&w);
+	}
+
+	void begin(const char *task, uint32_t attempt, const char *worker,
+		   int64_t at = 0, const char *token = nullptr,
+		   bool idempotent = true)
+	{
+		struct vh_witness_run r = {};
+
+		r.task = const_cast<char *>(task);
+		r.attempt = attempt;
+		r.team = const_cast<char *>("shop");
+		r.worker = const_cast<char *>(worker);
+		r.token = const_cast<char *>(token);
+		r.idempotent = idempotent;
+		r.size.v[VH_CPU] = 500;
+		r.begin_ms = at;
+		vh_witness_begin(&w, &r);
+	}
+
+	void limit(uint32_t tasks, int64_t now, uint32_t cpu = VH_RES_UNLIMITED)
+	{
+		struct vh_witness_limit l;
+
+		l.tasks = tasks;
+		for (auto &v : l.running.v)
+			v = VH_RES_UNLIMITED;
+		l.running.v[VH_CPU] = cpu;
+		vh_witness_set_limit(&w, "shop", &l, now);
+	}
+};
+} // namespace
+
+TEST_F(Witness, OneTaskInTwoPlaces)
+{
+	begin("a", 1, "w1");
+	vh_witness_end(&w, "a", 1, "w1", "lost", 5);
+	begin("a", 2, "w2");
+	EXPECT_EQ(w.violated[VH_I2_ONE_PLACE], 0u);
+	begin("a", 3, "w1");
+	EXPECT_EQ(w.violated[VH_I2_ONE_PLACE], 1u);
+	EXPECT_EQ(w.checks[VH_I2_ONE_PLACE], 3u);
+	EXPECT_NE(std::string(static_cast<char *>(w.violations->pdata[0]))
+			  .find("while 2 ran on w2"),
+		  std::string::npos);
+}
+
+TEST_F(Witness, LimitCountsWhatRunsAtOnce)
+{
+	limit(2, 0);
+	begin("a", 1, "w1");
+	begin("b", 1, "w1");
+	vh_witness_end(&w, "a", 1, "w1", "done", 0);
+	begin("c", 1, "w2");
+	EXPECT_EQ(w.violated[VH_I4_LIMITS], 0u);
+	begin("d", 1, "w2");
+	EXPECT_EQ(w.violated[VH_I4_LIMITS], 1u);
+}
+
+TEST_F(Witness, LimitCountsAmounts)
+{
+	limit(10, 0, 1000);
+	begin("a", 1, "w1");
+	begin("b", 1, "w1");
+	EXPECT_EQ(w.violated[VH_I4_LIMITS], 0u);
+	begin("c", 1, "w1");
+	EXPECT_EQ(w.violated[VH_I4_LIMITS], 1u);
+}
+
+TEST_F(Witness, ReplacedLimitHoldsForTheGraceTimeOnly)
+{
+	limit(2, 0);
+	limit(1, 0);
+	begin("a", 1, "w1", 10);
+	begin("b", 1, "w1", 999);
+	EXPECT_EQ(w.violated[VH_I4_LIMITS], 0u);
+	vh_witness_end(&w, "a", 1, "w1", "done", 999);
+	begin("c", 1, "w1", 1000);
+	EXPECT_EQ(w.violated[VH_I4_LIMITS], 1u);
+}
+
+TEST_F(Witness, NotIdempotentBeginsOnce)
+{
+	begin("a", 1, "w1", 0, "t1", false);
+	vh_witness_end(&w, "a", 1, "w1", "done", 5);
+	EXPECT_EQ(w.violated[VH_I7_AT_MOST_ONCE], 0u);
+	begin("other-job", 1, "w2", 9, "t1", false);
+	EXPECT_EQ(w.violated[VH_I7_AT_MOST_ONCE], 1u);
+	EXPECT_EQ(vh_witness_begins(&w, "t1"), 2u);
+	begin("c", 1, "w1", 0, "t2");
+	vh_witness_end(&w, "c", 1, "w1", "lost", 5);
+	begin("c", 2, "w1", 0, "t2");
+	EXPECT_EQ(w.violated[VH_I7_AT_MOST_ONCE], 1u);
+}
+
+TEST_F(Witness, MemoryIsBounded)
+{
+	for (int i = 0; i < 9; i++) {
+		std::string task = "t" + std::to_string(i);
+
+		begin(task.c_str(), 1, "w1");
+		vh_witness_end(&w, task.c_str(), 1, "w1", "done", 1);
+	}
+	EXPECT_EQ(w.ended->length, 3u);
+	EXPECT_EQ(w.untracked, 4u);
+	EXPECT_EQ(g_hash_table_size(w.running), 0u);
+}
