--- a/packages/ctl/src/ctl.c
+++ b/packages/ctl/src/ctl.c
@@ -106,7 +106,7 @@
 static const struct ctl_command *find_command(const char *name)
 {
 	for (size_t i = 0; ctl_commands[i].name; i++) {
-		if (!strcmp(ctl_commands[i].name, name))
+		if (!g_strcmp0(ctl_commands[i].name, name))
 			return &ctl_commands[i];
 	}
 	return NULL;
@@ -211,6 +211,7 @@
 static int dispatch(struct ctl *c, int argc, char **argv)
 {
 	const struct ctl_command *command;
+	const char *name;
 	int code;
 
 	/* options may stand before the command, too */
@@ -221,10 +222,10 @@
 	}
 	if (argc < 2 || (wants_help(argv[1]) && argc < 3))
 		return argc < 2 ? ctl_usage(c, "no command") : help_all(c);
-	command = find_command(argv[wants_help(argv[1]) ? 2 : 1]);
+	name = wants_help(argv[1]) ? argv[2] : argv[1];
+	command = find_command(name);
 	if (!command)
-		return ctl_usage(c, "there is no command \"%s\"",
-				 argv[wants_help(argv[1]) ? 2 : 1]);
+		return ctl_usage(c, "there is no command \"%s\"", name);
 	if (wants_help(argv[1]) || (argc > 2 && wants_help(argv[2])))
 		return help_command(c, command);
 	argc--;
--- a/tools/lint.sh
+++ b/tools/lint.sh
@@ -10,7 +10,7 @@
 	exit 1
 }
 git ls-files -co --exclude-standard 'packages/*.c' |
-	xargs cppcheck -j 10 --quiet --error-exitcode=1 --inline-suppr \
+	xargs cppcheck -j 10 --quiet --error-exitcode=1 --inline-suppr --library=tools/cppcheck.cfg \
 		--enable=warning,performance,portability \
 		--suppress=missingIncludeSystem --suppress=varFuncNullUB \
 		$(for d in packages/*/include packages/*/src; do
