--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -18,8 +18,9 @@
 	vh_package_tests(${name} vh_${name})
 endfunction()
 
-# vh_package_tests(NAME lib...) makes one test program per tests/test_*.cc,
-# and one benchmark program per tests/bench_*.c.
+# vh_package_tests(NAME lib...) makes one test program per tests/test_*.cc, one
+# benchmark program per tests/bench_*.c and, with VH_FUZZ, one libFuzzer program
+# per fuzz/fuzz_*.c.
 function(vh_package_tests name)
 	file(GLOB tests CONFIGURE_DEPENDS
 		${CMAKE_CURRENT_SOURCE_DIR}/tests/test_*.cc)
@@ -38,4 +39,16 @@
 		add_executable(${name}_${base} ${b})
 		target_link_libraries(${name}_${base} ${ARGN})
 	endforeach()
+	if(NOT VH_FUZZ)
+		return()
+	endif()
+	file(GLOB harnesses CONFIGURE_DEPENDS
+		${CMAKE_CURRENT_SOURCE_DIR}/fuzz/fuzz_*.c)
+	foreach(h ${harnesses})
+		get_filename_component(base ${h} NAME_WE)
+		add_executable(${name}_${base} ${h})
+		target_link_libraries(${name}_${base} ${ARGN})
+		target_link_options(${name}_${base} PRIVATE -fsanitize=fuzzer)
+		add_dependencies(vh_fuzz ${name}_${base})
+	endforeach()
 endfunction()
