Gather gangs by ticket order, choose preemption victims by cost

gang.h: racks hold room for gangs in one order over the cell; an older gang takes unconfirmed holds from a younger one, so no two block each other.

--- /dev/null
+++ b/packages/policy/src/gang_home.c
@@ -0,0 +1,177 @@
+#include "vh/gang.h"
+
+/* A confirm must reach the rack this long before its hold lapses. */
+#define CONFIRM_MARGIN_MS 1000
+
+void vh_gang_init(struct vh_gang *g, const struct vh_ticket *ticket,
+		  const struct vh_want *want, uint32_t tasks, int64_t now_ms)
+{
+	*g = (struct vh_gang){ .ticket = *ticket,
+			       .want = *want,
+			       .tasks = tasks,
+			       .next_ms = now_ms };
+}
+
+static struct vh_gang_part *part_of(struct vh_gang *g, uint32_t rack)
+{
+	for (size_t i = 0; i < g->n_parts; i++) {
+		if (g->parts[i].rack == rack)
+			return &g->parts[i];
+	}
+	return NULL;
+}
+
+static struct vh_gang_part *part_add(struct vh_gang *g, uint32_t rack)
+{
+	struct vh_gang_part *p = part_of(g, rack);
+
+	if (p || g->n_parts == VH_GANG_RACKS_MAX)
+		return p;
+	p = &g->parts[g->n_parts++];
+	*p = (struct vh_gang_part){ .rack = rack };
+	return p;
+}
+
+void vh_gang_plan(struct vh_gang *g, const uint32_t *racks,
+		  const uint32_t *room, size_t n)
+{
+	uint32_t missing = vh_gang_missing(g);
+
+	if (g->state != VH_GANG_GATHERING)
+		return;
+	for (size_t i = 0; i < g->n_parts; i++)
+		g->parts[i].wanted = g->parts[i].held;
+	for (size_t i = 0; i < n; i++) {
+		struct vh_gang_part *p = part_add(g, racks[i]);
+		uint32_t most;
+
+		if (!p)
+			break;
+		most = p->held + missing;
+		p->wanted = room[i] < most ? room[i] : most;
+	}
+}
+
+uint32_t vh_gang_missing(const struct vh_gang *g)
+{
+	uint32_t held = 0;
+
+	for (size_t i = 0; i < g->n_parts; i++)
+		held += g->parts[i].held;
+	return held < g->tasks ? g->tasks - held : 0;
+}
+
+/* Keeps as much as is needed, most from where most is held. */
+static void trim(struct vh_gang *g)
+{
+	uint32_t left = g->tasks;
+
+	for (size_t i = 0; i < g->n_parts; i++) {
+		size_t most = i;
+		struct vh_gang_part p;
+
+		for (size_t j = i + 1; j < g->n_parts; j++) {
+			if (g->parts[j].held > g->parts[most].held)
+				most = j;
+		}
+		p = g->parts[most];
+		g->parts[most] = g->parts[i];
+		p.held = p.held < left ? p.held : left;
+		p.wanted = p.held;
+		left -= p.held;
+		g->parts[i] = p;
+	}
+}
+
+/* Forgets holds that may have lapsed, and racks that hold and owe nothing. */
+static void lapse(struct vh_gang *g, int64_t now_ms)
+{
+	for (size_t i = 0; i < g->n_parts;) {
+		struct vh_gang_part *p = &g->parts[i];
+
+		if (p->held && now_ms + CONFIRM_MARGIN_MS > p->held_until_ms)
+			p->held = 0;
+		if (!p->held && !p->wanted)
+			*p = g->parts[--g->n_parts];
+		else
+			i++;
+	}
+}
+
+void vh_gang_held(struct vh_gang *g, uint32_t rack, uint32_t held,
+		  int64_t asked_ms, int64_t now_ms)
+{
+	struct vh_gang_part *p = part_of(g, rack);
+
+	if (!p || g->state != VH_GANG_GATHERING)
+		return;
+	p->held = held < p->wanted ? held : p->wanted;
+	p->held_until_ms = asked_ms + VH_GANG_HOLD_MS;
+	vh_gang_tick(g, now_ms);
+}
+
+static bool all_confirmed(const struct vh_gang *g)
+{
+	for (size_t i = 0; i < g->n_parts; i++) {
+		if (g->parts[i].held && !g->parts[i].confirmed)
+			return false;
+	}
+	return true;
+}
+
+void vh_gang_confirmed(struct vh_gang *g, uint32_t rack, bool ok,
+		       int64_t now_ms)
+{
+	struct vh_gang_part *p = part_of(g, rack);
+
+	if (!p || g->state != VH_GANG_CONFIRMING)
+		return;
+	if (!ok) {
+		g->state = VH_GANG_FAILED;
+		return;
+	}
+	p->confirmed = true;
+	p->held_until_ms = now_ms + VH_GANG_HOLD_MS;
+	if (all_confirmed(g))
+		g->state = VH_GANG_STARTING;
+}
+
+static void gather_again(struct vh_gang *g, int64_t now_ms)
+{
+	for (size_t i = 0; i < g->n_parts; i++) {
+		g->parts[i].held = 0;
+		g->parts[i].confirmed = false;
+	}
+	g->state = VH_GANG_GATHERING;
+	g->next_ms = now_ms + VH_GANG_ROUND_MS;
+}
+
+enum vh_gang_state vh_gang_tick(struct vh_gang *g, int64_t now_ms)
+{
+	switch (g->state) {
+	case VH_GANG_FAILED:
+		gather_again(g, now_ms);
+		break;
+	case VH_GANG_GATHERING:
+		lapse(g, now_ms);
+		if (!vh_gang_missing(g)) {
+			trim(g);
+			g->state = VH_GANG_CONFIRMING;
+		} else if (now_ms >= g->next_ms) {
+			g->next_ms = now_ms + VH_GANG_ROUND_MS;
+		}
+		break;
+	case VH_GANG_CONFIRMING:
+		for (size_t i = 0; i < g->n_parts; i++) {
+			const struct vh_gang_part *p = &g->parts[i];
+
+			if (p->held && !p->confirmed &&
+			    now_ms > p->held_until_ms)
+				g->state = VH_GANG_FAILED;
+		}
+		break;
+	case VH_GANG_STARTING:
+		break;
+	}
+	return g->state;
+}
--- /dev/null
+++ b/packages/policy/src/preempt.c
@@ -0,0 +1,260 @@
+#include "vh/preempt.h"
+
+#define ACCEL_CORES 16 /* cores that an accelerator counts for */
+#define MS_PER_MIN 60000
+#define MS_PER_S 1000
+#define CPU_PER_CORE 1000
+#define START_MARGIN_MS 800 /* between the victim's end and the start */
+#define PROTECT_DOUBLINGS_MAX 6
+#define VICTIM_BASE_COST 4 /* core-seconds: stopping anything costs a bit */
+
+static uint64_t cores(const struct vh_res *size)
+{
+	uint64_t c = size->v[VH_CPU] / CPU_PER_CORE;
+
+	return c + (uint64_t)size->v[VH_ACCEL] * ACCEL_CORES + 1;
+}
+
+/* Core-seconds that a stop now would throw away. */
+static uint64_t lost_work(const struct vh_victim *v, int64_t now_ms)
+{
+	int64_t since = v->checkpoint_ms > v->started_ms ? v->checkpoint_ms
+							 : v->started_ms;
+	int64_t s = (now_ms - since) / MS_PER_S;
+
+	return s > 0 ? cores(&v->size) * (uint64_t)s : 0;
+}
+
+static uint64_t cost(const struct vh_victim *v, int64_t now_ms)
+{
+	uint64_t c = lost_work(v, now_ms) + VICTIM_BASE_COST * cores(&v->size);
+
+	c <<= v->preempted < 16 ? v->preempted : 16;
+	return v->team_share > v->team_due ? c / 2 : c;
+}
+
+static bool may_stop(const struct vh_preempt_settings *s,
+		     const struct vh_victim *v, int64_t now_ms)
+{
+	unsigned int doublings;
+
+	if (v->cls != VH_CLASS_BATCH || !v->idempotent)
+		return false;
+	if (v->preempted >= s->max_preempted)
+		return false;
+	if (!v->preempted)
+		return true;
+	doublings = v->preempted - 1 < PROTECT_DOUBLINGS_MAX
+			    ? v->preempted - 1
+			    : PROTECT_DOUBLINGS_MAX;
+	return now_ms - v->started_ms >= s->protect_ms << doublings;
+}
+
+/** struct attempt - victims on one worker */
+struct attempt {
+	struct vh_res missing; /* what must come free yet */
+	size_t victims[VH_VICTIMS_MAX];
+	size_t n;
+	uint64_t cost;
+	uint64_t lost;
+};
+
+static bool missing_nothing(const struct vh_res *missing)
+{
+	for (int d = 0; d < VH_DIMS; d++) {
+		if (missing->v[d])
+			return false;
+	}
+	return true;
+}
+
+/* How much of what is missing this task covers, in thousandths a dimension. */
+static uint64_t covers(const struct vh_res *size, const struct vh_res *missing)
+{
+	uint64_t sum = 0;
+
+	for (int d = 0; d < VH_DIMS; d++) {
+		uint64_t part;
+
+		if (!missing->v[d])
+			continue;
+		part = (uint64_t)size->v[d] * 1000 / missing->v[d];
+		sum += part < 1000 ? part : 1000;
+	}
+	return sum;
+}
+
+static bool chosen(const struct attempt *a, size_t victim)
+{
+	for (size_t i = 0; i < a->n; i++) {
+		if (a->victims[i] == victim)
+			return true;
+	}
+	return false;
+}
+
+/* Takes the task with the least cost for what it covers. */
+static bool add_victim(struct attempt *a, const struct vh_victim *running,
+		       size_t n, const bool *allowed, size_t worker,
+		       int64_t now_ms)
+{
+	uint64_t best_cost = 0, best_covers = 0;
+	size_t best = n;
+
+	for (size_t i = 0; i < n; i++) {
+		uint64_t c, k;
+
+		if (!allowed[i] || running[i].worker != worker || chosen(a, i))
+			continue;
+		k = covers(&running[i].size, &a->missing);
+		if (!k)
+			continue;
+		c = cost(&running[i], now_ms);
+		if (best == n || c * best_covers < best_cost * k) {
+			best = i;
+			best_cost = c;
+			best_covers = k;
+		}
+	}
+	if (best == n || a->n == VH_VICTIMS_MAX)
+		return false;
+	a->victims[a->n++] = best;
+	vh_res_sub(&a->missing, &running[best].size);
+	return true;
+}
+
+/* Leaves out victims, dearest first, that later ones made needless. */
+static void prune(struct attempt *a, const struct vh_victim *running,
+		  const struct vh_res *needed, int64_t now_ms)
+{
+	for (;;) {
+		struct vh_res sum = { { 0 } };
+		uint64_t most = 0;
+		size_t drop = a->n;
+
+		for (size_t i = 0; i < a->n; i++)
+			vh_res_add(&sum, &running[a->victims[i]].size);
+		for (size_t i = 0; i < a->n; i++) {
+			const struct vh_victim *v = &running[a->victims[i]];
+			struct vh_res without = sum;
+
+			vh_res_sub(&without, &v->size);
+			if (!vh_res_fits(needed, &without) ||
+			    cost(v, now_ms) < most)
+				continue;
+			most = cost(v, now_ms);
+			drop = i;
+		}
+		if (drop == a->n)
+			return;
+		a->victims[drop] = a->victims[--a->n];
+	}
+}
+
+/* Finds victims on one worker; false if there are not enough. */
+static bool try_worker(struct attempt *a, const struct vh_want *want,
+		       const struct vh_candidate *worker, size_t index,
+		       const struct vh_victim *running, size_t n,
+		       const bool *allowed, int64_t now_ms)
+{
+	struct vh_res needed = want->size;
+
+	vh_res_sub(&needed, &worker->free);
+	*a = (struct attempt){ .missing = needed };
+	while (!missing_nothing(&a->missing)) {
+		if (!add_victim(a, running, n, allowed, index, now_ms))
+			return false;
+	}
+	prune(a, running, &needed, now_ms);
+	for (size_t i = 0; i < a->n; i++) {
+		a->cost += cost(&running[a->victims[i]], now_ms);
+		a->lost += lost_work(&running[a->victims[i]], now_ms);
+	}
+	return true;
+}
+
+static void adopt(struct vh_preempt *out, const struct attempt *a,
+		  size_t worker)
+{
+	out->reason = VH_PREEMPT_OK;
+	out->worker = worker;
+	out->n = a->n;
+	out->lost = a->lost;
+	for (size_t i = 0; i < a->n; i++)
+		out->victims[i] = a->victims[i];
+}
+
+#define RUNNING_MAX 1024
+
+void vh_preempt_choose(const struct vh_preempt_settings *settings,
+		       const struct vh_want *want,
+		       const struct vh_candidate *workers, size_t n,
+		       const struct vh_victim *running, size_t n_running,
+		       int64_t now_ms, struct vh_preempt *out)
+{
+	bool allowed[RUNNING_MAX];
+	uint64_t best = UINT64_MAX;
+
+	*out = (struct vh_preempt){ .reason = VH_PREEMPT_NO_VICTIMS,
+				    .worker = n };
+	if (want->cls != VH_CLASS_URGENT) {
+		out->reason = VH_PREEMPT_CLASS;
+		return;
+	}
+	if (n_running > RUNNING_MAX)
+		n_running = RUNNING_MAX;
+	for (size_t i = 0; i < n_running; i++)
+		allowed[i] = may_stop(settings, &running[i], now_ms);
+	for (size_t i = 0; i < n; i++) {
+		struct attempt a;
+
+		if (!workers[i].usable ||
+		    !vh_res_fits(&want->size, &workers[i].capacity) ||
+		    !try_worker(&a, want, &workers[i], i, running, n_running,
+				allowed, now_ms))
+			continue;
+		if (a.cost < best) {
+			best = a.cost;
+			adopt(out, &a, i);
+		}
+	}
+}
+
+enum vh_preempt_mode vh_preempt_mode(const struct vh_victim *victim,
+				     int64_t accepted_ms,
+				     int64_t checkpoint_takes_ms,
+				     int64_t now_ms)
+{
+	int64_t start_by = accepted_ms + VH_URGENT_START_MS - START_MARGIN_MS;
+
+	if (!victim->can_checkpoint || now_ms + checkpoint_takes_ms > start_by)
+		return VH_PREEMPT_KILL;
+	return VH_PREEMPT_CHECKPOINT;
+}
+
+void vh_preempt_budget_init(struct vh_preempt_budget *b, uint32_t per_min,
+			    int64_t now_ms)
+{
+	b->per_min = per_min;
+	b->left = (uint64_t)per_min * MS_PER_MIN;
+	b->filled_ms = now_ms;
+}
+
+bool vh_preempt_budget_take(struct vh_preempt_budget *b, uint32_t n,
+			    int64_t now_ms)
+{
+	uint64_t full = (uint64_t)b->per_min * MS_PER_MIN;
+
+	if (now_ms > b->filled_ms) {
+		int64_t ms = now_ms - b->filled_ms;
+
+		ms = ms < MS_PER_MIN ? ms : MS_PER_MIN;
+		b->left += (uint64_t)ms * b->per_min;
+		b->left = b->left < full ? b->left : full;
+		b->filled_ms = now_ms;
+	}
+	if (b->left < (uint64_t)n * MS_PER_MIN)
+		return false;
+	b->left -= (uint64_t)n * MS_PER_MIN;
+	return true;
+}
--- a/packages/policy/src/share.c
+++ b/packages/policy/src/share.c
@@ -57,7 +57,8 @@
 		;
 	for (size_t i = 0; i < n; i++) {
 		if (teams[i].due == UINT64_MAX)
-			teams[i].due = left * teams[i].weight / weights;
+			teams[i].due =
+				weights ? left * teams[i].weight / weights : 0;
 	}
 }
 
