--- a/packages/gateway/src/operators.c
+++ b/packages/gateway/src/operators.c
@@ -4,6 +4,8 @@
 #include "vh/invariant.h"
 
 #define EXPLAIN "/v1/explain/"
+#define PUBLISH_ID_MAX 64 /* bytes */
+#define HISTORY_LIMIT 100
 
 static const struct vh_config_ops *config_ops(const struct vh_gateway *g)
 {
@@ -34,25 +36,59 @@
 	return token.len ? found : NULL;
 }
 
-static void get_config(struct vh_gateway *g, struct vh_exchange *ex)
+static void answer_set(struct vh_gateway *g, struct vh_exchange *ex,
+		       uint64_t version, struct vh_slice set)
 {
 	const struct vh_config_ops *ops = config_ops(g);
-	struct vh_slice wanted;
-	uint64_t version = ops->version(g->config->self), n;
 	char text[32];
 
-	if (vh_exchange_param(ex, "version", &wanted) &&
-	    (!vh_slice_to_u64(wanted, &n) || n != version)) {
-		vh_exchange_error(ex, VH_ERR_NOT_FOUND,
-				  vh_slice_str("version is not kept here"));
-		return;
-	}
 	g_snprintf(text, sizeof(text), "%" G_GUINT64_FORMAT, version);
 	vh_exchange_set(ex, "Vh-Version", text);
 	g_snprintf(text, sizeof(text), "%" G_GINT64_FORMAT,
 		   ops->age_ms(g->config->self));
 	vh_exchange_set(ex, "Vh-Age-Ms", text);
-	vh_exchange_answer(ex, 200, "text/plain", ops->text(g->config->self));
+	vh_exchange_answer(ex, 200, "text/plain", set);
+}
+
+static void get_config(struct vh_gateway *g, struct vh_exchange *ex)
+{
+	const struct vh_config_ops *ops = config_ops(g);
+	uint64_t version = ops->version(g->config->self), wanted;
+	struct vh_slice param;
+	struct vh_buf old;
+
+	if (!vh_exchange_param(ex, "version", &param)) {
+		answer_set(g, ex, version, ops->text(g->config->self));
+		return;
+	}
+	vh_buf_init(&old);
+	if (!vh_slice_to_u64(param, &wanted))
+		vh_exchange_error(ex, VH_ERR_BAD_REQUEST,
+				  vh_slice_str("version: must be a number"));
+	else if (ops->text_at(g->config->self, wanted, &old))
+		answer_set(g, ex, wanted, vh_buf_slice(&old));
+	else
+		vh_exchange_error(ex, VH_ERR_NOT_FOUND,
+				  vh_slice_str("version is not kept here"));
+	vh_buf_finish(&old);
+}
+
+static void get_history(struct vh_gateway *g, struct vh_exchange *ex)
+{
+	uint64_t limit = HISTORY_LIMIT;
+	struct vh_slice param;
+	struct vh_buf json;
+
+	if (vh_exchange_param(ex, "limit", &param) &&
+	    !vh_slice_to_u64(param, &limit)) {
+		vh_exchange_error(ex, VH_ERR_BAD_REQUEST,
+				  vh_slice_str("limit: must be a number"));
+		return;
+	}
+	vh_buf_init(&json);
+	config_ops(g)->history(g->config->self, limit, &json);
+	vh_exchange_json(ex, 200, vh_buf_slice(&json));
+	vh_buf_finish(&json);
 }
 
 /**
@@ -176,10 +212,22 @@
 	return ok;
 }
 
+/* Empty is valid: the header is optional. */
+static bool valid_publish_id(struct vh_slice id)
+{
+	for (size_t i = 0; i < id.len; i++) {
+		if (!g_ascii_islower(id.data[i]) &&
+		    !g_ascii_isdigit(id.data[i]) && id.data[i] != '-')
+			return false;
+	}
+	return id.len <= PUBLISH_ID_MAX;
+}
+
 static void publish(struct vh_gateway *g, struct vh_exchange *ex,
 		    const struct vh_operator_token *who)
 {
 	struct publication *p;
+	struct vh_slice id = vh_exchange_header(ex, "Vh-Publish-Id");
 	struct vh_slice base_text;
 	uint64_t base;
 
@@ -190,6 +238,12 @@
 					       "the set was made from"));
 		return;
 	}
+	if (!valid_publish_id(id)) {
+		vh_exchange_error(ex, VH_ERR_BAD_REQUEST,
+				  vh_slice_str("Vh-Publish-Id: 1 to 64 of "
+					       "a-z, 0-9 and -"));
+		return;
+	}
 	p = g_new0(struct publication, 1);
 	if (!check_set(ex, &p->text)) {
 		g_free(p);
@@ -200,7 +254,7 @@
 	p->base = base;
 	ex->on_gone = operator_gone;
 	ex->gone_ctx = p;
-	config_ops(g)->publish(g->config->self, base, who->name,
+	config_ops(g)->publish(g->config->self, base, who->name, id,
 			       vh_buf_slice(&p->text), published, p);
 }
 
@@ -306,15 +360,10 @@
 			 struct vh_slice path,
 			 const struct vh_operator_token *who)
 {
-	struct vh_buf json;
-
 	if (!config_ops(g)) {
 		vh_exchange_error(ex, VH_ERR_NOT_READY, vh_slice(NULL, 0));
 	} else if (vh_slice_eq_str(path, "/v1/config/history")) {
-		vh_buf_init(&json);
-		config_ops(g)->history(g->config->self, &json);
-		vh_exchange_json(ex, 200, vh_buf_slice(&json));
-		vh_buf_finish(&json);
+		get_history(g, ex);
 	} else if (is_get(ex)) {
 		get_config(g, ex);
 	} else if (vh_exchange_method(ex) == EVHTTP_REQ_POST) {
--- a/packages/gateway/tests/harness.h
+++ b/packages/gateway/tests/harness.h
@@ -228,10 +228,18 @@
 			c->watch_fn = fn;
 			c->watch_ctx = ctx;
 		};
-		config_ops.history = [](void *self, struct vh_buf *json) {
+		config_ops.history = [](void *self, size_t limit,
+					struct vh_buf *json) {
 			(void)self;
+			(void)limit;
 			vh_buf_add_str(json, "{\"versions\":[]}");
 		};
+		config_ops.text_at = [](void *self, uint64_t version,
+					struct vh_buf *out) {
+			(void)self;
+			(void)out;
+			return version == 0;
+		};
 		jobs_ops = {};
 		jobs_ops.submit = submit;
 		jobs_ops.get = get;
@@ -283,14 +291,14 @@
 	}
 
 	static void publish(void *self, uint64_t base, struct vh_slice author,
-			    struct vh_slice ini,
+			    struct vh_slice id, struct vh_slice ini,
 			    void (*done)(void *, enum vh_err, uint64_t,
 					 struct vh_slice),
 			    void *ctx)
 	{
 		auto *c = static_cast<FakeCore *>(self);
 
-		c->author = text_of(author);
+		c->author = text_of(author) + "/" + text_of(id);
 		if (base != c->version) {
 			done(ctx, VH_ERR_VERSION, c->version, vh_slice_str(""));
 			return;
--- a/packages/gateway/tests/test_gateway.cc
+++ b/packages/gateway/tests/test_gateway.cc
@@ -230,10 +230,11 @@
 	auto *c = (start(), op());
 	std::string changed = ini() + "[queue \"late\"]\n";
 
-	c->request("POST", "/v1/config?base=1", "op-token", changed);
+	c->request("POST", "/v1/config?base=1", "op-token", changed,
+		   "Vh-Publish-Id: p-1\r\n");
 	ASSERT_TRUE(answered(c));
 	EXPECT_EQ(c->body(), "{\"version\":2}");
-	EXPECT_EQ(core->author, "amir");
+	EXPECT_EQ(core->author, "amir/p-1");
 	c->request("POST", "/v1/config?base=1", "op-token", ini());
 	ASSERT_TRUE(answered(c, 2));
 	EXPECT_EQ(c->status(1), 409);
