Add the rack: commitments, leases and exchanges with workers

A takeover adopts what each worker lists before anything is placed on it; a lapse is declared only after the lease, the margin and a reading of the claims; starts told with an unknown result stay committed and are told again until the worker's clock has passed their time.

--- a/packages/state/include/vh/rack.h
+++ b/packages/state/include/vh/rack.h
@@ -126,7 +126,8 @@
  * vh_rack_fence_home - refuses starts of this home under older epochs
  *
  * Returns true if every worker of the rack that may run anything has been
- * adopted, so that vh_rack_tasks_of() is the whole truth.
+ * adopted, so that vh_rack_tasks_of() is the whole truth. A rack of which no
+ * worker is known yet tells nothing.
  */
 bool vh_rack_fence_home(struct vh_rack *r, struct vh_slice home,
 			uint64_t home_epoch);
--- /dev/null
+++ b/packages/state/src/rack_priv.h
@@ -0,0 +1,190 @@
+#ifndef VH_RACK_PRIV_H
+#define VH_RACK_PRIV_H
+
+#include <glib.h>
+
+#include "table.h"
+#include "vh/buf.h"
+#include "vh/rack.h"
+
+struct rack_worker;
+
+/**
+ * enum run_state - where a run stands at the rack
+ * @RUN_QUEUED: committed, not told to the worker
+ * @RUN_SENT: told; the answer is not known
+ * @RUN_RUNNING: taken on
+ * @RUN_REFUSED: surely never begins; the home may not know yet
+ * @RUN_ENDED: ended; the home may not know yet
+ */
+enum run_state {
+	RUN_QUEUED,
+	RUN_SENT,
+	RUN_RUNNING,
+	RUN_REFUSED,
+	RUN_ENDED
+};
+
+/* What to tell the user of a run, once the present change is complete. */
+enum run_tell {
+	TELL_NOTHING,
+	TELL_PLACED,
+	TELL_REFUSED,
+	TELL_ENDED
+};
+
+/*
+ * One attempt of a task. In @attempts by task and attempt number; in @live by
+ * task while it holds resources.
+ */
+struct rack_run {
+	struct vh_table_node node;
+	struct vh_table_node live;
+	struct rack_run *next; /* of the worker */
+	struct rack_run **prev;
+	struct rack_run *tell_next;
+	struct rack_worker *worker;
+	enum run_state state;
+	enum run_tell tell;
+	bool telling;
+	bool freed;
+	struct vh_running info;
+	struct vh_slice input;
+	int64_t decided_ms;
+	int64_t not_after_ms; /* worker's clock; 0 before it was told */
+	uint64_t exchange;    /* that tells it now; 0 if none */
+	bool told;	      /* by an exchange whose outcome is not known */
+	bool listed;	      /* by the worker, in the list just read */
+	bool stop_wanted;
+	bool stop_told;
+	uint64_t stop_exchange; /* that told the stop */
+	enum vh_stop_mode stop_mode;
+	uint64_t end_seq;
+	enum vh_end end;
+	int32_t exit_code;
+	struct vh_slice result;
+	enum vh_err why;
+	int64_t told_ms;
+	char *strings; /* what the slices above point into */
+};
+
+/* One exchange under way. */
+struct rack_exchange {
+	uint64_t id; /* 0: none */
+	uint64_t generation;
+};
+
+struct rack_worker {
+	struct vh_vm vm;
+	char *vm_strings;
+	struct rack_run *runs;
+	struct vh_res committed;
+	uint32_t n_tasks;
+	bool adopted;	 /* has told all under the present epoch */
+	bool empty;	 /* surely runs nothing, though not adopted */
+	bool want_full;	 /* a list of all its tasks must be asked for */
+	bool leaving;	 /* says so itself */
+	int64_t gone_ms; /* when it was first seen gone */
+	char *incarnation;
+	uint64_t generation; /* grows with each change of incarnation */
+	int64_t clock_ms;    /* newest reading of its clock */
+	int64_t clock_at_ms; /* when that was received */
+	int64_t lapse_ms;    /* its lease surely has run out by then */
+	uint64_t seen_seq;   /* newest end told by it */
+	struct rack_exchange held;
+	struct rack_exchange order;
+	unsigned int failures;
+	int64_t retry_ms;
+	int64_t renewed_ms; /* when the lease was renewed last */
+};
+
+struct vh_rack {
+	struct vh_rack_settings settings;
+	struct vh_rack_callbacks callbacks;
+	char *name;
+	uint64_t epoch;
+	int64_t owned_ms;
+	int64_t fresh_ms;
+	int64_t now_ms; /* newest time given */
+	struct rack_worker **workers;
+	size_t n_workers;
+	size_t next_worker; /* where the search for due ones goes on */
+	struct vh_table attempts;
+	struct vh_table live;
+	struct vh_table fences;
+	struct vh_table decided;
+	struct rack_decided *oldest;
+	struct rack_decided *newest;
+	struct rack_run *tell_head;
+	struct rack_run **tell_tail;
+	bool flushing;
+	uint64_t exchanges;
+	struct vh_worker_view *views;
+	struct vh_start *starts;
+	struct vh_stop *stops;
+	struct vh_buf key;
+};
+
+#define RUN_OF_LIVE(n) \
+	((struct rack_run *)((char *)(n)-offsetof(struct rack_run, live)))
+
+/* Most starts and stops told in one exchange. */
+#define RACK_STARTS_MAX 64
+#define RACK_STOPS_MAX 256
+
+/* rack_sync.c: when the worker wants its next exchange */
+int64_t rack_sync_at(const struct vh_rack *r, const struct rack_worker *w);
+
+/* rack_run.c */
+struct rack_run *rack_run_find(struct vh_rack *r, struct vh_slice task,
+			       uint32_t attempt);
+struct rack_run *rack_run_add(struct vh_rack *r, struct rack_worker *w,
+			      const struct vh_running *info,
+			      struct vh_slice input);
+bool rack_run_holds(const struct rack_run *run);
+
+/* Takes the run's resources; checks I1 and I2. */
+void rack_run_commit(struct vh_rack *r, struct rack_run *run);
+void rack_run_refuse(struct vh_rack *r, struct rack_run *run, enum vh_err why,
+		     int64_t now_ms);
+void rack_run_end(struct vh_rack *r, struct rack_run *run,
+		  const struct vh_ended *ended, int64_t now_ms);
+void rack_run_lost(struct vh_rack *r, struct rack_run *run, int64_t now_ms);
+void rack_run_free(struct vh_rack *r, struct rack_run *run);
+void rack_run_tell(struct vh_rack *r, struct rack_run *run, enum run_tell tell);
+
+/* Calls back for all that is to be told. */
+void rack_flush(struct vh_rack *r);
+
+/* rack_decided.c: decisions that are over but may be asked again */
+void rack_decided_add(struct vh_rack *r, struct vh_slice task, uint32_t attempt,
+		      enum vh_err err, int64_t now_ms);
+bool rack_decided_find(struct vh_rack *r, struct vh_slice task,
+		       uint32_t attempt, enum vh_err *err);
+void rack_decided_expire(struct vh_rack *r, int64_t now_ms);
+void rack_decided_clear(struct vh_rack *r);
+
+/* Key of an attempt: "TASK#ATTEMPT" in @buf. */
+struct vh_slice rack_key(struct vh_buf *buf, struct vh_slice task,
+			 uint32_t attempt);
+
+/* rack_worker.c */
+struct rack_worker *rack_worker_find(const struct vh_rack *r,
+				     struct vh_slice id);
+struct rack_worker *rack_worker_add(struct vh_rack *r);
+void rack_worker_set_vm(struct rack_worker *w, const struct vh_vm *vm);
+void rack_worker_reset(struct rack_worker *w);
+void rack_worker_free(struct rack_worker *w);
+
+/* Runs there are lost; it must tell all before it is used again. */
+void rack_worker_lost(struct vh_rack *r, struct rack_worker *w, int64_t now_ms);
+bool rack_worker_usable(const struct vh_rack *r, const struct rack_worker *w,
+			int64_t now_ms);
+
+/* Has its lease surely run out, with claims read since? */
+bool rack_worker_lapsed(const struct vh_rack *r, const struct rack_worker *w,
+			int64_t now_ms);
+uint64_t rack_worker_ack(const struct rack_worker *w);
+int64_t rack_worker_clock(const struct rack_worker *w, int64_t now_ms);
+
+#endif
--- /dev/null
+++ b/packages/state/src/rack_tick.c
@@ -0,0 +1,102 @@
+#include "rack_priv.h"
+
+#define TICK_MAX_MS 1000
+
+static void earlier(int64_t *next, int64_t at)
+{
+	if (at < *next)
+		*next = at;
+}
+
+/* Drops a run whose refusal the home never asked about again. */
+static void refused_expire(struct vh_rack *r, struct rack_run *run)
+{
+	rack_decided_add(r, run->info.task, run->info.attempt, run->why,
+			 r->now_ms);
+	rack_run_free(r, run);
+}
+
+static void run_tick(struct vh_rack *r, struct rack_run *run, int64_t *next)
+{
+	struct rack_worker *w = run->worker;
+	int64_t now_ms = r->now_ms;
+
+	switch (run->state) {
+	case RUN_QUEUED:
+		if (now_ms - run->decided_ms > r->settings.start_void_ms)
+			rack_run_refuse(r, run, VH_ERR_UNREACHABLE, now_ms);
+		else
+			earlier(next, run->decided_ms +
+					      r->settings.start_void_ms + 1);
+		return;
+	case RUN_SENT:
+		if (!run->exchange && w->adopted &&
+		    rack_worker_clock(w, now_ms) > run->not_after_ms)
+			w->want_full = true;
+		return;
+	case RUN_RUNNING:
+		return;
+	case RUN_REFUSED:
+		if (now_ms - run->decided_ms >= VH_RACK_MEMORY_MS) {
+			refused_expire(r, run);
+			return;
+		}
+		break;
+	case RUN_ENDED:
+		break;
+	}
+	if (now_ms - run->told_ms >= VH_RACK_RETELL_MS) {
+		run->told_ms = now_ms;
+		rack_run_tell(r, run,
+			      run->state == RUN_ENDED ? TELL_ENDED
+						      : TELL_REFUSED);
+	}
+	earlier(next, run->told_ms + VH_RACK_RETELL_MS);
+}
+
+static void worker_tick(struct vh_rack *r, struct rack_worker *w, int64_t *next)
+{
+	struct rack_run *following;
+
+	if (!w->empty && rack_worker_lapsed(r, w, r->now_ms)) {
+		rack_worker_lost(r, w, r->now_ms);
+		w->empty = true;
+	}
+	for (struct rack_run *run = w->runs; run; run = following) {
+		following = run->next;
+		run_tick(r, run, next);
+	}
+}
+
+static void rack_remove_gone(struct vh_rack *r)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < r->n_workers; i++) {
+		struct rack_worker *w = r->workers[i];
+
+		if (w->vm.gone && w->empty && !w->runs)
+			rack_worker_free(w);
+		else
+			r->workers[n++] = w;
+	}
+	r->n_workers = n;
+	r->next_worker = 0;
+}
+
+int64_t vh_rack_tick(struct vh_rack *r, int64_t now_ms)
+{
+	int64_t next = now_ms + TICK_MAX_MS;
+
+	r->now_ms = now_ms;
+	if (!r->epoch)
+		return INT64_MAX;
+	rack_decided_expire(r, now_ms);
+	for (size_t i = 0; i < r->n_workers; i++)
+		worker_tick(r, r->workers[i], &next);
+	rack_flush(r);
+	rack_remove_gone(r);
+	for (size_t i = 0; i < r->n_workers; i++)
+		earlier(&next, rack_sync_at(r, r->workers[i]));
+	return next > now_ms ? next : now_ms;
+}
