--- a/packages/state/tests/test_rack.cc
+++ b/packages/state/tests/test_rack.cc
@@ -40,7 +40,8 @@
 			struct vh_res cap = { { 4000, 1000, 0, 8, 64 } };
 
 			workers.push_back(std::make_unique<FakeWorker>(
-				"w" + std::to_string(i), cap, 1000000 * (i + 1)));
+				"w" + std::to_string(i), cap,
+				1000000 * (i + 1)));
 			workers.back()->on_begin =
 				[this](const FakeWorker::Run &run) {
 					begun[run.task]++;
