--- /dev/null
+++ b/packages/policy/src/health.c
@@ -0,0 +1,217 @@
+#include "vh/health.h"
+
+#define EVIDENCE_MS 600000 /* older failures count for nothing */
+#define ASIDE_FIRST_MS 30000
+#define ASIDE_MAX_MS 1800000
+#define DISTINCT_JOBS 3
+#define DISTINCT_TEAMS 2
+#define DISTINCT_JOBS_ONE_TEAM 5
+#define BLAMED_WORKERS 3
+#define PROBES_TO_PASS 2
+#define CLEARED_BY_SUCCESS 2
+
+static void drop_evidence(struct vh_health_worker *w, size_t i)
+{
+	for (w->n--; i < w->n; i++)
+		w->evidence[i] = w->evidence[i + 1];
+}
+
+static void forget_old(struct vh_health_worker *w, int64_t now_ms)
+{
+	while (w->n && now_ms - w->evidence[0].at_ms > EVIDENCE_MS)
+		drop_evidence(w, 0);
+}
+
+static struct vh_health_job *find_job(struct vh_health *h, uint64_t job)
+{
+	for (size_t i = 0; i < h->n_jobs; i++) {
+		if (h->jobs[i].job == job)
+			return &h->jobs[i];
+	}
+	return NULL;
+}
+
+/* Finds or adds; of a full table the one that failed longest ago goes. */
+static struct vh_health_job *note_job(struct vh_health *h, uint64_t job,
+				      int64_t now_ms)
+{
+	struct vh_health_job *j = find_job(h, job);
+
+	if (!j && h->n_jobs < VH_HEALTH_JOBS) {
+		j = &h->jobs[h->n_jobs++];
+		*j = (struct vh_health_job){ .job = job };
+	} else if (!j) {
+		j = &h->jobs[0];
+		for (size_t i = 1; i < h->n_jobs; i++) {
+			if (h->jobs[i].at_ms < j->at_ms)
+				j = &h->jobs[i];
+		}
+		*j = (struct vh_health_job){ .job = job };
+	}
+	j->at_ms = now_ms;
+	return j;
+}
+
+static void count_distinct(const struct vh_health_worker *w, int64_t now_ms,
+			   uint32_t *jobs, uint32_t *teams)
+{
+	*jobs = *teams = 0;
+	for (size_t i = 0; i < w->n; i++) {
+		bool new_job = true, new_team = true;
+
+		if (now_ms - w->evidence[i].at_ms > EVIDENCE_MS)
+			continue;
+		for (size_t k = 0; k < i; k++) {
+			new_job &= w->evidence[k].job != w->evidence[i].job;
+			new_team &= w->evidence[k].team != w->evidence[i].team;
+		}
+		*jobs += new_job;
+		*teams += new_team;
+	}
+}
+
+static bool speaks_against(const struct vh_health_worker *w, int64_t now_ms)
+{
+	uint32_t jobs, teams;
+
+	count_distinct(w, now_ms, &jobs, &teams);
+	return jobs >= DISTINCT_JOBS_ONE_TEAM ||
+	       (jobs >= DISTINCT_JOBS && teams >= DISTINCT_TEAMS);
+}
+
+static size_t count_aside(const struct vh_health *h)
+{
+	size_t n = 0;
+
+	for (size_t i = 0; i < h->n_workers; i++)
+		n += h->workers[i].state != VH_HEALTH_GOOD;
+	return n;
+}
+
+static void set_aside(struct vh_health_worker *w, int64_t now_ms)
+{
+	if (!w->aside_ms)
+		w->aside_ms = ASIDE_FIRST_MS;
+	w->state = VH_HEALTH_ASIDE;
+	w->until_ms = now_ms + w->aside_ms;
+	w->aside_ms =
+		w->aside_ms * 2 < ASIDE_MAX_MS ? w->aside_ms * 2 : ASIDE_MAX_MS;
+	w->probes_passed = 0;
+	w->probe_running = false;
+}
+
+static void set_good(struct vh_health_worker *w)
+{
+	w->state = VH_HEALTH_GOOD;
+	w->n = 0;
+	w->probes_passed = 0;
+	w->probe_running = false;
+}
+
+/* The job is to blame: takes its failures back from all workers. */
+static void acquit_workers(struct vh_health *h, uint64_t job, int64_t now_ms)
+{
+	for (size_t i = 0; i < h->n_workers; i++) {
+		struct vh_health_worker *w = &h->workers[i];
+		size_t before = w->n;
+
+		for (size_t k = 0; k < w->n;) {
+			if (w->evidence[k].job == job)
+				drop_evidence(w, k);
+			else
+				k++;
+		}
+		if (w->n < before && w->state != VH_HEALTH_GOOD &&
+		    !speaks_against(w, now_ms)) {
+			w->state = VH_HEALTH_GOOD;
+			w->aside_ms = ASIDE_FIRST_MS;
+		}
+	}
+}
+
+void vh_health_failed(struct vh_health *h, size_t worker, uint64_t job,
+		      uint32_t team, int64_t now_ms)
+{
+	struct vh_health_worker *w = &h->workers[worker];
+	struct vh_health_job *j = note_job(h, job, now_ms);
+
+	j->workers |= 1u << worker;
+	if (j->blamed || __builtin_popcount(j->workers) >= BLAMED_WORKERS) {
+		j->blamed = true;
+		w->probe_running = false;
+		acquit_workers(h, job, now_ms);
+		return;
+	}
+	forget_old(w, now_ms);
+	if (w->n == VH_HEALTH_EVIDENCE)
+		drop_evidence(w, 0);
+	w->evidence[w->n++] = (struct vh_health_evidence){ job, team, now_ms };
+	if (w->state == VH_HEALTH_PROBING)
+		set_aside(w, now_ms);
+	else if (w->state == VH_HEALTH_GOOD && speaks_against(w, now_ms) &&
+		 count_aside(h) < (h->n_workers + 1) / 2)
+		set_aside(w, now_ms);
+}
+
+void vh_health_succeeded(struct vh_health *h, size_t worker, uint64_t job,
+			 int64_t now_ms)
+{
+	struct vh_health_worker *w = &h->workers[worker];
+	struct vh_health_job *j = find_job(h, job);
+
+	(void)now_ms;
+	if (j) {
+		j->workers = 0;
+		j->blamed = false;
+	}
+	for (int i = 0; i < CLEARED_BY_SUCCESS && w->n; i++)
+		drop_evidence(w, 0);
+	w->probe_running = false;
+	if (w->state == VH_HEALTH_PROBING &&
+	    ++w->probes_passed >= PROBES_TO_PASS) {
+		set_good(w);
+		w->aside_ms = ASIDE_FIRST_MS;
+	}
+}
+
+enum vh_health_state vh_health_state(struct vh_health *h, size_t worker,
+				     int64_t now_ms)
+{
+	struct vh_health_worker *w = &h->workers[worker];
+
+	if (w->state == VH_HEALTH_ASIDE && now_ms >= w->until_ms)
+		w->state = VH_HEALTH_PROBING;
+	return w->state;
+}
+
+bool vh_health_takes(struct vh_health *h, size_t worker, int64_t now_ms)
+{
+	switch (vh_health_state(h, worker, now_ms)) {
+	case VH_HEALTH_GOOD:
+		return true;
+	case VH_HEALTH_PROBING:
+		return !h->workers[worker].probe_running;
+	default:
+		return false;
+	}
+}
+
+void vh_health_started(struct vh_health *h, size_t worker, int64_t now_ms)
+{
+	if (vh_health_state(h, worker, now_ms) == VH_HEALTH_PROBING)
+		h->workers[worker].probe_running = true;
+}
+
+void vh_health_ended_otherwise(struct vh_health *h, size_t worker)
+{
+	h->workers[worker].probe_running = false;
+}
+
+uint32_t vh_health_failures(const struct vh_health *h, size_t worker,
+			    int64_t now_ms)
+{
+	uint32_t jobs, teams;
+
+	count_distinct(&h->workers[worker], now_ms, &jobs, &teams);
+	return jobs;
+}
