Send service requests to upstreams

Nearest first, the less loaded of two at random, within the slots and this node's part of the connections of each upstream. Only idempotent requests, or those that surely have not run, are tried again, within a budget of a tenth. Answers must carry the attempt's id and tell their end; from 16 KiB on they are passed on while they arrive, with back-pressure. Requests that must not run twice are recorded under the caller's key before they are sent, and end their record even when the caller has left.

--- a/packages/gateway/src/callers.c
+++ b/packages/gateway/src/callers.c
@@ -146,6 +146,17 @@
 	vh_work_admit(w, key->team);
 }
 
+bool vh_callers_valid_key(struct vh_slice key)
+{
+	if (key.len > VH_IDEM_KEY_MAX)
+		return false;
+	for (size_t i = 0; i < key.len; i++) {
+		if (key.data[i] < 0x21 || key.data[i] > 0x7e)
+			return false;
+	}
+	return true;
+}
+
 void vh_callers_handle(void *gateway, struct vh_exchange *ex)
 {
 	struct vh_gateway *g = gateway;
--- a/packages/gateway/src/conn.c
+++ b/packages/gateway/src/conn.c
@@ -37,8 +37,11 @@
 	struct vh_conn *c = ctx;
 
 	c->unsent = evbuffer_get_length(buf);
-	if (info->n_deleted && c->state == VH_CONN_STREAMING)
+	if (info->n_deleted && c->state == VH_CONN_STREAMING) {
 		c->since_ms = now_ms(c);
+		if (!c->unsent && c->exchange && c->exchange->on_drained)
+			c->exchange->on_drained(c->exchange->drained_ctx);
+	}
 	if (!info->n_deleted || c->state != VH_CONN_WRITING)
 		return;
 	c->since_ms = now_ms(c);
--- a/packages/gateway/src/gateway.c
+++ b/packages/gateway/src/gateway.c
@@ -2,7 +2,7 @@
 
 #include <event2/util.h>
 
-#include "vh/log.h"
+#include "upstream.h"
 
 #define HEADER_BYTES 16384
 #define OPERATORS_BODY_BYTES (1u << 20)
@@ -111,9 +111,18 @@
 
 	g->admit.nodes = (uint32_t)living_nodes(g);
 	vh_gateway_trusts(g);
+	vh_upstream_close_idle(g);
 	vh_timer_start(&g->tick, TICK_MS);
 }
 
+static void reap(void *ctx)
+{
+	struct vh_gateway *g = ctx;
+
+	vh_work_free_ended(g);
+	vh_upstream_reap(g);
+}
+
 static bool gateway_start(void *self, struct vh_kernel *kernel, GError **err)
 {
 	struct vh_gateway *g = self;
@@ -257,7 +266,7 @@
 		      g->settings.max_active * WAITING_PER_ACTIVE);
 	make_listeners(g);
 	vh_timer_init(&g->tick, kernel, tick, g);
-	vh_timer_init(&g->reaper, kernel, vh_work_free_ended, g);
+	vh_timer_init(&g->reaper, kernel, reap, g);
 	g->service.name = "gateway";
 	g->service.self = g;
 	g->service.start = gateway_start;
@@ -279,6 +288,7 @@
 		g_free(w);
 	}
 	vh_work_free_ended(g);
+	vh_upstream_finish(g);
 	vh_listener_free(g->callers);
 	vh_listener_free(g->operators);
 	vh_timer_finish(&g->tick);
--- a/packages/gateway/src/gateway_impl.h
+++ b/packages/gateway/src/gateway_impl.h
@@ -26,10 +26,10 @@
  * @ex: NULL once it is answered
  * @pending: callbacks still to come; it is freed after the last
  * @next_ended: list of those that are freed in the next turn of the loop
+ * @streaming: part of the answer has been sent
  * @run: begins it once it is admitted
  * @release: gives back what the kind of request holds; may be NULL
  * @recheck: the key must still be valid while it waits
- * @key: SHA-256 of the key that it came with
  * @arrived_us, @started_us: monotonic
  */
 struct vh_work {
@@ -38,6 +38,7 @@
 	struct vh_admit_item admit;
 	bool admitted;
 	unsigned int pending;
+	bool streaming;
 	void (*run)(struct vh_work *w);
 	void (*release)(struct vh_work *w);
 	void *detail;
@@ -45,6 +46,7 @@
 	char team[VH_NAME_MAX + 1];
 	char target[VH_NAME_MAX + 1]; /* queue or service */
 	char id[VH_REQUEST_ID_MAX];
+	char key[VH_IDEM_KEY_MAX + 1]; /* Idempotency-Key that was recorded */
 	enum vh_class cls;
 	int64_t arrived_us;
 	int64_t started_us;
@@ -69,11 +71,14 @@
 	struct vh_work *works;
 	struct vh_work *ended;
 	struct vh_stats *stats;
+	struct vh_service_state *services;
+	struct vh_upconn *dropped; /* connections to close in the next turn */
 	struct vh_timer tick;
 	struct vh_timer reaper;
 	uint64_t incarnation;
 	uint64_t last_request;
 	bool draining;
+	bool running_waiting;
 	GRand *rng;
 };
 
@@ -104,6 +109,9 @@
 void vh_work_error_as(struct vh_work *w, enum vh_err err,
 		      enum vh_outcome outcome, struct vh_slice message);
 
+/* vh_work_abort - cuts the connection in the middle of a streamed answer */
+void vh_work_abort(struct vh_work *w);
+
 /* vh_work_end - the answer was given directly through w->ex, now invalid */
 void vh_work_end(struct vh_work *w);
 
@@ -114,8 +122,15 @@
 void vh_work_config_changed(struct vh_gateway *g);
 void vh_work_run_waiting(struct vh_gateway *g);
 
+/* upstream.c */
+void vh_upstream_reap(struct vh_gateway *g);
+void vh_upstream_close_idle(struct vh_gateway *g);
+
 /* callers.c, operators.c: the two APIs */
 void vh_callers_handle(void *gateway, struct vh_exchange *ex);
+
+/* vh_callers_valid_key - is it a valid Idempotency-Key? Empty is. */
+bool vh_callers_valid_key(struct vh_slice key);
 void vh_callers_drain(struct vh_gateway *g);
 void vh_operators_handle(void *gateway, struct vh_exchange *ex);
 
--- a/packages/gateway/src/jobs_api.c
+++ b/packages/gateway/src/jobs_api.c
@@ -121,17 +121,6 @@
 	ops->submit(w->g->jobs->self, &submit, SUBMIT_TRY_MS, submitted, w);
 }
 
-static bool valid_idempotency_key(struct vh_slice key)
-{
-	if (key.len > VH_IDEM_KEY_MAX)
-		return false;
-	for (size_t i = 0; i < key.len; i++) {
-		if (key.data[i] < 0x21 || key.data[i] > 0x7e)
-			return false;
-	}
-	return true;
-}
-
 void vh_jobs_api_submit(struct vh_work *w)
 {
 	struct vh_gateway *g = w->g;
@@ -145,7 +134,7 @@
 		vh_work_error(w, VH_ERR_NOT_READY, vh_slice(NULL, 0));
 		return;
 	}
-	if (!valid_idempotency_key(
+	if (!vh_callers_valid_key(
 		    vh_exchange_header(w->ex, "Idempotency-Key"))) {
 		vh_work_error(w, VH_ERR_BAD_REQUEST,
 			      vh_slice_str("Idempotency-Key: 1 to 128 "
--- a/packages/gateway/src/listener.h
+++ b/packages/gateway/src/listener.h
@@ -31,6 +31,8 @@
  * struct vh_exchange - one request and its answer
  * @on_gone: called if the caller goes away first; the exchange must still be
  *	     answered, which then only frees it
+ * @on_drained: called when the caller has taken all of a streamed answer that
+ *		was given so far
  * @since_ms: when the whole request had arrived
  */
 struct vh_exchange {
@@ -39,6 +41,8 @@
 	struct evhttp_request *req;
 	void (*on_gone)(void *ctx);
 	void *gone_ctx;
+	void (*on_drained)(void *ctx);
+	void *drained_ctx;
 	int64_t since_ms;
 	struct vh_exchange *next;
 	struct vh_exchange **prev;
--- /dev/null
+++ b/packages/gateway/src/upstream.c
@@ -0,0 +1,330 @@
+#include "upstream.h"
+
+#include <event2/bufferevent.h>
+
+#include "vh/invariant.h"
+
+#define SYNC_MS 50
+#define IDLE_CLOSE_MS 20000
+#define LIBRARY_TIMEOUT_S 86400
+#define HEADERS_MAX 16384 /* bytes */
+#define ANSWER_MAX (16 << 20)
+#define READ_AHEAD_MAX 65536 /* bytes taken off the socket, not yet passed on */
+#define LEAVING_GRACE_MS 3000
+#define RANK_SEED 7
+
+struct vh_service_state *vh_upstream_service(struct vh_gateway *g,
+					     const char *name)
+{
+	struct vh_service_state *s = g->services;
+
+	while (s && strcmp(s->name, name))
+		s = s->next;
+	if (s)
+		return s;
+	s = g_new0(struct vh_service_state, 1);
+	s->g = g;
+	g_strlcpy(s->name, name, sizeof(s->name));
+	vh_fairq_init(&s->waiting);
+	vh_retry_budget_init(&s->budget);
+	s->synced_ms = INT64_MIN / 2;
+	s->next = g->services;
+	g->services = s;
+	return s;
+}
+
+static void free_conn(struct vh_upconn *c)
+{
+	evhttp_connection_free(c->evcon);
+	g_free(c);
+}
+
+static void close_conns(struct vh_worker *w)
+{
+	while (w->conns) {
+		struct vh_upconn *c = w->conns;
+
+		w->conns = c->next;
+		free_conn(c);
+	}
+	w->n_conns = 0;
+}
+
+static void free_dropped(struct vh_gateway *g)
+{
+	while (g->dropped) {
+		struct vh_upconn *c = g->dropped;
+
+		g->dropped = c->next;
+		free_conn(c);
+	}
+}
+
+void vh_upstream_finish(struct vh_gateway *g)
+{
+	free_dropped(g);
+	while (g->services) {
+		struct vh_service_state *s = g->services;
+
+		g->services = s->next;
+		for (size_t i = 0; i < s->n_workers; i++) {
+			close_conns(s->workers[i]);
+			g_free(s->workers[i]);
+		}
+		g_free(s->workers);
+		vh_fairq_finish(&s->waiting);
+		vh_timer_finish(&s->timer);
+		g_free(s);
+	}
+}
+
+/* This node's place among all nodes for one upstream, by hash. */
+static uint32_t rank_of(const struct vh_gateway *g, struct vh_slice worker,
+			uint32_t *n_nodes)
+{
+	const struct vh_node *nodes;
+	size_t n = g->peer ? vh_peer_nodes(g->peer, &nodes) : 0;
+	uint64_t seed = vh_slice_hash(worker, RANK_SEED), own;
+	uint32_t rank = 0;
+
+	*n_nodes = 1;
+	if (!n)
+		return 0;
+	own = vh_slice_hash(nodes[0].id, seed);
+	for (size_t i = 1; i < n; i++) {
+		if (nodes[i].state == VH_NODE_DEAD)
+			continue;
+		++*n_nodes;
+		rank += vh_slice_hash(nodes[i].id, seed) < own;
+	}
+	return rank;
+}
+
+static enum vh_route_tier tier_of(const struct vh_gateway *g,
+				  const struct vh_upstream *u)
+{
+	if (!vh_slice_eq(u->region, g->settings.region))
+		return VH_ROUTE_REMOTE;
+	return vh_slice_eq(u->zone, g->settings.zone) ? VH_ROUTE_ZONE
+						      : VH_ROUTE_REGION;
+}
+
+static struct vh_worker *get_worker(struct vh_service_state *s,
+				    const struct vh_upstream *u)
+{
+	struct vh_worker *w;
+
+	for (size_t i = 0; i < s->n_workers; i++) {
+		w = s->workers[i];
+		if (vh_slice_eq_str(u->worker, w->id) && w->port == u->port &&
+		    vh_slice_eq_str(u->address, w->address))
+			return w;
+	}
+	if (u->worker.len > VH_NAME_MAX || u->address.len > VH_NAME_MAX ||
+	    !u->address.len)
+		return NULL;
+	w = g_new0(struct vh_worker, 1);
+	memcpy(w->id, u->worker.data, u->worker.len);
+	memcpy(w->address, u->address.data, u->address.len);
+	w->port = u->port;
+	s->workers = g_renew(struct vh_worker *, s->workers, s->n_workers + 1);
+	s->workers[s->n_workers++] = w;
+	return w;
+}
+
+static void update_worker(struct vh_service_state *s,
+			  const struct vh_upstream *u, int64_t now_ms)
+{
+	struct vh_worker *w = get_worker(s, u);
+	uint32_t nodes, rank, conns;
+
+	if (!w)
+		return;
+	rank = rank_of(s->g, u->worker, &nodes);
+	conns = u->replicas * u->size.v[VH_CONNS];
+	w->listed = true;
+	w->route.tier = tier_of(s->g, u);
+	w->route.slots = u->replicas * u->size.v[VH_SLOTS];
+	w->route.share = vh_route_share(conns, nodes, rank);
+	w->route.leaving = u->leaving;
+	if (!u->leaving)
+		w->left_ms = 0;
+	else if (!w->left_ms)
+		w->left_ms = now_ms;
+}
+
+/* Workers that are no longer listed go once nothing of ours runs there. */
+static void remove_unlisted(struct vh_service_state *s, int64_t now_ms)
+{
+	size_t kept = 0;
+
+	s->near = false;
+	for (size_t i = 0; i < s->n_workers; i++) {
+		struct vh_worker *w = s->workers[i];
+
+		if (!w->listed && !w->route.busy) {
+			close_conns(w);
+			g_free(w);
+			continue;
+		}
+		if (!w->listed && !w->left_ms) {
+			w->route.leaving = true;
+			w->left_ms = now_ms;
+		}
+		s->near |=
+			w->route.tier != VH_ROUTE_REMOTE && !w->route.leaving;
+		s->workers[kept++] = w;
+	}
+	s->n_workers = kept;
+}
+
+bool vh_upstream_sync(struct vh_service_state *s)
+{
+	const struct vh_upstreams_ops *ops =
+		s->g->upstreams ? s->g->upstreams->ops : NULL;
+	int64_t now_ms = vh_kernel_now_ms(s->g->kernel);
+	const struct vh_upstream *list;
+	int64_t age_ms = -1;
+	size_t n;
+
+	if (!ops)
+		return false;
+	if (now_ms - s->synced_ms < SYNC_MS && s->n_workers)
+		return true;
+	n = ops->lookup(s->g->upstreams->self, vh_slice_str(s->name), &list,
+			&age_ms);
+	if (age_ms < 0)
+		return s->n_workers > 0;
+	s->synced_ms = now_ms;
+	for (size_t i = 0; i < s->n_workers; i++)
+		s->workers[i]->listed = false;
+	for (size_t i = 0; i < n; i++)
+		update_worker(s, &list[i], now_ms);
+	remove_unlisted(s, now_ms);
+	return true;
+}
+
+struct vh_worker *vh_upstream_pick(struct vh_service_state *s, uint64_t avoid,
+				   bool remote)
+{
+	/* struct vh_route_target is the first member of each worker. */
+	struct vh_route_target *const *targets =
+		(struct vh_route_target *const *)s->workers;
+	int64_t now_ms = vh_kernel_now_ms(s->g->kernel);
+	size_t i = vh_route_pick(targets, s->n_workers, avoid, remote, now_ms,
+				 s->g->rng);
+	struct vh_worker *w;
+
+	if (i == s->n_workers)
+		return NULL;
+	w = s->workers[i];
+	vh_invariant(VH_I8_LEAVING,
+		     !w->left_ms || now_ms - w->left_ms < LEAVING_GRACE_MS,
+		     "worker %s left %" G_GINT64_FORMAT " ms ago", w->id,
+		     now_ms - w->left_ms);
+	return w;
+}
+
+uint64_t vh_upstream_bit(const struct vh_service_state *s,
+			 const struct vh_worker *w)
+{
+	for (size_t i = 0; i < s->n_workers && i < 64; i++) {
+		if (s->workers[i] == w)
+			return UINT64_C(1) << i;
+	}
+	return 0;
+}
+
+static struct vh_upconn *new_conn(struct vh_gateway *g, struct vh_worker *w)
+{
+	struct vh_upconn *c = g_new0(struct vh_upconn, 1);
+
+	c->worker = w;
+	c->evcon = evhttp_connection_base_new(g->kernel->base, NULL, w->address,
+					      w->port);
+	evhttp_connection_set_timeout(c->evcon, LIBRARY_TIMEOUT_S);
+	evhttp_connection_set_max_headers_size(c->evcon, HEADERS_MAX);
+	evhttp_connection_set_max_body_size(c->evcon, ANSWER_MAX);
+	bufferevent_setwatermark(evhttp_connection_get_bufferevent(c->evcon),
+				 EV_READ, 0, READ_AHEAD_MAX);
+	c->next = w->conns;
+	w->conns = c;
+	w->n_conns++;
+	return c;
+}
+
+struct vh_upconn *vh_upstream_connect(struct vh_gateway *g, struct vh_worker *w)
+{
+	struct vh_upconn *c = w->conns;
+
+	while (c && c->busy)
+		c = c->next;
+	if (!c && w->n_conns < w->route.share)
+		c = new_conn(g, w);
+	if (!c)
+		return NULL;
+	c->busy = true;
+	w->route.busy++;
+	return c;
+}
+
+void vh_upstream_release(struct vh_gateway *g, struct vh_upconn *c)
+{
+	c->busy = false;
+	c->idle_since_ms = vh_kernel_now_ms(g->kernel);
+	c->worker->route.busy--;
+	if (c->worker->n_conns > c->worker->route.share ||
+	    c->worker->route.leaving) {
+		c->busy = true;
+		c->worker->route.busy++;
+		vh_upstream_drop(g, c);
+	}
+}
+
+static void unlink_conn(struct vh_upconn *c)
+{
+	struct vh_upconn **at = &c->worker->conns;
+
+	while (*at != c)
+		at = &(*at)->next;
+	*at = c->next;
+	c->worker->n_conns--;
+}
+
+void vh_upstream_drop(struct vh_gateway *g, struct vh_upconn *c)
+{
+	unlink_conn(c);
+	c->worker->route.busy--;
+	c->worker = NULL;
+	c->next = g->dropped;
+	g->dropped = c;
+	if (!vh_timer_pending(&g->reaper))
+		vh_timer_start(&g->reaper, 0);
+}
+
+void vh_upstream_reap(struct vh_gateway *g)
+{
+	free_dropped(g);
+}
+
+void vh_upstream_close_idle(struct vh_gateway *g)
+{
+	int64_t now_ms = vh_kernel_now_ms(g->kernel);
+
+	for (struct vh_service_state *s = g->services; s; s = s->next) {
+		for (size_t i = 0; i < s->n_workers; i++) {
+			struct vh_upconn *c = s->workers[i]->conns;
+
+			while (c) {
+				struct vh_upconn *next = c->next;
+
+				if (!c->busy &&
+				    now_ms - c->idle_since_ms > IDLE_CLOSE_MS) {
+					unlink_conn(c);
+					free_conn(c);
+				}
+				c = next;
+			}
+		}
+	}
+}
--- a/packages/gateway/src/work.c
+++ b/packages/gateway/src/work.c
@@ -7,7 +7,10 @@
 
 	++*vh_metrics_counter(&w->g->kernel->metrics, "vh_callers_gone_total",
 			      "");
-	vh_work_error(w, VH_ERR_CANCELLED, vh_slice(NULL, 0));
+	if (w->streaming)
+		vh_work_abort(w);
+	else
+		vh_work_error(w, VH_ERR_CANCELLED, vh_slice(NULL, 0));
 }
 
 struct vh_work *vh_work_new(struct vh_gateway *g, struct vh_exchange *ex)
@@ -80,6 +83,12 @@
 		free_work(w);
 }
 
+void vh_work_abort(struct vh_work *w)
+{
+	vh_exchange_abort(w->ex);
+	vh_work_end(w);
+}
+
 bool vh_work_called_back(struct vh_work *w)
 {
 	w->pending--;
@@ -142,18 +151,22 @@
 {
 	struct vh_admit_item *item;
 
+	/* Ending one asks for this again; the loop sees to it. */
+	if (g->running_waiting)
+		return;
+	g->running_waiting = true;
 	while ((item = vh_admit_next(&g->admit))) {
 		struct vh_work *w =
 			(struct vh_work *)((char *)item -
 					   offsetof(struct vh_work, admit));
 
-		if (!vh_work_key(w)) {
+		if (vh_work_key(w))
+			start_work(w);
+		else
 			vh_work_error(w, VH_ERR_UNAUTHENTICATED,
 				      vh_slice(NULL, 0));
-			return; /* ending it has run the others */
-		}
-		start_work(w);
 	}
+	g->running_waiting = false;
 }
 
 /* Work that still waits here stops when its key is withdrawn. */
--- a/packages/gateway/tests/harness.h
+++ b/packages/gateway/tests/harness.h
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include <arpa/inet.h>
+#include <csignal>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <sys/socket.h>
@@ -404,6 +405,7 @@
       protected:
 	void SetUp() override
 	{
+		signal(SIGPIPE, SIG_IGN);
 		vh_invariant_set_abort(true);
 		vh_kernel_init(&kernel, vh_clock_system());
 		core = std::make_unique<FakeCore>(&kernel);
--- /dev/null
+++ b/packages/gateway/tests/test_service.cc
@@ -0,0 +1,386 @@
+#include "upstreams.h"
+
+using Service = ServiceTest;
+
+namespace
+{
+bool has(const std::string &text, const char *part)
+{
+	return text.find(part) != std::string::npos;
+}
+
+void echo(const Upstream::Request &r)
+{
+	r.answer("echo:" + r.body);
+}
+} // namespace
+
+TEST_F(Service, AnswerComesWholeWithStatusAndHeaders)
+{
+	auto *u = add([](const Upstream::Request &r) {
+		r.answer("no argon", 404, "X-Shelf: 7\r\n");
+	});
+
+	start();
+	auto *c = ask();
+	ASSERT_TRUE(answered(c));
+	EXPECT_EQ(c->status(), 404);
+	EXPECT_EQ(c->body(), "no argon");
+	EXPECT_EQ(c->header("X-Shelf"), "7");
+	EXPECT_EQ(c->header("Vh-Upstream"), "w-0");
+	ASSERT_EQ(u->requests.size(), 1u);
+	EXPECT_EQ(u->requests[0].body, "argon?");
+	EXPECT_TRUE(has(u->requests[0].head, "POST /v1/requests/stock HTTP"));
+	EXPECT_TRUE(has(u->requests[0].head, "Vh-Team: shop"));
+	EXPECT_FALSE(has(u->requests[0].head, "shop-key"));
+}
+
+TEST_F(Service, SizesFromNothingToSixteenMegabytes)
+{
+	size_t sizes[] = { 0, 1, 16383, 16384, 100000, 16u << 20 };
+	size_t next = 0;
+
+	settings.max_body_bytes = 20u << 20;
+	add([&](const Upstream::Request &r) {
+		r.answer(std::string(sizes[next], 'a'));
+	});
+	start();
+	for (next = 0; next < sizeof(sizes) / sizeof(sizes[0]); next++) {
+		auto *c = ask();
+
+		ASSERT_TRUE(answered(c)) << sizes[next];
+		EXPECT_EQ(c->body().size(), sizes[next]);
+	}
+}
+
+TEST_F(Service, FailuresByScript)
+{
+	using R = Upstream::Request;
+	struct {
+		const char *name;
+		Upstream::Script first;
+		int idempotent_status; /* after a retry on another upstream */
+		int refund_status;
+		const char *refund_outcome;
+	} rows[] = {
+		{ "reset after effect", [](const R &r) { r.cut(); }, 200, 502,
+		  "unknown" },
+		{ "cut in the middle",
+		  [](const R &r) {
+			  r.raw("HTTP/1.1 200 X\r\nVh-Request-Id: " + r.id +
+				"\r\nContent-Length: 10\r\n\r\nhalf");
+			  r.cut();
+		  },
+		  200, 502, "unknown" },
+		{ "crossed",
+		  [](const R &r) {
+			  r.raw("HTTP/1.1 200 X\r\nVh-Request-Id: other\r\n"
+				"Content-Length: 2\r\n\r\nno");
+		  },
+		  200, 502, "unknown" },
+		{ "no id",
+		  [](const R &r) {
+			  r.raw("HTTP/1.1 200 X\r\nContent-Length: 2\r\n\r\n"
+				"no");
+		  },
+		  200, 502, "unknown" },
+		{ "length not told",
+		  [](const R &r) {
+			  r.raw("HTTP/1.1 200 X\r\nVh-Request-Id: " + r.id +
+				"\r\n\r\npart");
+			  r.cut();
+		  },
+		  200, 502, "unknown" },
+		{ "not HTTP", [](const R &r) { r.raw("hello\r\n\r\n"); }, 200,
+		  502, "unknown" },
+		{ "refused as not run",
+		  [](const R &r) {
+			  r.raw("HTTP/1.1 503 X\r\nVh-Not-Run: 1\r\n"
+				"Content-Length: 0\r\n\r\n");
+		  },
+		  200, 200, "" },
+		{ "refusal of another request",
+		  [](const R &r) {
+			  r.raw("HTTP/1.1 503 X\r\nVh-Not-Run: 1\r\n"
+				"Vh-Request-Id: other\r\n"
+				"Content-Length: 0\r\n\r\n");
+		  },
+		  200, 502, "unknown" },
+	};
+
+	size_t row = 0;
+	int seen = 0;
+	auto script = [&](const R &r) {
+		if (seen++ == 0)
+			rows[row].first(r);
+		else
+			echo(r);
+	};
+
+	add(script);
+	add(script);
+	start();
+	for (row = 0; row < sizeof(rows) / sizeof(rows[0]); row++) {
+		seen = 0;
+		auto *c = ask("stock");
+		ASSERT_TRUE(answered(c)) << rows[row].name;
+		EXPECT_EQ(c->status(), rows[row].idempotent_status)
+			<< rows[row].name << c->body();
+		EXPECT_EQ(c->body(), "echo:argon?") << rows[row].name;
+		seen = 0;
+		c = ask("refunds", "pay");
+		ASSERT_TRUE(answered(c)) << rows[row].name;
+		EXPECT_EQ(c->status(), rows[row].refund_status)
+			<< rows[row].name << c->body();
+		EXPECT_TRUE(has(c->body(), rows[row].refund_outcome))
+			<< rows[row].name;
+	}
+}
+
+TEST_F(Service, DoubleAndLateAnswersGoToNobodyElse)
+{
+	std::vector<Upstream::Request> held;
+
+	auto *u = add([&](const Upstream::Request &r) {
+		if (r.body == "twice") {
+			r.answer("one");
+			r.answer("two");
+		} else if (r.body == "late") {
+			held.push_back(r);
+		} else {
+			echo(r);
+		}
+	});
+	list[0].size.v[VH_CONNS] = 1;
+	start();
+	auto *c = ask("stock", "twice");
+	ASSERT_TRUE(answered(c));
+	EXPECT_EQ(c->body(), "one");
+	auto *next = ask("stock", "next");
+	ASSERT_TRUE(answered(next));
+	EXPECT_EQ(next->body(), "echo:next");
+	auto *late = ask("stock", "late", "Vh-Timeout-Ms: 50\r\n");
+	ASSERT_TRUE(answered(late));
+	EXPECT_EQ(late->status(), 504);
+	EXPECT_TRUE(has(late->body(), "\"outcome\":\"unknown\""));
+	ASSERT_EQ(held.size(), 1u);
+	if (u->conns.count(held[0].bev))
+		held[0].answer("too late");
+	auto *after = ask("stock", "after");
+	ASSERT_TRUE(answered(after));
+	EXPECT_EQ(after->body(), "echo:after");
+}
+
+TEST_F(Service, NeverAnsweredIsUnknownAndNoUpstreamIsNotRun)
+{
+	add([](const Upstream::Request &) {});
+	start();
+	auto *c = ask("stock", "x", "Vh-Timeout-Ms: 60\r\n");
+	ASSERT_TRUE(answered(c));
+	EXPECT_EQ(c->status(), 504);
+	EXPECT_TRUE(has(c->body(), "\"outcome\":\"unknown\""));
+	list.clear();
+	run_until([] { return false; }, 60);
+	c = ask("stock", "x", "Vh-Timeout-Ms: 60\r\n");
+	ASSERT_TRUE(answered(c));
+	EXPECT_EQ(c->status(), 504);
+	EXPECT_TRUE(has(c->body(), "\"outcome\":\"not_run\""));
+}
+
+TEST_F(Service, NotIdempotentRunsOnceUnderItsKey)
+{
+	int seen = 0;
+	std::string key = "Idempotency-Key: refund-9\r\n";
+
+	records().clear();
+	add([&](const Upstream::Request &r) {
+		seen++;
+		echo(r);
+	});
+	start();
+	auto *c = ask("refunds", "pay", key);
+	ASSERT_TRUE(answered(c));
+	EXPECT_EQ(c->status(), 200);
+	ASSERT_TRUE(run_until([&] { return records()["refund-9"].ended; }));
+	c = ask("refunds", "pay", key);
+	ASSERT_TRUE(answered(c));
+	EXPECT_EQ(c->status(), 409);
+	EXPECT_TRUE(has(c->body(), "\"outcome\":\"ran\"")) << c->body();
+	c = ask("refunds", "other", key);
+	ASSERT_TRUE(answered(c));
+	EXPECT_EQ(c->status(), 409);
+	EXPECT_TRUE(has(c->body(), "\"outcome\":\"not_run\"")) << c->body();
+	EXPECT_EQ(seen, 1);
+}
+
+TEST_F(Service, LostReplyStaysUnknownAndIsNotTriedAgain)
+{
+	int seen = 0;
+	std::string key = "Idempotency-Key: refund-10\r\n";
+
+	records().clear();
+	add([&](const Upstream::Request &r) {
+		seen++;
+		r.cut();
+	});
+	add([&](const Upstream::Request &r) {
+		seen++;
+		r.cut();
+	});
+	start();
+	for (int i = 0; i < 2; i++) {
+		auto *c = ask("refunds", "pay", key);
+
+		ASSERT_TRUE(answered(c));
+		EXPECT_TRUE(has(c->body(), "\"outcome\":\"unknown\""));
+	}
+	EXPECT_EQ(seen, 1);
+}
+
+TEST_F(Service, SurelyNotRunFreesTheKey)
+{
+	auto *u = add(echo);
+
+	records().clear();
+	start();
+	u->stop();
+	auto *c = ask("refunds", "pay",
+		      "Idempotency-Key: refund-11\r\nVh-Timeout-Ms: 300\r\n");
+	ASSERT_TRUE(answered(c));
+	EXPECT_TRUE(has(c->body(), "\"outcome\":\"not_run\"")) << c->body();
+	ASSERT_TRUE(run_until([&] { return !records().count("refund-11"); }));
+}
+
+TEST_F(Service, CallerGoneFreesIdempotentAndRecordsTheOther)
+{
+	std::vector<Upstream::Request> held;
+
+	records().clear();
+	auto *u = add([&](const Upstream::Request &r) { held.push_back(r); });
+	start();
+	auto *c = ask("stock");
+	ASSERT_TRUE(run_until([&] { return held.size() == 1; }));
+	c->close();
+	EXPECT_TRUE(run_until([&] { return u->conns.empty(); }));
+	c = ask("refunds", "pay", "Idempotency-Key: refund-12\r\n");
+	ASSERT_TRUE(run_until([&] { return held.size() == 2; }));
+	c->close();
+	run_until([] { return false; }, 50);
+	EXPECT_EQ(u->conns.size(), 1u);
+	held[1].answer("paid");
+	EXPECT_TRUE(
+		run_until([&] { return records()["refund-12"].ended == 200; }));
+}
+
+TEST_F(Service, SlotsAndConnectionsAreKept)
+{
+	std::vector<Upstream::Request> held;
+	auto *u = add([&](const Upstream::Request &r) { held.push_back(r); });
+
+	list[0].size.v[VH_SLOTS] = 3;
+	start();
+	for (int i = 0; i < 6; i++)
+		ask();
+	ASSERT_TRUE(run_until([&] { return held.size() == 3; }));
+	run_until([] { return false; }, 50);
+	EXPECT_EQ(held.size(), 3u);
+	for (size_t i = 0; i < 6; i++) {
+		ASSERT_TRUE(run_until([&] { return held.size() > i; }));
+		held[i].answer("ok");
+	}
+	for (auto &c : clients)
+		ASSERT_TRUE(answered(c.get()));
+	EXPECT_LE(u->max_conns, 3u);
+}
+
+TEST_F(Service, LeavingUpstreamsGetNothingNew)
+{
+	auto *a = add(echo), *b = add(echo);
+
+	start();
+	ASSERT_TRUE(answered(ask()));
+	list[0].leaving = true;
+	run_until([] { return false; }, 60);
+	size_t before = a->requests.size();
+
+	for (int i = 0; i < 10; i++)
+		ASSERT_TRUE(answered(ask()));
+	EXPECT_EQ(a->requests.size(), before);
+	EXPECT_GE(b->requests.size(), 10u);
+}
+
+TEST_F(Service, NearUpstreamsFirstAndBytesOfOtherRegionsCounted)
+{
+	auto *remote = add(echo, "karachi-a", "karachi");
+	auto *zone = add(echo);
+
+	start();
+	for (int i = 0; i < 5; i++)
+		ASSERT_TRUE(answered(ask()));
+	EXPECT_EQ(remote->requests.size(), 0u);
+	EXPECT_EQ(zone->requests.size(), 5u);
+	list.pop_back();
+	run_until([] { return false; }, 60);
+	ASSERT_TRUE(answered(ask()));
+	EXPECT_EQ(remote->requests.size(), 1u);
+	EXPECT_EQ(*vh_metrics_counter(&kernel.metrics,
+				      "vh_cross_region_bytes_total",
+				      "team=\"shop\""),
+		  17u);
+}
+
+TEST_F(Service, WithdrawnKeyStopsWhatWaitsForAnUpstream)
+{
+	int seen = 0;
+
+	known = false;
+	add([&](const Upstream::Request &r) {
+		seen++;
+		echo(r);
+	});
+	start();
+	auto *c = ask();
+	run_until([] { return false; }, 30);
+	core->load(withdraw(ini(), "shop-1"));
+	known = true;
+	tell_news();
+	ASSERT_TRUE(answered(c));
+	EXPECT_EQ(c->status(), 401);
+	EXPECT_EQ(seen, 0);
+}
+
+TEST_F(Service, UpstreamCutInAStreamIsSeenByTheCaller)
+{
+	auto *u = add([](const Upstream::Request &r) {
+		r.raw("HTTP/1.1 200 X\r\nVh-Request-Id: " + r.id +
+		      "\r\nContent-Length: 100000\r\n\r\n" +
+		      std::string(50000, 'a'));
+	});
+	start();
+	auto *c = ask();
+	ASSERT_TRUE(run_until([&] { return c->got.size() > 20000; }));
+	u->requests[0].cut();
+	ASSERT_TRUE(run_until([&] { return c->closed; }));
+	EXPECT_EQ(c->answers(), 0u) << "part of an answer is no answer";
+	EXPECT_TRUE(has(c->got, "Content-Length: 100000"));
+}
+
+TEST_F(Service, RetriesStayWithinTheirBudget)
+{
+	int seen = 0;
+
+	for (int i = 0; i < 4; i++)
+		add([&](const Upstream::Request &r) {
+			seen++;
+			r.cut();
+		});
+	start();
+	int sent = 0;
+	for (int i = 0; i < 100; i++) {
+		auto *c = ask("stock", "x", "Vh-Timeout-Ms: 20\r\n");
+
+		ASSERT_TRUE(answered(c));
+		sent++;
+	}
+	EXPECT_LE(seen, sent + sent / 10 + 10);
+}
