Add vhctl report and top

The report is one HTML file: waiting time by team and class, packing, share due and got, control cost, refusals. Bars are stretched SVG with the numbers beside them as text, so that they stay readable at phone width.

--- /dev/null
+++ b/packages/ctl/src/cmd_report.c
@@ -0,0 +1,166 @@
+#include <unistd.h>
+
+#include "nodes.h"
+#include "print.h"
+#include "report_data.h"
+#include "report_html.h"
+
+#define OUT_DEFAULT "vanillahollow-report.html"
+#define CLEAR_SCREEN "\033[H\033[2J"
+
+/* Numbers of the report, for programs. */
+static json_t *report_json(const struct report *r)
+{
+	json_t *waiting = json_array();
+	json_t *shares = json_array();
+	json_t *packing = json_object();
+
+	for (unsigned int i = 0; i < r->waiting->len; i++) {
+		const struct dist *d = r->waiting->pdata[i];
+
+		json_array_append_new(waiting,
+				      json_pack("{s:s,s:s,s:s,s:f,s:f,s:f,s:f}",
+						"histogram", d->name, "team",
+						d->team, "class", d->cls,
+						"count", d->count, "p50_s",
+						dist_quantile(d, 0.5), "p90_s",
+						dist_quantile(d, 0.9), "p99_s",
+						dist_quantile(d, 0.99)));
+	}
+	for (size_t i = 0; i < r->n_teams; i++)
+		json_array_append_new(shares, json_pack("{s:s,s:f,s:f}", "team",
+							r->teams[i].name, "due",
+							r->teams[i].due, "got",
+							r->teams[i].got));
+	for (size_t d = 0; d < REPORT_DIMS; d++)
+		json_object_set_new(packing, r->dims[d].name,
+				    json_pack("{s:f,s:f}", "capacity",
+					      r->dims[d].capacity, "committed",
+					      r->dims[d].committed));
+	return json_pack("{s:s,s:I,s:s,s:o,s:o,s:o}", "taken", r->taken,
+			 "version", (json_int_t)r->version, "missing",
+			 r->missing->str, "waiting", waiting, "packing",
+			 packing, "shares", shares);
+}
+
+static int write_report(struct ctl *c, const struct report *r)
+{
+	const char *path = c->opt.out ? c->opt.out : OUT_DEFAULT;
+	GError *err = NULL;
+	struct vh_buf html;
+	int code = CTL_OK;
+
+	vh_buf_init(&html);
+	report_html(r, &html);
+	if (g_file_set_contents(path, html.data, (gssize)html.len, &err)) {
+		fprintf(c->out, "wrote %s\n", path);
+	} else {
+		fprintf(c->err, "vhctl: %s\n", err->message);
+		g_error_free(err);
+		code = CTL_FAILED;
+	}
+	vh_buf_finish(&html);
+	return code;
+}
+
+int cmd_report(struct ctl *c, int argc, char **argv)
+{
+	struct report r;
+	int code;
+
+	(void)argc;
+	(void)argv;
+	code = report_gather(c, &r);
+	if (code == CTL_OK && c->json) {
+		json_t *json = report_json(&r);
+
+		print_json(c, json);
+		json_decref(json);
+	} else if (code == CTL_OK) {
+		code = write_report(c, &r);
+	}
+	report_finish(&r);
+	return code;
+}
+
+/* Adds the waiting times of all nodes that answer. */
+static GPtrArray *look(struct ctl *c, double sign, GPtrArray *into)
+{
+	struct ctl_nodes nodes;
+
+	ctl_nodes_find(c, &nodes);
+	for (size_t i = 0; i < nodes.n; i++) {
+		struct ctl_answer answer = { 0 };
+		struct samples s;
+
+		if (nodes.items[i].endpoint &&
+		    !ctl_node_is_dead(&nodes.items[i]))
+			ctl_get(c, nodes.items[i].endpoint, "/metrics",
+				&answer);
+		if (answer.status == 200) {
+			samples_parse(&s, vh_buf_slice(&answer.body));
+			dists_add(into, &s, "_waiting_seconds", sign);
+			samples_finish(&s);
+		}
+		ctl_answer_finish(&answer);
+	}
+	ctl_nodes_finish(&nodes);
+	return into;
+}
+
+static json_t *rates_json(GPtrArray *dists, int interval_s)
+{
+	json_t *rows = json_array();
+
+	dists_sort(dists);
+	for (unsigned int i = 0; i < dists->len; i++) {
+		const struct dist *d = dists->pdata[i];
+
+		if (d->count <= 0)
+			continue;
+		json_array_append_new(
+			rows,
+			json_pack("{s:s,s:s,s:s,s:f,s:f,s:f}", "histogram",
+				  d->name, "team", d->team, "class", d->cls,
+				  "per_s", d->count / interval_s, "p50_s",
+				  dist_quantile(d, 0.5), "p99_s",
+				  dist_quantile(d, 0.99)));
+	}
+	return rows;
+}
+
+/* One screen: waiting times since the look before, and the homes. */
+static int show_top(struct ctl *c, GPtrArray *since)
+{
+	json_t *rows = rates_json(since, c->opt.interval_s);
+	json_t *screen;
+	json_t *homes;
+	int code = ctl_nodes_gather(c, "/v1/jobs", "jobs", &homes);
+
+	screen = json_pack("{s:o,s:O}", "waiting", rows, "homes",
+			   json_object_get(homes, "jobs"));
+	if (!c->json && isatty(fileno(c->out)))
+		fputs(CLEAR_SCREEN, c->out);
+	print_value(c, screen);
+	fflush(c->out);
+	json_decref(screen);
+	json_decref(homes);
+	return code;
+}
+
+int cmd_top(struct ctl *c, int argc, char **argv)
+{
+	int code = CTL_OK;
+
+	(void)argc;
+	(void)argv;
+	for (int i = 0; !c->opt.count || i < c->opt.count; i++) {
+		GPtrArray *since = look(c, -1, dists_new());
+
+		ctl_sleep(c, 1000 * c->opt.interval_s);
+		look(c, 1, since);
+		code = show_top(c, since);
+		g_ptr_array_free(since, TRUE);
+	}
+	return code;
+}
--- a/packages/ctl/src/commands.c
+++ b/packages/ctl/src/commands.c
@@ -3,6 +3,8 @@
 static const char *const publish_options[] = { "base", "wait", NULL };
 static const char *const key_options[] = { "name", "wait", NULL };
 static const char *const history_options[] = { "limit", NULL };
+static const char *const report_options[] = { "out", NULL };
+static const char *const top_options[] = { "interval", "count", NULL };
 
 const struct ctl_command ctl_commands[] = {
 	{ "check", "FILE|FOLDER...", "check a set without publishing it",
@@ -38,6 +40,11 @@
 	  "  vhctl jobs\n", NULL, cmd_jobs },
 	{ "explain", "JOB", "why a job waits, or where it ran",
 	  "  vhctl explain karachi.0.1a.7\n", NULL, cmd_explain },
+	{ "top", "", "waiting times and homes, again and again",
+	  "  vhctl top --interval 5\n  vhctl top --count 1 --output json\n",
+	  top_options, cmd_top },
+	{ "report", "", "write one HTML file with the measures",
+	  "  vhctl report --out monday.html\n", report_options, cmd_report },
 	{ "drain", "NODE", "let a node hand over its work and end",
 	  "  vhctl drain node-3\n", NULL, cmd_drain },
 	{ NULL, NULL, NULL, NULL, NULL, NULL },
--- a/packages/ctl/src/ctl.h
+++ b/packages/ctl/src/ctl.h
@@ -92,6 +92,8 @@
 int cmd_workers(struct ctl *c, int argc, char **argv);
 int cmd_jobs(struct ctl *c, int argc, char **argv);
 int cmd_explain(struct ctl *c, int argc, char **argv);
+int cmd_report(struct ctl *c, int argc, char **argv);
+int cmd_top(struct ctl *c, int argc, char **argv);
 int cmd_drain(struct ctl *c, int argc, char **argv);
 
 #endif
--- a/packages/ctl/src/nodes.c
+++ b/packages/ctl/src/nodes.c
@@ -25,8 +25,13 @@
 	g_strfreev(items);
 }
 
+json_t *ctl_rows(json_t *json, const char *name)
+{
+	return json_is_array(json) ? json : json_object_get(json, name);
+}
+
 static void nodes_from_json(struct ctl *c, struct ctl_nodes *nodes,
-			    const json_t *json)
+			    json_t *json)
 {
 	json_t *item;
 	size_t i;
@@ -118,7 +123,7 @@
 		return false;
 	if (ctl_get(c, node->endpoint, path, &answer) && answer.status == 200)
 		json = ctl_answer_json(&answer);
-	items = json_object_get(json, member);
+	items = ctl_rows(json, member);
 	if (items)
 		json_array_extend(all, items);
 	json_decref(json);
--- a/packages/ctl/src/nodes.h
+++ b/packages/ctl/src/nodes.h
@@ -33,6 +33,10 @@
 int ctl_nodes_find(struct ctl *c, struct ctl_nodes *nodes);
 void ctl_nodes_finish(struct ctl_nodes *nodes);
 
+/* ctl_rows - the array that an answer of rows holds: bare, or as the only
+ * member or the member @name of an object; borrowed */
+json_t *ctl_rows(json_t *json, const char *name);
+
 /* ctl_node_is_dead - whether membership has given it up */
 bool ctl_node_is_dead(const struct ctl_node *node);
 
--- a/packages/ctl/src/print.c
+++ b/packages/ctl/src/print.c
@@ -9,12 +9,35 @@
 	fputc('\n', c->out);
 }
 
+/* The members of an object as NAME=VALUE with blanks between. */
+static char *members_text(const json_t *object)
+{
+	GString *out = g_string_new(NULL);
+	const char *key;
+	json_t *v;
+
+	json_object_foreach((json_t *)object, key, v)
+	{
+		char *text =
+			json_is_string(v)
+				? strdup(json_string_value(v))
+				: json_dumps(v, JSON_ENCODE_ANY | JSON_COMPACT);
+
+		g_string_append_printf(out, "%s%s=%s", out->len ? " " : "", key,
+				       text);
+		free(text);
+	}
+	return g_string_free(out, FALSE);
+}
+
 /* A plain value, or a short form of one that is not; free with g_free(). */
 static char *cell_text(const json_t *v)
 {
 	char *text;
 	char *copy;
 
+	if (json_is_object(v))
+		return members_text(v);
 	if (json_is_string(v))
 		return g_strdup(json_string_value(v));
 	if (!v || json_is_null(v))
--- /dev/null
+++ b/packages/ctl/src/report_html.c
@@ -0,0 +1,319 @@
+#include "report_html.h"
+
+#include <math.h>
+
+/* Waiting times are drawn from 1 ms to 100 s, on a logarithmic scale. */
+#define WAIT_MIN_S 0.001
+#define WAIT_DECADES 5.0
+#define CPU_BOUND 0.022	    /* of a core */
+#define MEMORY_BOUND 64e6   /* bytes */
+#define BYTES_BOUND 11000.0 /* a second */
+#define MB 1e6
+
+static const char head[] =
+	"<!doctype html>\n<html lang=\"en\"><head><meta charset=\"utf-8\">\n"
+	"<meta name=\"viewport\" content=\"width=device-width,"
+	"initial-scale=1\">\n<title>vanillahollow report</title>\n<style>\n"
+	":root{--ink:#1b2430;--dim:#5b6776;--line:#d8dee6;--bg:#fff;"
+	"--a:#1f6fb2;--b:#5fa3d9;--c:#b9d7ef;--bad:#b3261e;--ok:#2e7d4f}\n"
+	"@media(prefers-color-scheme:dark){:root{--ink:#e6ebf1;--dim:#9aa7b5;"
+	"--line:#33404e;--bg:#12181f;--a:#7ab8ec;--b:#3f7fb5;--c:#23486a;"
+	"--bad:#ff8a80;--ok:#7fd1a0}}\n"
+	"body{font:15px/1.45 system-ui,sans-serif;color:var(--ink);"
+	"background:var(--bg);max-width:62rem;margin:0 auto;padding:1rem}\n"
+	"h1{font-size:1.4rem;margin:0}h2{font-size:1.1rem;margin:2rem 0 .3rem}"
+	"p{color:var(--dim);margin:.2rem 0 .7rem}\n"
+	".row{display:grid;grid-template-columns:13rem 1fr 11rem;gap:.8rem;"
+	"align-items:center;padding:.25rem 0;border-top:1px solid "
+	"var(--line)}\n"
+	".row svg{width:100%;height:1.1rem;display:block}"
+	".num{text-align:right;font-variant-numeric:tabular-nums;"
+	"white-space:nowrap}\n"
+	".key span{margin-right:1rem;white-space:nowrap}"
+	".key i{display:inline-block;width:.8rem;height:.8rem;"
+	"margin-right:.3rem;vertical-align:-.1rem}\n"
+	".bad{color:var(--bad)}\n"
+	"@media(max-width:40rem){.row{grid-template-columns:1fr auto;"
+	"gap:.1rem .6rem}.row svg{grid-column:1/3;grid-row:2}}\n"
+	"</style></head><body>\n";
+
+static void add_escaped(struct vh_buf *out, const char *text)
+{
+	char *safe = g_markup_escape_text(text, -1);
+
+	vh_buf_add_str(out, safe);
+	g_free(safe);
+}
+
+static void row_begin(struct vh_buf *out, const char *label)
+{
+	vh_buf_add_str(out, "<div class=\"row\"><div>");
+	add_escaped(out, label);
+	vh_buf_add_str(out, "</div><svg viewBox=\"0 0 100 10\" "
+			    "preserveAspectRatio=\"none\" role=\"img\" "
+			    "aria-label=\"");
+	add_escaped(out, label);
+	vh_buf_add_str(out, "\"><rect width=\"100\" height=\"10\" "
+			    "fill=\"var(--line)\" opacity=\".45\"/>");
+}
+
+static void row_bar(struct vh_buf *out, double part, const char *colour)
+{
+	double width = 100 * CLAMP(part, 0, 1);
+
+	vh_buf_printf(out,
+		      "<rect width=\"%.2f\" height=\"10\" fill=\"var(--%s)\"/>",
+		      width, colour);
+}
+
+/* A line across the bar, for a bound or for what is due. */
+static void row_mark(struct vh_buf *out, double part)
+{
+	vh_buf_printf(out,
+		      "<rect x=\"%.2f\" width=\".6\" height=\"10\" "
+		      "fill=\"var(--ink)\"/>",
+		      99.4 * CLAMP(part, 0, 1));
+}
+
+static void row_end(struct vh_buf *out, bool bad, const char *value)
+{
+	vh_buf_printf(out, "</svg><div class=\"num%s\">%s</div></div>\n",
+		      bad ? " bad" : "", value);
+}
+
+static double wait_part(double seconds)
+{
+	if (seconds <= WAIT_MIN_S)
+		return 0.005;
+	return log10(seconds / WAIT_MIN_S) / WAIT_DECADES;
+}
+
+static void format_time(char *out, size_t size, double s)
+{
+	if (s < 0.0995)
+		g_snprintf(out, size, "%.1f ms", s * 1000);
+	else
+		g_snprintf(out, size, "%.2f s", s);
+}
+
+static void add_key(struct vh_buf *out, const char *const (*keys)[2], size_t n)
+{
+	vh_buf_add_str(out, "<p class=\"key\">");
+	for (size_t i = 0; i < n; i++)
+		vh_buf_printf(out,
+			      "<span><i style=\"background:var(--%s)\"></i>"
+			      "%s</span>",
+			      keys[i][0], keys[i][1]);
+	vh_buf_add_str(out, "</p>\n");
+}
+
+static void add_waiting_row(struct vh_buf *out, const struct dist *d)
+{
+	double p50 = dist_quantile(d, 0.5);
+	double p90 = dist_quantile(d, 0.9);
+	double p99 = dist_quantile(d, 0.99);
+	char median[24];
+	char high[24];
+	char *label = g_strdup_printf("%s, %s", d->team, d->cls);
+	char *value;
+
+	format_time(median, sizeof(median), p50);
+	format_time(high, sizeof(high), p99);
+	value = g_strdup_printf("%s / %s &middot; %.0f", median, high,
+				d->count);
+	row_begin(out, label);
+	row_bar(out, wait_part(p99), "c");
+	row_bar(out, wait_part(p90), "b");
+	row_bar(out, wait_part(p50), "a");
+	row_end(out, false, value);
+	g_free(value);
+	g_free(label);
+}
+
+static void add_waiting(const struct report *r, struct vh_buf *out)
+{
+	static const char *const keys[][2] = { { "a", "median" },
+					       { "b", "90%" },
+					       { "c", "99%" } };
+	const char *name = "";
+
+	vh_buf_add_str(out, "<h2>Waiting time by team and class</h2>\n"
+			    "<p>Logarithmic, 1 ms to 100 s. At the right: "
+			    "median / 99% &middot; number.</p>\n");
+	add_key(out, keys, G_N_ELEMENTS(keys));
+	for (unsigned int i = 0; i < r->waiting->len; i++) {
+		const struct dist *d = r->waiting->pdata[i];
+
+		if (strcmp(name, d->name) != 0) {
+			name = d->name;
+			vh_buf_add_str(out, "<p><code>");
+			add_escaped(out, name);
+			vh_buf_add_str(out, "</code></p>\n");
+		}
+		add_waiting_row(out, d);
+	}
+	if (!r->waiting->len)
+		vh_buf_add_str(out, "<p>No node has a waiting time yet.</p>\n");
+}
+
+static void add_fill(const struct report *r, struct vh_buf *out)
+{
+	size_t most = 1;
+
+	for (size_t i = 0; i < 10; i++)
+		most = MAX(most, r->fill[i]);
+	vh_buf_add_str(out, "<p>Workers by their fullest dimension:</p>\n");
+	for (size_t i = 0; i < 10; i++) {
+		char label[32];
+		char value[32];
+
+		g_snprintf(label, sizeof(label), "%zu to %zu%%", 10 * i,
+			   10 * i + 10);
+		g_snprintf(value, sizeof(value), "%zu", r->fill[i]);
+		row_begin(out, label);
+		row_bar(out, (double)r->fill[i] / (double)most, "b");
+		row_end(out, false, value);
+	}
+}
+
+static void add_packing(const struct report *r, struct vh_buf *out)
+{
+	vh_buf_printf(out,
+		      "<h2>Packing</h2>\n<p>Committed of what %zu workers "
+		      "hold.</p>\n",
+		      r->n_workers);
+	for (size_t d = 0; d < REPORT_DIMS; d++) {
+		const struct dim_use *use = &r->dims[d];
+		char value[64];
+		double part;
+
+		if (use->capacity <= 0)
+			continue;
+		part = use->committed / use->capacity;
+		g_snprintf(value, sizeof(value), "%.0f of %.0f &middot; %.0f%%",
+			   use->committed, use->capacity, 100 * part);
+		row_begin(out, use->name);
+		row_bar(out, part, "a");
+		row_end(out, part > 1, value);
+	}
+	if (r->n_workers)
+		add_fill(r, out);
+}
+
+static void add_shares(const struct report *r, struct vh_buf *out)
+{
+	vh_buf_add_str(out,
+		       "<h2>Share due and got</h2>\n<p>Bar: the team's largest "
+		       "committed part in any dimension. Line: what its weight "
+		       "is due when the cell is full. At the right: got / "
+		       "due.</p>\n");
+	for (size_t i = 0; i < r->n_teams; i++) {
+		const struct team_share *t = &r->teams[i];
+		char value[64];
+
+		g_snprintf(value, sizeof(value), "%.1f%% / %.1f%%",
+			   100 * t->got, 100 * t->due);
+		row_begin(out, t->name);
+		row_bar(out, t->got, "a");
+		row_mark(out, t->due);
+		row_end(out, false, value);
+	}
+}
+
+/* One measure of a node against its bound; the bound is at 2/3 of the bar. */
+static void add_cost_row(struct vh_buf *out, const char *node, const char *what,
+			 double value, double bound, double unit,
+			 const char *unit_name)
+{
+	char *label = g_strdup_printf("%s, %s", node, what);
+	char text[64];
+
+	row_begin(out, label);
+	if (isnan(value)) {
+		row_end(out, false, "not told");
+	} else {
+		g_snprintf(text, sizeof(text), "%.2f of %.2f %s", value / unit,
+			   bound / unit, unit_name);
+		row_bar(out, value / bound * 2 / 3, "a");
+		row_mark(out, 2.0 / 3);
+		row_end(out, value > bound, text);
+	}
+	g_free(label);
+}
+
+static void add_costs(const struct report *r, struct vh_buf *out)
+{
+	vh_buf_add_str(out,
+		       "<h2>Control cost of each node</h2>\n<p>Mean since the "
+		       "node's start; the line is the bound.</p>\n");
+	for (size_t i = 0; i < r->n_nodes; i++) {
+		const struct node_cost *n = &r->nodes[i];
+
+		add_cost_row(out, n->id, "processor", n->cpu_part, CPU_BOUND,
+			     0.01, "% of a core");
+		add_cost_row(out, n->id, "memory", n->memory, MEMORY_BOUND, MB,
+			     "MB");
+		add_cost_row(out, n->id, "traffic", n->bytes_rate, BYTES_BOUND,
+			     1000, "KB/s");
+	}
+}
+
+static void add_refusals(const struct report *r, struct vh_buf *out)
+{
+	double most = 1;
+
+	if (!r->n_refusals)
+		return;
+	vh_buf_add_str(out, "<h2>Refusals by team and kind</h2>\n");
+	for (size_t i = 0; i < r->n_refusals; i++)
+		most = MAX(most, r->refusals[i].count);
+	for (size_t i = 0; i < r->n_refusals; i++) {
+		const struct refusal *f = &r->refusals[i];
+		char *label = g_strdup_printf("%s, %s", f->team ? f->team : "-",
+					      f->kind ? f->kind : "-");
+		char value[32];
+
+		g_snprintf(value, sizeof(value), "%.0f", f->count);
+		row_begin(out, label);
+		row_bar(out, f->count / most, "b");
+		row_end(out, false, value);
+		g_free(label);
+	}
+}
+
+static void add_head(const struct report *r, struct vh_buf *out)
+{
+	double violations = 0;
+
+	for (size_t i = 0; i < r->n_nodes; i++) {
+		if (!isnan(r->nodes[i].violations))
+			violations += r->nodes[i].violations;
+	}
+	vh_buf_add_str(out, head);
+	vh_buf_printf(out,
+		      "<h1>vanillahollow</h1>\n<p>Taken %s from %zu nodes; "
+		      "objects of version %" G_GUINT64_FORMAT ".</p>\n",
+		      r->taken, r->n_nodes, r->version);
+	if (r->missing->len) {
+		vh_buf_add_str(out, "<p class=\"bad\">No answer from: ");
+		add_escaped(out, r->missing->str);
+		vh_buf_add_str(out, ". Their part is missing below.</p>\n");
+	}
+	if (violations > 0)
+		vh_buf_printf(out,
+			      "<p class=\"bad\">%.0f violations of the "
+			      "promises were counted; see the nodes' "
+			      "logs.</p>\n",
+			      violations);
+}
+
+void report_html(const struct report *r, struct vh_buf *out)
+{
+	add_head(r, out);
+	add_waiting(r, out);
+	add_packing(r, out);
+	add_shares(r, out);
+	add_costs(r, out);
+	add_refusals(r, out);
+	vh_buf_add_str(out, "</body></html>\n");
+}
--- /dev/null
+++ b/packages/ctl/src/samples.c
@@ -0,0 +1,237 @@
+#include "samples.h"
+
+#include <math.h>
+#include <stdlib.h>
+
+#define BUCKET_SUFFIX "_bucket"
+
+/* Parses NAME{LABELS} VALUE or NAME VALUE; false if it is neither. */
+static bool parse_line(const char *line, struct sample *out)
+{
+	size_t name = strcspn(line, "{ ");
+	const char *labels = line + name;
+	const char *value = labels;
+	char *end;
+
+	if (!name || *line == '#')
+		return false;
+	if (*labels == '{') {
+		labels++;
+		value = strrchr(labels, '}');
+		if (!value)
+			return false;
+	}
+	out->value = g_ascii_strtod(value + 1, &end);
+	if (end == value + 1)
+		return false;
+	out->name = g_strndup(line, name);
+	out->labels = *value == '}'
+			      ? g_strndup(labels, (size_t)(value - labels))
+			      : g_strdup("");
+	return true;
+}
+
+void samples_parse(struct samples *s, struct vh_slice text)
+{
+	char *copy = vh_slice_dup(text);
+	char **lines = g_strsplit(copy, "\n", -1);
+
+	s->n = 0;
+	s->items = g_new0(struct sample, g_strv_length(lines) + 1);
+	for (size_t i = 0; lines[i]; i++) {
+		if (parse_line(lines[i], &s->items[s->n]))
+			s->n++;
+	}
+	g_strfreev(lines);
+	g_free(copy);
+}
+
+void samples_finish(struct samples *s)
+{
+	for (size_t i = 0; i < s->n; i++) {
+		g_free(s->items[i].name);
+		g_free(s->items[i].labels);
+	}
+	g_free(s->items);
+	memset(s, 0, sizeof(*s));
+}
+
+char *sample_label(const struct sample *sample, const char *name)
+{
+	size_t len = strlen(name);
+	const char *at = sample->labels;
+
+	while (at && *at) {
+		const char *eq = strstr(at, "=\"");
+		const char *end = eq ? strchr(eq + 2, '"') : NULL;
+
+		if (!end)
+			return NULL;
+		if ((size_t)(eq - at) == len && !strncmp(at, name, len))
+			return g_strndup(eq + 2, (size_t)(end - eq) - 2);
+		at = end + 1;
+		if (*at == ',')
+			at++;
+	}
+	return NULL;
+}
+
+double samples_value(const struct samples *s, const char *name)
+{
+	double sum = NAN;
+
+	for (size_t i = 0; i < s->n; i++) {
+		if (strcmp(s->items[i].name, name) != 0)
+			continue;
+		sum = (isnan(sum) ? 0 : sum) + s->items[i].value;
+	}
+	return sum;
+}
+
+static void dist_free(void *ptr)
+{
+	struct dist *d = ptr;
+
+	g_free(d->name);
+	g_free(d->team);
+	g_free(d->cls);
+	g_array_free(d->buckets, TRUE);
+	g_free(d);
+}
+
+GPtrArray *dists_new(void)
+{
+	return g_ptr_array_new_with_free_func(dist_free);
+}
+
+/* Takes @team and @cls. */
+static struct dist *dist_find(GPtrArray *dists, const char *name, char *team,
+			      char *cls)
+{
+	struct dist *d;
+
+	for (unsigned int i = 0; i < dists->len; i++) {
+		d = dists->pdata[i];
+		if (!strcmp(d->name, name) && !strcmp(d->team, team) &&
+		    !strcmp(d->cls, cls)) {
+			g_free(team);
+			g_free(cls);
+			return d;
+		}
+	}
+	d = g_new0(struct dist, 1);
+	d->name = g_strdup(name);
+	d->team = team;
+	d->cls = cls;
+	d->buckets = g_array_new(FALSE, FALSE, sizeof(struct bucket));
+	g_ptr_array_add(dists, d);
+	return d;
+}
+
+static void dist_put(struct dist *d, double le, double count)
+{
+	struct bucket b = { le, count };
+	unsigned int i = 0;
+
+	d->count += count;
+	while (i < d->buckets->len &&
+	       g_array_index(d->buckets, struct bucket, i).le < le)
+		i++;
+	if (i < d->buckets->len &&
+	    g_array_index(d->buckets, struct bucket, i).le <= le)
+		g_array_index(d->buckets, struct bucket, i).count += count;
+	else
+		g_array_insert_val(d->buckets, i, b);
+}
+
+static char *label_or_dash(const struct sample *s, const char *name)
+{
+	char *value = sample_label(s, name);
+
+	return value ? value : g_strdup("-");
+}
+
+/* The series of a bucket without its le, to know where a histogram begins. */
+static char *series_of(const struct sample *s)
+{
+	const char *le = strstr(s->labels, "le=\"");
+
+	return g_strdup_printf("%s{%.*s", s->name,
+			       le ? (int)(le - s->labels) : 0, s->labels);
+}
+
+void dists_add(GPtrArray *dists, const struct samples *s, const char *suffix,
+	       double sign)
+{
+	char *ending = g_strconcat(suffix, BUCKET_SUFFIX, NULL);
+	char *series = NULL;
+	double before = 0;
+
+	for (size_t i = 0; i < s->n; i++) {
+		const struct sample *b = &s->items[i];
+		char *le;
+		char *name;
+		char *now;
+
+		if (!g_str_has_suffix(b->name, ending))
+			continue;
+		le = sample_label(b, "le");
+		now = series_of(b);
+		if (g_strcmp0(series, now) != 0)
+			before = 0;
+		g_free(series);
+		series = now;
+		name = g_strndup(b->name,
+				 strlen(b->name) - strlen(BUCKET_SUFFIX));
+		if (le && b->value > before)
+			dist_put(dist_find(dists, name,
+					   label_or_dash(b, "team"),
+					   label_or_dash(b, "class")),
+				 strcmp(le, "+Inf") != 0
+					 ? g_ascii_strtod(le, NULL)
+					 : INFINITY,
+				 sign * (b->value - before));
+		before = b->value;
+		g_free(name);
+		g_free(le);
+	}
+	g_free(series);
+	g_free(ending);
+}
+
+static int cmp_dist(const void *a, const void *b)
+{
+	const struct dist *const *x = a;
+	const struct dist *const *y = b;
+	int r = strcmp((*x)->name, (*y)->name);
+
+	if (!r)
+		r = strcmp((*x)->cls, (*y)->cls);
+	return r ? r : strcmp((*x)->team, (*y)->team);
+}
+
+void dists_sort(GPtrArray *dists)
+{
+	if (dists->len)
+		qsort(dists->pdata, dists->len, sizeof(void *), cmp_dist);
+}
+
+double dist_quantile(const struct dist *d, double q)
+{
+	double last = 0;
+	double seen = 0;
+
+	for (unsigned int i = 0; i < d->buckets->len; i++) {
+		const struct bucket *b =
+			&g_array_index(d->buckets, struct bucket, i);
+
+		if (b->count <= 0)
+			continue;
+		seen += b->count;
+		if (!isinf(b->le))
+			last = b->le;
+		if (seen >= q * d->count)
+			break;
+	}
+	return last;
+}
