--- /dev/null
+++ b/packages/standins/src/load.h
@@ -0,0 +1,102 @@
+#ifndef VH_LOAD_H
+#define VH_LOAD_H
+
+#include "client.h"
+#include "profile.h"
+#include "tally.h"
+
+/**
+ * struct vh_load_settings - a load on a cell
+ * @nodes: callers' ports of the entry nodes, @n_nodes of them
+ * @witness: control port of the workers
+ * @duration_ms: how long work is sent
+ * @patience_ms: how long an answer may take
+ * @progress: a line to standard error each second
+ */
+struct vh_load_settings {
+	const struct vh_profile *profile;
+	const uint16_t *nodes;
+	size_t n_nodes;
+	uint16_t witness;
+	uint32_t rate_per_s;
+	int64_t duration_ms;
+	int64_t patience_ms;
+	uint32_t seed;
+	bool progress;
+};
+
+/**
+ * struct vh_load - sends a mixed load and follows every piece to its end
+ * @done: called once when all of it has an end
+ */
+struct vh_load {
+	struct vh_kernel *kernel;
+	struct vh_load_settings settings;
+	struct vh_client client;
+	struct vh_tally tally;
+	GRand *rand;
+	GPtrArray *open;      /* items without an end */
+	GPtrArray *to_check;  /* items whose tokens the witness is asked for */
+	unsigned int n_asked; /* of to_check, from its front */
+	GPtrArray *not_run;   /* tokens said not to have run */
+	struct vh_timer next_send;
+	struct vh_timer check;
+	struct vh_timer progress;
+	int64_t started_ms;
+	uint64_t serial;
+	bool sending;
+	bool checking;
+	bool final_check;
+	void (*done)(void *ctx);
+	void *ctx;
+};
+
+void vh_load_init(struct vh_load *l, struct vh_kernel *kernel,
+		  const struct vh_load_settings *settings,
+		  void (*done)(void *ctx), void *ctx);
+void vh_load_finish(struct vh_load *l);
+void vh_load_start(struct vh_load *l);
+
+/**
+ * struct vh_load_item - one piece of work
+ * @tokens: one for each task; a request has one
+ * @ever_unknown: a try may have had an effect, so no later refusal can say
+ *		  that it did not run
+ */
+struct vh_load_item {
+	struct vh_load *load;
+	const struct vh_profile_team *team;
+	const struct vh_profile_work *work;
+	char *key;
+	char *authorization;
+	char *path;
+	char *body;
+	char *id;
+	char *cls;
+	char **tokens;
+	uint32_t n_tasks;
+	uint32_t run_ms;
+	int64_t sent_ms;
+	int64_t answered_ms;
+	uint32_t tries;
+	uint32_t refused_tries;
+	size_t node;
+	bool ever_unknown;
+	enum vh_fate fate;
+	struct vh_timer retry;
+	void (*again)(struct vh_load_item *item);
+};
+
+/* vh_load_item_new - the next piece of work, not yet sent */
+struct vh_load_item *vh_load_item_new(struct vh_load *l);
+void vh_load_item_send(struct vh_load_item *item);
+void vh_load_item_free(void *item);
+
+/* vh_load_ended - called by an item that has its fate */
+void vh_load_ended(struct vh_load_item *item);
+
+/* vh_load_check_answer - NULL if @json is the whole answer to @item's job,
+ * else what is wrong with it */
+const char *vh_load_check_answer(const struct vh_load_item *item, json_t *json);
+
+#endif
--- /dev/null
+++ b/packages/standins/src/main_load.c
@@ -0,0 +1,98 @@
+#include <stdlib.h>
+
+#include "load.h"
+#include "program.h"
+
+#define MAX_NODES 64
+#define EXIT_DOES_NOT_ADD_UP 3
+
+static char *profile_file, *json_file;
+static char **node_ports;
+static int witness, rate, duration_s, seed = 1, patience_s = 60;
+static gboolean quiet;
+
+static const GOptionEntry entries[] = {
+	{ "profile", 0, 0, G_OPTION_ARG_FILENAME, &profile_file,
+	  "INI file of the load", "FILE" },
+	{ "node", 0, 0, G_OPTION_ARG_STRING_ARRAY, &node_ports,
+	  "callers' port of an entry node; once for each", "PORT" },
+	{ "witness", 0, 0, G_OPTION_ARG_INT, &witness,
+	  "control port of vh-standin-workers", "PORT" },
+	{ "rate", 0, 0, G_OPTION_ARG_INT, &rate,
+	  "sent a second; 0: as the profile says", "N" },
+	{ "duration", 0, 0, G_OPTION_ARG_INT, &duration_s,
+	  "how long work is sent; 0: as the profile says", "SECONDS" },
+	{ "patience", 0, 0, G_OPTION_ARG_INT, &patience_s,
+	  "how long an answer may take", "SECONDS" },
+	{ "seed", 0, 0, G_OPTION_ARG_INT, &seed, "of all that is random", "N" },
+	{ "json", 0, 0, G_OPTION_ARG_FILENAME, &json_file,
+	  "write the result there as JSON too", "FILE" },
+	{ "quiet", 0, 0, G_OPTION_ARG_NONE, &quiet, "show no progress", NULL },
+	G_OPTION_ENTRY_NULL
+};
+
+static void on_done(void *ctx)
+{
+	vh_kernel_stop(ctx);
+}
+
+static size_t parse_ports(uint16_t *ports)
+{
+	size_t n = 0;
+
+	for (char **p = node_ports; p && *p && n < MAX_NODES; p++)
+		ports[n++] = (uint16_t)g_ascii_strtoull(*p, NULL, 10);
+	return n;
+}
+
+static int report(const struct vh_tally *t)
+{
+	vh_tally_print(t, stdout);
+	if (json_file) {
+		json_t *json = vh_tally_json(t);
+
+		json_dump_file(json, json_file, JSON_INDENT(1));
+		json_decref(json);
+	}
+	return vh_tally_adds_up(t) ? 0 : EXIT_DOES_NOT_ADD_UP;
+}
+
+int main(int argc, char **argv)
+{
+	uint16_t ports[MAX_NODES];
+	struct vh_program p;
+	struct vh_profile profile;
+	struct vh_load_settings settings = { 0 };
+	struct vh_load load;
+	GError *err = NULL;
+	int status;
+
+	vh_program_options(&argc, &argv, entries,
+			   "Sends a mixed load and checks every answer.");
+	settings.n_nodes = parse_ports(ports);
+	if (!profile_file || !settings.n_nodes || !witness) {
+		fprintf(stderr, "--profile, --node and --witness are needed\n");
+		return 2;
+	}
+	if (!vh_profile_load(&profile, profile_file, &err))
+		return vh_program_fail(err);
+	settings.profile = &profile;
+	settings.nodes = ports;
+	settings.witness = (uint16_t)witness;
+	settings.rate_per_s = rate > 0 ? (uint32_t)rate : profile.rate_per_s;
+	settings.duration_ms =
+		(duration_s > 0 ? duration_s : (int)profile.duration_s) *
+		(int64_t)VH_MS_PER_S;
+	settings.patience_ms = patience_s * (int64_t)VH_MS_PER_S;
+	settings.seed = (uint32_t)seed;
+	settings.progress = !quiet;
+	vh_program_init(&p, vh_clock_system());
+	vh_load_init(&load, &p.kernel, &settings, on_done, &p.kernel);
+	vh_load_start(&load);
+	vh_kernel_loop(&p.kernel);
+	status = report(&load.tally);
+	vh_load_finish(&load);
+	vh_profile_finish(&profile);
+	vh_program_finish(&p);
+	return status;
+}
--- /dev/null
+++ b/packages/standins/src/profile.h
@@ -0,0 +1,76 @@
+#ifndef VH_PROFILE_H
+#define VH_PROFILE_H
+
+#include <glib.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+/** struct vh_range - whole numbers from @min to @max */
+struct vh_range {
+	uint32_t min;
+	uint32_t max;
+};
+
+/** struct vh_profile_team - a team that sends work */
+struct vh_profile_team {
+	char *name;
+	char *key;
+	uint32_t weight;
+};
+
+/**
+ * struct vh_profile_work - a kind of work
+ * @queue: where its jobs go; NULL for requests
+ * @service: where its requests go; NULL for jobs
+ * @only_for: teams that send it, NULL for all
+ * @not_for: teams that do not send it, NULL for none
+ */
+struct vh_profile_work {
+	char *name;
+	char *queue;
+	char *service;
+	char **only_for;
+	char **not_for;
+	uint32_t weight;
+	bool idempotent;
+	bool gang;
+	struct vh_range tasks;
+	struct vh_range cpu_milli;
+	struct vh_range memory_mb;
+	struct vh_range accelerators;
+	struct vh_range run_ms;
+	uint32_t deadline_s; /* 0: none */
+};
+
+/**
+ * struct vh_profile - a mixed load
+ * @rate_per_s: sent a second
+ * @max_open: sent and not yet answered at once; above that nothing is sent
+ */
+struct vh_profile {
+	struct vh_profile_team *teams;
+	size_t n_teams;
+	struct vh_profile_work *works;
+	size_t n_works;
+	uint32_t rate_per_s;
+	uint32_t duration_s;
+	uint32_t max_open;
+};
+
+/**
+ * vh_profile_load - reads an INI file
+ *
+ * Groups [load], [team NAME] and [work NAME]. Ranges are "MIN-MAX" or one
+ * number; cpus may have a fraction. Every key is checked.
+ */
+bool vh_profile_load(struct vh_profile *p, const char *path, GError **err);
+void vh_profile_finish(struct vh_profile *p);
+
+/* vh_profile_pick - a team and a kind of work that it sends, by weight */
+void vh_profile_pick(const struct vh_profile *p, GRand *rand,
+		     const struct vh_profile_team **team,
+		     const struct vh_profile_work **work);
+
+uint32_t vh_range_pick(const struct vh_range *r, GRand *rand);
+
+#endif
--- a/packages/standins/src/witness.c
+++ b/packages/standins/src/witness.c
@@ -16,6 +16,7 @@
 
 struct token {
 	uint32_t begins;
+	int64_t first_ms;
 	char *first; /* the first run, for the trace */
 };
 
@@ -179,6 +180,7 @@
 	}
 	if (!t) {
 		t = g_new0(struct token, 1);
+		t->first_ms = now_ms;
 		t->first = g_strdup_printf("%s at %" G_GINT64_FORMAT " ms",
 					   where, now_ms);
 		g_hash_table_insert(w->tokens, g_strdup(token), t);
@@ -261,10 +263,12 @@
 		free_run(g_queue_pop_head(w->ended));
 }
 
-uint32_t vh_witness_begins(const struct vh_witness *w, const char *token)
+uint32_t vh_witness_begins(const struct vh_witness *w, const char *token,
+			   int64_t *first_ms)
 {
 	const struct token *t = g_hash_table_lookup(w->tokens, token);
 
+	*first_ms = t ? t->first_ms : 0;
 	return t ? t->begins : 0;
 }
 
--- a/packages/standins/src/witness.h
+++ b/packages/standins/src/witness.h
@@ -80,8 +80,9 @@
 		      const char *fmt, ...)
 	__attribute__((format(printf, 4, 5)));
 
-/* vh_witness_begins - how often tasks with this token began */
-uint32_t vh_witness_begins(const struct vh_witness *w, const char *token);
+/* vh_witness_begins - how often tasks with this token began, and when first */
+uint32_t vh_witness_begins(const struct vh_witness *w, const char *token,
+			   int64_t *first_ms);
 
 /* vh_witness_json - {"checks":{},"violations":{},"trace":[],...} */
 json_t *vh_witness_json(const struct vh_witness *w);
--- /dev/null
+++ b/packages/standins/tests/test_load.cc
@@ -0,0 +1,295 @@
+#include "harness.h"
+
+#include <map>
+
+extern "C" {
+#include "load.h"
+#include "worker_server.h"
+}
+
+namespace
+{
+/* What the caller of a node sees, played by a function. */
+struct Node {
+	struct vh_httpd http;
+	std::function<void(struct vh_httpd_req *)> handle;
+
+	static void on_request(void *ctx, struct vh_httpd_req *req)
+	{
+		static_cast<Node *>(ctx)->handle(req);
+	}
+};
+
+std::string header(struct vh_httpd_req *req, const char *name)
+{
+	const char *v = evhttp_find_header(
+		evhttp_request_get_input_headers(req->ev), name);
+
+	return v ? v : "";
+}
+
+void reply(struct vh_httpd_req *req, int status, const std::string &body)
+{
+	vh_httpd_reply(req, status, "application/json",
+		       vh_slice(body.data(), body.size()));
+}
+
+std::string job_json(const std::string &id, const std::string &echo,
+		     const std::string &state = "done",
+		     const std::string &outcome = "ran")
+{
+	return "{\"id\":\"" + id + "\",\"state\":\"" + state +
+	       "\",\"class\":\"batch\",\"tasks\":[{\"result\":\"" + id +
+	       "/0 echo=" + echo + "\",\"outcome\":\"" + outcome + "\"}]}";
+}
+
+class Load : public Harness
+{
+      protected:
+	struct vh_profile profile = {};
+	struct vh_profile_team team = {};
+	struct vh_profile_work work = {};
+	struct vh_worker_server workers;
+	struct vh_load load;
+	Node a, b;
+	std::map<std::string, int> submits; /* by idempotency key */
+	bool done = false;
+
+	void SetUp() override
+	{
+		struct vh_worker_settings settings = {};
+		struct vh_fleet fleet;
+		GError *err = nullptr;
+
+		Harness::SetUp();
+		settings.max_tokens = 100;
+		vh_fleet_generate(&fleet, 1);
+		ASSERT_TRUE(vh_worker_server_start(&workers, &kernel, &fleet,
+						   &settings, &err));
+		vh_fleet_finish(&fleet);
+		for (Node *n : { &a, &b }) {
+			vh_httpd_init(&n->http, &kernel, Node::on_request, n);
+			ASSERT_TRUE(vh_httpd_start(&n->http, 0, &err));
+			n->handle = [this](struct vh_httpd_req *r) {
+				serve(r);
+			};
+		}
+		team.name = const_cast<char *>("shop");
+		team.key = const_cast<char *>("secret");
+		team.weight = 1;
+		work.name = const_cast<char *>("w");
+		work.queue = const_cast<char *>("q");
+		work.weight = 1;
+		work.tasks = { 1, 1 };
+		work.cpu_milli = { 100, 100 };
+		work.memory_mb = { 10, 10 };
+		profile.teams = &team;
+		profile.n_teams = 1;
+		profile.works = &work;
+		profile.n_works = 1;
+		profile.max_open = 10;
+	}
+
+	void TearDown() override
+	{
+		vh_load_finish(&load);
+		vh_httpd_stop(&a.http);
+		vh_httpd_stop(&b.http);
+		vh_worker_server_stop(&workers);
+		Harness::TearDown();
+	}
+
+	static std::string token(const std::string &key)
+	{
+		return key + ".0";
+	}
+
+	void begin(const std::string &key)
+	{
+		vh_witness_once(&workers.witness, token(key).c_str(), true,
+				"w1", vh_kernel_now_ms(&kernel));
+	}
+
+	/* A cell without faults. The id of a job is its idempotency key. */
+	void serve(struct vh_httpd_req *req)
+	{
+		if (evhttp_request_get_command(req->ev) == EVHTTP_REQ_POST) {
+			std::string key = header(req, "Idempotency-Key");
+
+			if (submits[key]++ == 0)
+				begin(key);
+			reply(req, 202, "{\"id\":\"" + key + "\"}");
+			return;
+		}
+		std::string id = req->path + strlen("/v1/jobs/");
+
+		reply(req, 200, job_json(id, token(id)));
+	}
+
+	void run(int n = 3, int64_t patience_ms = kPatienceMs)
+	{
+		struct vh_load_settings s = {};
+		uint16_t ports[] = { a.http.port, b.http.port };
+
+		s.profile = &profile;
+		s.nodes = ports;
+		s.n_nodes = 2;
+		s.witness = workers.control.port;
+		s.rate_per_s = 1000;
+		s.duration_ms = n;
+		s.patience_ms = patience_ms;
+		s.seed = 1;
+		vh_load_init(
+			&load, &kernel, &s,
+			[](void *ctx) { *static_cast<bool *>(ctx) = true; },
+			&done);
+		vh_load_start(&load);
+		wait_for([&] { return done; });
+	}
+
+	uint64_t fate(enum vh_fate f)
+	{
+		return load.tally.fates[f];
+	}
+};
+} // namespace
+
+TEST_F(Load, EveryAnswerIsCounted)
+{
+	run();
+	EXPECT_EQ(load.tally.sent, 3u);
+	EXPECT_EQ(fate(VH_FATE_ANSWERED), 3u);
+	EXPECT_EQ(load.tally.tasks_begun, 3u);
+	EXPECT_TRUE(vh_tally_adds_up(&load.tally));
+	EXPECT_EQ(g_tree_nnodes(load.tally.waits), 1);
+}
+
+TEST_F(Load, LostAnswerIsAskedForAgainWithTheSameKey)
+{
+	int dropped = 0;
+
+	a.handle = b.handle = [&](struct vh_httpd_req *req) {
+		if (evhttp_request_get_command(req->ev) == EVHTTP_REQ_POST &&
+		    dropped++ == 0) {
+			submits[header(req, "Idempotency-Key")]++;
+			begin(header(req, "Idempotency-Key"));
+			vh_httpd_drop(req);
+			return;
+		}
+		serve(req);
+	};
+	run(1);
+	EXPECT_EQ(fate(VH_FATE_ANSWERED), 1u);
+	EXPECT_EQ(submits.size(), 1u);
+	EXPECT_EQ(submits.begin()->second, 2);
+	EXPECT_TRUE(vh_tally_adds_up(&load.tally));
+}
+
+TEST_F(Load, DeadNodeIsPassedBy)
+{
+	vh_httpd_stop(&b.http);
+	run(4);
+	EXPECT_EQ(fate(VH_FATE_ANSWERED), 4u);
+	EXPECT_TRUE(vh_tally_adds_up(&load.tally));
+}
+
+TEST_F(Load, CrossedAnswerIsWrong)
+{
+	a.handle = b.handle = [&](struct vh_httpd_req *req) {
+		if (evhttp_request_get_command(req->ev) == EVHTTP_REQ_POST)
+			serve(req);
+		else
+			reply(req, 200,
+			      job_json(req->path + strlen("/v1/jobs/"),
+				       "other.0"));
+	};
+	run(1);
+	EXPECT_EQ(fate(VH_FATE_WRONG), 1u);
+	EXPECT_FALSE(vh_tally_adds_up(&load.tally));
+}
+
+TEST_F(Load, ForgottenJobIsWrong)
+{
+	a.handle = b.handle = [&](struct vh_httpd_req *req) {
+		if (evhttp_request_get_command(req->ev) == EVHTTP_REQ_POST)
+			serve(req);
+		else
+			reply(req, 404, "{}");
+	};
+	run(1);
+	EXPECT_EQ(fate(VH_FATE_WRONG), 1u);
+}
+
+TEST_F(Load, TrueRefusalAddsUp)
+{
+	a.handle = b.handle = [&](struct vh_httpd_req *req) {
+		reply(req, 403,
+		      "{\"error\":{\"kind\":\"forbidden\",\"message\":\"\","
+		      "\"outcome\":\"not_run\"}}");
+	};
+	run(2);
+	EXPECT_EQ(fate(VH_FATE_REFUSED), 2u);
+	EXPECT_TRUE(vh_tally_adds_up(&load.tally));
+	auto *n = static_cast<uint64_t *>(
+		g_tree_lookup(load.tally.refusals, "forbidden"));
+	ASSERT_NE(n, nullptr);
+	EXPECT_EQ(*n, 2u);
+}
+
+TEST_F(Load, RefusalOfWhatRanIsWrong)
+{
+	a.handle = b.handle = [&](struct vh_httpd_req *req) {
+		begin(header(req, "Idempotency-Key"));
+		reply(req, 403,
+		      "{\"error\":{\"kind\":\"forbidden\",\"message\":\"\","
+		      "\"outcome\":\"not_run\"}}");
+	};
+	run(1);
+	EXPECT_EQ(fate(VH_FATE_REFUSED), 1u);
+	EXPECT_FALSE(vh_tally_adds_up(&load.tally));
+}
+
+TEST_F(Load, RefusalAfterAnUnknownTryStaysUnknown)
+{
+	int tries = 0;
+
+	a.handle = b.handle = [&](struct vh_httpd_req *req) {
+		if (tries++ == 0)
+			vh_httpd_drop(req);
+		else
+			reply(req, 403,
+			      "{\"error\":{\"kind\":\"forbidden\","
+			      "\"message\":\"\",\"outcome\":\"not_run\"}}");
+	};
+	run(1);
+	EXPECT_EQ(fate(VH_FATE_UNKNOWN), 1u);
+	EXPECT_TRUE(vh_tally_adds_up(&load.tally));
+}
+
+TEST_F(Load, NoEndInTimeIsLost)
+{
+	a.handle = b.handle = [&](struct vh_httpd_req *req) {
+		if (evhttp_request_get_command(req->ev) == EVHTTP_REQ_POST)
+			serve(req);
+		else
+			reply(req, 200, job_json("x", "", "running"));
+	};
+	run(1, 50);
+	EXPECT_EQ(fate(VH_FATE_LOST), 1u);
+	EXPECT_FALSE(vh_tally_adds_up(&load.tally));
+}
+
+TEST_F(Load, AnswerWithoutARunIsWrong)
+{
+	a.handle = b.handle = [&](struct vh_httpd_req *req) {
+		std::string key = header(req, "Idempotency-Key");
+
+		if (!key.empty())
+			reply(req, 202, "{\"id\":\"" + key + "\"}");
+		else
+			serve(req);
+	};
+	run(1);
+	EXPECT_EQ(fate(VH_FATE_ANSWERED), 1u);
+	EXPECT_FALSE(vh_tally_adds_up(&load.tally));
+}
