--- a/packages/ctl/tests/test_ctl.cc
+++ b/packages/ctl/tests/test_ctl.cc
@@ -510,3 +510,19 @@
 	EXPECT_EQ(r.code, CTL_OK) << r.err;
 	EXPECT_NE(r.out.find("\"per_s\": 100.0"), std::string::npos) << r.out;
 }
+
+TEST(CtlPages, NameEveryCommand)
+{
+	for (const char *file : { "/man/vhctl.1", "/completion/vhctl.bash" }) {
+		gchar *text = nullptr;
+
+		ASSERT_TRUE(g_file_get_contents(
+			(std::string(CTL_DIR) + file).c_str(), &text, nullptr,
+			nullptr))
+			<< file;
+		for (size_t i = 0; ctl_commands[i].name; i++)
+			EXPECT_NE(strstr(text, ctl_commands[i].name), nullptr)
+				<< file << " " << ctl_commands[i].name;
+		g_free(text);
+	}
+}
