Add the home: jobs, keys, attempts, sealing and credit

Durable state changes by records only, so every reader has the same; where tasks run is learnt anew by sealing racks.

--- a/packages/state/include/vh/home.h
+++ b/packages/state/include/vh/home.h
@@ -42,7 +42,7 @@
 	int32_t exit_code;
 	struct vh_slice result;
 	bool not_run;	     /* when ended: it surely never ran */
-	bool unknown;	     /* when ended: it may have run */
+	bool unknown;	     /* when ended: it may have run, how far unknown */
 	int64_t retry_at_ms; /* not before then */
 	enum vh_err why;     /* newest reason for waiting */
 };
@@ -193,7 +193,8 @@
  * vh_home_ended - an attempt ended
  * @body: gets a VH_REC_END to append if this end is final
  *
- * Returns true if there is a record to append; the end may be settled at the
+ * Only while the home is open: before, nothing is known of the end, and it
+ * must not be settled. Returns true if there is a record to append; the end may be settled at the
  * rack once it is applied. False: nothing to record (an idempotent task that
  * waits again, or an end already known); settle it at once.
  */
@@ -204,6 +205,9 @@
  * waiting tasks end as not run. The user stops what runs. */
 bool vh_home_cancel(struct vh_home *h, struct vh_job *job, struct vh_buf *body);
 
+/* vh_home_cancel_failed - the append was refused: its tasks may start again */
+void vh_home_cancel_failed(struct vh_home *h, struct vh_job *job);
+
 /* vh_home_expire - ends waiting tasks whose deadline has passed, and those that
  * sealing found lost for good: each gives a VH_REC_END body through @fn. Call
  * it after vh_home_seal_rack() and vh_home_rack_removed() and now and then. */
@@ -224,6 +228,10 @@
 				      uint64_t fingerprint, int64_t wall_ms,
 				      struct vh_buf *body, uint32_t *status);
 
+/* vh_home_request_failed - the append of the VH_REC_REQUEST was refused: the
+ * key is free again */
+void vh_home_request_failed(struct vh_home *h, struct vh_slice key);
+
 /* vh_home_request_ended - body of a VH_REC_REQUEST_END; @status 0 means that
  * it surely did not run, which frees the key */
 void vh_home_request_ended(struct vh_home *h, struct vh_slice key,
--- /dev/null
+++ b/packages/state/src/bytes.h
@@ -0,0 +1,29 @@
+#ifndef VH_BYTES_H
+#define VH_BYTES_H
+
+#include <glib.h>
+
+#include "vh/slice.h"
+
+/* bytes_copy - a copy to be freed with bytes_free(); may contain NULs */
+static inline struct vh_slice bytes_copy(struct vh_slice s)
+{
+	return vh_slice(s.len ? g_memdup2(s.data, s.len) : NULL, s.len);
+}
+
+static inline void bytes_free(struct vh_slice *s)
+{
+	g_free((char *)s->data);
+	*s = vh_slice(NULL, 0);
+}
+
+/* bytes_set - replaces what @s owns by a copy of @by */
+static inline void bytes_set(struct vh_slice *s, struct vh_slice by)
+{
+	struct vh_slice copy = bytes_copy(by);
+
+	bytes_free(s);
+	*s = copy;
+}
+
+#endif
--- /dev/null
+++ b/packages/state/src/home_credit.c
@@ -0,0 +1,234 @@
+#include "home_priv.h"
+
+#include "vh/credit.h"
+
+/* What this home may have running of one dimension of the limit. */
+static uint32_t credit_of(const struct vh_home *h, uint32_t limit)
+{
+	uint64_t parts = h->parts - h->parts_out;
+
+	if (limit == VH_RES_UNLIMITED)
+		return VH_RES_UNLIMITED;
+	return (uint32_t)(parts * limit / VH_CREDIT_PARTS);
+}
+
+static bool credit_fits(const struct vh_home *h, const struct vh_res *used,
+			uint32_t tasks)
+{
+	if (!h->limited)
+		return true;
+	for (int d = 0; d < VH_DIMS; d++) {
+		if (used->v[d] > credit_of(h, h->limit.running.v[d]))
+			return false;
+	}
+	return tasks <= credit_of(h, h->limit.tasks);
+}
+
+bool home_credit_allows(const struct vh_home *h, const struct vh_res *size)
+{
+	struct vh_res used = h->counts.committed;
+
+	vh_res_add(&used, size);
+	return credit_fits(h, &used, h->counts.committed_tasks + 1);
+}
+
+bool home_credit_holds(const struct vh_home *h)
+{
+	return credit_fits(h, &h->counts.committed, h->counts.committed_tasks);
+}
+
+void vh_home_set_limit(struct vh_home *h, const struct vh_limit *limit)
+{
+	h->limited = limit != NULL;
+	if (limit)
+		h->limit = *limit;
+	h->limit.name = vh_slice("", 0);
+}
+
+uint32_t vh_home_parts(const struct vh_home *h)
+{
+	return h->parts - h->parts_out;
+}
+
+/* Parts that cover an amount of one dimension, rounded up. */
+static uint64_t parts_for(uint64_t amount, uint32_t limit)
+{
+	if (limit == VH_RES_UNLIMITED || !amount)
+		return 0;
+	if (!limit)
+		return VH_CREDIT_PARTS;
+	return (amount * VH_CREDIT_PARTS + limit - 1) / limit;
+}
+
+static uint32_t parts_of(const struct vh_home *h, const struct vh_res *used,
+			 uint32_t tasks)
+{
+	uint64_t need = parts_for(tasks, h->limit.tasks);
+
+	for (int d = 0; d < VH_DIMS; d++)
+		need = MAX(need, parts_for(used->v[d], h->limit.running.v[d]));
+	return (uint32_t)MIN(need, VH_CREDIT_PARTS);
+}
+
+uint32_t vh_home_parts_used(const struct vh_home *h)
+{
+	if (!h->limited)
+		return 0;
+	return parts_of(h, &h->counts.committed, h->counts.committed_tasks);
+}
+
+uint32_t vh_home_parts_wanted(const struct vh_home *h)
+{
+	struct vh_res want = h->counts.committed;
+	uint32_t tasks = h->counts.committed_tasks;
+
+	if (!h->limited)
+		return 0;
+	for (const struct home_job *job = h->first_active; job;
+	     job = job->next_active) {
+		if (!job->n_waiting || job->pub.cancelled)
+			continue;
+		for (uint32_t i = 0; i < job->pub.spec.n_tasks; i++) {
+			if (job->pub.tasks[i].state != VH_TASK_WAITING)
+				continue;
+			vh_res_add(&want, task_size(&job->pub.tasks[i]));
+			tasks++;
+		}
+	}
+	return parts_of(h, &want, tasks);
+}
+
+static void move_pack(struct vh_buf *body, enum vh_move_kind kind,
+		      uint32_t peer, uint64_t seq, uint32_t parts)
+{
+	vh_pack_array(body, 4);
+	vh_pack_u64(body, kind);
+	vh_pack_u64(body, peer);
+	vh_pack_u64(body, seq);
+	vh_pack_u64(body, parts);
+}
+
+bool vh_home_move_out(struct vh_home *h, uint32_t to, uint32_t parts,
+		      struct vh_buf *body)
+{
+	uint32_t keep = vh_home_parts_used(h);
+
+	if (!h->epoch || to >= VH_HOMES_MAX || to == h->settings.index ||
+	    !parts || h->parts_out || parts > h->parts ||
+	    h->parts - parts < keep)
+		return false;
+	h->parts_out = parts;
+	move_pack(body, VH_MOVE_OUT, to, h->peers[to].given_seq + 1, parts);
+	return true;
+}
+
+void vh_home_move_out_failed(struct vh_home *h)
+{
+	h->parts_out = 0;
+}
+
+bool vh_home_move_in(struct vh_home *h, uint32_t from, uint64_t seq,
+		     uint32_t parts, struct vh_buf *body)
+{
+	if (!h->epoch || from >= VH_HOMES_MAX ||
+	    seq <= h->peers[from].taken_seq)
+		return false;
+	move_pack(body, VH_MOVE_IN, from, seq, parts);
+	return true;
+}
+
+uint64_t vh_home_move_taken(const struct vh_home *h, uint32_t from)
+{
+	return from < VH_HOMES_MAX ? h->peers[from].taken_seq : 0;
+}
+
+bool vh_home_move_pending(const struct vh_home *h, struct vh_move *out)
+{
+	if (!h->moves)
+		return false;
+	out->to = h->moves->to;
+	out->seq = h->moves->seq;
+	out->parts = h->moves->parts;
+	return true;
+}
+
+bool vh_home_move_settle(struct vh_home *h, uint32_t to, uint64_t taken_seq,
+			 struct vh_buf *body)
+{
+	for (const struct home_move *m = h->moves; m; m = m->next) {
+		if (m->to == to && m->seq <= taken_seq) {
+			move_pack(body, VH_MOVE_SETTLED, to, taken_seq, 0);
+			return true;
+		}
+	}
+	return false;
+}
+
+static void move_given(struct vh_home *h, uint32_t to, uint64_t seq,
+		       uint32_t parts)
+{
+	struct home_move **at = &h->moves;
+	struct home_move *m;
+
+	h->parts_out = 0;
+	if (seq <= h->peers[to].given_seq || parts > h->parts)
+		return;
+	h->peers[to].given_seq = seq;
+	h->parts -= parts;
+	while (*at)
+		at = &(*at)->next;
+	m = g_new0(struct home_move, 1);
+	m->to = to;
+	m->seq = seq;
+	m->parts = parts;
+	*at = m;
+}
+
+static void move_settled(struct vh_home *h, uint32_t to, uint64_t seq)
+{
+	struct home_move **at = &h->moves;
+
+	while (*at) {
+		struct home_move *m = *at;
+
+		if (m->to != to || m->seq > seq) {
+			at = &m->next;
+			continue;
+		}
+		*at = m->next;
+		g_free(m);
+	}
+}
+
+void home_apply_move(struct vh_home *h, struct vh_slice body)
+{
+	struct vh_unpack u;
+	uint32_t kind, peer, parts;
+	uint64_t seq;
+	bool ok;
+
+	vh_unpack_init(&u, body, NULL);
+	kind = vh_unpack_u32(&u);
+	peer = vh_unpack_u32(&u);
+	seq = vh_unpack_u64(&u);
+	parts = vh_unpack_u32(&u);
+	ok = u.ok && peer < VH_HOMES_MAX;
+	vh_unpack_finish(&u);
+	if (!ok)
+		return;
+	if (kind == VH_MOVE_OUT) {
+		move_given(h, peer, seq, parts);
+	} else if (kind == VH_MOVE_SETTLED) {
+		move_settled(h, peer, seq);
+	} else if (kind == VH_MOVE_IN && seq > h->peers[peer].taken_seq &&
+		   parts <= VH_CREDIT_PARTS - h->parts) {
+		h->peers[peer].taken_seq = seq;
+		h->parts += parts;
+	}
+}
+
+void home_moves_clear(struct vh_home *h)
+{
+	for (uint32_t i = 0; i < VH_HOMES_MAX; i++)
+		move_settled(h, i, UINT64_MAX);
+}
--- /dev/null
+++ b/packages/state/src/home_priv.h
@@ -0,0 +1,177 @@
+#ifndef VH_HOME_PRIV_H
+#define VH_HOME_PRIV_H
+
+#include <glib.h>
+
+#include "table.h"
+#include "vh/codec.h"
+#include "vh/credit.h"
+#include "vh/home.h"
+
+/*
+ * What a home keeps of a task beside its public view.
+ * @recorded: a VH_REC_ATTEMPT is in the log and nobody has said that this
+ *	      attempt never began
+ * @rec_attempt: number of the newest VH_REC_ATTEMPT
+ * @doubt: runs on a rack that has a new owner
+ * @late: said to run while its rack was unsealed
+ * @listed: by the rack being sealed
+ * @maybe_ran: an attempt began, or may have
+ * @must_end: ended for good without a record yet; vh_home_expire() makes it
+ */
+struct task_priv {
+	uint32_t rec_attempt;
+	bool recorded;
+	bool doubt;
+	bool late;
+	bool listed;
+	bool maybe_ran;
+	bool must_end;
+	bool ended_durable;
+};
+
+/* A job; @pub comes first. */
+struct home_job {
+	struct vh_job pub;
+	struct vh_table_node node; /* by id */
+	struct home_job *next;	   /* all jobs, by acceptance */
+	struct home_job *prev;
+	struct home_job *next_active; /* unended ones, in order of starts */
+	struct home_job *prev_active;
+	struct task_priv *priv;
+	struct home_key *key;
+	uint32_t n_waiting;
+	bool active;
+	bool cancelling; /* its VH_REC_CANCEL is on its way */
+	bool replayed;	 /* accepted elsewhere: accepted_ms is a guess */
+	struct vh_slice spec_bytes; /* what pub.spec borrows from */
+	char id[];
+};
+
+/* An idempotency key, of a job or of a request (then @job is NULL). */
+struct home_key {
+	struct vh_table_node node;
+	struct home_key *next; /* newer */
+	struct home_job *job;
+	uint64_t fingerprint;
+	int64_t wall_ms;
+	bool durable;
+	bool ended;
+	uint32_t status;
+	char key[];
+};
+
+struct home_rack {
+	struct home_rack *next;
+	bool initial; /* since the home was opened */
+	size_t len;
+	char name[];
+};
+
+/* Credit that left for another home, until that home is known to have it. */
+struct home_move {
+	struct home_move *next;
+	uint32_t to;
+	uint64_t seq;
+	uint32_t parts;
+};
+
+/* Newest move taken in from a home, or given to one. */
+struct home_peer {
+	uint64_t taken_seq;
+	uint64_t given_seq;
+};
+
+struct vh_home {
+	struct vh_home_settings settings;
+	char *team;
+	char *unit;
+	uint64_t epoch;	 /* owned under; 0 if closed */
+	uint64_t opened; /* newest epoch of a VH_REC_OPEN */
+	uint32_t opens;
+	uint64_t next_job;
+	uint64_t version;
+	int64_t wall_ms; /* newest wall time in a record */
+
+	struct vh_table jobs;
+	struct home_job *oldest;
+	struct home_job *newest;
+	struct home_job *first_active;
+	struct home_job *last_active;
+	struct vh_table keys;
+	struct home_key *key_head;
+	struct home_key **key_tail;
+
+	struct home_rack *unsealed;
+	size_t n_initial;
+
+	bool limited;
+	struct vh_limit limit;
+	uint32_t parts;	    /* of the limit, that are this home's */
+	uint32_t parts_out; /* on their way to the log as given */
+	struct home_move *moves;
+	struct home_peer peers[VH_HOMES_MAX];
+	struct vh_home_counts counts;
+};
+
+static inline struct home_job *home_job_of(const struct vh_task *task)
+{
+	return (struct home_job *)task->job;
+}
+
+static inline struct task_priv *task_priv(const struct vh_task *task)
+{
+	return &home_job_of(task)->priv[task->index];
+}
+
+static inline const struct vh_res *task_size(const struct vh_task *task)
+{
+	return &task->job->spec.tasks[task->index].size;
+}
+
+/* home_job.c */
+struct home_job *home_job_add(struct vh_home *h, struct vh_slice id,
+			      struct vh_slice spec_bytes, int64_t wall_ms,
+			      int64_t now_ms);
+void home_job_remove(struct vh_home *h, struct home_job *job);
+
+/* Makes its tasks wait, if any are unended and it is durable. */
+void home_job_activate(struct vh_home *h, struct home_job *job);
+void home_job_deactivate(struct vh_home *h, struct home_job *job);
+void home_job_changed(struct vh_home *h, struct vh_job *job);
+
+/* home_task.c */
+void home_task_set(struct vh_home *h, struct vh_task *task,
+		   enum vh_task_state state);
+void home_task_place(struct vh_task *task, struct vh_slice rack,
+		     struct vh_slice worker);
+
+/* The attempt is lost: the task waits again or is to end for good. */
+void home_task_lost(struct vh_home *h, struct vh_task *task);
+void home_end_pack(struct vh_buf *body, const struct vh_task *task);
+void home_name_pack(struct vh_buf *body, const struct vh_task *task);
+
+/* home_key.c */
+struct home_key *home_key_find(const struct vh_home *h, struct vh_slice key);
+struct home_key *home_key_add(struct vh_home *h, struct vh_slice key,
+			      uint64_t fingerprint, int64_t wall_ms);
+void home_key_remove(struct vh_home *h, struct home_key *key);
+
+/* Lets old keys go, by the wall time of a record. */
+void home_keys_expire(struct vh_home *h, int64_t wall_ms);
+void home_keys_clear(struct vh_home *h);
+void home_apply_request(struct vh_home *h, struct vh_slice body);
+void home_apply_request_end(struct vh_home *h, struct vh_slice body);
+
+/* home_credit.c */
+bool home_credit_allows(const struct vh_home *h, const struct vh_res *size);
+bool home_credit_holds(const struct vh_home *h);
+void home_apply_move(struct vh_home *h, struct vh_slice body);
+void home_moves_clear(struct vh_home *h);
+
+/* home_seal.c */
+struct home_rack *home_unsealed_find(const struct vh_home *h,
+				     struct vh_slice rack);
+void home_unsealed_clear(struct vh_home *h);
+
+#endif
--- /dev/null
+++ b/packages/state/src/home_seal.c
@@ -0,0 +1,212 @@
+#include "home_priv.h"
+
+#include "vh/invariant.h"
+
+struct home_rack *home_unsealed_find(const struct vh_home *h,
+				     struct vh_slice rack)
+{
+	struct home_rack *r = h->unsealed;
+
+	while (r && !vh_slice_eq(vh_slice(r->name, r->len), rack))
+		r = r->next;
+	return r;
+}
+
+static void unsealed_add(struct vh_home *h, struct vh_slice rack, bool initial)
+{
+	struct home_rack *r = g_malloc0(sizeof(*r) + rack.len);
+
+	memcpy(r->name, rack.data, rack.len);
+	r->len = rack.len;
+	r->initial = initial;
+	r->next = h->unsealed;
+	h->unsealed = r;
+	h->n_initial += initial;
+}
+
+static void unsealed_remove(struct vh_home *h, struct home_rack *rack)
+{
+	struct home_rack **at = &h->unsealed;
+
+	while (*at != rack)
+		at = &(*at)->next;
+	*at = rack->next;
+	h->n_initial -= rack->initial;
+	g_free(rack);
+}
+
+void home_unsealed_clear(struct vh_home *h)
+{
+	while (h->unsealed)
+		unsealed_remove(h, h->unsealed);
+}
+
+size_t vh_home_unsealed(const struct vh_home *h)
+{
+	return h->n_initial;
+}
+
+bool vh_home_is_unsealed(const struct vh_home *h, struct vh_slice rack)
+{
+	return home_unsealed_find(h, rack) != NULL;
+}
+
+/* Calls @fn for each task of unended jobs. */
+static void each_task(struct vh_home *h,
+		      void (*fn)(struct vh_home *h, struct vh_task *task,
+				 struct vh_slice rack),
+		      struct vh_slice rack)
+{
+	for (struct home_job *job = h->first_active; job;
+	     job = job->next_active) {
+		for (uint32_t i = 0; i < job->pub.spec.n_tasks; i++)
+			fn(h, &job->pub.tasks[i], rack);
+	}
+}
+
+static void open_task(struct vh_home *h, struct vh_task *task,
+		      struct vh_slice rack)
+{
+	struct task_priv *priv = task_priv(task);
+
+	(void)rack;
+	if (task->state == VH_TASK_ENDED)
+		return;
+	priv->doubt = false;
+	priv->late = false;
+	priv->listed = false;
+	priv->must_end = false;
+	home_task_place(task, vh_slice("", 0), vh_slice("", 0));
+	if (task->job->spec.idempotent || priv->recorded) {
+		priv->maybe_ran = true;
+		home_task_set(h, task, VH_TASK_UNPLACED);
+	} else {
+		home_task_set(h, task, VH_TASK_WAITING);
+	}
+}
+
+/* No rack knows of it: it never began, or nobody can tell. */
+static void unplaced_free(struct vh_home *h, struct vh_task *task,
+			  struct vh_slice rack)
+{
+	(void)rack;
+	if (task->state != VH_TASK_UNPLACED)
+		return;
+	if (!task->job->spec.idempotent && task_priv(task)->recorded)
+		home_task_lost(h, task);
+	else
+		home_task_set(h, task, VH_TASK_WAITING);
+}
+
+static void unplaced_check(struct vh_home *h)
+{
+	if (h->epoch && !h->n_initial)
+		each_task(h, unplaced_free, vh_slice("", 0));
+}
+
+void vh_home_open(struct vh_home *h, uint64_t epoch,
+		  const struct vh_slice *racks, size_t n_racks, int64_t now_ms)
+{
+	(void)now_ms;
+	home_unsealed_clear(h);
+	h->epoch = epoch;
+	h->next_job = 0;
+	each_task(h, open_task, vh_slice("", 0));
+	for (size_t i = 0; i < n_racks; i++)
+		unsealed_add(h, racks[i], true);
+	unplaced_check(h);
+}
+
+static void doubt_task(struct vh_home *h, struct vh_task *task,
+		       struct vh_slice rack)
+{
+	(void)h;
+	if (task->state == VH_TASK_RUNNING && vh_slice_eq(task->rack, rack)) {
+		task_priv(task)->doubt = true;
+		task_priv(task)->listed = false;
+	}
+}
+
+void vh_home_unseal_rack(struct vh_home *h, struct vh_slice rack)
+{
+	if (!h->epoch)
+		return;
+	if (!home_unsealed_find(h, rack))
+		unsealed_add(h, rack, false);
+	each_task(h, doubt_task, rack);
+}
+
+void vh_home_seal_run(struct vh_home *h, struct vh_slice rack,
+		      const struct vh_running *run, struct vh_slice worker)
+{
+	struct vh_task *task = vh_home_task(h, run->task);
+	bool running;
+
+	if (!h->epoch || !task)
+		return;
+	running =
+		task->state == VH_TASK_RUNNING || task->state == VH_TASK_ASKED;
+	if (running && run->attempt == task->attempt)
+		vh_invariant(VH_I2_ONE_PLACE, vh_slice_eq(task->rack, rack),
+			     "task %.*s attempt %u is in racks %.*s and %.*s",
+			     VH_FMT(run->task), run->attempt,
+			     VH_FMT(task->rack), VH_FMT(rack));
+	if (task->state != VH_TASK_UNPLACED &&
+	    !(running && run->attempt >= task->attempt))
+		return;
+	if (run->attempt < task_priv(task)->rec_attempt)
+		return;
+	task->attempt = run->attempt;
+	task_priv(task)->listed = true;
+	home_task_place(task, rack, worker);
+	home_task_set(h, task, VH_TASK_RUNNING);
+}
+
+/* The rack has told all that runs there. */
+static void sealed_task(struct vh_home *h, struct vh_task *task,
+			struct vh_slice rack)
+{
+	struct task_priv *priv = task_priv(task);
+	bool listed = priv->listed;
+
+	if (task->state != VH_TASK_RUNNING || !vh_slice_eq(task->rack, rack))
+		return;
+	priv->listed = false;
+	if (!listed && priv->doubt)
+		home_task_lost(h, task);
+	else if (!listed && priv->late)
+		home_task_set(h, task, VH_TASK_ASKED);
+	priv->doubt = false;
+	priv->late = false;
+}
+
+void vh_home_seal_rack(struct vh_home *h, struct vh_slice rack)
+{
+	struct home_rack *r = home_unsealed_find(h, rack);
+
+	if (!h->epoch || !r)
+		return;
+	unsealed_remove(h, r);
+	each_task(h, sealed_task, rack);
+	unplaced_check(h);
+}
+
+static void removed_task(struct vh_home *h, struct vh_task *task,
+			 struct vh_slice rack)
+{
+	if ((task->state == VH_TASK_RUNNING || task->state == VH_TASK_ASKED) &&
+	    vh_slice_eq(task->rack, rack))
+		home_task_lost(h, task);
+}
+
+void vh_home_rack_removed(struct vh_home *h, struct vh_slice rack)
+{
+	struct home_rack *r = home_unsealed_find(h, rack);
+
+	if (!h->epoch)
+		return;
+	if (r)
+		unsealed_remove(h, r);
+	each_task(h, removed_task, rack);
+	unplaced_check(h);
+}
--- /dev/null
+++ b/packages/state/src/home_task.c
@@ -0,0 +1,329 @@
+#include "bytes.h"
+#include "home_priv.h"
+
+#include "vh/invariant.h"
+
+/* An END without effect so far is appended again: the append may have been
+ * refused. */
+#define END_RETRY_MS 30000
+
+static const char *const state_names[] = {
+	"waiting",  "recording", "asked", "running",
+	"unplaced", "ending",	 "ended",
+};
+
+const char *vh_task_state_name(enum vh_task_state s)
+{
+	return state_names[s];
+}
+
+/* Does a task in this state count against the team's limit? */
+static bool state_holds(enum vh_task_state s)
+{
+	return s == VH_TASK_RECORDING || s == VH_TASK_ASKED ||
+	       s == VH_TASK_RUNNING || s == VH_TASK_UNPLACED;
+}
+
+static void credit_take(struct vh_home *h, const struct vh_task *task)
+{
+	vh_res_add(&h->counts.committed, task_size(task));
+	h->counts.committed_tasks++;
+}
+
+static void credit_give_back(struct vh_home *h, const struct vh_task *task)
+{
+	bool ok = vh_res_sub(&h->counts.committed, task_size(task));
+
+	vh_invariant(VH_I4_LIMITS, ok && h->counts.committed_tasks,
+		     "%s gives back more than it took", h->unit);
+	h->counts.committed_tasks--;
+}
+
+static void count_state(struct vh_home *h, const struct vh_task *task, int by)
+{
+	if (task->state == VH_TASK_WAITING) {
+		home_job_of(task)->n_waiting += (uint32_t)by;
+		h->counts.waiting += (size_t)by;
+	} else if (task->state == VH_TASK_RUNNING) {
+		h->counts.running += (size_t)by;
+	}
+}
+
+void home_task_set(struct vh_home *h, struct vh_task *task,
+		   enum vh_task_state state)
+{
+	bool held = state_holds(task->state);
+
+	if (task->state == state)
+		return;
+	count_state(h, task, -1);
+	task->state = state;
+	if (state == VH_TASK_RUNNING)
+		task_priv(task)->maybe_ran = true;
+	count_state(h, task, 1);
+	if (held && !state_holds(state))
+		credit_give_back(h, task);
+	else if (!held && state_holds(state))
+		credit_take(h, task);
+	home_job_changed(h, task->job);
+}
+
+void home_task_place(struct vh_task *task, struct vh_slice rack,
+		     struct vh_slice worker)
+{
+	bytes_set(&task->rack, rack);
+	bytes_set(&task->worker, worker);
+}
+
+void home_name_pack(struct vh_buf *body, const struct vh_task *task)
+{
+	vh_pack_slice(body, task->job->id);
+	vh_pack_u64(body, task->index);
+}
+
+void home_end_pack(struct vh_buf *body, const struct vh_task *task)
+{
+	vh_pack_array(body, 8);
+	home_name_pack(body, task);
+	vh_pack_u64(body, task->attempt);
+	vh_pack_u64(body, task->end);
+	vh_pack_i64(body, task->exit_code);
+	vh_pack_bool(body, task->not_run);
+	vh_pack_bool(body, task->unknown);
+	vh_pack_slice(body, task->result);
+}
+
+static enum vh_err begin_check(const struct vh_home *h,
+			       const struct vh_task *task)
+{
+	const struct home_job *job = home_job_of(task);
+
+	if (!h->epoch)
+		return VH_ERR_NOT_OWNER;
+	if (job->pub.cancelled || job->cancelling)
+		return VH_ERR_CANCELLED;
+	if (task->state != VH_TASK_WAITING || !job->pub.durable ||
+	    task_priv(task)->must_end)
+		return VH_ERR_NOT_READY;
+	if (!home_credit_allows(h, task_size(task)))
+		return VH_ERR_LIMIT_REACHED;
+	return VH_OK;
+}
+
+enum vh_err vh_home_begin(struct vh_home *h, struct vh_task *task,
+			  struct vh_slice rack, struct vh_buf *body)
+{
+	bool idempotent = task->job->spec.idempotent;
+	enum vh_err err = begin_check(h, task);
+	uint32_t base = (h->opens ? h->opens - 1 : 0) << 16;
+
+	if (err != VH_OK)
+		return err;
+	vh_invariant(VH_I7_AT_MOST_ONCE,
+		     idempotent || !task_priv(task)->recorded,
+		     "task %.*s/%u may have begun before",
+		     VH_FMT(task->job->id), task->index);
+	task->attempt = MAX(task->attempt, base) + 1;
+	task->why = VH_OK;
+	home_task_place(task, rack, vh_slice("", 0));
+	home_task_set(h, task, idempotent ? VH_TASK_ASKED : VH_TASK_RECORDING);
+	vh_invariant(VH_I4_LIMITS, home_credit_holds(h),
+		     "%s has more running than its credit", h->unit);
+	if (!idempotent) {
+		vh_pack_array(body, 3);
+		home_name_pack(body, task);
+		vh_pack_u64(body, task->attempt);
+	}
+	return VH_OK;
+}
+
+void vh_home_begun(struct vh_home *h, struct vh_task *task, uint32_t attempt,
+		   struct vh_slice worker)
+{
+	if (task->attempt != attempt || task->state != VH_TASK_ASKED)
+		return;
+	bytes_set(&task->worker, worker);
+	task_priv(task)->late = home_unsealed_find(h, task->rack) != NULL;
+	home_task_set(h, task, VH_TASK_RUNNING);
+}
+
+void vh_home_not_begun(struct vh_home *h, struct vh_task *task,
+		       uint32_t attempt, enum vh_err why, int64_t retry_at_ms)
+{
+	if (task->attempt != attempt ||
+	    (task->state != VH_TASK_ASKED && task->state != VH_TASK_RECORDING))
+		return;
+	if (task_priv(task)->rec_attempt == attempt)
+		task_priv(task)->recorded = false;
+	task->why = why;
+	task->retry_at_ms = retry_at_ms;
+	home_task_place(task, vh_slice("", 0), vh_slice("", 0));
+	home_task_set(h, task, VH_TASK_WAITING);
+}
+
+void home_task_lost(struct vh_home *h, struct vh_task *task)
+{
+	struct task_priv *priv = task_priv(task);
+
+	task->lost++;
+	priv->maybe_ran = true;
+	priv->doubt = false;
+	priv->late = false;
+	home_task_place(task, vh_slice("", 0), vh_slice("", 0));
+	home_task_set(h, task, VH_TASK_WAITING);
+	if (task->job->spec.idempotent && task->lost < h->settings.max_attempts)
+		return;
+	priv->must_end = true;
+	task->end = VH_END_LOST;
+	task->unknown = true;
+}
+
+/* Sets what an END record says, without saying that it is durable. */
+static void task_ending(struct vh_home *h, struct vh_task *task,
+			const struct vh_ended *e, int64_t now_ms)
+{
+	task->end = e->end;
+	task->exit_code = e->exit_code;
+	task->not_run = e->end == VH_END_VOID && !task_priv(task)->maybe_ran;
+	task->unknown = e->end == VH_END_LOST ||
+			(e->end == VH_END_VOID && !task->not_run);
+	task->retry_at_ms = now_ms + END_RETRY_MS;
+	bytes_set(&task->result, e->result);
+	task_priv(task)->must_end = false;
+	home_task_set(h, task, VH_TASK_ENDING);
+}
+
+/* An end told while it is not known where the task runs: only one that no
+ * later attempt can have followed says anything. */
+static bool unplaced_ended(struct vh_task *task, const struct vh_ended *e)
+{
+	struct task_priv *priv = task_priv(task);
+	bool idempotent = task->job->spec.idempotent;
+
+	if (e->end == VH_END_VOID) {
+		if (e->attempt == priv->rec_attempt)
+			priv->recorded = false;
+		return false;
+	}
+	if (e->end == VH_END_STOPPED && !task->job->cancelled && idempotent)
+		return false;
+	if (e->end == VH_END_LOST && idempotent)
+		return false;
+	return true;
+}
+
+/* Returns true if the end of a run under way is final. */
+static bool running_ended(struct vh_home *h, struct vh_task *task,
+			  const struct vh_ended *e, int64_t now_ms)
+{
+	bool idempotent = task->job->spec.idempotent;
+
+	switch (e->end) {
+	case VH_END_VOID:
+		vh_home_not_begun(h, task, e->attempt, VH_ERR_NO_CAPACITY,
+				  now_ms);
+		return false;
+	case VH_END_LOST:
+		if (!idempotent || task->lost + 1 >= h->settings.max_attempts)
+			return true;
+		home_task_lost(h, task);
+		return false;
+	case VH_END_STOPPED:
+		if (!idempotent || task->job->cancelled)
+			return true;
+		home_task_place(task, vh_slice("", 0), vh_slice("", 0));
+		home_task_set(h, task, VH_TASK_WAITING);
+		return false;
+	default:
+		return true;
+	}
+}
+
+bool vh_home_ended(struct vh_home *h, const struct vh_ended *ended,
+		   int64_t now_ms, struct vh_buf *body)
+{
+	struct vh_task *task = vh_home_task(h, ended->task);
+	bool final = false;
+
+	if (!h->epoch || !task)
+		return false;
+	switch (task->state) {
+	case VH_TASK_UNPLACED:
+		if (ended->attempt >= task->attempt)
+			final = unplaced_ended(task, ended);
+		break;
+	case VH_TASK_ASKED:
+	case VH_TASK_RUNNING:
+		if (ended->attempt == task->attempt)
+			final = running_ended(h, task, ended, now_ms);
+		break;
+	case VH_TASK_ENDING: /* its record may have been refused */
+		if (ended->attempt == task->attempt) {
+			home_end_pack(body, task);
+			return true;
+		}
+		return false;
+	default:
+		return false;
+	}
+	if (!final)
+		return false;
+	task->attempt = ended->attempt;
+	task_ending(h, task, ended, now_ms);
+	home_end_pack(body, task);
+	return true;
+}
+
+/* Ends one task for good if it is time. Returns true if *body says so. */
+static bool task_expire(struct vh_home *h, struct vh_task *task, bool over,
+			int64_t now_ms, struct vh_buf *body)
+{
+	struct vh_ended none = { .end = VH_END_VOID };
+
+	if (task->state == VH_TASK_WAITING) {
+		if (task_priv(task)->must_end)
+			none.end = task->end;
+		else if (!over)
+			return false;
+		task_ending(h, task, &none, now_ms);
+	} else if (task->state == VH_TASK_ENDING) {
+		if (now_ms < task->retry_at_ms)
+			return false;
+		task->retry_at_ms = now_ms + END_RETRY_MS;
+	} else {
+		return false;
+	}
+	home_end_pack(body, task);
+	return true;
+}
+
+void vh_home_expire(struct vh_home *h, int64_t now_ms, int64_t wall_ms,
+		    void (*fn)(void *ctx, struct vh_slice body), void *ctx)
+{
+	struct home_job *next;
+	struct vh_buf body;
+
+	vh_buf_init(&body);
+	for (struct home_job *job = h->epoch ? h->first_active : NULL; job;
+	     job = next) {
+		struct vh_job *pub = &job->pub;
+		int64_t limit = pub->spec.deadline_ms;
+		bool over;
+
+		next = job->next_active;
+		if (job->replayed) {
+			pub->accepted_ms =
+				now_ms -
+				MAX(wall_ms - pub->accepted_wall_ms, 0);
+			job->replayed = false;
+		}
+		over = pub->cancelled ||
+		       (limit && now_ms - pub->accepted_ms >= limit);
+		for (uint32_t i = 0; i < pub->spec.n_tasks; i++) {
+			vh_buf_clear(&body);
+			if (task_expire(h, &pub->tasks[i], over, now_ms, &body))
+				fn(ctx, vh_buf_slice(&body));
+		}
+	}
+	vh_buf_finish(&body);
+}
--- a/packages/state/src/rack_run.c
+++ b/packages/state/src/rack_run.c
@@ -1,3 +1,4 @@
+#include "bytes.h"
 #include "rack_priv.h"
 
 #include "vh/invariant.h"
@@ -114,8 +115,7 @@
 	run->end = ended->end;
 	run->end_seq = ended->seq;
 	run->exit_code = ended->exit_code;
-	g_free((char *)run->result.data);
-	run->result = vh_slice(vh_slice_dup(ended->result), ended->result.len);
+	bytes_set(&run->result, ended->result);
 	run->told_ms = now_ms;
 	rack_run_tell(r, run, TELL_ENDED);
 }
@@ -154,7 +154,7 @@
 	}
 	if (run->telling)
 		return;
-	g_free((char *)run->result.data);
+	bytes_free(&run->result);
 	g_free(run->strings);
 	g_free(run);
 }
