Give each stream object a writer id of its own

A node that lost a home and got it back in the same process read the stream with a new object whose sequence numbers began at 1 again, under the old writer id: every reader dropped its OPEN as a duplicate and the home never opened. The new test fails without the number.

--- a/packages/state/include/vh/stream.h
+++ b/packages/state/include/vh/stream.h
@@ -57,7 +57,8 @@
 /**
  * struct vh_stream_settings
  * @name: stream name; borrowed
- * @writer: this process's writer id; borrowed
+ * @writer: this process's writer id; copied. Each stream object adds a number
+ *	    of its own, as sequence numbers begin anew with it.
  * @max_waiting_bytes: records waiting to be appended; more are refused with
  *		       VH_ERR_LOG_UNAVAILABLE
  * @max_batch_bytes: of one append
--- a/packages/state/src/stream.c
+++ b/packages/state/src/stream.c
@@ -6,9 +6,14 @@
 				const struct vh_log_transport *transport,
 				const struct vh_stream_callbacks *callbacks)
 {
+	static uint64_t instances;
 	struct vh_stream *s = g_new0(struct vh_stream, 1);
 
 	s->settings = *settings;
+	s->writer =
+		g_strdup_printf("%.*s.%" G_GUINT64_FORMAT,
+				VH_FMT(settings->writer), (guint64)++instances);
+	s->settings.writer = vh_slice_str(s->writer);
 	s->transport = *transport;
 	s->callbacks = *callbacks;
 	s->rand = g_rand_new_with_seed(
@@ -31,6 +36,7 @@
 	stream_append_finish(s);
 	vh_writers_finish(&s->writers);
 	g_rand_free(s->rand);
+	g_free(s->writer);
 	g_free(s);
 }
 
--- a/packages/state/src/stream_priv.h
+++ b/packages/state/src/stream_priv.h
@@ -56,6 +56,7 @@
 	struct vh_stream_settings settings;
 	struct vh_log_transport transport;
 	struct vh_stream_callbacks callbacks;
+	char *writer; /* no other stream object ever has the same */
 	GRand *rand;
 	struct stream_call *calls;
 	uint64_t tokens;
--- a/packages/state/tests/fake_log.h
+++ b/packages/state/tests/fake_log.h
@@ -1,8 +1,10 @@
 #ifndef VH_FAKE_LOG_H
 #define VH_FAKE_LOG_H
 
+#include <deque>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 #include <vector>
 
@@ -78,6 +80,7 @@
 	std::function<AppendFate(const std::string &)> fate;
 	std::function<bool()> read_fails;
 	int64_t read_latency = 1;
+	int64_t hold_step = 1; /* a held read looks again this often */
 	uint64_t appends = 0;
 
 	void retain(const std::string &name, uint64_t first)
@@ -90,12 +93,27 @@
 		}
 	}
 
-	struct vh_log_transport transport()
+	/* One user's way to the log. */
+	struct Port {
+		FakeLog *log;
+		/* answers are read when the user runs again */
+		std::function<int64_t()> runs_at;
+		std::function<bool()> cut;
+	};
+
+	struct vh_log_transport transport(Port *port)
 	{
-		struct vh_log_transport t = { append, read, this };
+		struct vh_log_transport t = { append, read, port };
 
 		return t;
 	}
+	struct vh_log_transport transport()
+	{
+		static std::deque<Port> ports;
+
+		ports.push_back({ this, nullptr, nullptr });
+		return transport(&ports.back());
+	}
 
       private:
 	Events &events;
@@ -105,12 +123,26 @@
 		return std::string(s.data ? s.data : "", s.len);
 	}
 
+	/* Calls @fn at @when, or later if the user sleeps then. */
+	void deliver(Port *port, int64_t when, std::function<void()> fn)
+	{
+		events.at(when, [=] {
+			int64_t at = port->runs_at ? port->runs_at() : 0;
+
+			if (at > events.now)
+				deliver(port, at, fn);
+			else
+				fn();
+		});
+	}
+
 	static void append(void *ctx, struct vh_slice stream,
 			   struct vh_slice bytes,
 			   void (*done)(void *, enum vh_err, uint64_t),
 			   void *arg)
 	{
-		FakeLog *log = (FakeLog *)ctx;
+		Port *port = (Port *)ctx;
+		FakeLog *log = port->log;
 		std::string name = str(stream);
 		std::string data = str(bytes);
 		AppendFate f = log->fate ? log->fate(name) : AppendFate();
@@ -118,6 +150,8 @@
 		auto offset = std::make_shared<uint64_t>(0);
 
 		log->appends++;
+		if (port->cut && port->cut())
+			f = { -1, 5, VH_ERR_UNREACHABLE };
 		if (f.effect_after >= 0) {
 			log->events.at(now + f.effect_after, [=] {
 				Stream &s = log->streams[name];
@@ -126,16 +160,18 @@
 				s.records.push_back(data);
 			});
 		}
-		log->events.at(
-			f.reply_after < 0 ? now + 60000 : now + f.reply_after,
-			[=] {
-				if (f.reply_after < 0 || !*offset)
-					done(arg,
-					     f.error ? f.error : VH_ERR_TIMEOUT,
-					     0);
-				else
-					done(arg, f.error, *offset);
-			});
+		log->deliver(port,
+			     now + (f.reply_after < 0 ? 60000 : f.reply_after),
+			     [=] {
+				     bool ok = f.reply_after >= 0 && !f.error &&
+					       *offset;
+
+				     done(arg,
+					  ok	    ? VH_OK
+					  : f.error ? f.error
+						    : VH_ERR_TIMEOUT,
+					  ok ? *offset : 0);
+			     });
 	}
 
 	static void read(void *ctx, struct vh_slice stream, uint64_t from,
@@ -143,51 +179,64 @@
 			 void (*done)(void *, const struct vh_log_read *),
 			 void *arg)
 	{
-		FakeLog *log = (FakeLog *)ctx;
+		Port *port = (Port *)ctx;
+
+		port->log->answer(port, str(stream), from, max_bytes,
+				  port->log->events.now + wait_ms,
+				  [=](const struct vh_log_read *r) {
+					  done(arg, r);
+				  });
+	}
+
+	/* A read's answer, as it was when the service gave it. */
+	struct Answer {
+		struct vh_log_read r = {};
+		std::vector<std::string> copies;
+		std::vector<struct vh_log_entry> entries;
+	};
 
-		log->answer(str(stream), from, max_bytes,
-			    log->events.now + wait_ms, done, arg);
+	void fill(Answer &a, const Stream &s, uint64_t from, size_t max_bytes)
+	{
+		size_t bytes = 0;
+
+		a.r.first = s.first;
+		a.r.next = s.next();
+		if (from < s.first)
+			a.r.err = VH_ERR_OFFSET_GONE;
+		for (uint64_t o = from; !a.r.err && o < s.next() &&
+					(a.copies.empty() || bytes < max_bytes);
+		     o++) {
+			a.copies.push_back(s.records[o - s.first]);
+			bytes += a.copies.back().size();
+		}
+		for (size_t i = 0; i < a.copies.size(); i++)
+			a.entries.push_back(
+				{ from + i, vh_slice(a.copies[i].data(),
+						     a.copies[i].size()) });
+		a.r.entries = a.entries.data();
+		a.r.n = a.entries.size();
 	}
 
-	void answer(std::string name, uint64_t from, size_t max_bytes,
-		    int64_t until,
-		    void (*done)(void *, const struct vh_log_read *), void *arg)
+	void answer(Port *port, std::string name, uint64_t from,
+		    size_t max_bytes, int64_t until,
+		    std::function<void(const struct vh_log_read *)> done,
+		    bool again = false)
 	{
-		events.at(events.now + read_latency, [=] {
-			struct vh_log_read r = {};
-			std::vector<std::string> copies;
-			std::vector<struct vh_log_entry> entries;
+		int64_t wait = again ? hold_step : read_latency;
+
+		events.at(events.now + wait, [=] {
+			auto a = std::make_shared<Answer>();
 			Stream &s = streams[name];
-			size_t bytes = 0;
-
-			if (read_fails && read_fails()) {
-				r.err = VH_ERR_TIMEOUT;
-				done(arg, &r);
-				return;
-			}
-			if (from >= s.next() && events.now < until) {
-				answer(name, from, max_bytes, until, done, arg);
-				return;
-			}
-			r.first = s.first;
-			r.next = s.next();
-			if (from < s.first)
-				r.err = VH_ERR_OFFSET_GONE;
-			for (uint64_t o = from;
-			     !r.err && o < s.next() &&
-			     (copies.empty() || bytes < max_bytes);
-			     o++) {
-				copies.push_back(s.records[o - s.first]);
-				bytes += copies.back().size();
-			}
-			for (size_t i = 0; i < copies.size(); i++)
-				entries.push_back(
-					{ from + i,
-					  vh_slice(copies[i].data(),
-						   copies[i].size()) });
-			r.entries = entries.data();
-			r.n = entries.size();
-			done(arg, &r);
+
+			if ((read_fails && read_fails()) ||
+			    (port->cut && port->cut()))
+				a->r.err = VH_ERR_TIMEOUT;
+			else if (from >= s.next() && events.now < until)
+				return answer(port, name, from, max_bytes,
+					      until, done, true);
+			else
+				fill(*a, s, from, max_bytes);
+			deliver(port, events.now, [=] { done(&a->r); });
 		});
 	}
 };
--- a/packages/state/tests/test_stream.cc
+++ b/packages/state/tests/test_stream.cc
@@ -385,6 +385,19 @@
 	EXPECT_EQ(c->seen.size(), 1000u - refused);
 }
 
+TEST_F(StreamTest, SecondStreamOfOneProcessIsAnotherWriter)
+{
+	for (int i = 0; i < 2; i++) {
+		auto c = client("a/1");
+
+		vh_stream_start(c->s, 1, events.now);
+		c->append("x" + std::to_string(i));
+		c->run(events.now + 100);
+		EXPECT_EQ(c->ended.size(), 1u);
+		EXPECT_EQ(c->seen.size(), 1u + i);
+	}
+}
+
 TEST_F(StreamTest, LeastGapBetweenAppendsIsKept)
 {
 	auto c = client();
