--- a/packages/daemon/src/settings.c
+++ b/packages/daemon/src/settings.c
@@ -20,9 +20,8 @@
 					  "heartbeat_ms", "suspect_ms",
 					  "dead_ms",	  NULL };
 static const char *const platform_keys[] = { "log", "vms", "appends_per_s",
-					     "poll_ms", NULL };
-static const char *const limits_keys[] = { "metric_series", "buffered_mb",
-					   NULL };
+					     NULL };
+static const char *const limits_keys[] = { "buffered_mb", NULL };
 
 void vh_settings_init(struct vh_settings *s)
 {
@@ -36,8 +35,6 @@
 	s->peers.suspect_ms = 3000;
 	s->peers.dead_ms = 6000;
 	s->platform.appends_per_s = 300;
-	s->platform.poll_ms = 1000;
-	s->limits.metric_series = 4096;
 	s->limits.buffered_mb = 24;
 }
 
@@ -300,14 +297,11 @@
 	read_endpoint(g, "vms", &s->platform.vms, problems);
 	vh_ini_u32(g, "appends_per_s", 1, 100000, &s->platform.appends_per_s,
 		   problems);
-	vh_ini_u32(g, "poll_ms", 50, 30000, &s->platform.poll_ms, problems);
 }
 
 static void read_limits(struct vh_settings *s, const struct vh_ini_group *g,
 			struct vh_problems *problems)
 {
-	vh_ini_u32(g, "metric_series", 256, 100000, &s->limits.metric_series,
-		   problems);
 	vh_ini_u32(g, "buffered_mb", 1, 4096, &s->limits.buffered_mb, problems);
 }
 
--- a/packages/daemon/src/settings.h
+++ b/packages/daemon/src/settings.h
@@ -27,7 +27,6 @@
  * @idle_timeout_s: of a caller's connection, and the longest time for reading
  *		    one request
  * @appends_per_s: what all nodes together may append to the log
- * @poll_ms: how long a read of the log or the VM list waits for news
  * @buffered_mb: bodies of requests and answers held at once
  */
 struct vh_settings {
@@ -60,10 +59,8 @@
 		struct vh_endpoint log;
 		struct vh_endpoint vms;
 		uint32_t appends_per_s;
-		uint32_t poll_ms;
 	} platform;
 	struct {
-		uint32_t metric_series;
 		uint32_t buffered_mb;
 	} limits;
 };
--- a/packages/model/tests/test_objects.cc
+++ b/packages/model/tests/test_objects.cc
@@ -274,3 +274,20 @@
 	EXPECT_STREQ(problems.items[0].file, "b.ini");
 	vh_problems_finish(&problems);
 }
+
+TEST(Objects, TheExampleInTheDocsLoads)
+{
+	gchar *text = nullptr;
+
+	ASSERT_TRUE(g_file_get_contents(DOCS_DIR "/CONFIG.md", &text, nullptr,
+					nullptr));
+	std::string doc = text;
+	g_free(text);
+	size_t from = doc.find("```ini\n");
+	ASSERT_NE(from, std::string::npos);
+	Loaded l(doc.substr(from + 7, doc.find("\n```", from) - from - 6));
+
+	EXPECT_TRUE(l.ok) << l.messages();
+	EXPECT_EQ(l.problems.n, 1u) << l.messages();
+	EXPECT_EQ(l.set.n_queues, 2u);
+}
