Choose racks from spread summaries; refuse at once while the log is down

Cause: homes tried racks in turn, and what needs a record queued without end during an outage. Before: blind tries; queued. After: candidates by summary; log_unavailable, not run, once the stream's end was not seen for 5 s.

--- a/packages/core/include/vh/core_node.h
+++ b/packages/core/include/vh/core_node.h
@@ -5,6 +5,7 @@
 
 /**
  * struct vh_core_settings - what the core of a node needs to know
+ * @operators: "IP:PORT" that operators reach this node by; told to the others
  * @appends_per_s: this node's part of the log's appends
  * All strings are copied.
  */
@@ -12,6 +13,7 @@
 	struct vh_slice id;
 	struct vh_slice region;
 	struct vh_slice zone;
+	struct vh_slice operators;
 	struct vh_slice log_address;
 	uint16_t log_port;
 	struct vh_slice vms_address;
--- a/packages/core/src/config.c
+++ b/packages/core/src/config.c
@@ -389,6 +389,12 @@
 		     vh_slice_str(verdict_text(VH_ERR_VERSION)));
 		return;
 	}
+	if (vh_hub_down(c->stream)) {
+		objects_release(set);
+		done(ctx, VH_ERR_LOG_UNAVAILABLE, c->version,
+		     vh_slice_str(verdict_text(VH_ERR_LOG_UNAVAILABLE)));
+		return;
+	}
 	vh_buf_init(&canonical);
 	vh_buf_init(&delta);
 	vh_objects_render(set, &canonical);
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -1,6 +1,7 @@
 #include <inttypes.h>
 
 #include "config.h"
+#include "fleet.h"
 #include "homes.h"
 #include "jobs.h"
 #include "owners.h"
@@ -32,6 +33,8 @@
 	core->id = vh_slice_dup(settings->id);
 	core->region = vh_slice_dup(settings->region);
 	core->zone = vh_slice_dup(settings->zone);
+	if (settings->operators.len)
+		core->operators = vh_slice_dup(settings->operators);
 	core->incarnation = vh_peer_self(peer)->incarnation;
 	core->writer =
 		g_strdup_printf("%s/%" PRIx64, core->id, core->incarnation);
@@ -44,6 +47,7 @@
 	core->config = config_new(core);
 	core->owners = owners_new(core);
 	core->racks = racks_new(core);
+	core->fleet = fleet_new(core);
 	core->homes = homes_new(core);
 	core->jobs = jobs_new(core);
 	core->upstreams = upstreams_new(core);
@@ -52,6 +56,7 @@
 	vh_kernel_add(kernel, config_service(core->config));
 	vh_kernel_add(kernel, owners_service(core->owners));
 	vh_kernel_add(kernel, racks_service(core->racks));
+	vh_kernel_add(kernel, fleet_service(core->fleet));
 	vh_kernel_add(kernel, homes_service(core->homes));
 	vh_kernel_add(kernel, jobs_service(core->jobs));
 	vh_kernel_add(kernel, upstreams_service(core->upstreams));
@@ -67,6 +72,7 @@
 	upstreams_free(core->upstreams);
 	jobs_free(core->jobs);
 	homes_free(core->homes);
+	fleet_free(core->fleet);
 	racks_free(core->racks);
 	owners_free(core->owners);
 	config_free(core->config);
@@ -75,6 +81,7 @@
 	g_free(core->id);
 	g_free(core->region);
 	g_free(core->zone);
+	g_free(core->operators);
 	g_free(core->writer);
 	g_free(core);
 }
--- a/packages/core/src/core_priv.h
+++ b/packages/core/src/core_priv.h
@@ -14,6 +14,7 @@
 struct vh_jobs;
 struct vh_upstreams;
 struct vh_status;
+struct vh_fleet;
 
 struct vh_core {
 	struct vh_kernel *kernel;
@@ -21,7 +22,8 @@
 	char *id;
 	char *region;
 	char *zone;
-	char *writer; /* id and incarnation */
+	char *operators; /* "IP:PORT" of the operators' listener, or NULL */
+	char *writer;	 /* id and incarnation */
 	uint64_t incarnation;
 	struct vh_log_client *log;
 	struct vh_vm_list *vms;
@@ -29,6 +31,7 @@
 	struct vh_config *config;
 	struct vh_owners *owners;
 	struct vh_racks *racks;
+	struct vh_fleet *fleet;
 	struct vh_homes *homes;
 	struct vh_jobs *jobs;
 	struct vh_upstreams *upstreams;
--- /dev/null
+++ b/packages/core/src/fleet.c
@@ -0,0 +1,282 @@
+#include "fleet.h"
+
+#include "config.h"
+#include "racks.h"
+#include "vh/codec.h"
+
+#define REFRESH_MS 200
+#define MAX_RACKS 2048
+#define MAX_ZONES 64
+#define NAME_ROOM 20 /* msgpack heads around one rack's entry */
+
+/* The newest digest taken in from one node, to skip unchanged ones. */
+struct seen {
+	struct seen *next;
+	char *node;
+	uint64_t hash;
+};
+
+struct vh_fleet {
+	struct vh_core *core;
+	struct vh_service service;
+	struct vh_timer timer;
+	struct vh_candidates index;
+	char **racks; /* names by number */
+	uint32_t n_racks;
+	char *regions[VH_REGIONS_MAX];
+	uint32_t n_regions;
+	char *zones[MAX_ZONES];
+	uint32_t n_zones;
+	struct seen *seen;
+	size_t first_own; /* rack that the next digest begins with */
+};
+
+static uint32_t number_of(char **names, uint32_t n, struct vh_slice name)
+{
+	for (uint32_t i = 0; i < n; i++) {
+		if (vh_slice_eq_str(name, names[i]))
+			return i;
+	}
+	return UINT32_MAX;
+}
+
+static uint32_t number_make(char **names, uint32_t *n, uint32_t max,
+			    struct vh_slice name)
+{
+	uint32_t i = number_of(names, *n, name);
+
+	if (i != UINT32_MAX || *n == max)
+		return i;
+	names[*n] = vh_slice_dup(name);
+	return (*n)++;
+}
+
+uint32_t fleet_rack(const struct vh_fleet *f, struct vh_slice name)
+{
+	return number_of(f->racks, f->n_racks, name);
+}
+
+struct vh_slice fleet_rack_name(const struct vh_fleet *f, uint32_t rack)
+{
+	return vh_slice_str(rack < f->n_racks ? f->racks[rack] : NULL);
+}
+
+uint32_t fleet_region(struct vh_fleet *f, struct vh_slice name)
+{
+	return number_make(f->regions, &f->n_regions, VH_REGIONS_MAX, name);
+}
+
+/* Where the VM list says that a rack is. */
+static const struct vh_vm *rack_place(const struct vh_fleet *f,
+				      struct vh_slice rack)
+{
+	const struct vh_vm *vms;
+	size_t n = vh_vm_list_workers(f->core->vms, &vms);
+
+	for (size_t i = 0; i < n; i++) {
+		if (vh_slice_eq(vms[i].rack, rack))
+			return &vms[i];
+	}
+	return NULL;
+}
+
+static void take_summary(struct vh_fleet *f, struct vh_slice name,
+			 const struct vh_rack_summary *summary)
+{
+	const struct vh_vm *vm = rack_place(f, name);
+	uint32_t rack, region, zone;
+
+	if (!vm)
+		return;
+	rack = number_make(f->racks, &f->n_racks, MAX_RACKS, name);
+	region = fleet_region(f, vm->region);
+	zone = number_make(f->zones, &f->n_zones, MAX_ZONES, vm->zone);
+	if (rack != UINT32_MAX && region != UINT32_MAX && zone != UINT32_MAX)
+		vh_candidates_update(&f->index, rack, region, zone, summary);
+}
+
+static void take_digest(struct vh_fleet *f, struct vh_slice digest)
+{
+	struct vh_unpack u, row;
+	struct vh_rack_summary summary;
+	struct vh_slice name, bytes;
+
+	vh_unpack_init(&u, digest, NULL);
+	vh_unpack_slice(&u);
+	vh_unpack_u64(&u);
+	vh_unpack_i64(&u);
+	while (u.ok && u.at < u.n) {
+		vh_unpack_array(&u, &row);
+		name = vh_unpack_slice(&row);
+		bytes = vh_unpack_slice(&row);
+		if (!row.ok || bytes.len != sizeof(summary))
+			break;
+		memcpy(&summary, bytes.data, sizeof(summary));
+		take_summary(f, name, &summary);
+	}
+	vh_unpack_finish(&u);
+}
+
+static bool is_news(struct vh_fleet *f, const struct vh_node *node)
+{
+	uint64_t hash = vh_slice_hash(node->summary, node->incarnation);
+	struct seen *s = f->seen;
+
+	while (s && !vh_slice_eq_str(node->id, s->node))
+		s = s->next;
+	if (!s) {
+		s = g_new0(struct seen, 1);
+		s->node = vh_slice_dup(node->id);
+		s->next = f->seen;
+		f->seen = s;
+	}
+	if (s->hash == hash)
+		return false;
+	s->hash = hash;
+	return true;
+}
+
+bool fleet_node_read(const struct vh_node *node, struct fleet_node *out)
+{
+	struct vh_unpack u;
+	bool ok = vh_unpack_init(&u, node->summary, NULL);
+
+	out->operators = vh_unpack_slice(&u);
+	out->version = vh_unpack_u64(&u);
+	out->config_age_ms = vh_unpack_i64(&u);
+	ok = ok && u.ok;
+	vh_unpack_finish(&u);
+	/* The slice points into the node's bytes, not into the unpacker. */
+	return ok;
+}
+
+struct own_racks {
+	struct vh_fleet *fleet;
+	struct vh_buf rows; /* packed */
+	size_t n;
+	size_t at;
+	size_t room;
+};
+
+static void add_own(void *ctx, struct vh_slice name,
+		    const struct vh_rack_summary *summary)
+{
+	struct own_racks *own = ctx;
+	size_t need = name.len + sizeof(*summary) + NAME_ROOM;
+
+	take_summary(own->fleet, name, summary);
+	if (own->at++ < own->fleet->first_own || need > own->room)
+		return;
+	own->room -= need;
+	own->n++;
+	vh_pack_array(&own->rows, 2);
+	vh_pack_slice(&own->rows, name);
+	vh_pack_slice(&own->rows,
+		      vh_slice((const char *)summary, sizeof(*summary)));
+}
+
+/* A digest holds as many racks as fit; the next one goes on behind them. */
+static void spread_digest(struct vh_fleet *f)
+{
+	struct own_racks own = { .fleet = f };
+	struct vh_slice operators =
+		vh_slice_str(f->core->operators ? f->core->operators : "");
+	int64_t age = config_age_ms(f->core->config);
+	struct vh_buf out;
+
+	own.room = VH_PEER_SUMMARY_MAX - operators.len - 32;
+	racks_summaries(f->core->racks, add_own, &own);
+	f->first_own = f->first_own + own.n < own.at ? f->first_own + own.n : 0;
+	vh_buf_init(&out);
+	vh_pack_array(&out, 3 + own.n);
+	vh_pack_slice(&out, operators);
+	vh_pack_u64(&out, config_version(f->core->config));
+	vh_pack_i64(&out, age == INT64_MAX ? -1 : age);
+	vh_buf_add_slice(&out, vh_buf_slice(&own.rows));
+	vh_peer_set_summary(f->core->peer, vh_buf_slice(&out));
+	vh_buf_finish(&out);
+	vh_buf_finish(&own.rows);
+}
+
+static void refresh(void *ctx)
+{
+	struct vh_fleet *f = ctx;
+	const struct vh_node *nodes;
+	size_t n = vh_peer_nodes(f->core->peer, &nodes);
+
+	vh_timer_start(&f->timer, REFRESH_MS);
+	for (size_t i = 1; i < n; i++) {
+		if (nodes[i].state != VH_NODE_DEAD && is_news(f, &nodes[i]))
+			take_digest(f, nodes[i].summary);
+	}
+	spread_digest(f);
+}
+
+void fleet_pick(struct vh_fleet *f, const struct vh_pick_want *want,
+		struct vh_pick *out)
+{
+	vh_candidates_pick(&f->index, want, out);
+}
+
+void fleet_asked(struct vh_fleet *f, uint32_t rack)
+{
+	vh_candidates_asked(&f->index, rack);
+}
+
+static bool fleet_start(void *self, struct vh_kernel *kernel, GError **err)
+{
+	struct vh_fleet *f = self;
+
+	(void)kernel;
+	(void)err;
+	vh_timer_start(&f->timer, REFRESH_MS);
+	return true;
+}
+
+static void fleet_stop(void *self)
+{
+	vh_timer_stop(&((struct vh_fleet *)self)->timer);
+}
+
+struct vh_fleet *fleet_new(struct vh_core *core)
+{
+	struct vh_fleet *f = g_new0(struct vh_fleet, 1);
+
+	f->core = core;
+	f->racks = g_new0(char *, MAX_RACKS);
+	vh_candidates_init(&f->index, MAX_RACKS);
+	vh_timer_init(&f->timer, core->kernel, refresh, f);
+	f->service.name = "fleet";
+	f->service.self = f;
+	f->service.start = fleet_start;
+	f->service.stop = fleet_stop;
+	return f;
+}
+
+void fleet_free(struct vh_fleet *f)
+{
+	if (!f)
+		return;
+	while (f->seen) {
+		struct seen *s = f->seen;
+
+		f->seen = s->next;
+		g_free(s->node);
+		g_free(s);
+	}
+	for (uint32_t i = 0; i < f->n_racks; i++)
+		g_free(f->racks[i]);
+	for (uint32_t i = 0; i < f->n_regions; i++)
+		g_free(f->regions[i]);
+	for (uint32_t i = 0; i < f->n_zones; i++)
+		g_free(f->zones[i]);
+	g_free(f->racks);
+	vh_candidates_finish(&f->index);
+	vh_timer_finish(&f->timer);
+	g_free(f);
+}
+
+struct vh_service *fleet_service(struct vh_fleet *f)
+{
+	return &f->service;
+}
--- a/packages/core/src/home_place.c
+++ b/packages/core/src/home_place.c
@@ -1,5 +1,6 @@
 #include "home_priv.h"
 
+#include "fleet.h"
 #include "owners.h"
 
 #define DISPATCH_MAX 128
@@ -8,21 +9,9 @@
 #define RETRY_MS 100
 #define FULL_MS 100
 #define IDLE_MS 50
+#define CANDIDATES 3
 #define STOP_TIMEOUT_MS 2000
 
-static struct vh_slice rack_region(const struct vh_core *core,
-				   const struct home_rack *r)
-{
-	const struct vh_vm *vms;
-	size_t n = vh_vm_list_workers(core->vms, &vms);
-
-	for (size_t i = 0; i < n; i++) {
-		if (vh_slice_eq_str(vms[i].rack, r->name))
-			return vms[i].region;
-	}
-	return vh_slice("", 0);
-}
-
 static bool rack_owner(const struct home *h, const char *rack,
 		       struct vh_claim *claim)
 {
@@ -40,26 +29,39 @@
 	       rack_owner(h, r->name, &claim) && r->sealed_epoch == claim.epoch;
 }
 
-/* The wanted region first, then any; in turn within each. */
-static struct home_rack *choose_rack(struct home *h, struct vh_slice region)
+/* A rack that summaries say has room, or NULL; *@why says why not. */
+static struct home_rack *pick_rack(struct home *h, const struct vh_task *task,
+				   struct vh_slice region, enum vh_err *why)
 {
-	struct home_rack *near[256], *far[256];
-	size_t n_near = 0, n_far = 0;
-
-	for (struct home_rack *r = h->racks; r; r = r->next) {
-		if (!rack_open(h, r))
-			continue;
-		if (vh_slice_eq(rack_region(h->homes->core, r), region)) {
-			if (n_near < G_N_ELEMENTS(near))
-				near[n_near++] = r;
-		} else if (n_far < G_N_ELEMENTS(far)) {
-			far[n_far++] = r;
+	struct vh_fleet *fleet = h->homes->core->fleet;
+	const struct vh_job_spec *spec = &task->job->spec;
+	struct vh_pick_want want = {
+		.want = { .size = spec->tasks[task->index].size,
+			  .cls = spec->cls,
+			  .region = fleet_region(fleet, region),
+			  .spread = spec->cls == VH_CLASS_SERVICE },
+		.away = true,
+		.refused = UINT32_MAX,
+		.k = CANDIDATES,
+		.seed = h->turn++,
+	};
+	struct vh_pick pick;
+
+	fleet_pick(fleet, &want, &pick);
+	*why = pick.kind == VH_PICK_NEVER ? VH_ERR_NEVER_FITS
+					  : VH_ERR_NO_CAPACITY;
+	if (pick.kind == VH_PICK_NEVER)
+		return NULL;
+	for (unsigned int i = 0; i < pick.n; i++) {
+		struct home_rack *r =
+			home_rack_find(h, fleet_rack_name(fleet, pick.rack[i]));
+
+		if (r && rack_open(h, r)) {
+			fleet_asked(fleet, pick.rack[i]);
+			return r;
 		}
 	}
-	h->turn++;
-	if (n_near)
-		return near[h->turn % n_near];
-	return n_far ? far[h->turn % n_far] : NULL;
+	return NULL;
 }
 
 static struct vh_slice wanted_region(const struct home *h,
@@ -231,16 +233,16 @@
 	vh_hub_append(h->stream, VH_REC_ATTEMPT, body, attempt_recorded, op);
 }
 
-/* Returns false if nothing more can be started now. */
-static bool start_one(struct home *h, struct vh_task *task)
+static void start_one(struct home *h, struct vh_task *task)
 {
-	struct home_rack *r = choose_rack(h, wanted_region(h, task->job));
+	enum vh_err why, err;
+	struct home_rack *r =
+		pick_rack(h, task, wanted_region(h, task->job), &why);
 	struct vh_buf body;
-	enum vh_err err;
 
 	if (!r) {
-		task->why = VH_ERR_NO_CAPACITY;
-		return false;
+		task->why = why;
+		return;
 	}
 	vh_buf_init(&body);
 	err = vh_home_begin(h->state, task, vh_slice_str(r->name), &body);
@@ -248,8 +250,9 @@
 		record_attempt(h, task, vh_buf_slice(&body));
 	else if (err == VH_OK)
 		send_place(h, task, false);
+	else
+		task->why = err;
 	vh_buf_finish(&body);
-	return true;
 }
 
 void home_dispatch(void *ctx)
@@ -262,10 +265,8 @@
 		return;
 	run_repeats(h);
 	n = vh_home_waiting(h->state, home_now_ms(h), tasks, DISPATCH_MAX);
-	for (size_t i = 0; i < n; i++) {
-		if (!start_one(h, tasks[i]))
-			break;
-	}
+	for (size_t i = 0; i < n; i++)
+		start_one(h, tasks[i]);
 	home_answer_waits(h);
 	if (!vh_timer_pending(&h->dispatch))
 		vh_timer_start(&h->dispatch, IDLE_MS);
--- a/packages/core/src/home_priv.h
+++ b/packages/core/src/home_priv.h
@@ -106,5 +106,6 @@
 /* job_json.c */
 void job_to_json(const struct vh_job *job, struct vh_buf *out);
 bool job_ended(const struct vh_job *job);
+const char *job_state(const struct vh_job *job);
 
 #endif
--- a/packages/core/src/home_rpc.c
+++ b/packages/core/src/home_rpc.c
@@ -136,6 +136,10 @@
 	struct home_op *op;
 	struct vh_buf body;
 
+	if (vh_hub_down(h->stream)) {
+		vh_peer_answer(reply, VH_ERR_LOG_UNAVAILABLE, NO_BODY);
+		return;
+	}
 	vh_buf_init(&body);
 	switch (vh_home_submit(h->state, msg->key, msg->fingerprint, &msg->spec,
 			       vh_clock_wall_ms(h->homes->core->kernel->clock),
@@ -357,6 +361,10 @@
 	uint32_t status = 0;
 	struct vh_buf body, answer;
 
+	if (vh_hub_down(h->stream)) {
+		vh_peer_answer(reply, VH_ERR_LOG_UNAVAILABLE, NO_BODY);
+		return;
+	}
 	vh_buf_init(&body);
 	vh_buf_init(&answer);
 	switch (vh_home_request(h->state, key, fingerprint,
--- a/packages/core/src/hub.c
+++ b/packages/core/src/hub.c
@@ -179,3 +179,8 @@
 		return INT64_MAX;
 	return vh_kernel_now_ms(hs->hub->kernel) - fresh;
 }
+
+bool vh_hub_down(const struct vh_hub_stream *hs)
+{
+	return vh_hub_age_ms(hs) > VH_HUB_DOWN_MS;
+}
--- a/packages/core/src/hub.h
+++ b/packages/core/src/hub.h
@@ -41,6 +41,11 @@
 
 struct vh_stream *vh_hub_stream(struct vh_hub_stream *hs);
 
+/* vh_hub_down - the end of the stream was not seen for VH_HUB_DOWN_MS: what
+ * needs a new record is better refused now than queued */
+#define VH_HUB_DOWN_MS 5000
+bool vh_hub_down(const struct vh_hub_stream *hs);
+
 /* vh_hub_age_ms - time since the end of the stream was last seen; INT64_MAX
  * if it never was */
 int64_t vh_hub_age_ms(const struct vh_hub_stream *hs);
--- a/packages/core/src/job_json.c
+++ b/packages/core/src/job_json.c
@@ -46,7 +46,7 @@
 	return o;
 }
 
-static const char *job_state(const struct vh_job *job)
+const char *job_state(const struct vh_job *job)
 {
 	bool failed = false, running = false, unknown = false;
 
--- a/packages/core/src/racks.c
+++ b/packages/core/src/racks.c
@@ -9,6 +9,7 @@
 
 #define PUMP_MS 50
 #define CLOCK_MARGIN_MS 500
+#define MAX_SUMMED 256 /* workers of one rack in a summary */
 
 /* A worker of a known rack and the way to it. */
 struct worker {
@@ -636,3 +637,42 @@
 			vh_rack_views(r->state, each_view, &each);
 	}
 }
+
+struct sum_ctx {
+	struct vh_candidate workers[MAX_SUMMED];
+	size_t n;
+};
+
+static void add_candidate(void *ctx, const struct vh_worker_view *view,
+			  const struct vh_vm *vm)
+{
+	struct sum_ctx *sum = ctx;
+	struct vh_candidate *c;
+
+	(void)vm;
+	if (sum->n == MAX_SUMMED)
+		return;
+	c = &sum->workers[sum->n++];
+	memset(c, 0, sizeof(*c));
+	c->capacity = view->capacity;
+	c->free = view->free;
+	c->usable = view->usable;
+}
+
+void racks_summaries(const struct vh_racks *rs,
+		     void (*fn)(void *ctx, struct vh_slice rack,
+				const struct vh_rack_summary *summary),
+		     void *ctx)
+{
+	struct vh_rack_summary summary;
+	struct sum_ctx sum;
+
+	for (struct rack *r = rs->list; r; r = r->next) {
+		if (!r->owned)
+			continue;
+		sum.n = 0;
+		vh_rack_views(r->state, add_candidate, &sum);
+		vh_summary_build(&summary, sum.workers, NULL, sum.n, 0);
+		fn(ctx, vh_slice_str(r->name), &summary);
+	}
+}
--- a/packages/core/src/racks.h
+++ b/packages/core/src/racks.h
@@ -3,6 +3,7 @@
 
 #include "core_priv.h"
 #include "vh/rack.h"
+#include "vh/summary.h"
 
 /*
  * Service "racks": the racks that this node owns. Carries exchanges to
@@ -20,6 +21,12 @@
 				  const struct vh_vm *vm),
 		       void *ctx);
 
+/* Calls @fn with the summary of each owned rack. */
+void racks_summaries(const struct vh_racks *r,
+		     void (*fn)(void *ctx, struct vh_slice rack,
+				const struct vh_rack_summary *summary),
+		     void *ctx);
+
 /* Ends not yet settled with their homes. */
 size_t racks_unsettled(const struct vh_racks *r);
 
--- a/packages/core/src/replicas.c
+++ b/packages/core/src/replicas.c
@@ -62,8 +62,7 @@
 	const struct vh_objects *set = core_objects(h->homes->core);
 
 	/* A log that takes nothing would make this queue without end. */
-	if (!set || h->index != 0 ||
-	    vh_hub_age_ms(h->stream) > 3 * VH_MS_PER_S * 2)
+	if (!set || h->index != 0 || vh_hub_down(h->stream))
 		return;
 	for (size_t i = 0; i < set->n_services; i++) {
 		const struct vh_service_object *s = &set->services[i];
--- a/packages/core/src/status.c
+++ b/packages/core/src/status.c
@@ -3,12 +3,15 @@
 #include <jansson.h>
 
 #include "config.h"
-#include "homes.h"
+#include "fleet.h"
+#include "home_priv.h"
 #include "owners.h"
 #include "racks.h"
-#include "vh/home.h"
 #include "vh/invariant.h"
 
+#define MAX_JOB_ROWS 1000
+#define LOG_OK_MS 6000
+
 struct vh_status {
 	struct vh_core *core;
 	struct vh_service service;
@@ -64,48 +67,86 @@
 	return o;
 }
 
+/* docs/OPERATIONS.md explains each line. */
+static json_t *while_log_down(void)
+{
+	return json_pack("{s:s,s:s,s:s,s:s,s:s}", "running_tasks", "go on",
+			 "leases", "are renewed",
+			 "idempotent_jobs_accepted_before", "start", "new_jobs",
+			 "are refused as not run", "publishes",
+			 "are refused as not published");
+}
+
 static void ops_status(void *self, struct vh_buf *out)
 {
 	struct vh_core *core = ((struct vh_status *)self)->core;
 	struct owned_ctx owned = { core, json_array(), json_array() };
+	int64_t log_age = config_age_ms(core->config);
+	json_t *o;
 
 	owners_each(core->owners, add_owned, &owned);
-	emit(json_pack("{s:s,s:s,s:s,s:I,s:o,s:o,s:b,s:b,s:o,s:o,s:I,s:o}",
-		       "node", core->id, "region", core->region, "zone",
-		       core->zone, "config_version",
-		       (json_int_t)config_version(core->config),
-		       "config_age_ms", age(config_age_ms(core->config)),
-		       "claims_age_ms", age(owners_age_ms(core->owners)),
-		       "vms_known", vh_vm_list_known(core->vms), "draining",
-		       core->kernel->draining, "racks", owned.racks, "homes",
-		       owned.homes, "unsettled_ends",
-		       (json_int_t)racks_unsettled(core->racks), "invariants",
-		       invariants()),
-	     out);
+	o = json_pack("{s:s,s:s,s:s,s:I,s:o,s:{s:b,s:o}}", "node", core->id,
+		      "region", core->region, "zone", core->zone, "version",
+		      (json_int_t)config_version(core->config), "config_age_ms",
+		      age(log_age), "log", "ok", log_age < LOG_OK_MS, "age_ms",
+		      age(log_age));
+	json_object_set_new(o, "claims_age_ms",
+			    age(owners_age_ms(core->owners)));
+	json_object_set_new(o, "vms_known",
+			    json_boolean(vh_vm_list_known(core->vms)));
+	json_object_set_new(o, "draining",
+			    json_boolean(core->kernel->draining));
+	json_object_set_new(
+		o, "units",
+		json_integer((json_int_t)(json_array_size(owned.racks) +
+					  json_array_size(owned.homes))));
+	json_object_set_new(o, "racks", owned.racks);
+	json_object_set_new(o, "homes", owned.homes);
+	json_object_set_new(
+		o, "unsettled_ends",
+		json_integer((json_int_t)racks_unsettled(core->racks)));
+	json_object_set_new(o, "invariants", invariants());
+	json_object_set_new(o, "while_log_down", while_log_down());
+	emit(o, out);
 }
 
-static void ops_nodes(void *self, struct vh_buf *out)
+static json_t *node_json(struct vh_core *core, const struct vh_node *node,
+			 bool self)
 {
 	static const char *const states[] = { "alive", "suspect", "leaving",
 					      "dead" };
+	int64_t now = vh_kernel_now_ms(core->kernel);
+	struct fleet_node news = { .version = 0, .config_age_ms = -1 };
+	json_t *o;
+
+	fleet_node_read(node, &news);
+	if (self) {
+		news.version = config_version(core->config);
+		news.config_age_ms = config_age_ms(core->config);
+	}
+	o = json_pack("{s:o,s:o,s:I,s:o,s:o,s:s}", "id", text(node->id),
+		      "address", text(node->address), "port",
+		      (json_int_t)node->port, "region", text(node->region),
+		      "zone", text(node->zone), "state", states[node->state]);
+	json_object_set_new(o, "heard_ms_ago",
+			    json_integer(self ? 0 : now - node->heard_ms));
+	json_object_set_new(o, "operators", text(news.operators));
+	json_object_set_new(o, "version",
+			    json_integer((json_int_t)news.version));
+	json_object_set_new(o, "config_age_ms", age(news.config_age_ms));
+	return o;
+}
+
+static void ops_nodes(void *self, struct vh_buf *out)
+{
 	struct vh_core *core = ((struct vh_status *)self)->core;
 	const struct vh_node *nodes;
 	size_t n = vh_peer_nodes(core->peer, &nodes);
-	int64_t now = vh_kernel_now_ms(core->kernel);
 	json_t *list = json_array();
 
 	for (size_t i = 0; i < n; i++)
-		json_array_append_new(
-			list, json_pack("{s:o,s:o,s:I,s:o,s:o,s:s,s:I}", "id",
-					text(nodes[i].id), "address",
-					text(nodes[i].address), "port",
-					(json_int_t)nodes[i].port, "region",
-					text(nodes[i].region), "zone",
-					text(nodes[i].zone), "state",
-					states[nodes[i].state], "heard_ms_ago",
-					(json_int_t)(i ? now - nodes[i].heard_ms
-						       : 0)));
-	emit(list, out);
+		json_array_append_new(list, node_json(core, &nodes[i], !i));
+	emit(json_pack("{s:o}", "nodes", list), out);
 }
 
 static json_t *res_json(const struct vh_res *r)
@@ -117,27 +158,99 @@
 			 (json_int_t)r->v[VH_CONNS]);
 }
 
+struct worker_rows {
+	struct vh_core *core;
+	json_t *list;
+};
+
+static json_t *committed_json(const struct vh_worker_view *view)
+{
+	struct vh_res committed = view->capacity;
+
+	vh_res_sub(&committed, &view->free);
+	return res_json(&committed);
+}
+
 static void add_worker(void *ctx, struct vh_slice rack,
 		       const struct vh_worker_view *view,
 		       const struct vh_vm *vm)
 {
-	json_array_append_new(
-		ctx,
-		json_pack("{s:o,s:o,s:o,s:b,s:b,s:I,s:o,s:o}", "id",
-			  text(view->id), "rack", text(rack), "zone",
-			  text(vm->zone), "usable", view->usable, "leaving",
-			  vm->leaving, "tasks", (json_int_t)view->n_tasks,
-			  "capacity", res_json(&view->capacity), "free",
-			  res_json(&view->free)));
+	struct worker_rows *rows = ctx;
+	const char *state = vm->gone	    ? "gone"
+			    : vm->leaving   ? "leaving"
+			    : !view->usable ? "not_usable"
+					    : "live";
+	json_t *o = json_pack("{s:o,s:o,s:o,s:o,s:s,s:s}", "id", text(view->id),
+			      "region", text(vm->region), "zone",
+			      text(vm->zone), "rack", text(rack), "state",
+			      state, "owner", rows->core->id);
+
+	json_object_set_new(o, "committed", committed_json(view));
+	json_object_set_new(o, "capacity", res_json(&view->capacity));
+	json_object_set_new(o, "tasks", json_integer(view->n_tasks));
+	json_array_append_new(rows->list, o);
 }
 
 static void ops_workers(void *self, struct vh_buf *out)
 {
 	struct vh_core *core = ((struct vh_status *)self)->core;
-	json_t *list = json_array();
+	struct worker_rows rows = { core, json_array() };
 
-	racks_each_worker(core->racks, add_worker, list);
-	emit(list, out);
+	racks_each_worker(core->racks, add_worker, &rows);
+	emit(json_pack("{s:o}", "workers", rows.list), out);
+}
+
+struct job_rows {
+	json_t *list;
+	struct vh_slice team;
+	int64_t now_ms;
+};
+
+static enum vh_err job_why(const struct vh_job *job)
+{
+	for (uint32_t i = 0; i < job->spec.n_tasks; i++) {
+		if (job->tasks[i].state == VH_TASK_WAITING)
+			return job->tasks[i].why;
+	}
+	return VH_OK;
+}
+
+static void add_job(void *ctx, struct vh_job *job)
+{
+	struct job_rows *rows = ctx;
+	enum vh_err why = job_why(job);
+	json_t *o;
+
+	if (!job->n_unended || json_array_size(rows->list) >= MAX_JOB_ROWS)
+		return;
+	o = json_pack("{s:o,s:o,s:o,s:s,s:s}", "id", text(job->id), "team",
+		      text(rows->team), "queue", text(job->spec.queue), "class",
+		      vh_class_name(job->spec.cls), "state", job_state(job));
+	json_object_set_new(o, "waiting_ms",
+			    json_integer(rows->now_ms - job->accepted_ms));
+	json_object_set_new(o, "why",
+			    json_string(why ? vh_err_info(why)->name : ""));
+	json_array_append_new(rows->list, o);
+}
+
+static struct vh_slice unit_team(struct vh_slice unit)
+{
+	const char *from = memchr(unit.data, '/', unit.len);
+	const char *to;
+
+	if (!from)
+		return unit;
+	from++;
+	to = memchr(from, '/', unit.len - (size_t)(from - unit.data));
+	return vh_slice(from, to ? (size_t)(to - from) : 0);
+}
+
+static void add_home_jobs(void *ctx, struct vh_home *home)
+{
+	struct job_rows *rows = ctx;
+
+	rows->team = unit_team(vh_home_unit(home));
+	vh_home_each_job(home, add_job, rows);
 }
 
 static void add_home(void *ctx, struct vh_home *home)
@@ -160,10 +273,13 @@
 static void ops_jobs(void *self, struct vh_buf *out)
 {
 	struct vh_core *core = ((struct vh_status *)self)->core;
-	json_t *list = json_array();
+	struct job_rows rows = { json_array(), vh_slice("", 0),
+				 vh_kernel_now_ms(core->kernel) };
+	json_t *homes = json_array();
 
-	homes_each(core->homes, add_home, list);
-	emit(list, out);
+	homes_each(core->homes, add_home_jobs, &rows);
+	homes_each(core->homes, add_home, homes);
+	emit(json_pack("{s:o,s:o}", "jobs", rows.list, "homes", homes), out);
 }
 
 struct vh_status *status_new(struct vh_core *core)
