Let a rack's owner decide whose turn it is

Cause: with first come first served at a full rack, a team's share is what its home's message rate makes it. After: vh_waitlist_ask() by weighted dominant share.

--- a/packages/core/src/fleet.c
+++ b/packages/core/src/fleet.c
@@ -27,6 +27,7 @@
 	uint32_t n_regions;
 	char *zones[MAX_ZONES];
 	uint32_t n_zones;
+	struct vh_res total;
 	struct seen *seen;
 	size_t first_own; /* rack that the next digest begins with */
 };
@@ -223,12 +224,34 @@
 	vh_candidates_asked(&f->index, rack);
 }
 
+void fleet_total(const struct vh_fleet *f, struct vh_res *out)
+{
+	*out = f->total;
+}
+
+static void on_vm(void *ctx, const struct vh_vm *changed)
+{
+	struct vh_fleet *f = ctx;
+	const struct vh_vm *vms;
+	size_t n;
+
+	if (changed)
+		return;
+	memset(&f->total, 0, sizeof(f->total));
+	n = vh_vm_list_workers(f->core->vms, &vms);
+	for (size_t i = 0; i < n; i++) {
+		if (!vms[i].gone)
+			vh_res_add(&f->total, &vms[i].capacity);
+	}
+}
+
 static bool fleet_start(void *self, struct vh_kernel *kernel, GError **err)
 {
 	struct vh_fleet *f = self;
 
 	(void)kernel;
 	(void)err;
+	vh_vm_list_watch(f->core->vms, on_vm, f);
 	vh_timer_start(&f->timer, REFRESH_MS);
 	return true;
 }
--- a/packages/core/src/fleet.h
+++ b/packages/core/src/fleet.h
@@ -25,6 +25,9 @@
 		struct vh_pick *out);
 void fleet_asked(struct vh_fleet *f, uint32_t rack);
 
+/* All that live workers hold together. */
+void fleet_total(const struct vh_fleet *f, struct vh_res *out);
+
 /**
  * struct fleet_node - what a node's digest says
  * @operators: "IP:PORT" of its operators' listener, empty if not known
--- a/packages/core/src/home_place.c
+++ b/packages/core/src/home_place.c
@@ -2,12 +2,12 @@
 
 #include "fleet.h"
 #include "owners.h"
+#include "vh/share.h"
 
 #define DISPATCH_MAX 128
 #define PLACE_TIMEOUT_MS 4000
 #define AGAIN_MS 300
 #define RETRY_MS 100
-#define FULL_MS 100
 #define IDLE_MS 50
 #define CANDIDATES 3
 #define STOP_TIMEOUT_MS 2000
@@ -25,8 +25,7 @@
 {
 	struct vh_claim claim;
 
-	return r->full_until_ms <= home_now_ms(h) &&
-	       rack_owner(h, r->name, &claim) && r->sealed_epoch == claim.epoch;
+	return rack_owner(h, r->name, &claim) && r->sealed_epoch == claim.epoch;
 }
 
 /* A rack that summaries say has room, or NULL; *@why says why not. */
@@ -116,13 +115,8 @@
 static void surely_not(struct home *h, struct home_op *op, struct vh_task *task,
 		       enum vh_err err)
 {
-	struct home_rack *r = home_rack_find(h, vh_slice_str(op->rack));
-	int64_t now = home_now_ms(h);
-
-	if (r && (err == VH_ERR_NO_CAPACITY || err == VH_ERR_NOT_READY))
-		r->full_until_ms = now + FULL_MS;
 	vh_home_not_begun(h->state, task, op->attempt, err,
-			  err == VH_ERR_NO_CAPACITY ? now : now + RETRY_MS);
+			  home_now_ms(h) + RETRY_MS);
 }
 
 static bool fate_unknown(const struct home_op *op, enum vh_err err)
@@ -171,6 +165,35 @@
 	return g_strdup_printf("%.*s/%u", VH_FMT(task->job->id), task->index);
 }
 
+static uint32_t team_weight(const struct home *h)
+{
+	const struct vh_objects *set = core_objects(h->homes->core);
+	const struct vh_team *team =
+		set ? vh_objects_team(set, vh_slice_str(h->team)) : NULL;
+
+	return team && team->share ? team->share->weight : 1;
+}
+
+/* What the rack's owner needs to say whose turn it is. */
+static void fill_demand(const struct home *h, const struct vh_task *task,
+			struct wire_place *msg)
+{
+	const struct vh_job *job = task->job;
+	uint32_t weight = team_weight(h);
+	struct vh_home_counts counts;
+	struct vh_res total;
+
+	vh_home_counts(h->state, &counts);
+	fleet_total(h->homes->core->fleet, &total);
+	msg->share = vh_share_weighted(
+		vh_share_dominant(&counts.committed, &total), weight);
+	msg->step = vh_share_weighted(
+		vh_share_dominant(&msg->start.size, &total), weight);
+	msg->waited_ms = home_now_ms(h) - job->accepted_ms;
+	msg->priority = job->spec.priority;
+	msg->run_ms = job->spec.tasks[task->index].run_ms;
+}
+
 static void send_place(struct home *h, struct vh_task *task, bool again)
 {
 	const struct vh_task_spec *spec = &task->job->spec.tasks[task->index];
@@ -198,6 +221,7 @@
 	msg.start.service = task->job->spec.service;
 	msg.start.input = spec->input;
 	msg.deadline_in_ms = deadline_left(h, task->job);
+	fill_demand(h, task, &msg);
 	vh_buf_init(&body);
 	wire_place_pack(&body, &msg);
 	vh_peer_call(h->homes->core->peer, claim.node, VH_METHOD_PLACE,
--- a/packages/core/src/home_priv.h
+++ b/packages/core/src/home_priv.h
@@ -29,7 +29,6 @@
 	char *name;
 	uint64_t sealed_epoch; /* rack epoch at which it told all; 0: not yet */
 	bool busy;	       /* a seal is under way */
-	int64_t full_until_ms; /* refused for lack of room lately */
 };
 
 /* A caller that waits for a change of a job. */
--- a/packages/core/src/placement.h
+++ b/packages/core/src/placement.h
@@ -1,13 +1,24 @@
 #ifndef VH_PLACEMENT_H
 #define VH_PLACEMENT_H
 
-#include "core_priv.h"
 #include "vh/rack.h"
+#include "vh/waitlist.h"
+#include "wire.h"
 
-/* Chooses a worker of one rack by policy; the adapter between struct
- * vh_worker_view and struct vh_candidate. Returns @n and *@why if none. */
-size_t placement_choose(struct vh_core *core, const struct vh_start *start,
+/* What a start asks for, as policy sees it; times on the clock of @now_ms. */
+void placement_demand(const struct wire_place *msg, int64_t now_ms,
+		      struct vh_demand *out);
+
+/**
+ * placement_choose - picks a worker of one rack, or keeps the demand waiting
+ * @waiting: the rack's waiting list; decides whose turn it is when room is
+ *	     short
+ *
+ * Returns @n and *@why if the start has to wait.
+ */
+size_t placement_choose(struct vh_waitlist *waiting,
+			const struct vh_demand *demand,
 			const struct vh_worker_view *views, size_t n,
-			enum vh_err *why);
+			int64_t now_ms, enum vh_err *why);
 
 #endif
--- a/packages/core/src/racks.c
+++ b/packages/core/src/racks.c
@@ -38,6 +38,8 @@
 	bool owned;
 	struct worker *workers;
 	struct place_wait *waits;
+	struct vh_waitlist waiting;
+	const struct wire_place *asking; /* during a decision */
 	struct vh_timer timer;
 };
 
@@ -138,8 +140,12 @@
 			enum vh_err *why)
 {
 	struct rack *r = ctx;
+	int64_t now = vh_kernel_now_ms(r->racks->core->kernel);
+	struct vh_demand demand;
 
-	return placement_choose(r->racks->core, start, views, n, why);
+	(void)start;
+	placement_demand(r->asking, now, &demand);
+	return placement_choose(&r->waiting, &demand, views, n, now, why);
 }
 
 static void on_settled(void *ctx, struct vh_slice rack, struct vh_slice task,
@@ -395,10 +401,14 @@
 {
 	int64_t now = vh_kernel_now_ms(r->racks->core->kernel);
 	struct vh_place_req req = { .start = msg->start, .again = msg->again };
+	enum vh_err err;
 
 	if (msg->deadline_in_ms)
 		req.deadline_ms = now + msg->deadline_in_ms;
-	return vh_rack_place(r->state, &req, now);
+	r->asking = msg;
+	err = vh_rack_place(r->state, &req, now);
+	r->asking = NULL;
+	return err;
 }
 
 static void place(struct vh_racks *rs, const struct wire_place *msg,
--- a/packages/core/src/wire.c
+++ b/packages/core/src/wire.c
@@ -33,7 +33,7 @@
 {
 	const struct vh_start *s = &p->start;
 
-	vh_pack_array(out, 11);
+	vh_pack_array(out, 16);
 	vh_pack_slice(out, p->rack);
 	vh_pack_slice(out, s->task);
 	vh_pack_u64(out, s->attempt);
@@ -45,6 +45,11 @@
 	vh_pack_slice(out, s->input);
 	vh_pack_i64(out, p->deadline_in_ms);
 	vh_pack_bool(out, p->again);
+	vh_pack_i64(out, p->waited_ms);
+	vh_pack_u64(out, p->share);
+	vh_pack_u64(out, p->step);
+	vh_pack_u64(out, p->priority);
+	vh_pack_u64(out, p->run_ms);
 }
 
 bool wire_place_unpack(struct vh_unpack *u, struct vh_slice body,
@@ -66,6 +71,11 @@
 	s->input = vh_unpack_slice(u);
 	p->deadline_in_ms = vh_unpack_i64(u);
 	p->again = vh_unpack_bool(u);
+	p->waited_ms = vh_unpack_i64(u);
+	p->share = vh_unpack_u64(u);
+	p->step = vh_unpack_u64(u);
+	p->priority = vh_unpack_u32(u);
+	p->run_ms = vh_unpack_u32(u);
 	return u->ok;
 }
 
--- a/packages/core/src/wire.h
+++ b/packages/core/src/wire.h
@@ -14,12 +14,20 @@
  * @again: the same start was asked before and its fate is unknown: tell it,
  *	   or make sure that it never begins (VH_ERR_CANCELLED)
  * @deadline_in_ms: time left, 0 for no limit
+ * @waited_ms: since the job was accepted
+ * @share, @step: as in struct vh_demand
+ * @run_ms: estimated run time, 0 for not known
  */
 struct wire_place {
 	struct vh_slice rack;
 	struct vh_start start;
 	int64_t deadline_in_ms;
 	bool again;
+	int64_t waited_ms;
+	uint64_t share;
+	uint64_t step;
+	uint32_t priority;
+	uint32_t run_ms;
 };
 
 void wire_place_pack(struct vh_buf *out, const struct wire_place *p);
