--- a/packages/core/src/racks.c
+++ b/packages/core/src/racks.c
@@ -9,6 +9,7 @@
 
 #define PUMP_MS 50
 #define CLOCK_MARGIN_MS 500
+#define MAX_SUMMED 256 /* workers of one rack in a summary */
 
 /* A worker of a known rack and the way to it. */
 struct worker {
@@ -37,6 +38,8 @@
 	bool owned;
 	struct worker *workers;
 	struct place_wait *waits;
+	struct vh_waitlist waiting;
+	const struct wire_place *asking; /* during a decision */
 	struct vh_timer timer;
 };
 
@@ -137,8 +140,12 @@
 			enum vh_err *why)
 {
 	struct rack *r = ctx;
+	int64_t now = vh_kernel_now_ms(r->racks->core->kernel);
+	struct vh_demand demand;
 
-	return placement_choose(r->racks->core, start, views, n, why);
+	(void)start;
+	placement_demand(r->asking, now, &demand);
+	return placement_choose(&r->waiting, &demand, views, n, now, why);
 }
 
 static void on_settled(void *ctx, struct vh_slice rack, struct vh_slice task,
@@ -394,10 +401,14 @@
 {
 	int64_t now = vh_kernel_now_ms(r->racks->core->kernel);
 	struct vh_place_req req = { .start = msg->start, .again = msg->again };
+	enum vh_err err;
 
 	if (msg->deadline_in_ms)
 		req.deadline_ms = now + msg->deadline_in_ms;
-	return vh_rack_place(r->state, &req, now);
+	r->asking = msg;
+	err = vh_rack_place(r->state, &req, now);
+	r->asking = NULL;
+	return err;
 }
 
 static void place(struct vh_racks *rs, const struct wire_place *msg,
@@ -636,3 +647,42 @@
 			vh_rack_views(r->state, each_view, &each);
 	}
 }
+
+struct sum_ctx {
+	struct vh_candidate workers[MAX_SUMMED];
+	size_t n;
+};
+
+static void add_candidate(void *ctx, const struct vh_worker_view *view,
+			  const struct vh_vm *vm)
+{
+	struct sum_ctx *sum = ctx;
+	struct vh_candidate *c;
+
+	(void)vm;
+	if (sum->n == MAX_SUMMED)
+		return;
+	c = &sum->workers[sum->n++];
+	memset(c, 0, sizeof(*c));
+	c->capacity = view->capacity;
+	c->free = view->free;
+	c->usable = view->usable;
+}
+
+void racks_summaries(const struct vh_racks *rs,
+		     void (*fn)(void *ctx, struct vh_slice rack,
+				const struct vh_rack_summary *summary),
+		     void *ctx)
+{
+	struct vh_rack_summary summary;
+	struct sum_ctx sum;
+
+	for (struct rack *r = rs->list; r; r = r->next) {
+		if (!r->owned)
+			continue;
+		sum.n = 0;
+		vh_rack_views(r->state, add_candidate, &sum);
+		vh_summary_build(&summary, sum.workers, NULL, sum.n, 0);
+		fn(ctx, vh_slice_str(r->name), &summary);
+	}
+}
