--- a/packages/core/src/home_place.c
+++ b/packages/core/src/home_place.c
@@ -1,28 +1,17 @@
 #include "home_priv.h"
 
+#include "fleet.h"
 #include "owners.h"
+#include "vh/share.h"
 
 #define DISPATCH_MAX 128
 #define PLACE_TIMEOUT_MS 4000
 #define AGAIN_MS 300
 #define RETRY_MS 100
-#define FULL_MS 100
 #define IDLE_MS 50
+#define CANDIDATES 3
 #define STOP_TIMEOUT_MS 2000
 
-static struct vh_slice rack_region(const struct vh_core *core,
-				   const struct home_rack *r)
-{
-	const struct vh_vm *vms;
-	size_t n = vh_vm_list_workers(core->vms, &vms);
-
-	for (size_t i = 0; i < n; i++) {
-		if (vh_slice_eq_str(vms[i].rack, r->name))
-			return vms[i].region;
-	}
-	return vh_slice("", 0);
-}
-
 static bool rack_owner(const struct home *h, const char *rack,
 		       struct vh_claim *claim)
 {
@@ -36,30 +25,42 @@
 {
 	struct vh_claim claim;
 
-	return r->full_until_ms <= home_now_ms(h) &&
-	       rack_owner(h, r->name, &claim) && r->sealed_epoch == claim.epoch;
+	return rack_owner(h, r->name, &claim) && r->sealed_epoch == claim.epoch;
 }
 
-/* The wanted region first, then any; in turn within each. */
-static struct home_rack *choose_rack(struct home *h, struct vh_slice region)
+/* A rack that summaries say has room, or NULL; *@why says why not. */
+static struct home_rack *pick_rack(struct home *h, const struct vh_task *task,
+				   struct vh_slice region, enum vh_err *why)
 {
-	struct home_rack *near[256], *far[256];
-	size_t n_near = 0, n_far = 0;
-
-	for (struct home_rack *r = h->racks; r; r = r->next) {
-		if (!rack_open(h, r))
-			continue;
-		if (vh_slice_eq(rack_region(h->homes->core, r), region)) {
-			if (n_near < G_N_ELEMENTS(near))
-				near[n_near++] = r;
-		} else if (n_far < G_N_ELEMENTS(far)) {
-			far[n_far++] = r;
+	struct vh_fleet *fleet = h->homes->core->fleet;
+	const struct vh_job_spec *spec = &task->job->spec;
+	struct vh_pick_want want = {
+		.want = { .size = spec->tasks[task->index].size,
+			  .cls = spec->cls,
+			  .region = fleet_region(fleet, region),
+			  .spread = spec->cls == VH_CLASS_SERVICE },
+		.away = true,
+		.refused = UINT32_MAX,
+		.k = CANDIDATES,
+		.seed = h->turn++,
+	};
+	struct vh_pick pick;
+
+	fleet_pick(fleet, &want, &pick);
+	*why = pick.kind == VH_PICK_NEVER ? VH_ERR_NEVER_FITS
+					  : VH_ERR_NO_CAPACITY;
+	if (pick.kind == VH_PICK_NEVER)
+		return NULL;
+	for (unsigned int i = 0; i < pick.n; i++) {
+		struct home_rack *r =
+			home_rack_find(h, fleet_rack_name(fleet, pick.rack[i]));
+
+		if (r && rack_open(h, r)) {
+			fleet_asked(fleet, pick.rack[i]);
+			return r;
 		}
 	}
-	h->turn++;
-	if (n_near)
-		return near[h->turn % n_near];
-	return n_far ? far[h->turn % n_far] : NULL;
+	return NULL;
 }
 
 static struct vh_slice wanted_region(const struct home *h,
@@ -114,13 +115,8 @@
 static void surely_not(struct home *h, struct home_op *op, struct vh_task *task,
 		       enum vh_err err)
 {
-	struct home_rack *r = home_rack_find(h, vh_slice_str(op->rack));
-	int64_t now = home_now_ms(h);
-
-	if (r && (err == VH_ERR_NO_CAPACITY || err == VH_ERR_NOT_READY))
-		r->full_until_ms = now + FULL_MS;
 	vh_home_not_begun(h->state, task, op->attempt, err,
-			  err == VH_ERR_NO_CAPACITY ? now : now + RETRY_MS);
+			  home_now_ms(h) + RETRY_MS);
 }
 
 static bool fate_unknown(const struct home_op *op, enum vh_err err)
@@ -169,6 +165,35 @@
 	return g_strdup_printf("%.*s/%u", VH_FMT(task->job->id), task->index);
 }
 
+static uint32_t team_weight(const struct home *h)
+{
+	const struct vh_objects *set = core_objects(h->homes->core);
+	const struct vh_team *team =
+		set ? vh_objects_team(set, vh_slice_str(h->team)) : NULL;
+
+	return team && team->share ? team->share->weight : 1;
+}
+
+/* What the rack's owner needs to say whose turn it is. */
+static void fill_demand(const struct home *h, const struct vh_task *task,
+			struct wire_place *msg)
+{
+	const struct vh_job *job = task->job;
+	uint32_t weight = team_weight(h);
+	struct vh_home_counts counts;
+	struct vh_res total;
+
+	vh_home_counts(h->state, &counts);
+	fleet_total(h->homes->core->fleet, &total);
+	msg->share = vh_share_weighted(
+		vh_share_dominant(&counts.committed, &total), weight);
+	msg->step = vh_share_weighted(
+		vh_share_dominant(&msg->start.size, &total), weight);
+	msg->waited_ms = home_now_ms(h) - job->accepted_ms;
+	msg->priority = job->spec.priority;
+	msg->run_ms = job->spec.tasks[task->index].run_ms;
+}
+
 static void send_place(struct home *h, struct vh_task *task, bool again)
 {
 	const struct vh_task_spec *spec = &task->job->spec.tasks[task->index];
@@ -196,6 +221,7 @@
 	msg.start.service = task->job->spec.service;
 	msg.start.input = spec->input;
 	msg.deadline_in_ms = deadline_left(h, task->job);
+	fill_demand(h, task, &msg);
 	vh_buf_init(&body);
 	wire_place_pack(&body, &msg);
 	vh_peer_call(h->homes->core->peer, claim.node, VH_METHOD_PLACE,
@@ -231,16 +257,16 @@
 	vh_hub_append(h->stream, VH_REC_ATTEMPT, body, attempt_recorded, op);
 }
 
-/* Returns false if nothing more can be started now. */
-static bool start_one(struct home *h, struct vh_task *task)
+static void start_one(struct home *h, struct vh_task *task)
 {
-	struct home_rack *r = choose_rack(h, wanted_region(h, task->job));
+	enum vh_err why, err;
+	struct home_rack *r =
+		pick_rack(h, task, wanted_region(h, task->job), &why);
 	struct vh_buf body;
-	enum vh_err err;
 
 	if (!r) {
-		task->why = VH_ERR_NO_CAPACITY;
-		return false;
+		task->why = why;
+		return;
 	}
 	vh_buf_init(&body);
 	err = vh_home_begin(h->state, task, vh_slice_str(r->name), &body);
@@ -248,8 +274,9 @@
 		record_attempt(h, task, vh_buf_slice(&body));
 	else if (err == VH_OK)
 		send_place(h, task, false);
+	else
+		task->why = err;
 	vh_buf_finish(&body);
-	return true;
 }
 
 void home_dispatch(void *ctx)
@@ -262,10 +289,8 @@
 		return;
 	run_repeats(h);
 	n = vh_home_waiting(h->state, home_now_ms(h), tasks, DISPATCH_MAX);
-	for (size_t i = 0; i < n; i++) {
-		if (!start_one(h, tasks[i]))
-			break;
-	}
+	for (size_t i = 0; i < n; i++)
+		start_one(h, tasks[i]);
 	home_answer_waits(h);
 	if (!vh_timer_pending(&h->dispatch))
 		vh_timer_start(&h->dispatch, IDLE_MS);
