--- a/packages/core/src/home_priv.h
+++ b/packages/core/src/home_priv.h
@@ -29,7 +29,6 @@
 	char *name;
 	uint64_t sealed_epoch; /* rack epoch at which it told all; 0: not yet */
 	bool busy;	       /* a seal is under way */
-	int64_t full_until_ms; /* refused for lack of room lately */
 };
 
 /* A caller that waits for a change of a job. */
@@ -106,5 +105,6 @@
 /* job_json.c */
 void job_to_json(const struct vh_job *job, struct vh_buf *out);
 bool job_ended(const struct vh_job *job);
+const char *job_state(const struct vh_job *job);
 
 #endif
