--- /dev/null
+++ b/tools/cell.sh
@@ -0,0 +1,151 @@
+# Functions for a cell on loopback: the stand-ins and nodes of an example.
+# Sourced by run.sh and soak.sh. Everything is kept in one temporary directory
+# and every process that was started is ended by its id.
+
+# cell_init BUILD EXAMPLE
+cell_init() {
+	bin=$1/bin
+	example=examples/$2
+	[ -f "$example/fleet.ini" ] || {
+		echo "no such example: $2" >&2
+		exit 2
+	}
+	dir=$(mktemp -d)
+	pids=""
+	port_base=${PORT_BASE:-$((20000 + $$ % 900 * 10))}
+	export VHCTL_TOKEN=operator-for-trials-only
+	trap cell_stop EXIT
+	trap 'exit 130' INT TERM
+}
+
+# cell_stop ends what is still running, then removes the directory, unless
+# KEEP is set.
+cell_stop() {
+	trap - EXIT
+	for pid in $pids; do
+		kill -CONT "$pid" 2>/dev/null || true
+		kill -TERM "$pid" 2>/dev/null || true
+	done
+	for pid in $pids; do
+		cell_reap "$pid"
+	done
+	if [ -n "${KEEP:-}" ]; then
+		echo "kept: $dir"
+	else
+		rm -rf "$dir"
+	fi
+}
+
+# cell_reap PID waits for its end; kills it after five seconds
+cell_reap() {
+	n=0
+	while kill -0 "$1" 2>/dev/null && [ $n -lt 50 ]; do
+		sleep 0.1
+		n=$((n + 1))
+	done
+	kill -KILL "$1" 2>/dev/null || true
+	wait "$1" 2>/dev/null || true
+}
+
+# cell_spawn NAME COMMAND... starts it; its id is in $pid and $dir/NAME.pid
+cell_spawn() {
+	name=$1
+	shift
+	: >"$dir/$name.out"
+	"$@" >>"$dir/$name.out" 2>>"$dir/$name.err" &
+	pid=$!
+	echo "$pid" >"$dir/$name.pid"
+	pids="$pids $pid"
+}
+
+# cell_port NAME waits for the line that tells a stand-in's port
+cell_port() {
+	n=0
+	while [ $n -lt 200 ]; do
+		port=$(sed -n 's/.*"port":\([0-9]*\).*/\1/p' "$dir/$1.out")
+		[ -n "$port" ] && break
+		kill -0 "$(cat "$dir/$1.pid")" 2>/dev/null || n=200
+		sleep 0.05
+		n=$((n + 1))
+	done
+	[ -n "$port" ] || {
+		echo "$1 did not start:" >&2
+		cat "$dir/$1.err" >&2
+		exit 1
+	}
+}
+
+# cell_start_platform [LOG OPTIONS...] starts the stand-ins
+cell_start_platform() {
+	cell_spawn log "$bin/vh-standin-log" --seed "${SEED:-1}" "$@"
+	cell_port log
+	log_port=$port
+	cell_spawn workers "$bin/vh-standin-workers" --seed "${SEED:-1}" \
+		--fleet "$example/fleet.ini"
+	cell_port workers
+	workers_port=$port
+	curl -sf "http://127.0.0.1:$workers_port/vms" >"$dir/vms.json"
+	cell_spawn vms "$bin/vh-standin-vms" --vms "$dir/vms.json" \
+		--lag-ms "${VMS_LAG_MS:-1000}"
+	cell_port vms
+	vms_port=$port
+}
+
+callers_port() { echo $((port_base + $1 * 3)); }
+operators_port() { echo $((port_base + $1 * 3 + 1)); }
+peers_port() { echo $((port_base + $1 * 3 + 2)); }
+
+# cell_seeds COUNT prints the peers' addresses of nodes 1 to COUNT
+cell_seeds() {
+	seeds=""
+	for i in $(seq 1 "$1"); do
+		seeds="$seeds${seeds:+;}127.0.0.1:$(peers_port "$i")"
+	done
+	echo "$seeds"
+}
+
+# cell_start_node N COUNT
+cell_start_node() {
+	sed -e "s/@CALLERS@/$(callers_port "$1")/" \
+		-e "s/@OPERATORS@/$(operators_port "$1")/" \
+		-e "s/@PEERS@/$(peers_port "$1")/" \
+		-e "s/@SEEDS@/$(cell_seeds "$2")/" \
+		-e "s/@LOG@/$log_port/" -e "s/@VMS@/$vms_port/" \
+		"$example/node-$1.ini" >"$dir/node-$1.ini"
+	cell_spawn "node-$1" "$bin/vanillahollowd" --settings "$dir/node-$1.ini"
+}
+
+# cell_signal_node N SIGNAL
+cell_signal_node() {
+	kill "-$2" "$(cat "$dir/node-$1.pid")" 2>/dev/null || true
+}
+
+# cell_wait N PATH SECONDS waits until a node's operators' listener answers 200
+cell_wait() {
+	n=0
+	while ! curl -sf -m 2 -o /dev/null \
+		"http://127.0.0.1:$(operators_port "$1")$2"; do
+		n=$((n + 1))
+		if ! kill -0 "$(cat "$dir/node-$1.pid")" 2>/dev/null ||
+			[ $n -ge $(($3 * 10)) ]; then
+			echo "node $1 is not up ($2):" >&2
+			tail -n 20 "$dir/node-$1.out" "$dir/node-$1.err" >&2
+			return 1
+		fi
+		sleep 0.1
+	done
+}
+
+# cell_servers COUNT prints the operators' listeners for vhctl
+cell_servers() {
+	servers=""
+	for i in $(seq 1 "$1"); do
+		servers="$servers${servers:+,}127.0.0.1:$(operators_port "$i")"
+	done
+	echo "$servers"
+}
+
+# cell_control PORT JSON gives an order to a stand-in
+cell_control() {
+	curl -sf -m 5 -o /dev/null -d "$2" "http://127.0.0.1:$1/control"
+}
