--- /dev/null
+++ b/packages/standins/src/main_soak.c
@@ -0,0 +1,55 @@
+#include <inttypes.h>
+
+#include "program.h"
+#include "schedule.h"
+
+#define NODES_MAX 15
+
+static int seed = 1, duration_s = 60, nodes = 3, gap_ms = 2500;
+static char *fleet_file;
+
+static const GOptionEntry entries[] = {
+	{ "seed", 0, 0, G_OPTION_ARG_INT, &seed, "of the schedule", "N" },
+	{ "duration", 0, 0, G_OPTION_ARG_INT, &duration_s,
+	  "every fault is repaired by then", "SECONDS" },
+	{ "nodes", 0, 0, G_OPTION_ARG_INT, &nodes, "nodes of the cell", "N" },
+	{ "gap-ms", 0, 0, G_OPTION_ARG_INT, &gap_ms,
+	  "mean time from one fault to the next", "MS" },
+	{ "fleet", 0, 0, G_OPTION_ARG_FILENAME, &fleet_file,
+	  "INI layout of racks", "FILE" },
+	G_OPTION_ENTRY_NULL
+};
+
+int main(int argc, char **argv)
+{
+	struct vh_schedule_settings settings = { 0 };
+	struct vh_schedule s;
+	struct vh_fleet fleet;
+	GError *err = NULL;
+
+	vh_program_options(&argc, &argv, entries,
+			   "Prints a seeded course of faults, a line each: "
+			   "milliseconds and what is done then.");
+	if (!fleet_file || nodes < 1 || nodes > NODES_MAX || gap_ms < 2) {
+		fprintf(stderr, "--fleet is needed, --nodes is 1 to %d\n",
+			NODES_MAX);
+		return 2;
+	}
+	if (!vh_fleet_load(&fleet, fleet_file, &err))
+		return vh_program_fail(err);
+	settings.nodes = (uint32_t)nodes;
+	settings.fleet = &fleet;
+	settings.duration_ms = duration_s * (int64_t)VH_MS_PER_S;
+	settings.gap_ms = gap_ms;
+	settings.seed = (uint32_t)seed;
+	vh_schedule_init(&s, &settings);
+	for (unsigned int i = 0; i < s.events->len; i++) {
+		const struct vh_schedule_event *e =
+			&g_array_index(s.events, struct vh_schedule_event, i);
+
+		printf("%" PRId64 " %s\n", e->at_ms, e->what);
+	}
+	vh_schedule_finish(&s);
+	vh_fleet_finish(&fleet);
+	return 0;
+}
--- a/packages/standins/src/main_workers.c
+++ b/packages/standins/src/main_workers.c
@@ -1,3 +1,4 @@
+#include "team_limits.h"
 #include "program.h"
 #include "worker_server.h"
 
@@ -6,7 +7,7 @@
 
 static int port, base_port, count = 50, latency_ms, seed = 1;
 static int leaving_grace_ms = 5000, limit_grace_ms = 6000;
-static char *fleet_file;
+static char *fleet_file, *objects_dir;
 
 static const GOptionEntry entries[] = {
 	{ "port", 0, 0, G_OPTION_ARG_INT, &port,
@@ -15,6 +16,8 @@
 	  "port of the first worker; 0 for any", "N" },
 	{ "fleet", 0, 0, G_OPTION_ARG_FILENAME, &fleet_file,
 	  "INI layout of racks", "FILE" },
+	{ "objects", 0, 0, G_OPTION_ARG_FILENAME, &objects_dir,
+	  "folder of objects whose limits are checked", "DIR" },
 	{ "count", 0, 0, G_OPTION_ARG_INT, &count,
 	  "make up this many workers if there is no layout", "N" },
 	{ "latency-ms", 0, 0, G_OPTION_ARG_INT, &latency_ms,
@@ -52,6 +55,9 @@
 	vh_program_init(&p, vh_clock_system());
 	if (!vh_worker_server_start(&s, &p.kernel, &fleet, &settings, &err))
 		return vh_program_fail(err);
+	if (objects_dir &&
+	    !vh_team_limits_load(&s.witness, objects_dir, 0, &err))
+		return vh_program_fail(err);
 	vh_program_ready("vh-standin-workers", s.control.port);
 	vh_kernel_loop(&p.kernel);
 	vh_worker_server_stop(&s);
--- a/tools/cell.sh
+++ b/tools/cell.sh
@@ -81,7 +81,7 @@
 	cell_port log
 	log_port=$port
 	cell_spawn workers "$bin/vh-standin-workers" --seed "${SEED:-1}" \
-		--fleet "$example/fleet.ini"
+		--fleet "$example/fleet.ini" --objects "$example/objects"
 	cell_port workers
 	workers_port=$port
 	curl -sf "http://127.0.0.1:$workers_port/vms" >"$dir/vms.json"
