Test bad input, drains, membership and routing; mend what they found

A node whose seeds include its own address looped for ever in its first round; it now asks one seed a round. A process that took over the id of a running one was not told of the other's incarnation and could lose to it; a contested id is now told to whoever uses it. Test, bench and fuzz programs see the private headers of their package.

--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -20,7 +20,7 @@
 
 # vh_package_tests(NAME lib...) makes one test program per tests/test_*.cc, one
 # benchmark program per tests/bench_*.c and, with VH_FUZZ, one libFuzzer program
-# per fuzz/fuzz_*.c.
+# per fuzz/fuzz_*.c. They see the package's private headers.
 function(vh_package_tests name)
 	file(GLOB tests CONFIGURE_DEPENDS
 		${CMAKE_CURRENT_SOURCE_DIR}/tests/test_*.cc)
@@ -29,6 +29,8 @@
 		add_executable(${name}_${base} ${t})
 		target_link_libraries(${name}_${base} ${ARGN}
 			GTest::gtest GTest::gtest_main)
+		target_include_directories(${name}_${base} PRIVATE
+			${CMAKE_CURRENT_SOURCE_DIR}/src)
 		add_test(NAME ${name}_${base} COMMAND ${name}_${base})
 		set_tests_properties(${name}_${base} PROPERTIES TIMEOUT 300)
 	endforeach()
@@ -38,6 +40,8 @@
 		get_filename_component(base ${b} NAME_WE)
 		add_executable(${name}_${base} ${b})
 		target_link_libraries(${name}_${base} ${ARGN})
+		target_include_directories(${name}_${base} PRIVATE
+			${CMAKE_CURRENT_SOURCE_DIR}/src)
 	endforeach()
 	if(NOT VH_FUZZ)
 		return()
@@ -48,6 +52,8 @@
 		get_filename_component(base ${h} NAME_WE)
 		add_executable(${name}_${base} ${h})
 		target_link_libraries(${name}_${base} ${ARGN})
+		target_include_directories(${name}_${base} PRIVATE
+			${CMAKE_CURRENT_SOURCE_DIR}/src)
 		target_link_options(${name}_${base} PRIVATE -fsanitize=fuzzer)
 		add_dependencies(vh_fuzz ${name}_${base})
 	endforeach()
--- /dev/null
+++ b/packages/gateway/tests/test_admit.cc
@@ -0,0 +1,165 @@
+#include <gtest/gtest.h>
+
+#include <map>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "admit.h"
+#include "trust.h"
+}
+
+namespace
+{
+struct vh_share one = { VH_SLICE("one"), 1 }, three = { VH_SLICE("three"), 3 };
+
+struct vh_team team(const char *name, const struct vh_share *share,
+		    const struct vh_limit *limit = nullptr)
+{
+	struct vh_team t = {};
+
+	t.name = vh_slice_str(name);
+	t.share = share;
+	t.limit = limit;
+	return t;
+}
+} // namespace
+
+TEST(Admit, WaitingTeamsShareByWeight)
+{
+	struct vh_admit a;
+	struct vh_team small = team("small", &one),
+		       large = team("large", &three);
+	std::vector<struct vh_admit_item> items(400);
+	std::map<std::string, int> got;
+
+	vh_admit_init(&a, 1, 1000);
+	for (size_t i = 0; i < items.size(); i++)
+		ASSERT_EQ(vh_admit_arrive(&a, i % 2 ? &small : &large,
+					  VH_CLASS_BATCH, 0, &items[i]),
+			  VH_OK);
+	struct vh_admit_item *running = &items[0];
+	for (int i = 0; i < 200; i++) {
+		vh_admit_leave(&a, running);
+		running = vh_admit_next(&a);
+		ASSERT_NE(running, nullptr);
+		got[running->team->name]++;
+		EXPECT_EQ(vh_admit_next(&a), nullptr) << "one at a time";
+	}
+	EXPECT_NEAR(got["large"], 150, 5);
+	EXPECT_NEAR(got["small"], 50, 5);
+	vh_admit_finish(&a);
+}
+
+TEST(Admit, UrgentGoesFirstAndBatchDoesNotStarve)
+{
+	struct vh_admit a;
+	struct vh_team t = team("t", &one);
+	std::vector<struct vh_admit_item> items(101);
+	int urgent = 0;
+
+	vh_admit_init(&a, 1, 1000);
+	vh_admit_arrive(&a, &t, VH_CLASS_URGENT, 0, &items[100]);
+	for (int i = 0; i < 100; i++)
+		vh_admit_arrive(&a, &t,
+				i < 50 ? VH_CLASS_BATCH : VH_CLASS_URGENT, 0,
+				&items[i]);
+	struct vh_admit_item *running = &items[100];
+	for (int i = 0; i < 40; i++) {
+		vh_admit_leave(&a, running);
+		running = vh_admit_next(&a);
+		urgent += running->wait.cls == VH_CLASS_URGENT;
+	}
+	EXPECT_EQ(urgent, 35);
+	vh_admit_finish(&a);
+}
+
+TEST(Admit, ShedsByClass)
+{
+	struct vh_admit a;
+	struct vh_team t = team("t", &one);
+	std::vector<struct vh_admit_item> items(64);
+	size_t n = 0, taken[VH_CLASS_COUNT] = {};
+	enum vh_class order[] = { VH_CLASS_BATCH, VH_CLASS_SERVICE,
+				  VH_CLASS_URGENT };
+
+	vh_admit_init(&a, 1, 20);
+	vh_admit_arrive(&a, &t, VH_CLASS_BATCH, 0, &items[n++]);
+	for (auto cls : order) {
+		while (vh_admit_arrive(&a, &t, cls, 0, &items[n]) == VH_OK) {
+			n++;
+			taken[cls]++;
+		}
+	}
+	EXPECT_EQ(taken[VH_CLASS_BATCH], 10u);
+	EXPECT_EQ(taken[VH_CLASS_SERVICE], 5u);
+	EXPECT_EQ(taken[VH_CLASS_URGENT], 5u);
+	vh_admit_finish(&a);
+}
+
+TEST(Admit, RateAndConcurrencyAreThisNodesPart)
+{
+	struct vh_limit limit = {};
+	struct vh_admit a;
+	std::vector<struct vh_admit_item> items(64);
+
+	limit.requests_per_s = 20;
+	limit.concurrent_requests = 6;
+	struct vh_team t = team("t", &one, &limit);
+	vh_admit_init(&a, 100, 100);
+	a.nodes = 2;
+	size_t n = 0;
+	while (vh_admit_arrive(&a, &t, VH_CLASS_BATCH, 0, &items[n]) == VH_OK)
+		n++;
+	EXPECT_EQ(n, 3u) << "half of the concurrency";
+	for (size_t i = 0; i < n; i++)
+		vh_admit_leave(&a, &items[i]);
+	size_t taken = n;
+	for (int64_t now = 0; now <= 1010; now += 10) {
+		if (vh_admit_arrive(&a, &t, VH_CLASS_BATCH, now, &items[0]) ==
+		    VH_OK) {
+			vh_admit_leave(&a, &items[0]);
+			taken++;
+		}
+	}
+	EXPECT_EQ(taken, 20u) << "a second's burst and a second's rate";
+	vh_admit_finish(&a);
+}
+
+TEST(Trust, ClosesWhereAWithdrawnKeyMayBeUnheardOf)
+{
+	const struct {
+		size_t before, living;
+		int64_t age;
+		bool trusted;
+	} rows[] = {
+		{ 7, 7, 4000, true },  /* fresh */
+		{ 7, 1, 4000, true },  /* alone, but hears the log */
+		{ 7, 7, 60000, true }, /* the log is down for all */
+		{ 7, 4, 60000, true },
+		{ 7, 3, 60000, false }, /* the lesser part of the system */
+		{ 6, 3, 60000, false }, /* one of two halves */
+		{ 7, 1, 60000, false }, /* alone */
+		{ 1, 1, 60000, true },	/* the only node */
+	};
+
+	for (auto &row : rows) {
+		struct vh_trust t;
+
+		vh_trust_init(&t, 5000);
+		EXPECT_TRUE(vh_trust_update(&t, 0, row.before));
+		EXPECT_EQ(vh_trust_update(&t, row.age, row.living), row.trusted)
+			<< row.before << " " << row.living;
+	}
+}
+
+TEST(Trust, StaysClosedUntilTheLogIsHeard)
+{
+	struct vh_trust t;
+
+	vh_trust_init(&t, 5000);
+	vh_trust_update(&t, 0, 7);
+	EXPECT_FALSE(vh_trust_update(&t, 6000, 1));
+	EXPECT_FALSE(vh_trust_update(&t, 7000, 7)) << "no word from the log";
+	EXPECT_TRUE(vh_trust_update(&t, 0, 7));
+}
--- /dev/null
+++ b/packages/gateway/tests/test_limits.cc
@@ -0,0 +1,186 @@
+#include "harness.h"
+
+/* Bad input, slow callers, and the graceful stop. */
+class Limits : public GatewayTest
+{
+      protected:
+	void SetUp() override
+	{
+		GatewayTest::SetUp();
+		settings.max_body_bytes = 1u << 20;
+		settings.read_timeout_ms = 300;
+	}
+
+	bool drained()
+	{
+		return run_until(
+			[&] { return vh_gateway_service(gateway)->drained; });
+	}
+
+	/* A request that others may still send and get answered. */
+	void others_are_served()
+	{
+		auto *c = caller();
+
+		c->request("GET", "/v1/jobs/shop.0.1.1", "shop-key");
+		ASSERT_TRUE(answered(c));
+		EXPECT_EQ(c->status(), 200);
+	}
+};
+
+TEST_F(Limits, BodyOfSixtyFourMegabytes)
+{
+	start();
+	auto *c = caller();
+	std::string part(1 << 16, 'x');
+
+	c->send("POST /v1/queues/open/jobs HTTP/1.1\r\nHost: n\r\n"
+		"Authorization: Bearer shop-key\r\n"
+		"Content-Length: 67108864\r\n\r\n");
+	for (int i = 0; i < 1024; i++)
+		c->send(part);
+	ASSERT_TRUE(run_until([&] { return c->status() == 413; }));
+	EXPECT_EQ(core->submitted.size(), 0u);
+	others_are_served();
+}
+
+TEST_F(Limits, HeaderThatIsTooLong)
+{
+	start();
+	auto *c = caller();
+
+	c->send("GET / HTTP/1.1\r\nX: " + std::string(100000, 'x') +
+		"\r\n\r\n");
+	ASSERT_TRUE(run_until([&] { return c->closed || c->status(); }));
+	EXPECT_NE(c->status(), 200);
+	others_are_served();
+}
+
+TEST_F(Limits, ByteASecondIsCutOff)
+{
+	start();
+	auto *c = caller();
+	std::string request = "GET /v1/jobs/shop.0.1.1 HTTP/1.1\r\n";
+	size_t sent = 0;
+
+	EXPECT_TRUE(run_until([&] {
+		run_until([] { return false; }, 40);
+		if (sent < request.size())
+			c->send(request.substr(sent++, 1));
+		return c->closed;
+	}));
+	EXPECT_LT(sent, request.size()) << "cut off before it was complete";
+	others_are_served();
+}
+
+TEST_F(Limits, NotHttpAtAll)
+{
+	start();
+	auto *c = caller();
+
+	c->send("\x83\xa1g\r\n\r\n\r\n");
+	ASSERT_TRUE(run_until([&] { return c->closed || c->status(); }));
+	EXPECT_NE(c->status(), 200);
+	others_are_served();
+}
+
+TEST_F(Limits, ConnectionsBeyondTheLimitWait)
+{
+	settings.max_connections = 2;
+	settings.idle_timeout_ms = 300;
+	start();
+	auto *a = caller(), *b = caller();
+
+	a->request("GET", "/v1/jobs/shop.0.1.1", "shop-key");
+	b->request("GET", "/v1/jobs/shop.0.1.1", "shop-key");
+	ASSERT_TRUE(answered(a) && answered(b));
+	auto *c = caller();
+
+	c->request("GET", "/v1/jobs/shop.0.1.1", "shop-key");
+	ASSERT_TRUE(answered(c)) << "served when idle ones are closed";
+	EXPECT_TRUE(a->closed || b->closed);
+}
+
+TEST_F(Limits, DrainSaysNotReadyFirstAndClosesIdleConnections)
+{
+	start();
+	auto *idle = caller(), *o = op();
+
+	idle->request("GET", "/v1/jobs/shop.0.1.1", "shop-key");
+	ASSERT_TRUE(answered(idle));
+	vh_kernel_drain(&kernel);
+	o->request("GET", "/readyz", "");
+	ASSERT_TRUE(answered(o));
+	EXPECT_EQ(o->status(), 503);
+	others_are_served();
+	EXPECT_FALSE(idle->closed);
+	ASSERT_TRUE(drained());
+	EXPECT_TRUE(run_until([&] { return idle->closed; }));
+}
+
+TEST_F(Limits, DrainServesARequestOnAnIdleConnection)
+{
+	start();
+	auto *idle = caller();
+
+	idle->request("GET", "/v1/jobs/shop.0.1.1", "shop-key");
+	ASSERT_TRUE(answered(idle));
+	vh_kernel_drain(&kernel);
+	idle->request("GET", "/v1/jobs/shop.0.1.1", "shop-key");
+	ASSERT_TRUE(answered(idle, 2));
+	EXPECT_EQ(idle->status(1), 200);
+	EXPECT_EQ(idle->header("Connection", 1), "close");
+	EXPECT_TRUE(drained());
+}
+
+TEST_F(Limits, DrainFinishesAHalfSentRequest)
+{
+	settings.read_timeout_ms = 5000;
+	settings.drain_settle_ms = 50;
+	start();
+	auto *c = caller();
+
+	c->send("GET /v1/jobs/shop.0.1.1 HTTP/1.1\r\nHost: n\r\n");
+	run_until([] { return false; }, 50);
+	vh_kernel_drain(&kernel);
+	run_until([] { return false; }, 700);
+	EXPECT_FALSE(vh_gateway_service(gateway)->drained);
+	c->send("Authorization: Bearer shop-key\r\n\r\n");
+	ASSERT_TRUE(answered(c));
+	EXPECT_EQ(c->status(), 200);
+	EXPECT_TRUE(drained());
+}
+
+TEST_F(Limits, DrainAnswersALongPollWithWhatIsKnown)
+{
+	start();
+	auto *c = caller();
+
+	c->request("GET", "/v1/jobs/shop.0.1.1?wait=60", "shop-key");
+	ASSERT_TRUE(run_until([&] { return core->held.size() == 1; }));
+	vh_kernel_drain(&kernel);
+	ASSERT_TRUE(answered(c));
+	EXPECT_EQ(c->status(), 200);
+	EXPECT_EQ(c->body(), "{\"state\":\"waiting\"}");
+	EXPECT_TRUE(drained());
+	core->held[0].done(core->held[0].ctx, VH_OK, vh_slice_str("{}"));
+}
+
+TEST_F(Limits, DrainWaitsForWhatRuns)
+{
+	core->hold_submits = true;
+	start();
+	auto *c = caller();
+
+	c->request("POST", "/v1/queues/open/jobs", "shop-key",
+		   "{\"tasks\":[{\"cpus\":1,\"memory_mb\":1}]}");
+	ASSERT_TRUE(run_until([&] { return core->held_submits.size() == 1; }));
+	vh_kernel_drain(&kernel);
+	run_until([] { return false; }, 900);
+	EXPECT_FALSE(vh_gateway_service(gateway)->drained);
+	FakeCore::answer(core->held_submits[0]);
+	core->held_submits.clear();
+	ASSERT_TRUE(answered(c));
+	EXPECT_EQ(c->status(), 202);
+	EXPECT_TRUE(drained());
+}
--- a/packages/peer/src/members.c
+++ b/packages/peer/src/members.c
@@ -186,6 +186,7 @@
 		set_slice(&n->region, from->region);
 		set_slice(&n->zone, from->zone);
 		m->counter = news->counter;
+		m->contested = false;
 		if (reborn || refuted) {
 			m->suspect_since_ms = 0;
 			n->heard_ms = now_ms;
@@ -195,6 +196,8 @@
 	}
 	if (from->incarnation == n->incarnation)
 		take_summary(t, i, news);
+	else
+		m->contested = true;
 }
 
 void vh_members_heard(struct vh_members *t, size_t i, int64_t now_ms)
--- a/packages/peer/src/members.h
+++ b/packages/peer/src/members.h
@@ -25,6 +25,7 @@
 	uint64_t summary_version;
 	uint32_t spread; /* times sent since it last changed */
 	uint32_t summary_spread;
+	bool contested; /* another process has used its id; it is told */
 	int64_t suspect_since_ms; /* 0: not suspected */
 	int64_t changed_ms;
 };
--- a/packages/peer/src/news.c
+++ b/packages/peer/src/news.c
@@ -133,7 +133,8 @@
 	msgpack_sbuffer_init(&p.out);
 	msgpack_packer_init(&p.pk, &p.out, msgpack_sbuffer_write);
 	add_news(&p, 0, false);
-	if (to > 0 && to < t->n && t->nodes[to].state != VH_NODE_ALIVE)
+	if (to > 0 && to < t->n &&
+	    (t->nodes[to].state != VH_NODE_ALIVE || t->members[to].contested))
 		add_news(&p, to, false);
 	add_fresh(&p, to);
 	add_stale(&p, to);
--- a/packages/peer/src/probe.c
+++ b/packages/peer/src/probe.c
@@ -194,12 +194,8 @@
 	if (i < p->members.n)
 		probe_node(p, i);
 	p->probes.rounds++;
-	if (i == p->members.n) {
-		while (p->probes.rounds % 2 && probe_seed(p))
-			if (p->probes.next_seed % p->settings.n_seeds == 0)
-				break;
-	}
-	if (p->probes.rounds % SEED_EVERY == 0)
+	/* A node that knows nobody asks a seed in each round. */
+	if (i == p->members.n || p->probes.rounds % SEED_EVERY == 0)
 		probe_seed(p);
 	if (p->probes.rounds % SEED_EVERY == SEED_EVERY / 2)
 		probe_dead(p);
--- a/packages/peer/tests/test_peer.cc
+++ b/packages/peer/tests/test_peer.cc
@@ -6,6 +6,8 @@
 #include <vector>
 
 #include <arpa/inet.h>
+#include <csignal>
+#include <event2/bufferevent.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -27,6 +29,7 @@
       protected:
 	void SetUp() override
 	{
+		signal(SIGPIPE, SIG_IGN);
 		vh_kernel_init(&kernel, vh_clock_system());
 	}
 
@@ -296,3 +299,130 @@
 	EXPECT_TRUE(run_until(
 		[&] { return has(c, "b", "two") && has(a, "b", "two"); }));
 }
+
+namespace
+{
+/* Connects, sends @bytes and reads until it is cut off. */
+struct Stranger {
+	Stranger(struct event_base *base, uint16_t port,
+		 const std::string &bytes)
+	{
+		struct sockaddr_in to = {};
+
+		to.sin_family = AF_INET;
+		to.sin_port = htons(port);
+		inet_pton(AF_INET, "127.0.0.1", &to.sin_addr);
+		bev = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+		bufferevent_setcb(
+			bev,
+			[](struct bufferevent *b, void *ctx) {
+				auto *s = static_cast<Stranger *>(ctx);
+				char buf[4096];
+				size_t n =
+					bufferevent_read(b, buf, sizeof(buf));
+
+				s->got.append(buf, n);
+			},
+			nullptr,
+			[](struct bufferevent *b, short what, void *ctx) {
+				(void)b;
+				if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR))
+					static_cast<Stranger *>(ctx)->cut =
+						true;
+			},
+			this);
+		bufferevent_enable(bev, EV_READ | EV_WRITE);
+		bufferevent_socket_connect(bev, (struct sockaddr *)&to,
+					   sizeof(to));
+		bufferevent_write(bev, bytes.data(), bytes.size());
+	}
+
+	~Stranger()
+	{
+		bufferevent_free(bev);
+	}
+
+	struct bufferevent *bev;
+	std::string got;
+	bool cut = false;
+};
+} // namespace
+
+TEST_F(Peers, StrangersAreCutOffAndHurtNobody)
+{
+	const std::string rows[] = {
+		std::string("GET / HTTP/1.1\r\n\r\n"),
+		std::string("\x00\x00\x00\x03\x93\x04\x01", 7),
+		std::string("\x00\x00\x00\x04\x93\x04\x01\x90", 8),
+		std::string("\xff\xff\xff\xff", 4),
+		std::string("\x00\x00\x00\x05\xdd\xff\xff\xff\xff", 9),
+		std::string("\x00\x00\x00\x09half", 8), /* and then nothing */
+		std::string(),
+	};
+	auto *a = start("a", 0, "s", {});
+	auto *b = start("b", 0, "s", { vh_peer_port(a) });
+	struct result r;
+
+	vh_peer_handle(a, 20, echo, nullptr);
+	for (auto &bytes : rows) {
+		Stranger s(kernel.base, vh_peer_port(a), bytes);
+
+		EXPECT_TRUE(run_until([&] { return s.cut; }));
+		EXPECT_LT(s.got.size(), 40u) << "the challenge only";
+	}
+	ASSERT_TRUE(run_until([&] { return sees(b, "a", VH_NODE_ALIVE); }));
+	vh_peer_call(b, vh_slice_str("a"), 20, vh_slice_str("x"), 5000, done,
+		     &r);
+	ASSERT_TRUE(run_until([&] { return r.calls > 0; }));
+	EXPECT_EQ(r.body, "b:x");
+}
+
+TEST_F(Peers, AllReplacedOneAfterAnotherAndAllAtOnce)
+{
+	std::vector<uint16_t> ports;
+	std::vector<struct vh_peer *> all;
+	const char *names[] = { "a", "b", "c", "d" };
+
+	auto whole = [&] {
+		for (auto *p : all) {
+			const struct vh_node *nodes;
+			size_t n = vh_peer_nodes(p, &nodes), alive = 0;
+
+			for (size_t i = 0; i < n; i++) {
+				auto *q = vh_peer_node(p, nodes[i].id);
+
+				alive += q->state == VH_NODE_ALIVE;
+			}
+			if (alive != all.size())
+				return false;
+		}
+		return true;
+	};
+	auto agreed = [&] {
+		for (auto *p : all) {
+			for (auto *q : all) {
+				auto *self = vh_peer_self(q);
+				auto *n = vh_peer_node(p, self->id);
+
+				if (!n || n->incarnation != self->incarnation)
+					return false;
+			}
+		}
+		return whole();
+	};
+	for (auto *name : names) {
+		all.push_back(start(name, 0, "s", ports));
+		ports.push_back(vh_peer_port(all.back()));
+	}
+	ASSERT_TRUE(run_until(agreed));
+	for (size_t i = 0; i < all.size(); i++) {
+		stop(all[i]);
+		all[i] = start(names[i], ports[i], "s", ports);
+		ASSERT_TRUE(run_until(agreed)) << names[i];
+	}
+	for (auto *p : all)
+		stop(p);
+	for (size_t i = 0; i < all.size(); i++)
+		all[i] = start(names[i], ports[i], "s", ports);
+	ASSERT_TRUE(run_until(agreed));
+}
