Prove the machines by seeded schedules, and mend what they found

Three nodes, two racks, four workers with clocks of their own and a log in memory run under crashes, pauses, cuts, log outages, lost, late and repeated messages; workers keep their own ledger. 2000 schedules gave: - a deposed home that read its successor's records went on under them: an OPEN of a higher epoch now closes it; - a start asked of two owners of a rack in turn could be refused by the first after the second had begun it: a request is bound to one owner's epoch (vh_place_req.rack_epoch), the seal says the rest; core keeps to it; - an old attempt, lost and then done after all, ended a task whose later attempt ran: such ends wait for the seal (vh_home_end_early); - a late negative answer undid a run that a seal had told of.

--- a/packages/core/src/home_place.c
+++ b/packages/core/src/home_place.c
@@ -71,7 +71,8 @@
 	return vh_slice_str(h->homes->core->region);
 }
 
-static void send_place(struct home *h, struct vh_task *task, bool again);
+static void send_place(struct home *h, struct vh_task *task,
+		       uint64_t asked_epoch);
 
 static void retry_due(void *ctx)
 {
@@ -79,10 +80,11 @@
 	struct home *h = op->home;
 	struct vh_task *task = vh_home_task(h->state, vh_slice_str(op->id));
 	uint32_t attempt = op->attempt;
+	uint64_t epoch = op->rack_epoch;
 
 	home_op_free(op);
 	if (task && task->attempt == attempt && task->state == VH_TASK_ASKED)
-		send_place(h, task, true);
+		send_place(h, task, epoch);
 }
 
 /* Runs the repeats that are due; they wait as ops of the home. */
@@ -102,14 +104,15 @@
 	}
 }
 
-static void repeat_later(struct home *h, const char *task, uint32_t attempt)
+static void repeat_later(struct home *h, const struct home_op *asked)
 {
 	struct home_op *op = home_op_new(h, true);
 
 	op->again_due = true;
 	op->due_ms = home_now_ms(h) + AGAIN_MS;
-	op->id = g_strdup(task);
-	op->attempt = attempt;
+	op->id = g_strdup(asked->id);
+	op->attempt = asked->attempt;
+	op->rack_epoch = asked->rack_epoch;
 }
 
 static void surely_not(struct home *h, struct home_op *op, struct vh_task *task,
@@ -122,7 +125,9 @@
 static bool fate_unknown(const struct home_op *op, enum vh_err err)
 {
 	if (op->again)
-		return err != VH_OK && err != VH_ERR_CANCELLED;
+		return err != VH_OK && err != VH_ERR_CANCELLED &&
+		       err != VH_ERR_NO_CAPACITY && err != VH_ERR_NEVER_FITS &&
+		       err != VH_ERR_DEADLINE;
 	return err == VH_ERR_UNKNOWN_OUTCOME || err == VH_ERR_INTERNAL;
 }
 
@@ -140,7 +145,7 @@
 	if (task && task->attempt == op->attempt &&
 	    task->state == VH_TASK_ASKED) {
 		if (fate_unknown(op, err))
-			repeat_later(h, op->id, op->attempt);
+			repeat_later(h, op);
 		else if (err == VH_OK)
 			vh_home_begun(h->state, task, op->attempt, body);
 		else
@@ -194,8 +199,12 @@
 	msg->run_ms = job->spec.tasks[task->index].run_ms;
 }
 
-static void send_place(struct home *h, struct vh_task *task, bool again)
+/* Asks the rack's owner; a repeat, the owner of @asked_epoch or nobody: when
+ * the rack has another one, its seal says what became of the task. */
+static void send_place(struct home *h, struct vh_task *task,
+		       uint64_t asked_epoch)
 {
+	bool again = asked_epoch != 0;
 	const struct vh_task_spec *spec = &task->job->spec.tasks[task->index];
 	struct home_op *op = home_op_new(h, true);
 	struct wire_place msg = { .again = again };
@@ -206,12 +215,19 @@
 	op->rack = vh_slice_dup(task->rack);
 	op->attempt = task->attempt;
 	op->again = again;
+	op->rack_epoch = asked_epoch;
 	if (!rack_owner(h, op->rack, &claim)) {
 		place_done(op, again ? VH_ERR_NOT_OWNER : VH_ERR_UNREACHABLE,
 			   vh_slice("", 0));
 		return;
 	}
+	if (again && claim.epoch != asked_epoch) {
+		home_op_free(op);
+		return;
+	}
+	op->rack_epoch = claim.epoch;
 	msg.rack = vh_slice_str(op->rack);
+	msg.rack_epoch = claim.epoch;
 	msg.start.task = vh_slice_str(op->id);
 	msg.start.attempt = task->attempt;
 	msg.start.home = vh_slice_str(h->unit);
@@ -241,7 +257,7 @@
 	if (!task || task->attempt != attempt)
 		return;
 	if (err == VH_OK)
-		send_place(h, task, false);
+		send_place(h, task, 0);
 	else if (err == VH_ERR_LOG_UNAVAILABLE)
 		vh_home_not_begun(h->state, task, attempt, err,
 				  home_now_ms(h) + RETRY_MS);
@@ -273,7 +289,7 @@
 	if (err == VH_OK && body.len)
 		record_attempt(h, task, vh_buf_slice(&body));
 	else if (err == VH_OK)
-		send_place(h, task, false);
+		send_place(h, task, 0);
 	else
 		task->why = err;
 	vh_buf_finish(&body);
--- a/packages/core/src/home_priv.h
+++ b/packages/core/src/home_priv.h
@@ -18,6 +18,7 @@
 	char *id;		     /* of the job or task */
 	char *rack;
 	uint32_t attempt;
+	uint64_t rack_epoch; /* of the owner that was asked */
 	bool again;
 	bool again_due;
 	int64_t due_ms;
--- a/packages/core/src/home_rpc.c
+++ b/packages/core/src/home_rpc.c
@@ -295,8 +295,7 @@
 		vh_peer_answer(reply, VH_ERR_NOT_FOUND, NO_BODY);
 		return;
 	}
-	/* Told again before its record is in the log: not settled yet. */
-	if (task->state == VH_TASK_ENDING) {
+	if (vh_home_end_early(h->state, &msg->ended)) {
 		vh_peer_answer(reply, VH_ERR_NOT_READY, NO_BODY);
 		return;
 	}
--- a/packages/core/src/racks.c
+++ b/packages/core/src/racks.c
@@ -400,7 +400,9 @@
 static enum vh_err decide(struct rack *r, const struct wire_place *msg)
 {
 	int64_t now = vh_kernel_now_ms(r->racks->core->kernel);
-	struct vh_place_req req = { .start = msg->start, .again = msg->again };
+	struct vh_place_req req = { .start = msg->start,
+				    .rack_epoch = msg->rack_epoch,
+				    .again = msg->again };
 	enum vh_err err;
 
 	if (msg->deadline_in_ms)
--- a/packages/core/src/wire.c
+++ b/packages/core/src/wire.c
@@ -33,7 +33,7 @@
 {
 	const struct vh_start *s = &p->start;
 
-	vh_pack_array(out, 16);
+	vh_pack_array(out, 17);
 	vh_pack_slice(out, p->rack);
 	vh_pack_slice(out, s->task);
 	vh_pack_u64(out, s->attempt);
@@ -50,6 +50,7 @@
 	vh_pack_u64(out, p->step);
 	vh_pack_u64(out, p->priority);
 	vh_pack_u64(out, p->run_ms);
+	vh_pack_u64(out, p->rack_epoch);
 }
 
 bool wire_place_unpack(struct vh_unpack *u, struct vh_slice body,
@@ -76,6 +77,7 @@
 	p->step = vh_unpack_u64(u);
 	p->priority = vh_unpack_u32(u);
 	p->run_ms = vh_unpack_u32(u);
+	p->rack_epoch = vh_unpack_u64(u);
 	return u->ok;
 }
 
--- a/packages/core/src/wire.h
+++ b/packages/core/src/wire.h
@@ -23,6 +23,7 @@
 	struct vh_start start;
 	int64_t deadline_in_ms;
 	bool again;
+	uint64_t rack_epoch; /* of the owner that is asked */
 	int64_t waited_ms;
 	uint64_t share;
 	uint64_t step;
--- a/packages/state/include/vh/home.h
+++ b/packages/state/include/vh/home.h
@@ -83,7 +83,8 @@
 void vh_home_free(struct vh_home *h);
 struct vh_slice vh_home_unit(const struct vh_home *h); /* "home/TEAM/K" */
 
-/* vh_home_apply - applies one record of the home's stream */
+/* vh_home_apply - applies one record of the home's stream. A VH_REC_OPEN of a
+ * higher epoch than the home is open under closes it. */
 void vh_home_apply(struct vh_home *h, uint64_t offset, uint64_t epoch,
 		   uint32_t kind, struct vh_slice body, int64_t now_ms);
 
@@ -109,10 +110,10 @@
 /**
  * vh_home_unseal_rack - the rack has a new owner, or came into being
  *
- * Tasks that run there are in doubt until the rack has told all again: those
- * it does not tell of by vh_home_seal_rack() were lost. Others go on. Tasks
- * still VH_TASK_ASKED there are not decided by this: their request is asked
- * again of the new owner (vh_place_req.again).
+ * Tasks that run there, or that its former owner was asked for, are in doubt
+ * until the rack has told all again: those it does not tell of by
+ * vh_home_seal_rack() were lost. Others go on. No request for a task in doubt
+ * may be repeated (see vh_place_req.rack_epoch).
  */
 void vh_home_unseal_rack(struct vh_home *h, struct vh_slice rack);
 
@@ -185,16 +186,22 @@
 void vh_home_begun(struct vh_home *h, struct vh_task *task, uint32_t attempt,
 		   struct vh_slice worker);
 
-/* vh_home_not_begun - it surely did not begin: the task waits again */
+/* vh_home_not_begun - the answer to its request, or to the append of its
+ * record, is that it did not begin: the task waits again. What a rack tells of
+ * itself, a refusal as well, goes to vh_home_ended(), as VH_END_VOID. */
 void vh_home_not_begun(struct vh_home *h, struct vh_task *task,
 		       uint32_t attempt, enum vh_err why, int64_t retry_at_ms);
 
+/* vh_home_end_early - this end can be neither recorded nor settled yet (the
+ * home is not open, the task not sealed, or its record is on its way): it must
+ * be told again later */
+bool vh_home_end_early(struct vh_home *h, const struct vh_ended *ended);
+
 /**
  * vh_home_ended - an attempt ended
  * @body: gets a VH_REC_END to append if this end is final
  *
- * Only while the home is open: before, nothing is known of the end, and it
- * must not be settled. Returns true if there is a record to append; the end may be settled at the
+ * Only if vh_home_end_early() says no. Returns true if there is a record to append; the end may be settled at the
  * rack once it is applied. False: nothing to record (an idempotent task that
  * waits again, or an end already known); settle it at once.
  */
--- a/packages/state/include/vh/rack.h
+++ b/packages/state/include/vh/rack.h
@@ -23,12 +23,19 @@
  * struct vh_place_req - a home asks a rack's owner to run a task
  * @start: not_after_ms is ignored; the rack sets it
  * @deadline_ms: owner's clock: not decided later; 0 for none
- * @again: this attempt was asked before, perhaps of another owner of the rack:
- *	   it is not decided anew before all workers have been adopted
+ * @rack_epoch: whom is asked: decided under this epoch of the rack or not at
+ *		all (VH_ERR_NOT_OWNER)
+ * @again: this attempt was asked of the same owner before
+ *
+ * An attempt must be asked of one owner only. When the rack gets another one,
+ * vh_home_unseal_rack() and the seal that follows say what became of it: were
+ * it asked of the new one as well, a late word of the old one, true by itself,
+ * would be taken for the new one's.
  */
 struct vh_place_req {
 	struct vh_start start;
 	int64_t deadline_ms;
+	uint64_t rack_epoch;
 	bool again;
 };
 
--- a/packages/state/src/home_apply.c
+++ b/packages/state/src/home_apply.c
@@ -152,16 +152,24 @@
 	vh_unpack_finish(&u);
 }
 
+/* An owner that reads its successor's record is deposed. */
+static void apply_open(struct vh_home *h, uint64_t epoch)
+{
+	if (epoch <= h->opened)
+		return;
+	h->opened = epoch;
+	h->opens++;
+	if (h->epoch && h->epoch < epoch)
+		vh_home_close(h);
+}
+
 void vh_home_apply(struct vh_home *h, uint64_t offset, uint64_t epoch,
 		   uint32_t kind, struct vh_slice body, int64_t now_ms)
 {
 	(void)offset;
 	switch (kind) {
 	case VH_REC_OPEN:
-		if (epoch > h->opened) {
-			h->opened = epoch;
-			h->opens++;
-		}
+		apply_open(h, epoch);
 		break;
 	case VH_REC_JOB:
 		apply_job(h, body, now_ms);
--- a/packages/state/src/home_priv.h
+++ b/packages/state/src/home_priv.h
@@ -14,7 +14,6 @@
  *	      attempt never began
  * @rec_attempt: number of the newest VH_REC_ATTEMPT
  * @doubt: runs on a rack that has a new owner
- * @late: said to run while its rack was unsealed
  * @listed: by the rack being sealed
  * @maybe_ran: an attempt began, or may have
  * @must_end: ended for good without a record yet; vh_home_expire() makes it
@@ -23,7 +22,6 @@
 	uint32_t rec_attempt;
 	bool recorded;
 	bool doubt;
-	bool late;
 	bool listed;
 	bool maybe_ran;
 	bool must_end;
--- a/packages/state/src/home_seal.c
+++ b/packages/state/src/home_seal.c
@@ -73,7 +73,6 @@
 	if (task->state == VH_TASK_ENDED)
 		return;
 	priv->doubt = false;
-	priv->late = false;
 	priv->listed = false;
 	priv->must_end = false;
 	home_task_place(task, vh_slice("", 0), vh_slice("", 0));
@@ -120,8 +119,11 @@
 static void doubt_task(struct vh_home *h, struct vh_task *task,
 		       struct vh_slice rack)
 {
+	bool there =
+		task->state == VH_TASK_RUNNING || task->state == VH_TASK_ASKED;
+
 	(void)h;
-	if (task->state == VH_TASK_RUNNING && vh_slice_eq(task->rack, rack)) {
+	if (there && vh_slice_eq(task->rack, rack)) {
 		task_priv(task)->doubt = true;
 		task_priv(task)->listed = false;
 	}
@@ -162,22 +164,22 @@
 	home_task_set(h, task, VH_TASK_RUNNING);
 }
 
-/* The rack has told all that runs there. */
+/* The rack has told all that runs there. Of a task that the former owner was
+ * asked for and that is not there nobody knows whether it began. */
 static void sealed_task(struct vh_home *h, struct vh_task *task,
 			struct vh_slice rack)
 {
 	struct task_priv *priv = task_priv(task);
-	bool listed = priv->listed;
+	bool missing = priv->doubt && !priv->listed;
+	bool there =
+		task->state == VH_TASK_RUNNING || task->state == VH_TASK_ASKED;
 
-	if (task->state != VH_TASK_RUNNING || !vh_slice_eq(task->rack, rack))
+	if (!there || !vh_slice_eq(task->rack, rack))
 		return;
+	priv->doubt = false;
 	priv->listed = false;
-	if (!listed && priv->doubt)
+	if (missing)
 		home_task_lost(h, task);
-	else if (!listed && priv->late)
-		home_task_set(h, task, VH_TASK_ASKED);
-	priv->doubt = false;
-	priv->late = false;
 }
 
 void vh_home_seal_rack(struct vh_home *h, struct vh_slice rack)
--- a/packages/state/src/home_task.c
+++ b/packages/state/src/home_task.c
@@ -125,6 +125,7 @@
 		     VH_FMT(task->job->id), task->index);
 	task->attempt = MAX(task->attempt, base) + 1;
 	task->why = VH_OK;
+	task_priv(task)->doubt = false;
 	home_task_place(task, rack, vh_slice("", 0));
 	home_task_set(h, task, idempotent ? VH_TASK_ASKED : VH_TASK_RECORDING);
 	vh_invariant(VH_I4_LIMITS, home_credit_holds(h),
@@ -143,17 +144,14 @@
 	if (task->attempt != attempt || task->state != VH_TASK_ASKED)
 		return;
 	bytes_set(&task->worker, worker);
-	task_priv(task)->late = home_unsealed_find(h, task->rack) != NULL;
 	home_task_set(h, task, VH_TASK_RUNNING);
 }
 
-void vh_home_not_begun(struct vh_home *h, struct vh_task *task,
-		       uint32_t attempt, enum vh_err why, int64_t retry_at_ms)
+/* The present attempt surely did not begin. */
+static void task_not_begun(struct vh_home *h, struct vh_task *task,
+			   enum vh_err why, int64_t retry_at_ms)
 {
-	if (task->attempt != attempt ||
-	    (task->state != VH_TASK_ASKED && task->state != VH_TASK_RECORDING))
-		return;
-	if (task_priv(task)->rec_attempt == attempt)
+	if (task_priv(task)->rec_attempt == task->attempt)
 		task_priv(task)->recorded = false;
 	task->why = why;
 	task->retry_at_ms = retry_at_ms;
@@ -161,6 +159,14 @@
 	home_task_set(h, task, VH_TASK_WAITING);
 }
 
+void vh_home_not_begun(struct vh_home *h, struct vh_task *task,
+		       uint32_t attempt, enum vh_err why, int64_t retry_at_ms)
+{
+	if (task->attempt == attempt &&
+	    (task->state == VH_TASK_ASKED || task->state == VH_TASK_RECORDING))
+		task_not_begun(h, task, why, retry_at_ms);
+}
+
 void home_task_lost(struct vh_home *h, struct vh_task *task)
 {
 	struct task_priv *priv = task_priv(task);
@@ -168,7 +174,6 @@
 	task->lost++;
 	priv->maybe_ran = true;
 	priv->doubt = false;
-	priv->late = false;
 	home_task_place(task, vh_slice("", 0), vh_slice("", 0));
 	home_task_set(h, task, VH_TASK_WAITING);
 	if (task->job->spec.idempotent && task->lost < h->settings.max_attempts)
@@ -193,8 +198,10 @@
 	home_task_set(h, task, VH_TASK_ENDING);
 }
 
-/* An end told while it is not known where the task runs: only one that no
- * later attempt can have followed says anything. */
+/* An end told while it is not known where the task runs. An idempotent task's
+ * says nothing: an attempt that was given up as lost may have been done, and
+ * a later one may run. A task that is not idempotent has only one that may
+ * have begun. */
 static bool unplaced_ended(struct vh_task *task, const struct vh_ended *e)
 {
 	struct task_priv *priv = task_priv(task);
@@ -205,11 +212,21 @@
 			priv->recorded = false;
 		return false;
 	}
-	if (e->end == VH_END_STOPPED && !task->job->cancelled && idempotent)
-		return false;
-	if (e->end == VH_END_LOST && idempotent)
+	return !idempotent;
+}
+
+bool vh_home_end_early(struct vh_home *h, const struct vh_ended *ended)
+{
+	struct vh_task *task = vh_home_task(h, ended->task);
+
+	if (!h->epoch)
+		return true;
+	if (!task)
 		return false;
-	return true;
+	if (task->state == VH_TASK_ENDING)
+		return task->attempt == ended->attempt;
+	return task->state == VH_TASK_UNPLACED && task->job->spec.idempotent &&
+	       (ended->end == VH_END_DONE || ended->end == VH_END_FAILED);
 }
 
 /* Returns true if the end of a run under way is final. */
@@ -220,8 +237,7 @@
 
 	switch (e->end) {
 	case VH_END_VOID:
-		vh_home_not_begun(h, task, e->attempt, VH_ERR_NO_CAPACITY,
-				  now_ms);
+		task_not_begun(h, task, VH_ERR_NO_CAPACITY, now_ms);
 		return false;
 	case VH_END_LOST:
 		if (!idempotent || task->lost + 1 >= h->settings.max_attempts)
--- a/packages/state/src/rack.c
+++ b/packages/state/src/rack.c
@@ -210,14 +210,10 @@
 {
 	const struct vh_start *start = &req->start;
 
-	if (!r->epoch)
-		return VH_ERR_NOT_OWNER;
 	if (start->home_epoch < rack_fence(r, start->home, start->home_epoch))
 		return VH_ERR_STALE_EPOCH;
 	if (req->deadline_ms && now_ms > req->deadline_ms)
 		return VH_ERR_DEADLINE;
-	if (req->again && !rack_complete(r))
-		return VH_ERR_NOT_READY;
 	if (vh_table_find(&r->live, start->task))
 		return VH_ERR_NOT_READY; /* an earlier attempt still holds */
 	return VH_OK;
@@ -258,10 +254,11 @@
 	enum vh_err err;
 
 	r->now_ms = now_ms;
+	if (!r->epoch || req->rack_epoch != r->epoch)
+		return VH_ERR_NOT_OWNER;
 	if (!place_again(r, start, &err)) {
 		err = place_new(r, req, now_ms);
-		if (err != VH_OK && req->again && err != VH_ERR_NOT_READY &&
-		    r->epoch)
+		if (err != VH_OK && req->again && err != VH_ERR_NOT_READY)
 			rack_decided_add(r, start->task, start->attempt, err,
 					 now_ms);
 	}
--- a/packages/state/tests/fake_log.h
+++ b/packages/state/tests/fake_log.h
@@ -115,14 +115,6 @@
 		return transport(&ports.back());
 	}
 
-      private:
-	Events &events;
-
-	static std::string str(struct vh_slice s)
-	{
-		return std::string(s.data ? s.data : "", s.len);
-	}
-
 	/* Calls @fn at @when, or later if the user sleeps then. */
 	void deliver(Port *port, int64_t when, std::function<void()> fn)
 	{
@@ -136,6 +128,14 @@
 		});
 	}
 
+      private:
+	Events &events;
+
+	static std::string str(struct vh_slice s)
+	{
+		return std::string(s.data ? s.data : "", s.len);
+	}
+
 	static void append(void *ctx, struct vh_slice stream,
 			   struct vh_slice bytes,
 			   void (*done)(void *, enum vh_err, uint64_t),
--- /dev/null
+++ b/packages/state/tests/sim.h
@@ -0,0 +1,230 @@
+#ifndef VH_SIM_H
+#define VH_SIM_H
+
+#include <algorithm>
+#include <memory>
+#include <random>
+#include <set>
+
+#include "fake_log.h"
+#include "fake_worker.h"
+
+extern "C" {
+#include "vh/claims.h"
+#include "vh/home.h"
+#include "vh/invariant.h"
+#include "vh/rack.h"
+}
+
+/* Mechanisms that a run may go without, to show that they are needed. */
+struct Mutations {
+	bool no_worker_epoch = false; /* workers obey deposed owners */
+	bool no_seal = false;	      /* a new home asks no rack what runs */
+	bool no_open = false;	      /* a new home appends no OPEN */
+	bool no_home_fence = false;   /* racks obey deposed homes */
+	bool no_margin = false;	      /* leases count as lapsed too early */
+	bool no_fresh = false;	      /* lapses count without fresh claims */
+	bool no_attempt = false;      /* starts do not wait for their ATTEMPT */
+	bool no_rack_epoch = false;   /* any owner of a rack decides a repeat */
+};
+
+struct SimSettings {
+	uint64_t seed = 1;
+	int64_t faults_until = 40000;
+	int64_t heal_ms = 60000;
+	size_t jobs = 12;
+	Mutations without;
+};
+
+static const int64_t SIM_LEASE = 3000, SIM_RENEW = 1000, SIM_VOID = 1500,
+		     SIM_MARGIN = 200;
+
+class Sim;
+
+/* A node's part of a message to another, run there on arrival. */
+typedef std::function<void(class Node &)> Message;
+
+/* A start that a rack's owner was asked for. */
+struct SimAsk {
+	uint64_t rack_epoch = 0;
+	bool again = false;
+	int64_t at = 0; /* to be repeated */
+};
+
+struct SimHome {
+	class Node &node;
+	std::string unit, stream_name;
+	uint64_t epoch;
+	struct vh_home *h;
+	struct vh_stream *s;
+	bool asked_open = false, open = false;
+	int64_t expire_at = 0;
+	std::map<std::string, int64_t> seal_at; /* by rack */
+	std::map<std::string, SimAsk> asks;	/* by task */
+
+	SimHome(class Node &node, const std::string &unit, uint64_t epoch);
+	~SimHome();
+};
+
+struct SimRack {
+	class Node *node;
+	std::string name;
+	struct vh_rack *r = NULL;
+};
+
+class Node
+{
+      public:
+	Sim &sim;
+	std::string id;
+	size_t index;
+	uint64_t incarnation = 0;
+	bool up = false;
+	int64_t wakes_at = 0;
+	std::string writer;
+	struct vh_claims *claims = NULL;
+	struct vh_stream *s = NULL;
+	FakeLog::Port port;
+	std::map<std::string, std::unique_ptr<SimRack>> racks;
+	std::map<std::string, std::unique_ptr<SimHome>> homes;
+	std::map<std::string, std::pair<uint64_t, int64_t>> heard;
+	std::set<std::string> claiming;
+
+	Node(Sim &sim, size_t index);
+	~Node();
+	void start();
+	void crash();
+	void tick();
+	void heartbeat();
+	void submit(const std::string &key, bool idempotent, uint32_t n,
+		    uint32_t client);
+
+	struct vh_claim claim_of(const std::string &unit);
+	Node *owner_of(const std::string &unit);
+	SimHome *home(const std::string &unit);
+
+      private:
+	static void on_claims(void *ctx, uint64_t offset,
+			      const struct vh_batch *batch);
+	static void on_gone(void *ctx, uint64_t first);
+	static void on_home_batch(void *ctx, uint64_t offset,
+				  const struct vh_batch *batch);
+	static size_t choose(void *ctx, const struct vh_start *start,
+			     const struct vh_worker_view *views, size_t n,
+			     enum vh_err *why);
+	static void on_placed(void *ctx, struct vh_slice task, uint32_t attempt,
+			      struct vh_slice home, struct vh_slice worker);
+	static void on_refused(void *ctx, struct vh_slice task,
+			       uint32_t attempt, struct vh_slice home,
+			       enum vh_err why);
+	static void on_ended(void *ctx, struct vh_slice worker,
+			     const struct vh_ended *e);
+	void claim_changed(const struct vh_claim &c);
+	void rack_changed(const std::string &name, const struct vh_claim &c);
+	void home_changed(const std::string &unit, const struct vh_claim &c);
+	bool owns(const struct vh_claim &c) const;
+	bool alive(const std::string &node, uint64_t inc) const;
+	void claim_units();
+	void pump_rack(SimRack &r);
+	void send_sync(SimRack &r, struct vh_slice worker,
+		       const struct vh_sync_req &req);
+	void pump_home(SimHome &h);
+	void open_home(SimHome &h);
+	void start_tasks(SimHome &h);
+	void ask(SimHome &h, struct vh_task *task, bool again);
+	void ask_again(SimHome &h);
+	void seal(SimHome &h, const std::string &rack);
+	void home_append(SimHome &h, enum vh_rec_kind kind,
+			 struct vh_slice body,
+			 std::function<void(enum vh_err)> done);
+	void take_end(SimHome &h, const std::string &rack,
+		      const std::string &task, uint32_t attempt,
+		      enum vh_end end, Node &from);
+	friend struct SimHome;
+};
+
+/* What the workers themselves saw, and what callers were told. */
+class Ledger
+{
+      public:
+	struct Task {
+		bool idempotent = true;
+		int running = 0;
+		int begun = 0;
+	};
+	std::map<std::string, Task> tasks;
+	std::map<std::string, bool> job_idempotent; /* by key */
+	std::map<std::string, std::string> job_of;  /* by key */
+	int team_running = 0, team_limit = 0;
+	uint64_t starts = 0, ends = 0;
+	std::vector<std::string> violations;
+};
+
+class Sim
+{
+      public:
+	SimSettings settings;
+	std::mt19937_64 rng;
+	Events events;
+	FakeLog log{ events };
+	std::vector<std::unique_ptr<FakeWorker>> workers;
+	std::map<std::string, std::vector<size_t>> rack_workers;
+	std::vector<std::unique_ptr<Node>> nodes;
+	Ledger ledger;
+	std::vector<std::string> trace;
+	std::set<std::pair<size_t, size_t>> cut; /* node pairs */
+	std::set<std::pair<size_t, size_t>> cut_worker;
+	std::set<size_t> cut_log;
+	bool log_down = false;
+	bool stopped = false;
+	std::map<std::string, std::string> acked; /* key to job id */
+	struct vh_limit limit = {};
+
+	explicit Sim(const SimSettings &settings);
+	~Sim();
+	bool run(); /* false: ledger.violations says why */
+
+	uint64_t below(uint64_t n)
+	{
+		return rng() % n;
+	}
+	bool chance(unsigned int percent)
+	{
+		return below(100) < percent;
+	}
+	void note(const std::string &line);
+	void violation(const std::string &line);
+	void send(Node &from, Node &to, Message m, bool once = false);
+	/* calls may be lost or late, but a connection repeats none */
+	void send_once(Node &from, Node &to, Message m)
+	{
+		send(from, to, m, true);
+	}
+	bool healing() const
+	{
+		return events.now >= settings.faults_until;
+	}
+	Node *node(struct vh_slice id);
+	std::vector<struct vh_slice> rack_names();
+
+	struct Done {
+		std::function<void(enum vh_err)> fn;
+	};
+	Done *keep(std::function<void(enum vh_err)> fn);
+	static void on_done(void *arg, enum vh_err err, uint64_t offset);
+
+      private:
+	std::deque<std::string> names;
+	std::deque<Done> kept;
+	void make_workers();
+	void make_faults();
+	void make_jobs();
+	void fault();
+	void tick_node(size_t i);
+	void tick_workers();
+	void heal();
+	void check_end();
+	bool all_ended();
+};
+
+#endif
