End the round of seeds when one's own address is the last one

A node whose own address stands last among three seeds spun in new_round() for ever: the cursor skips itself and never lands on a multiple of the count. Seen with node 3 of three on loopback: started, 98% of a core, no answer on any listener. The new test hangs without the repair (ended by its time limit).

--- a/packages/peer/src/probe.c
+++ b/packages/peer/src/probe.c
@@ -194,10 +194,9 @@
 	if (i < p->members.n)
 		probe_node(p, i);
 	p->probes.rounds++;
-	if (i == p->members.n) {
-		while (p->probes.rounds % 2 && probe_seed(p))
-			if (p->probes.next_seed % p->settings.n_seeds == 0)
-				break;
+	if (i == p->members.n && p->probes.rounds % 2) {
+		for (size_t k = 0; k < p->settings.n_seeds; k++)
+			probe_seed(p);
 	}
 	if (p->probes.rounds % SEED_EVERY == 0)
 		probe_seed(p);
--- a/packages/peer/tests/test_peer.cc
+++ b/packages/peer/tests/test_peer.cc
@@ -157,6 +157,22 @@
 	EXPECT_EQ(vh_peer_node(b, vh_slice_str("c"))->port, vh_peer_port(c));
 }
 
+TEST_F(Peers, OwnAddressMayBeTheLastSeed)
+{
+	std::vector<uint16_t> ports;
+
+	for (const char *id : { "a", "b", "c" })
+		ports.push_back(vh_peer_port(start(id, 0, "s3cret", {})));
+	for (auto *p : std::vector<struct vh_peer *>(peers))
+		stop(p);
+	auto *c = start("c", ports[2], "s3cret", ports);
+
+	/* nobody else is there yet: one round must end all the same */
+	run_until([&] { return false; }, 200);
+	start("a", ports[0], "s3cret", ports);
+	EXPECT_TRUE(run_until([&] { return sees(c, "a", VH_NODE_ALIVE); }));
+}
+
 TEST_F(Peers, WrongSecretLearnsNothing)
 {
 	auto *a = start("a", 0, "right", {});
