--- a/packages/ctl/src/cmd_report.c
+++ b/packages/ctl/src/cmd_report.c
@@ -135,10 +135,10 @@
 	json_t *rows = rates_json(since, c->opt.interval_s);
 	json_t *screen;
 	json_t *homes;
-	int code = ctl_nodes_gather(c, "/v1/jobs", "jobs", &homes);
+	int code = ctl_nodes_gather(c, "/v1/jobs", "homes", &homes);
 
 	screen = json_pack("{s:o,s:O}", "waiting", rows, "homes",
-			   json_object_get(homes, "jobs"));
+			   json_object_get(homes, "homes"));
 	if (!c->json && isatty(fileno(c->out)))
 		fputs(CLEAR_SCREEN, c->out);
 	print_value(c, screen);
--- a/packages/ctl/src/nodes.c
+++ b/packages/ctl/src/nodes.c
@@ -49,6 +49,8 @@
 			    &version);
 		node->id = g_strdup(id);
 		node->state = g_strdup(state);
+		if (endpoint && !*endpoint)
+			endpoint = NULL;
 		/* the first is the node that answered */
 		if (!endpoint && i == 0 && !strchr(c->opt.server, ','))
 			endpoint = c->opt.server;
--- a/packages/ctl/src/report_data.c
+++ b/packages/ctl/src/report_data.c
@@ -178,8 +178,8 @@
 	json_t *home;
 	size_t i;
 
-	ctl_nodes_gather(c, "/v1/jobs", "jobs", &json);
-	json_array_foreach(json_object_get(json, "jobs"), i, home)
+	ctl_nodes_gather(c, "/v1/jobs", "homes", &json);
+	json_array_foreach(json_object_get(json, "homes"), i, home)
 	{
 		const char *unit =
 			json_string_value(json_object_get(home, "home"));
