--- /dev/null
+++ b/packages/policy/tests/place_first_version.h
@@ -0,0 +1,11 @@
+#ifndef VH_PLACE_FIRST_VERSION_H
+#define VH_PLACE_FIRST_VERSION_H
+
+#include "vh/place.h"
+
+/* The first vh_place() that landed, kept to compare with. */
+void vh_place_first_version(const struct vh_want *want,
+			    const struct vh_candidate *cands, size_t n,
+			    struct vh_place_result *out);
+
+#endif
--- /dev/null
+++ b/packages/policy/tests/sim.h
@@ -0,0 +1,142 @@
+#ifndef VH_SIM_H
+#define VH_SIM_H
+
+#include "vh/estimate.h"
+#include "vh/place.h"
+#include "vh/share.h"
+
+/*
+ * A fleet as an array and a trace of work, to compare decisions: time goes in
+ * ticks, there is no network and there are no processes.
+ */
+
+#define SIM_TICK_MS 50
+#define SIM_TEAMS 6
+#define SIM_RACK 8
+#define SIM_REGIONS 3
+#define SIM_ATTEMPTS_MAX 4
+#define SIM_CHECKPOINT_MS 60000
+#define SIM_FAILS_AFTER_MS 1000
+
+enum sim_user {
+	SIM_SITARA,
+	SIM_FASERKREIS
+};
+
+struct sim_spec {
+	enum sim_user user;
+	uint64_t seed;
+	size_t workers;
+	unsigned int load; /* percent of the fleet's processors */
+	int64_t horizon_ms;
+	bool wrong_sizes; /* declared sizes are off by up to 10 times */
+	bool bad_worker;  /* one worker fails whatever it starts */
+};
+
+enum sim_state {
+	SIM_WAITING,
+	SIM_RUNNING,
+	SIM_DONE,
+	SIM_FAILED
+};
+
+struct sim_task {
+	int64_t arrive_ms;
+	int64_t run_ms;
+	uint32_t team, job, gang; /* gang: 0 or the number of tasks in it */
+	enum vh_class cls;
+	uint32_t region;
+	struct vh_res declared, used;
+	uint64_t transfer_bytes;
+	bool broken; /* its job fails wherever it runs */
+
+	enum sim_state state;
+	struct vh_res committed;
+	int64_t first_start_ms; /* -1: never started */
+	int64_t start_ms, end_ms, next_try_ms;
+	uint32_t worker, starts, attempts, preempted, asks;
+};
+
+struct sim_end {
+	int64_t at_ms;
+	uint32_t task, start;
+};
+
+struct sim;
+
+/** struct sim_policy - a way to decide, and its private state */
+struct sim_policy {
+	const char *name;
+	void (*init)(struct sim *s);
+	void (*arrived)(struct sim *s, uint32_t task);
+	void (*ended)(struct sim *s, uint32_t task, bool failed);
+	void (*step)(struct sim *s);
+	void (*finish)(struct sim *s);
+};
+
+struct sim_stats {
+	uint64_t starts, preemptions, lost_core_s, cross_bytes, bad_starts;
+	uint64_t asks, refused;
+	int64_t bad_last_start_ms;
+	double used_core_ms; /* committed processors over time, after warm-up */
+	double distance_sum;
+	uint64_t distance_n;
+};
+
+struct sim {
+	struct sim_spec spec;
+	const struct sim_policy *policy;
+	void *state;
+	struct vh_candidate *workers;
+	size_t n_workers;
+	struct vh_res fleet;
+	struct sim_task *tasks;
+	size_t n_tasks;
+	struct sim_end *ends; /* heap */
+	size_t n_ends, cap_ends;
+	int64_t now_ms;
+	uint32_t weights[SIM_TEAMS];
+	struct vh_res running[SIM_TEAMS], waiting[SIM_TEAMS];
+	struct vh_share_window windows[SIM_TEAMS];
+	uint32_t bad_worker;
+	struct sim_stats stats;
+};
+
+uint64_t sim_random(uint64_t *state);
+
+/* sim_trace - fills tasks in order of arrival */
+void sim_trace(struct sim *s);
+
+void sim_init(struct sim *s, const struct sim_spec *spec,
+	      const struct sim_policy *policy);
+void sim_run(struct sim *s);
+void sim_finish(struct sim *s);
+
+/* sim_start - commits @size; aborts if the worker has no room */
+void sim_start(struct sim *s, uint32_t task, uint32_t worker,
+	       const struct vh_res *size);
+
+/* sim_preempt - stops it; it waits again with what its last checkpoint left */
+void sim_preempt(struct sim *s, uint32_t task);
+
+/* sim_want - for vh_place() */
+struct vh_want sim_want(const struct sim_task *t, const struct vh_res *size);
+
+/* sim_waits - sorted waiting times of one class, gangs apart; censored at the
+ * horizon. Free with g_free(). */
+int64_t *sim_waits(const struct sim *s, enum vh_class cls, bool gangs,
+		   size_t *n);
+
+extern const struct sim_policy sim_first_fit, sim_best_fit, sim_two_choices,
+	sim_first_version, sim_ours;
+
+/** struct sim_knobs - what is varied in measurements of our own policy */
+struct sim_knobs {
+	unsigned int k;		/* candidates asked in one try */
+	int64_t summary_age_ms; /* how old summaries are */
+	bool estimates, preemption, health, shares;
+};
+
+extern struct sim_knobs sim_knobs;
+
+#endif
--- /dev/null
+++ b/packages/policy/tests/sim_baseline.c
@@ -0,0 +1,278 @@
+#include "sim.h"
+
+#include <glib.h>
+#include <math.h>
+
+#include "place_first_version.h"
+
+#define FAILED_SHAPES 16
+#define RACK_FULL_MS 100
+
+/** struct baseline - one queue in order of arrival for the whole cell */
+struct baseline {
+	uint32_t *queue;
+	size_t n, cap;
+	uint64_t rng;
+	int64_t full_until_ms[SIM_TEAMS][1024]; /* first version: by rack */
+	uint32_t turn[SIM_TEAMS];
+	struct vh_res failed[FAILED_SHAPES]; /* sizes that fit nowhere now */
+	size_t n_failed;
+};
+
+typedef size_t choose_fn(struct sim *s, const struct sim_task *t);
+
+static void base_init(struct sim *s)
+{
+	struct baseline *b = g_new0(struct baseline, 1);
+
+	b->rng = s->spec.seed ^ 77;
+	s->state = b;
+}
+
+static void base_finish(struct sim *s)
+{
+	struct baseline *b = s->state;
+
+	g_free(b->queue);
+	g_free(b);
+}
+
+static void base_arrived(struct sim *s, uint32_t task)
+{
+	struct baseline *b = s->state;
+
+	if (b->n == b->cap) {
+		b->cap = b->cap ? 2 * b->cap : 1024;
+		b->queue = g_renew(uint32_t, b->queue, b->cap);
+	}
+	b->queue[b->n++] = task;
+}
+
+static void base_ended(struct sim *s, uint32_t task, bool failed)
+{
+	(void)s;
+	(void)task;
+	(void)failed;
+}
+
+static size_t first_fit(struct sim *s, const struct sim_task *t)
+{
+	size_t i = 0;
+
+	while (i < s->n_workers &&
+	       !vh_res_fits(&t->declared, &s->workers[i].free))
+		i++;
+	return i;
+}
+
+static size_t best_fit(struct sim *s, const struct sim_task *t)
+{
+	double least = INFINITY;
+	size_t best = s->n_workers;
+
+	for (size_t i = 0; i < s->n_workers; i++) {
+		const struct vh_candidate *w = &s->workers[i];
+		double left = 0;
+
+		if (!vh_res_fits(&t->declared, &w->free))
+			continue;
+		for (int d = VH_CPU; d <= VH_ACCEL; d++) {
+			if (w->capacity.v[d])
+				left += (double)(w->free.v[d] -
+						 t->declared.v[d]) /
+					w->capacity.v[d];
+		}
+		if (left < least) {
+			least = left;
+			best = i;
+		}
+	}
+	return best;
+}
+
+static size_t two_choices(struct sim *s, const struct sim_task *t)
+{
+	struct baseline *b = s->state;
+	size_t best = s->n_workers;
+
+	for (int i = 0; i < 2; i++) {
+		size_t at = sim_random(&b->rng) % s->n_workers;
+
+		if (vh_res_fits(&t->declared, &s->workers[at].free) &&
+		    (best == s->n_workers ||
+		     s->workers[at].free.v[VH_CPU] >
+			     s->workers[best].free.v[VH_CPU]))
+			best = at;
+	}
+	return best;
+}
+
+static bool dominated(const struct baseline *b, const struct vh_res *size)
+{
+	for (size_t i = 0; i < b->n_failed; i++) {
+		if (vh_res_fits(&b->failed[i], size))
+			return true;
+	}
+	return false;
+}
+
+/* Starts a gang's tasks, @n in a row in the queue, all or none. */
+static bool start_gang(struct sim *s, const uint32_t *tasks, size_t n,
+		       choose_fn *choose)
+{
+	size_t at[64], placed = 0;
+
+	for (; placed < n && placed < 64; placed++) {
+		const struct sim_task *t = &s->tasks[tasks[placed]];
+
+		at[placed] = choose(s, t);
+		if (at[placed] >= s->n_workers)
+			break;
+		vh_res_sub(&s->workers[at[placed]].free, &t->declared);
+	}
+	for (size_t i = 0; i < placed; i++)
+		vh_res_add(&s->workers[at[i]].free,
+			   &s->tasks[tasks[i]].declared);
+	if (placed < n)
+		return false;
+	for (size_t i = 0; i < n; i++)
+		sim_start(s, tasks[i], (uint32_t)at[i],
+			  &s->tasks[tasks[i]].declared);
+	return true;
+}
+
+static bool start_single(struct sim *s, uint32_t task, choose_fn *choose)
+{
+	struct baseline *b = s->state;
+	const struct sim_task *t = &s->tasks[task];
+	size_t at;
+
+	if (dominated(b, &t->declared))
+		return false;
+	at = choose(s, t);
+	if (at < s->n_workers) {
+		sim_start(s, task, (uint32_t)at, &t->declared);
+		return true;
+	}
+	if (b->n_failed < FAILED_SHAPES && choose != two_choices)
+		b->failed[b->n_failed++] = t->declared;
+	return false;
+}
+
+static size_t gang_length(const struct sim *s, const struct baseline *b,
+			  size_t at)
+{
+	const struct sim_task *t = &s->tasks[b->queue[at]];
+	size_t n = 1;
+
+	if (!t->gang || t->attempts)
+		return 1;
+	while (at + n < b->n && s->tasks[b->queue[at + n]].job == t->job &&
+	       !s->tasks[b->queue[at + n]].attempts)
+		n++;
+	return n;
+}
+
+/* Goes over the queue; what does not fit holds nobody up. */
+static void run_queue(struct sim *s, choose_fn *choose)
+{
+	struct baseline *b = s->state;
+	size_t kept = 0;
+
+	b->n_failed = 0;
+	for (size_t i = 0; i < b->n;) {
+		size_t n = gang_length(s, b, i);
+		bool ok = n > 1 ? start_gang(s, &b->queue[i], n, choose)
+				: start_single(s, b->queue[i], choose);
+
+		for (size_t k = 0; !ok && k < n; k++)
+			b->queue[kept++] = b->queue[i + k];
+		i += n;
+	}
+	b->n = kept;
+}
+
+static void first_fit_step(struct sim *s)
+{
+	run_queue(s, first_fit);
+}
+
+static void best_fit_step(struct sim *s)
+{
+	run_queue(s, best_fit);
+}
+
+static void two_choices_step(struct sim *s)
+{
+	run_queue(s, two_choices);
+}
+
+/* The next rack in turn that has not just been full, own region first. */
+static size_t next_rack(struct sim *s, const struct sim_task *t)
+{
+	struct baseline *b = s->state;
+	size_t n = s->n_workers / SIM_RACK;
+
+	for (int away = 0; away < 2; away++) {
+		for (size_t i = 0; i < n; i++) {
+			size_t r = (b->turn[t->team] + i) % n;
+
+			if (b->full_until_ms[t->team][r] > s->now_ms ||
+			    (s->workers[r * SIM_RACK].region != t->region) !=
+				    away)
+				continue;
+			b->turn[t->team] = (uint32_t)(r + 1);
+			return r;
+		}
+	}
+	return n;
+}
+
+/* As the first version of the system did: one rack in turn after another. */
+static size_t rack_in_turn(struct sim *s, const struct sim_task *t)
+{
+	struct baseline *b = s->state;
+	size_t n = s->n_workers / SIM_RACK, r;
+
+	while ((r = next_rack(s, t)) < n) {
+		struct vh_want want = sim_want(t, &t->declared);
+		struct vh_place_result out;
+
+		s->stats.asks++;
+		vh_place_first_version(&want, &s->workers[r * SIM_RACK],
+				       SIM_RACK, &out);
+		if (out.reason == VH_PLACE_OK)
+			return r * SIM_RACK + out.index;
+		s->stats.refused++;
+		b->full_until_ms[t->team][r] = s->now_ms + RACK_FULL_MS;
+	}
+	return s->n_workers;
+}
+
+static void first_version_step(struct sim *s)
+{
+	struct baseline *b = s->state;
+	bool any = false;
+
+	for (size_t r = 0; r < s->n_workers / SIM_RACK && !any; r++) {
+		for (int t = 0; t < SIM_TEAMS; t++)
+			any |= b->full_until_ms[t][r] <= s->now_ms;
+	}
+	if (any)
+		run_queue(s, rack_in_turn);
+}
+
+#define BASELINE(var, text, step_fn)     \
+	const struct sim_policy var = {  \
+		.name = text,            \
+		.init = base_init,       \
+		.arrived = base_arrived, \
+		.ended = base_ended,     \
+		.step = step_fn,         \
+		.finish = base_finish,   \
+	}
+
+BASELINE(sim_first_fit, "first_fit", first_fit_step);
+BASELINE(sim_best_fit, "best_fit", best_fit_step);
+BASELINE(sim_two_choices, "two_choices", two_choices_step);
+BASELINE(sim_first_version, "first_version", first_version_step);
--- /dev/null
+++ b/packages/policy/tests/sim_ours.c
@@ -0,0 +1,581 @@
+#include "sim.h"
+
+#include <glib.h>
+
+#include "vh/candidates.h"
+#include "vh/gang.h"
+#include "vh/health.h"
+#include "vh/preempt.h"
+#include "vh/waitlist.h"
+
+#define RETRY_MS 250
+#define TRIES_A_STEP 32 /* of one team and class */
+#define PREEMPT_AFTER_MS 500
+#define PREEMPT_PER_MIN 600
+#define TRANSFER_BYTES_PER_MS 20000
+#define RACKS_MAX 1024
+#define RACK_TASKS 512
+
+struct sim_knobs sim_knobs = { .k = 2,
+			       .summary_age_ms = 1000,
+			       .estimates = true,
+			       .preemption = true,
+			       .health = true,
+			       .shares = true };
+
+struct queue {
+	uint32_t *tasks;
+	size_t n, cap;
+};
+
+struct rack {
+	struct vh_waitlist list;
+	struct vh_gang_table gangs;
+	struct vh_health health;
+	uint32_t running[RACK_TASKS];
+	size_t n_running;
+};
+
+struct gang {
+	struct vh_gang g;
+	uint32_t first_task; /* its tasks stand in a row */
+	uint32_t team;
+	bool started;
+};
+
+struct home {
+	struct queue queues[VH_CLASS_COUNT];
+	struct vh_candidates racks;
+	struct vh_estimate estimates[VH_CLASS_COUNT];
+	struct vh_preempt_budget budget;
+	uint64_t due;
+};
+
+struct ours {
+	struct home homes[SIM_TEAMS];
+	struct rack *racks;
+	size_t n_racks;
+	struct gang *gangs;
+	size_t n_gangs, cap_gangs;
+	uint64_t rng;
+};
+
+static void queue_add(struct queue *q, uint32_t task)
+{
+	if (q->n == q->cap) {
+		q->cap = q->cap ? 2 * q->cap : 256;
+		q->tasks = g_renew(uint32_t, q->tasks, q->cap);
+	}
+	q->tasks[q->n++] = task;
+}
+
+static void summarize(struct sim *s, size_t rack, struct vh_rack_summary *out)
+{
+	struct ours *o = s->state;
+	struct vh_candidate w[SIM_RACK];
+	struct vh_res batch[SIM_RACK] = { 0 };
+	struct rack *r = &o->racks[rack];
+
+	for (size_t i = 0; i < SIM_RACK; i++) {
+		w[i] = s->workers[rack * SIM_RACK + i];
+		w[i].usable = vh_health_takes(&r->health, i, s->now_ms);
+	}
+	vh_gang_visible(&r->gangs, w, SIM_RACK, 0, s->now_ms);
+	for (size_t i = 0; i < r->n_running; i++) {
+		const struct sim_task *t = &s->tasks[r->running[i]];
+
+		if (t->cls == VH_CLASS_BATCH)
+			vh_res_add(&batch[t->worker % SIM_RACK], &t->committed);
+	}
+	vh_summary_build(out, w, batch, SIM_RACK, (uint32_t)r->list.n);
+}
+
+static void tell_home(struct sim *s, size_t rack, struct home *h)
+{
+	const struct vh_candidate *w = &s->workers[rack * SIM_RACK];
+	struct vh_rack_summary sum;
+
+	summarize(s, rack, &sum);
+	vh_candidates_update(&h->racks, (uint32_t)rack, w->region, w->zone,
+			     &sum);
+}
+
+static void publish(struct sim *s)
+{
+	struct ours *o = s->state;
+	int64_t every = sim_knobs.summary_age_ms;
+
+	for (size_t r = 0; r < o->n_racks; r++) {
+		int64_t offset = (int64_t)r * SIM_TICK_MS;
+
+		if (every > SIM_TICK_MS && (s->now_ms + offset) % every)
+			continue;
+		for (int t = 0; t < SIM_TEAMS; t++)
+			tell_home(s, r, &o->homes[t]);
+	}
+}
+
+static void ours_init(struct sim *s)
+{
+	struct ours *o = g_new0(struct ours, 1);
+
+	s->state = o;
+	o->n_racks = s->n_workers / SIM_RACK;
+	o->racks = g_new0(struct rack, o->n_racks);
+	o->rng = s->spec.seed ^ 99;
+	for (size_t r = 0; r < o->n_racks; r++)
+		o->racks[r].health.n_workers = SIM_RACK;
+	for (int t = 0; t < SIM_TEAMS; t++) {
+		vh_candidates_init(&o->homes[t].racks, o->n_racks);
+		vh_preempt_budget_init(&o->homes[t].budget, PREEMPT_PER_MIN, 0);
+		for (size_t r = 0; r < o->n_racks; r++)
+			tell_home(s, r, &o->homes[t]);
+	}
+}
+
+static void ours_finish(struct sim *s)
+{
+	struct ours *o = s->state;
+
+	for (int t = 0; t < SIM_TEAMS; t++) {
+		vh_candidates_finish(&o->homes[t].racks);
+		for (int c = 0; c < VH_CLASS_COUNT; c++)
+			g_free(o->homes[t].queues[c].tasks);
+	}
+	g_free(o->racks);
+	g_free(o->gangs);
+	g_free(o);
+}
+
+static struct vh_res size_of(struct sim *s, const struct sim_task *t)
+{
+	struct ours *o = s->state;
+	struct vh_res size = t->declared;
+	const struct vh_res *most = &s->workers[0].capacity;
+
+	if (sim_knobs.estimates)
+		vh_estimate_size(&o->homes[t->team].estimates[t->cls],
+				 &t->declared, &size);
+	for (int d = VH_CPU; d <= VH_MEM; d++)
+		size.v[d] = size.v[d] < most->v[d] ? size.v[d] : most->v[d];
+	return size;
+}
+
+static void gang_arrived(struct sim *s, uint32_t task)
+{
+	struct ours *o = s->state;
+	const struct sim_task *t = &s->tasks[task];
+	struct gang *g = o->n_gangs ? &o->gangs[o->n_gangs - 1] : NULL;
+	struct vh_res size = size_of(s, t);
+	struct vh_want want = sim_want(t, &size);
+	struct vh_ticket ticket = { t->arrive_ms, t->job };
+
+	if (g && g->g.ticket.id == t->job)
+		return;
+	if (o->n_gangs == o->cap_gangs) {
+		o->cap_gangs = o->cap_gangs ? 2 * o->cap_gangs : 64;
+		o->gangs = g_renew(struct gang, o->gangs, o->cap_gangs);
+	}
+	g = &o->gangs[o->n_gangs++];
+	*g = (struct gang){ .first_task = task, .team = t->team };
+	vh_gang_init(&g->g, &ticket, &want, t->gang, s->now_ms);
+}
+
+static void ours_arrived(struct sim *s, uint32_t task)
+{
+	struct ours *o = s->state;
+	struct sim_task *t = &s->tasks[task];
+
+	t->next_try_ms = s->now_ms;
+	if (t->gang && !t->starts)
+		gang_arrived(s, task);
+	else
+		queue_add(&o->homes[t->team].queues[t->cls], task);
+}
+
+static void forget_running(struct rack *r, uint32_t task)
+{
+	for (size_t i = 0; i < r->n_running; i++) {
+		if (r->running[i] == task) {
+			r->running[i] = r->running[--r->n_running];
+			return;
+		}
+	}
+}
+
+static void ours_ended(struct sim *s, uint32_t task, bool failed)
+{
+	struct ours *o = s->state;
+	const struct sim_task *t = &s->tasks[task];
+	struct rack *r = &o->racks[t->worker / SIM_RACK];
+	size_t w = t->worker % SIM_RACK;
+
+	forget_running(r, task);
+	if (failed && sim_knobs.health)
+		vh_health_failed(&r->health, w, t->job, t->team, s->now_ms);
+	else if (!failed)
+		vh_health_succeeded(&r->health, w, t->job, s->now_ms);
+	if (!failed)
+		vh_estimate_add(&o->homes[t->team].estimates[t->cls], t->job,
+				&t->declared, &t->used,
+				s->now_ms - t->start_ms);
+}
+
+static void start(struct sim *s, uint32_t task, size_t worker,
+		  const struct vh_res *size)
+{
+	struct ours *o = s->state;
+	struct rack *r = &o->racks[worker / SIM_RACK];
+
+	sim_start(s, task, (uint32_t)worker, size);
+	g_assert(r->n_running < RACK_TASKS);
+	r->running[r->n_running++] = task;
+	vh_health_started(&r->health, worker % SIM_RACK, s->now_ms);
+}
+
+static int64_t run_estimate(struct sim *s, const struct sim_task *t)
+{
+	struct ours *o = s->state;
+
+	if (t->cls == VH_CLASS_SERVICE)
+		return 0;
+	return vh_estimate_run_ms(&o->homes[t->team].estimates[t->cls], 90);
+}
+
+/* When the quarters of a worker's commitments are expected back. */
+static void expect_ends(struct sim *s, const struct rack *r, size_t worker,
+			struct vh_worker_load *load)
+{
+	int64_t ends[RACK_TASKS];
+	size_t n = 0;
+
+	for (size_t i = 0; i < r->n_running; i++) {
+		const struct sim_task *t = &s->tasks[r->running[i]];
+		int64_t run = run_estimate(s, t), at;
+
+		if (t->worker % SIM_RACK != worker || !run)
+			continue;
+		at = t->start_ms + run;
+		at = at > s->now_ms ? at : s->now_ms + 1000;
+		for (size_t k = n++;; k--) {
+			if (!k || ends[k - 1] <= at) {
+				ends[k] = at;
+				break;
+			}
+			ends[k] = ends[k - 1];
+		}
+	}
+	for (size_t q = 1; q <= 4 && n; q++)
+		load->ready_ms[q - 1] = ends[(n * q - 1) / 4];
+}
+
+static void load_rack(struct sim *s, size_t rack, int64_t run_ms,
+		      struct vh_worker_load *loads)
+{
+	struct ours *o = s->state;
+	struct rack *r = &o->racks[rack];
+	struct vh_candidate w[SIM_RACK];
+	bool old = false;
+
+	for (size_t i = 0; i < r->list.n; i++)
+		old |= s->now_ms - r->list.items[i].demand.accepted_ms >=
+		       VH_RESERVE_AFTER_MS;
+	for (size_t i = 0; i < SIM_RACK; i++) {
+		w[i] = s->workers[rack * SIM_RACK + i];
+		w[i].usable = vh_health_takes(&r->health, i, s->now_ms);
+		w[i].failures = vh_health_failures(&r->health, i, s->now_ms);
+	}
+	vh_gang_fill(&r->gangs, w, SIM_RACK, s->now_ms);
+	vh_gang_visible(&r->gangs, w, SIM_RACK, run_ms, s->now_ms);
+	for (size_t i = 0; i < SIM_RACK; i++) {
+		loads[i] = (struct vh_worker_load){ .worker = w[i] };
+		if (old)
+			expect_ends(s, r, i, &loads[i]);
+	}
+}
+
+static bool ask(struct sim *s, uint32_t task, size_t rack,
+		const struct vh_res *size)
+{
+	struct ours *o = s->state;
+	struct sim_task *t = &s->tasks[task];
+	struct vh_worker_load loads[SIM_RACK];
+	struct vh_demand d = {
+		.id = (uint64_t)task << 8 | (t->starts & 255),
+		.team = t->team,
+		.accepted_ms = t->arrive_ms,
+		.run_ms = run_estimate(s, t),
+		.due = UINT64_MAX,
+		.want = sim_want(t, size),
+	};
+	struct vh_ask out;
+
+	if (sim_knobs.shares) {
+		d.share = vh_share_weighted(
+			vh_share_dominant(&s->running[t->team], &s->fleet),
+			s->weights[t->team]);
+		d.step = vh_share_weighted(vh_share_dominant(size, &s->fleet),
+					   s->weights[t->team]);
+		d.due = o->homes[t->team].due;
+	}
+	load_rack(s, rack, d.run_ms, loads);
+	vh_waitlist_ask(&o->racks[rack].list, &d, loads, SIM_RACK, s->now_ms,
+			&out);
+	s->stats.asks++;
+	t->asks++;
+	if (out.result == VH_ASK_START) {
+		start(s, task, rack * SIM_RACK + out.place.index, size);
+		return true;
+	}
+	s->stats.refused++;
+	tell_home(s, rack, &o->homes[t->team]);
+	return false;
+}
+
+static bool preempt(struct sim *s, uint32_t task, size_t rack,
+		    const struct vh_res *size)
+{
+	static const struct vh_preempt_settings settings = { 3, 30000 };
+	struct ours *o = s->state;
+	struct sim_task *t = &s->tasks[task];
+	struct rack *r = &o->racks[rack];
+	struct vh_victim victims[RACK_TASKS];
+	uint32_t ids[RACK_TASKS];
+	size_t n = r->n_running;
+	struct vh_want want = sim_want(t, size);
+	struct vh_worker_load loads[SIM_RACK];
+	struct vh_candidate w[SIM_RACK];
+	struct vh_preempt out;
+
+	load_rack(s, rack, 0, loads);
+	for (size_t i = 0; i < SIM_RACK; i++)
+		w[i] = loads[i].worker;
+	for (size_t i = 0; i < n; i++) {
+		const struct sim_task *v = &s->tasks[r->running[i]];
+		int64_t ran = s->now_ms - v->start_ms;
+
+		ids[i] = r->running[i];
+		victims[i] = (struct vh_victim){
+			.size = v->committed,
+			.worker = v->worker % SIM_RACK,
+			.cls = v->cls,
+			.team = v->team,
+			.team_share = vh_share_weighted(
+				vh_share_dominant(&s->running[v->team],
+						  &s->fleet),
+				s->weights[v->team]),
+			.team_due = o->homes[v->team].due,
+			.started_ms = v->start_ms,
+			.checkpoint_ms =
+				v->start_ms +
+				ran / SIM_CHECKPOINT_MS * SIM_CHECKPOINT_MS,
+			.idempotent = true,
+			.preempted = v->preempted,
+		};
+	}
+	vh_preempt_choose(&settings, &want, w, SIM_RACK, victims, n, s->now_ms,
+			  &out);
+	if (out.reason != VH_PREEMPT_OK ||
+	    !vh_preempt_budget_take(&o->homes[t->team].budget, (uint32_t)out.n,
+				    s->now_ms))
+		return false;
+	for (size_t i = 0; i < out.n; i++) {
+		forget_running(r, ids[out.victims[i]]);
+		sim_preempt(s, ids[out.victims[i]]);
+	}
+	start(s, task, rack * SIM_RACK + out.worker, size);
+	return true;
+}
+
+static bool try_task(struct sim *s, uint32_t task)
+{
+	struct ours *o = s->state;
+	struct sim_task *t = &s->tasks[task];
+	struct vh_res size = size_of(s, t);
+	struct vh_pick_want want = { .want = sim_want(t, &size),
+				     .refused = UINT32_MAX,
+				     .k = sim_knobs.k,
+				     .seed = sim_random(&o->rng) };
+	int64_t waited = s->now_ms - t->arrive_ms;
+	struct vh_pick pick;
+
+	want.away = waited >= vh_region_patience_ms(t->cls, t->transfer_bytes,
+						    TRANSFER_BYTES_PER_MS);
+	vh_candidates_pick(&o->homes[t->team].racks, &want, &pick);
+	for (unsigned int i = 0; i < pick.n; i++) {
+		if (ask(s, task, pick.rack[i], &size)) {
+			vh_candidates_asked(&o->homes[t->team].racks,
+					    pick.rack[i]);
+			return true;
+		}
+	}
+	for (unsigned int i = 0; i < pick.n; i++) {
+		if (sim_knobs.preemption && t->cls == VH_CLASS_URGENT &&
+		    (waited >= PREEMPT_AFTER_MS ||
+		     pick.kind == VH_PICK_PREEMPT) &&
+		    preempt(s, task, pick.rack[i], &size))
+			return true;
+	}
+	t->next_try_ms = s->now_ms + RETRY_MS +
+			 (int64_t)(sim_random(&o->rng) % 2) * SIM_TICK_MS;
+	return false;
+}
+
+static void run_queue(struct sim *s, struct queue *q)
+{
+	size_t tries = 0, kept = 0, n = q->n;
+
+	for (size_t i = 0; i < n; i++) {
+		uint32_t task = q->tasks[i];
+		bool started = false;
+
+		if (tries < TRIES_A_STEP) {
+			tries++;
+			started = s->now_ms >= s->tasks[task].next_try_ms &&
+				  try_task(s, task);
+		}
+		if (!started)
+			q->tasks[kept++] = task;
+	}
+	for (size_t i = n; i < q->n; i++) /* preempted meanwhile */
+		q->tasks[kept++] = q->tasks[i];
+	q->n = kept;
+}
+
+static void gather(struct sim *s, struct gang *g)
+{
+	struct ours *o = s->state;
+	uint32_t racks[VH_GANG_RACKS_MAX], room[VH_GANG_RACKS_MAX];
+	uint32_t region = s->tasks[g->first_task].region;
+	size_t n = 0, from = sim_random(&o->rng) % o->n_racks;
+
+	for (size_t i = 0; i < o->n_racks && n < VH_GANG_RACKS_MAX; i++) {
+		size_t r = (from + i) % o->n_racks;
+
+		if (s->workers[r * SIM_RACK].region != region)
+			continue;
+		racks[n] = (uint32_t)r;
+		room[n++] = g->g.tasks;
+	}
+	vh_gang_plan(&g->g, racks, room, n);
+	for (size_t i = 0; i < g->g.n_parts; i++) {
+		struct vh_gang_part *p = &g->g.parts[i];
+		struct vh_gang_ask a = { .ticket = g->g.ticket,
+					 .want = g->g.want,
+					 .tasks = p->wanted };
+		struct vh_candidate w[SIM_RACK];
+		struct rack *r = &o->racks[p->rack];
+
+		for (size_t k = 0; k < SIM_RACK; k++) {
+			w[k] = s->workers[p->rack * SIM_RACK + k];
+			w[k].usable = vh_health_takes(&r->health, k, s->now_ms);
+		}
+		vh_gang_held(&g->g, p->rack,
+			     vh_gang_hold(&r->gangs, &a, w, SIM_RACK,
+					  s->now_ms),
+			     s->now_ms, s->now_ms);
+		if (g->g.state != VH_GANG_GATHERING)
+			break;
+	}
+}
+
+static void release_all(struct sim *s, const struct gang *g)
+{
+	struct ours *o = s->state;
+
+	for (size_t r = 0; r < o->n_racks; r++)
+		vh_gang_release(&o->racks[r].gangs, &g->g.ticket);
+}
+
+static void confirm_and_start(struct sim *s, struct gang *g)
+{
+	struct ours *o = s->state;
+	uint32_t task = g->first_task;
+
+	for (size_t i = 0; i < g->g.n_parts; i++) {
+		struct vh_gang_part *p = &g->g.parts[i];
+
+		if (p->held)
+			vh_gang_confirmed(
+				&g->g, p->rack,
+				vh_gang_confirm(&o->racks[p->rack].gangs,
+						&g->g.ticket, p->held,
+						s->now_ms),
+				s->now_ms);
+	}
+	if (g->g.state != VH_GANG_STARTING) {
+		release_all(s, g);
+		return;
+	}
+	for (size_t i = 0; i < g->g.n_parts; i++) {
+		struct vh_gang_part *p = &g->g.parts[i];
+
+		for (uint32_t k = 0; k < p->held; k++) {
+			uint32_t w = vh_gang_start(&o->racks[p->rack].gangs,
+						   &g->g.ticket);
+
+			start(s, task++, p->rack * SIM_RACK + w,
+			      &g->g.want.size);
+		}
+	}
+	release_all(s, g);
+	g->started = true;
+}
+
+static void run_gangs(struct sim *s)
+{
+	struct ours *o = s->state;
+
+	for (size_t i = 0; i < o->n_gangs; i++) {
+		struct gang *g = &o->gangs[i];
+		bool due = s->now_ms >= g->g.next_ms;
+
+		if (g->started)
+			continue;
+		if (vh_gang_tick(&g->g, s->now_ms) == VH_GANG_GATHERING && due)
+			gather(s, g);
+		if (g->g.state == VH_GANG_CONFIRMING)
+			confirm_and_start(s, g);
+	}
+}
+
+static void find_dues(struct sim *s)
+{
+	struct ours *o = s->state;
+	struct vh_share_team teams[SIM_TEAMS];
+
+	for (int i = 0; i < SIM_TEAMS; i++) {
+		struct vh_res all = s->running[i];
+
+		vh_res_add(&all, &s->waiting[i]);
+		teams[i].weight = s->weights[i];
+		teams[i].demand = vh_share_dominant(&all, &s->fleet);
+	}
+	vh_share_due(teams, SIM_TEAMS);
+	for (int i = 0; i < SIM_TEAMS; i++)
+		o->homes[i].due =
+			vh_share_weighted(teams[i].due, s->weights[i]);
+}
+
+static void ours_step(struct sim *s)
+{
+	struct ours *o = s->state;
+
+	publish(s);
+	if (s->now_ms % 1000 == 0)
+		find_dues(s);
+	run_gangs(s);
+	for (int c = 0; c < VH_CLASS_COUNT; c++) {
+		for (int t = 0; t < SIM_TEAMS; t++)
+			run_queue(s, &o->homes[t].queues[c]);
+	}
+}
+
+const struct sim_policy sim_ours = {
+	.name = "ours",
+	.init = ours_init,
+	.arrived = ours_arrived,
+	.ended = ours_ended,
+	.step = ours_step,
+	.finish = ours_finish,
+};
