Let due tasks behind waiting ones be tried, and end hopeless asks early

The traces' homes counted tasks that were not due as tries, so 32 large ones held a queue up (the homes in core dispatch in the same manner and should not). An ask that fits nowhere is refused before turns are worked out.

--- a/packages/policy/src/waitlist.c
+++ b/packages/policy/src/waitlist.c
@@ -258,6 +258,8 @@
 		return;
 	}
 	note(w, demand, now_ms);
+	if (out->place.reason != VH_PLACE_OK)
+		return;
 	keep_worker(&t, w, now_ms);
 	take_turns(w, &t, demand->id, now_ms, out);
 	if (out->result == VH_ASK_START) {
--- a/packages/policy/tests/bench_policy.c
+++ b/packages/policy/tests/bench_policy.c
@@ -11,7 +11,8 @@
 
 /*
  * Lines: bench NAME value unit bound verdict. Usage: policy_bench_policy
- * [decide|trace|ours|stale|all] [SEED]. A bound of "-" is not judged.
+ * [decide|trace|ours|stale|all] [SEED], or one USER LOAD POLICY SEED [w]
+ * with w for wrong declarations. A bound of "-" is not judged.
  */
 
 static int failures;
@@ -286,12 +287,37 @@
 	}
 }
 
+/* one USER LOAD POLICY SEED [w]: a single trace */
+static int bench_one(char **argv, bool wrong_sizes)
+{
+	struct sim_spec spec = {
+		.user = strcmp(argv[2], "sitara") ? SIM_FASERKREIS : SIM_SITARA,
+		.load = (unsigned int)strtoul(argv[3], NULL, 10),
+		.seed = strtoull(argv[5], NULL, 10),
+		.workers = 48,
+		.horizon_ms = 900000,
+		.bad_worker = true,
+		.wrong_sizes = wrong_sizes,
+	};
+
+	for (size_t p = 0; p < G_N_ELEMENTS(policies); p++) {
+		if (strcmp(policies[p]->name, argv[4]))
+			continue;
+		bench_trace(&spec, policies[p], policies[p]->name);
+		return 0;
+	}
+	return 2;
+}
+
 int main(int argc, char **argv)
 {
 	const char *what = argc > 1 ? argv[1] : "all";
 	uint64_t seed = argc > 2 ? strtoull(argv[2], NULL, 10) : 1;
 	bool all = !strcmp(what, "all");
 
+	if (argc >= 6 && !strcmp(what, "one"))
+		return bench_one(argv, argc > 6);
+
 	if (all || !strcmp(what, "decide")) {
 		bench_decide(400, seed);
 		bench_decide(1800, seed);
--- a/packages/policy/tests/sim_ours.c
+++ b/packages/policy/tests/sim_ours.c
@@ -14,7 +14,7 @@
 #define PREEMPT_PER_MIN 600
 #define TRANSFER_BYTES_PER_MS 20000
 #define RACKS_MAX 1024
-#define RACK_TASKS 512
+#define RACK_TASKS 1024
 
 struct sim_knobs sim_knobs = { .k = 2,
 			       .summary_age_ms = 1000,
@@ -429,10 +429,10 @@
 		uint32_t task = q->tasks[i];
 		bool started = false;
 
-		if (tries < TRIES_A_STEP) {
+		if (tries < TRIES_A_STEP &&
+		    s->now_ms >= s->tasks[task].next_try_ms) {
 			tries++;
-			started = s->now_ms >= s->tasks[task].next_try_ms &&
-				  try_task(s, task);
+			started = try_task(s, task);
 		}
 		if (!started)
 			q->tasks[kept++] = task;
