Keep a worker only where a home asks for it, forget silent demands sooner

Each rack kept a worker for its oldest demand, so one task held a worker on every rack that it asked. Now its home asks one rack. Demands not asked for again are forgotten after 600 ms, not 2 s.

--- a/packages/policy/include/vh/waitlist.h
+++ b/packages/policy/include/vh/waitlist.h
@@ -3,9 +3,9 @@
 
 #include "vh/place.h"
 
-#define VH_WAITLIST_MAX 128	/* demands kept at one rack */
-#define VH_WAITLIST_WORKERS 16	/* workers of one rack at the most */
-#define VH_DEMAND_FRESH_MS 2000 /* a demand not asked for again is forgotten */
+#define VH_WAITLIST_MAX 128    /* demands kept at one rack */
+#define VH_WAITLIST_WORKERS 16 /* workers of one rack at the most */
+#define VH_DEMAND_FRESH_MS 600 /* a demand not asked for again is forgotten */
 
 /**
  * struct vh_demand - a task that a home has asked a rack's owner to start
@@ -17,6 +17,8 @@
  * @accepted_ms: when the job was accepted, on the owner's clock
  * @deadline_ms: no start later; 0 for none
  * @run_ms: estimated run time; 0 for not known
+ * @reserve: its home wants a worker of this rack kept for it; a home asks this
+ *	     for one task at a time and at one rack
  */
 struct vh_demand {
 	uint64_t id;
@@ -28,6 +30,7 @@
 	int64_t accepted_ms;
 	int64_t deadline_ms;
 	int64_t run_ms;
+	bool reserve;
 	struct vh_want want;
 };
 
@@ -47,9 +50,9 @@
  * The order: urgent work; then services of teams below their due share; then
  * by weighted dominant share. Within a team by priority, raised by ageing, then
  * by acceptance. Nobody waits for a demand that does not fit,
- * with one exception: for the one that has waited longest, if that is at least
- * VH_RESERVE_AFTER_MS and its team is not above its due share, one worker is
- * kept. Others may use that one only if their estimated run ends before the
+ * with one exception: of those that ask to reserve, have waited
+ * VH_RESERVE_AFTER_MS and are of a team not above its due share, one worker is
+ * kept for the one that has waited longest. Others may use that one only if their estimated run ends before the
  * worker has room for it (backfill).
  */
 struct vh_waitlist {
--- a/packages/policy/src/waitlist.c
+++ b/packages/policy/src/waitlist.c
@@ -150,7 +150,8 @@
 	for (size_t i = 0; i < w->n; i++) {
 		const struct vh_demand *d = &w->items[i].demand;
 
-		if (now_ms - d->accepted_ms >= VH_RESERVE_AFTER_MS &&
+		if (d->reserve &&
+		    now_ms - d->accepted_ms >= VH_RESERVE_AFTER_MS &&
 		    d->share <= d->due &&
 		    (!oldest || d->accepted_ms < oldest->accepted_ms))
 			oldest = d;
--- a/packages/policy/tests/sim_ours.c
+++ b/packages/policy/tests/sim_ours.c
@@ -49,6 +49,8 @@
 	struct vh_estimate estimates[VH_CLASS_COUNT];
 	struct vh_preempt_budget budget;
 	uint64_t due;
+	bool reserving; /* a rack keeps a worker for one task that waits long */
+	uint32_t reserved_task, reserved_rack;
 };
 
 struct ours {
@@ -294,6 +296,11 @@
 	}
 }
 
+static bool is_reserved(const struct home *h, uint32_t task)
+{
+	return h->reserving && h->reserved_task == task;
+}
+
 static bool ask(struct sim *s, uint32_t task, size_t rack,
 		const struct vh_res *size)
 {
@@ -310,6 +317,9 @@
 	};
 	struct vh_ask out;
 
+	d.reserve = is_reserved(&o->homes[t->team], task) &&
+		    o->homes[t->team].reserved_rack == rack;
+
 	if (sim_knobs.shares) {
 		d.share = vh_share_weighted(
 			vh_share_dominant(&s->running[t->team], &s->fleet),
@@ -387,6 +397,19 @@
 	return true;
 }
 
+/* One reservation a home, kept until its task has started. */
+static void reserve(struct sim *s, uint32_t task, uint32_t rack)
+{
+	struct ours *o = s->state;
+	struct home *h = &o->homes[s->tasks[task].team];
+
+	if (h->reserving && s->tasks[h->reserved_task].state == SIM_WAITING)
+		return;
+	h->reserving = true;
+	h->reserved_task = task;
+	h->reserved_rack = rack;
+}
+
 static bool try_task(struct sim *s, uint32_t task)
 {
 	struct ours *o = s->state;
@@ -402,6 +425,11 @@
 	want.away = waited >= vh_region_patience_ms(t->cls, t->transfer_bytes,
 						    TRANSFER_BYTES_PER_MS);
 	vh_candidates_pick(&o->homes[t->team].racks, &want, &pick);
+	if (waited >= VH_RESERVE_AFTER_MS && pick.n)
+		reserve(s, task, pick.rack[0]);
+	if (is_reserved(&o->homes[t->team], task) &&
+	    ask(s, task, o->homes[t->team].reserved_rack, &size))
+		return true;
 	for (unsigned int i = 0; i < pick.n; i++) {
 		if (ask(s, task, pick.rack[i], &size)) {
 			vh_candidates_asked(&o->homes[t->team].racks,
--- a/packages/policy/tests/test_waitlist.cc
+++ b/packages/policy/tests/test_waitlist.cc
@@ -214,6 +214,8 @@
 	struct vh_waitlist w = {};
 	auto r = rack(2, 0);
 	struct vh_demand large = demand(1, 1, 10, 16000);
+
+	large.reserve = true;
 	int64_t ends[2][4];
 	std::vector<struct vh_demand> small;
 	uint64_t next = 100;
