--- a/packages/policy/include/vh/waitlist.h
+++ b/packages/policy/include/vh/waitlist.h
@@ -81,7 +81,7 @@
 /**
  * struct vh_ask - the answer to a demand
  * @place: the worker, or what was short
- * @before: demands whose turn is before
+ * @before: demands whose turn is before and that room is there for
  * @next_team: team of the first of those
  */
 struct vh_ask {
--- a/packages/policy/src/waitlist.c
+++ b/packages/policy/src/waitlist.c
@@ -205,16 +205,29 @@
 	return first;
 }
 
+/* What fits nowhere before turns are taken will not fit after. */
+static bool has_room(const struct turn *t, const struct vh_res *size)
+{
+	for (size_t i = 0; i < t->n; i++) {
+		if (t->workers[i].usable &&
+		    vh_res_fits(size, &t->workers[i].free))
+			return true;
+	}
+	return false;
+}
+
 /* Serves demands in order up to the one asked for. */
 static void take_turns(const struct vh_waitlist *w, struct turn *t, uint64_t id,
 		       int64_t now_ms, struct vh_ask *out)
 {
 	struct vh_demand left[VH_WAITLIST_MAX];
-	size_t n = w->n;
+	size_t n = 0;
 	bool served_before = false;
 
-	for (size_t i = 0; i < n; i++)
-		left[i] = w->items[i].demand;
+	for (size_t i = 0; i < w->n; i++) {
+		if (has_room(t, &w->items[i].demand.want.size))
+			left[n++] = w->items[i].demand;
+	}
 	while (n) {
 		size_t at = next_in_order(left, n, now_ms);
 		struct vh_demand d = left[at];
--- a/packages/policy/tests/sim_ours.c
+++ b/packages/policy/tests/sim_ours.c
@@ -49,6 +49,7 @@
 	struct vh_estimate estimates[VH_CLASS_COUNT];
 	struct vh_preempt_budget budget;
 	uint64_t due;
+	int64_t run_ms[VH_CLASS_COUNT]; /* estimates, renewed each second */
 	bool reserving; /* a rack keeps a worker for one task that waits long */
 	uint32_t reserved_task, reserved_rack;
 };
@@ -241,7 +242,7 @@
 
 	if (t->cls == VH_CLASS_SERVICE)
 		return 0;
-	return vh_estimate_run_ms(&o->homes[t->team].estimates[t->cls], 90);
+	return o->homes[t->team].run_ms[t->cls];
 }
 
 /* When the quarters of a worker's commitments are expected back. */
@@ -280,8 +281,7 @@
 	bool old = false;
 
 	for (size_t i = 0; i < r->list.n; i++)
-		old |= s->now_ms - r->list.items[i].demand.accepted_ms >=
-		       VH_RESERVE_AFTER_MS;
+		old |= r->list.items[i].demand.reserve;
 	for (size_t i = 0; i < SIM_RACK; i++) {
 		w[i] = s->workers[rack * SIM_RACK + i];
 		w[i].usable = vh_health_takes(&r->health, i, s->now_ms);
@@ -583,6 +583,11 @@
 	for (int i = 0; i < SIM_TEAMS; i++)
 		o->homes[i].due =
 			vh_share_weighted(teams[i].due, s->weights[i]);
+	for (int i = 0; i < SIM_TEAMS; i++) {
+		for (int c = 0; c < VH_CLASS_COUNT; c++)
+			o->homes[i].run_ms[c] = vh_estimate_run_ms(
+				&o->homes[i].estimates[c], 90);
+	}
 }
 
 static void ours_step(struct sim *s)
