Put no margin on top of a declaration that is about right

With true declarations the learned size was up to a third above the declared one, so the fleet held less.

--- a/packages/policy/include/vh/estimate.h
+++ b/packages/policy/include/vh/estimate.h
@@ -37,7 +37,8 @@
  *
  * The declared size, until 20 tasks of 3 jobs are known. Then a high quantile
  * of use with a margin: 95% and 1/8 more for processors, 98% and 1/4 more for
- * memory. A lone outlier moves neither. Other dimensions stay as declared.
+ * memory. A lone outlier moves neither. Other dimensions stay as declared, and
+ * so does a declaration that is about right: no margin is put on top of it.
  * Returns whether it differs from what was declared.
  */
 bool vh_estimate_size(const struct vh_estimate *e,
--- a/packages/policy/src/estimate.c
+++ b/packages/policy/src/estimate.c
@@ -14,6 +14,9 @@
 #define USAGE_SAMPLES_MIN 10
 #define USAGE_STALE_MS 30000
 
+#define RATIO_WHOLE 65536
+#define RATIO_DECLARED_HOLDS 77936 /* a quarter of a power of two above 1 */
+
 /* 2^(i/4) in 1/65536. */
 static const uint32_t quarters[4] = { 65536, 77936, 92682, 110218 };
 
@@ -113,6 +116,9 @@
 		ratio_of(quantile(counts, VH_ESTIMATE_RATIOS, total, percent));
 	uint64_t size = ratio * declared >> 16;
 
+	if (ratio <= RATIO_DECLARED_HOLDS &&
+	    ratio + ratio / margin_part >= RATIO_WHOLE)
+		return declared;
 	size += size / margin_part;
 	if (size < least)
 		size = least < declared ? least : declared;
--- a/packages/policy/tests/test_estimate.cc
+++ b/packages/policy/tests/test_estimate.cc
@@ -41,6 +41,18 @@
 	}
 }
 
+TEST(Estimate, ATrueDeclarationIsLeftAlone)
+{
+	struct vh_estimate e = {};
+	struct vh_res size;
+
+	for (int i = 0; i < 400; i++)
+		vh_estimate_add(&e, i, &declared, &declared, 1000);
+	EXPECT_FALSE(vh_estimate_size(&e, &declared, &size));
+	EXPECT_EQ(size.v[VH_CPU], declared.v[VH_CPU]);
+	EXPECT_EQ(size.v[VH_MEM], declared.v[VH_MEM]);
+}
+
 TEST(Estimate, NeedsSeveralJobs)
 {
 	struct vh_estimate e = {};
