Let only the oldest gang at a rack gather room, and drain no more than is needed

Every waiting gang held what it could on every rack of its region, and drained a worker for each missing task even where a worker holds several. The many-gangs test told homes that an empty rack holds 16 tasks whatever their size; it now gives the true number, as vh_gang_plan() asks for.

--- a/packages/policy/include/vh/gang.h
+++ b/packages/policy/include/vh/gang.h
@@ -3,12 +3,12 @@
 
 #include "vh/place.h"
 
-#define VH_GANG_HOLDS_MAX 64 /* holds on one rack's workers */
-#define VH_GANG_ASKS_MAX 8   /* gangs that wait at one rack */
-#define VH_GANG_RACKS_MAX 64 /* racks that one gang may spread over */
-#define VH_GANG_HOLD_MS 3000 /* a hold not renewed lapses after this */
-#define VH_GANG_DRAIN_MS \
-	2000 /* workers are drained for one that waits longer */
+#define VH_GANG_HOLDS_MAX 64  /* holds on one rack's workers */
+#define VH_GANG_ASKS_MAX 8    /* gangs that wait at one rack */
+#define VH_GANG_RACKS_MAX 64  /* racks that one gang may spread over */
+#define VH_GANG_HOLD_MS 3000  /* a hold not renewed lapses after this */
+#define VH_GANG_TRY_MS 300    /* the same of a gang that is not the oldest */
+#define VH_GANG_DRAIN_MS 2000 /* a gang waits so long before workers drain */
 #define VH_GANG_ROUND_MS 1000 /* a waiting gang asks its racks this often */
 
 /*
@@ -19,7 +19,9 @@
  * one, but never what is confirmed (wound-wait), so the oldest gang always
  * goes on and no two wait for each other. While a gang waits, room that comes
  * free goes to its holds before smaller work; if no worker has room for one of
- * its tasks, those with the most free take nothing else until they have.
+ * its tasks, those with the most free take nothing else until they have. Only
+ * the oldest gang at a rack gathers in this way; a younger one must find room
+ * for all its tasks at once, or what it holds lapses within VH_GANG_TRY_MS.
  */
 
 /** struct vh_ticket - a gang's place in the order; smaller is older */
@@ -44,12 +46,14 @@
  * struct vh_gang_ask - a gang asks a rack to hold room
  * @tasks: the most that it could use here, held ones included; fewer than are
  *	   held gives the rest back
+ * @drain: of these, tasks for which workers may be drained
  * @start_ms: when the gang expects to have all; 0: not known
  */
 struct vh_gang_ask {
 	struct vh_ticket ticket;
 	struct vh_want want;
 	uint32_t tasks;
+	uint32_t drain;
 	int64_t start_ms;
 	int64_t expires_ms; /* set by the table */
 	int64_t since_ms;   /* set by the table */
@@ -128,10 +132,12 @@
 /**
  * struct vh_gang_part - what one rack does for a gang
  * @wanted: ask for so many; 0: release
+ * @drain: for the ask
  */
 struct vh_gang_part {
 	uint32_t rack;
 	uint32_t wanted;
+	uint32_t drain;
 	uint32_t held;
 	bool confirmed;
 	int64_t held_until_ms; /* on the home's clock, from when it asked */
@@ -162,7 +168,8 @@
  *
  * Each rack is asked for all that is missing, so that room is gathered
  * wherever it comes free first; what is too much is given back when the gang
- * is complete. Racks that hold something are asked again.
+ * is complete. Workers are drained on as few racks as would do. Racks that hold
+ * something are asked again.
  */
 void vh_gang_plan(struct vh_gang *g, const uint32_t *racks,
 		  const uint32_t *room, size_t n);
--- a/packages/policy/src/gang.c
+++ b/packages/policy/src/gang.c
@@ -223,17 +223,35 @@
 	return at;
 }
 
+/* How many tasks of the ask an empty worker would hold. */
+static uint32_t tasks_of_worker(const struct vh_gang_ask *ask,
+				const struct vh_res *capacity)
+{
+	uint32_t least = UINT32_MAX;
+
+	for (int d = 0; d < VH_DIMS; d++) {
+		uint32_t want = ask->want.size.v[d];
+
+		if (want && capacity->v[d] / want < least)
+			least = capacity->v[d] / want;
+	}
+	return least;
+}
+
 static void drain(struct vh_gang_table *t, const struct vh_gang_ask *ask,
 		  uint32_t tasks, const struct vh_candidate *left, size_t n)
 {
-	while (tasks--) {
+	while (tasks) {
 		size_t at = most_free(ask, left, n, t->draining);
+		uint32_t held;
 
 		if (at == n)
 			return;
 		t->draining |= UINT64_C(1) << at;
 		if (ask->start_ms < t->drain_start_ms)
 			t->drain_start_ms = ask->start_ms;
+		held = tasks_of_worker(ask, &left[at].capacity);
+		tasks -= held < tasks ? held : tasks;
 	}
 }
 
@@ -245,13 +263,15 @@
 	vh_gang_expire(t, now_ms);
 	t->draining = 0;
 	t->drain_start_ms = INT64_MAX;
-	for (size_t i = 0; i < t->n_asks; i++) {
-		const struct vh_gang_ask *ask = &t->asks[i];
+	if (t->n_asks) {
+		const struct vh_gang_ask *ask = &t->asks[0];
 		struct vh_candidate left[RACK_WORKERS_MAX];
 		uint32_t missing = take_holds(t, ask, workers, left, n);
 
 		if (now_ms - ask->since_ms >= VH_GANG_DRAIN_MS)
-			drain(t, ask, missing, left, n);
+			drain(t, ask,
+			      missing < ask->drain ? missing : ask->drain, left,
+			      n);
 	}
 }
 
@@ -267,6 +287,14 @@
 	insert_ask(t, &kept);
 	renew_holds(t, &kept);
 	vh_gang_fill(t, workers, n, now_ms);
+	if (!same_ticket(&t->asks[0].ticket, &ask->ticket)) {
+		struct vh_candidate left[RACK_WORKERS_MAX];
+
+		kept.expires_ms = now_ms + VH_GANG_TRY_MS;
+		renew_holds(t, &kept);
+		take_holds(t, &kept, workers, left,
+			   n < RACK_WORKERS_MAX ? n : RACK_WORKERS_MAX);
+	}
 	return count_holds(t, &ask->ticket);
 }
 
--- a/packages/policy/src/gang_home.c
+++ b/packages/policy/src/gang_home.c
@@ -39,8 +39,10 @@
 
 	if (g->state != VH_GANG_GATHERING)
 		return;
-	for (size_t i = 0; i < g->n_parts; i++)
+	for (size_t i = 0; i < g->n_parts; i++) {
 		g->parts[i].wanted = g->parts[i].held;
+		g->parts[i].drain = 0;
+	}
 	for (size_t i = 0; i < n; i++) {
 		struct vh_gang_part *p = part_add(g, racks[i]);
 		uint32_t most;
@@ -50,6 +52,13 @@
 		most = p->held + missing;
 		p->wanted = room[i] < most ? room[i] : most;
 	}
+	for (size_t i = 0; i < g->n_parts && missing; i++) {
+		struct vh_gang_part *p = &g->parts[i];
+		uint32_t more = p->wanted - p->held;
+
+		p->drain = more < missing ? more : missing;
+		missing -= p->drain;
+	}
 }
 
 uint32_t vh_gang_missing(const struct vh_gang *g)
--- a/packages/policy/tests/sim_ours.c
+++ b/packages/policy/tests/sim_ours.c
@@ -476,11 +476,15 @@
 	uint32_t racks[VH_GANG_RACKS_MAX], room[VH_GANG_RACKS_MAX];
 	uint32_t region = s->tasks[g->first_task].region;
 	size_t n = 0, from = sim_random(&o->rng) % o->n_racks;
+	const struct sim_task *t = &s->tasks[g->first_task];
+	bool away = s->now_ms - t->arrive_ms >=
+		    vh_region_patience_ms(t->cls, t->transfer_bytes,
+					  TRANSFER_BYTES_PER_MS);
 
 	for (size_t i = 0; i < o->n_racks && n < VH_GANG_RACKS_MAX; i++) {
 		size_t r = (from + i) % o->n_racks;
 
-		if (s->workers[r * SIM_RACK].region != region)
+		if (s->workers[r * SIM_RACK].region != region && !away)
 			continue;
 		racks[n] = (uint32_t)r;
 		room[n++] = g->g.tasks;
@@ -490,7 +494,8 @@
 		struct vh_gang_part *p = &g->g.parts[i];
 		struct vh_gang_ask a = { .ticket = g->g.ticket,
 					 .want = g->g.want,
-					 .tasks = p->wanted };
+					 .tasks = p->wanted,
+					 .drain = p->drain };
 		struct vh_candidate w[SIM_RACK];
 		struct rack *r = &o->racks[p->rack];
 
--- a/packages/policy/tests/test_gang.cc
+++ b/packages/policy/tests/test_gang.cc
@@ -126,7 +126,7 @@
 
 		for (uint32_t r = 0; r < n_racks; r++) {
 			order[r] = r;
-			room[r] = n_workers * 4;
+			room[r] = n_workers * (4 / g.want.size.v[VH_ACCEL]);
 		}
 		std::shuffle(order, order + n_racks, rng);
 		vh_gang_plan(&g, order, room, n_racks);
@@ -138,6 +138,7 @@
 			a.ticket = ticket_at(g, r);
 			a.want = g.want;
 			a.tasks = g.parts[i].wanted;
+			a.drain = g.parts[i].drain;
 			if (lost())
 				continue;
 			held = vh_gang_hold(&tables[r], &a, racks[r].data(),
@@ -316,7 +317,9 @@
 	EXPECT_EQ(vh_gang_hold(&t, &young, w, n_workers, 0), n_workers);
 	EXPECT_TRUE(vh_gang_confirm(&t, &young.ticket, n_workers, 0));
 	EXPECT_EQ(vh_gang_hold(&t, &old, w, n_workers, 0), 0u);
-	EXPECT_EQ(vh_gang_expire(&t, VH_GANG_HOLD_MS), INT64_MAX);
+	EXPECT_EQ(t.n, n_workers);
+	vh_gang_expire(&t, VH_GANG_HOLD_MS);
+	EXPECT_EQ(t.n, 0u);
 	EXPECT_EQ(vh_gang_hold(&t, &old, w, n_workers, VH_GANG_HOLD_MS),
 		  n_workers);
 }
