Spend a home's asks on what has room, and register few waiting tasks

Tasks for accelerators that were all taken used up the home's asks, and small tasks behind them were never tried. A pick that says wait now costs one of four registrations a step, not an ask of a rack.

--- a/packages/policy/tests/sim_ours.c
+++ b/packages/policy/tests/sim_ours.c
@@ -9,7 +9,9 @@
 #include "vh/waitlist.h"
 
 #define RETRY_MS 250
-#define TRIES_A_STEP 32 /* of one team and class */
+#define TRIES_A_STEP \
+	32 /* tasks of one team and class that racks are asked for */
+#define WAITS_A_STEP 4 /* of these, tasks that are only to wait there */
 #define PREEMPT_AFTER_MS 500
 #define PREEMPT_PER_MIN 600
 #define TRANSFER_BYTES_PER_MS 20000
@@ -410,7 +412,22 @@
 	h->reserved_rack = rack;
 }
 
-static bool try_task(struct sim *s, uint32_t task)
+/* Counts the asks that a queue may send in one step. */
+struct quota {
+	unsigned int tries, waits;
+};
+
+static bool may_ask(struct quota *q, enum vh_pick_kind kind)
+{
+	if (kind == VH_PICK_NEVER || q->tries == TRIES_A_STEP ||
+	    (kind == VH_PICK_WAIT && q->waits == WAITS_A_STEP))
+		return false;
+	q->tries++;
+	q->waits += kind == VH_PICK_WAIT;
+	return true;
+}
+
+static bool try_task(struct sim *s, uint32_t task, struct quota *quota)
 {
 	struct ours *o = s->state;
 	struct sim_task *t = &s->tasks[task];
@@ -425,6 +442,10 @@
 	want.away = waited >= vh_region_patience_ms(t->cls, t->transfer_bytes,
 						    TRANSFER_BYTES_PER_MS);
 	vh_candidates_pick(&o->homes[t->team].racks, &want, &pick);
+	t->next_try_ms = s->now_ms + RETRY_MS +
+			 (int64_t)(sim_random(&o->rng) % 2) * SIM_TICK_MS;
+	if (!may_ask(quota, pick.kind))
+		return false;
 	if (waited >= VH_RESERVE_AFTER_MS && pick.n)
 		reserve(s, task, pick.rack[0]);
 	if (is_reserved(&o->homes[t->team], task) &&
@@ -444,24 +465,21 @@
 		    preempt(s, task, pick.rack[i], &size))
 			return true;
 	}
-	t->next_try_ms = s->now_ms + RETRY_MS +
-			 (int64_t)(sim_random(&o->rng) % 2) * SIM_TICK_MS;
 	return false;
 }
 
 static void run_queue(struct sim *s, struct queue *q)
 {
-	size_t tries = 0, kept = 0, n = q->n;
+	struct quota quota = { 0 };
+	size_t kept = 0, n = q->n;
 
 	for (size_t i = 0; i < n; i++) {
 		uint32_t task = q->tasks[i];
 		bool started = false;
 
-		if (tries < TRIES_A_STEP &&
-		    s->now_ms >= s->tasks[task].next_try_ms) {
-			tries++;
-			started = try_task(s, task);
-		}
+		if (quota.tries < TRIES_A_STEP &&
+		    s->now_ms >= s->tasks[task].next_try_ms)
+			started = try_task(s, task, &quota);
 		if (!started)
 			q->tasks[kept++] = task;
 	}
