--- a/packages/policy/tests/bench_policy.c
+++ b/packages/policy/tests/bench_policy.c
@@ -139,6 +139,7 @@
 	struct fleet f;
 	int64_t *ns = g_new(int64_t, DECISIONS), sum = 0;
 	uint64_t rng = seed, examined = 0;
+	const size_t p50 = DECISIONS / 2, p99 = DECISIONS * 99 / 100;
 	char name[64];
 
 	fleet_init(&f, n, &rng);
@@ -151,9 +152,9 @@
 	}
 	qsort(ns, DECISIONS, sizeof(*ns), compare_ns);
 	g_snprintf(name, sizeof(name), "decide.%zu.p50", n);
-	line(name, (double)ns[DECISIONS / 2] / 1000, "us", 1000, true);
+	line(name, (double)ns[p50] / 1000, "us", 1000, true);
 	g_snprintf(name, sizeof(name), "decide.%zu.p99", n);
-	line(name, (double)ns[DECISIONS * 99 / 100] / 1000, "us", 1000, true);
+	line(name, (double)ns[p99] / 1000, "us", 1000, true);
 	g_snprintf(name, sizeof(name), "decide.%zu.rate", n);
 	line(name, DECISIONS * 1e9 / (double)sum, "per_s", 5000, false);
 	g_snprintf(name, sizeof(name), "decide.%zu.examined", n);
--- a/packages/policy/tests/sim_ours.c
+++ b/packages/policy/tests/sim_ours.c
@@ -15,7 +15,7 @@
 #define PREEMPT_AFTER_MS 500
 #define PREEMPT_PER_MIN 600
 #define TRANSFER_BYTES_PER_MS 20000
-#define RACKS_MAX 1024
+#define GANGS_MAX 4096
 #define RACK_TASKS 1024
 
 struct sim_knobs sim_knobs = { .k = 2,
@@ -61,7 +61,7 @@
 	struct rack *racks;
 	size_t n_racks;
 	struct gang *gangs;
-	size_t n_gangs, cap_gangs;
+	size_t n_gangs;
 	uint64_t rng;
 };
 
@@ -127,6 +127,7 @@
 	s->state = o;
 	o->n_racks = s->n_workers / SIM_RACK;
 	o->racks = g_new0(struct rack, o->n_racks);
+	o->gangs = g_new0(struct gang, GANGS_MAX);
 	o->rng = s->spec.seed ^ 99;
 	for (size_t r = 0; r < o->n_racks; r++)
 		o->racks[r].health.n_workers = SIM_RACK;
@@ -177,10 +178,7 @@
 
 	if (g && g->g.ticket.id == t->job)
 		return;
-	if (o->n_gangs == o->cap_gangs) {
-		o->cap_gangs = o->cap_gangs ? 2 * o->cap_gangs : 64;
-		o->gangs = g_renew(struct gang, o->gangs, o->cap_gangs);
-	}
+	g_assert(o->n_gangs < GANGS_MAX);
 	g = &o->gangs[o->n_gangs++];
 	*g = (struct gang){ .first_task = task, .team = t->team };
 	vh_gang_init(&g->g, &ticket, &want, t->gang, s->now_ms);
