--- a/packages/policy/tests/sim_ours.c
+++ b/packages/policy/tests/sim_ours.c
@@ -171,17 +171,16 @@
 {
 	struct ours *o = s->state;
 	const struct sim_task *t = &s->tasks[task];
-	struct gang *g = o->n_gangs ? &o->gangs[o->n_gangs - 1] : NULL;
 	struct vh_res size = size_of(s, t);
 	struct vh_want want = sim_want(t, &size);
 	struct vh_ticket ticket = { t->arrive_ms, t->job };
+	struct gang g = { .first_task = task, .team = t->team };
 
-	if (g && g->g.ticket.id == t->job)
+	if (o->n_gangs && o->gangs[o->n_gangs - 1].g.ticket.id == t->job)
 		return;
 	g_assert(o->n_gangs < GANGS_MAX);
-	g = &o->gangs[o->n_gangs++];
-	*g = (struct gang){ .first_task = task, .team = t->team };
-	vh_gang_init(&g->g, &ticket, &want, t->gang, s->now_ms);
+	vh_gang_init(&g.g, &ticket, &want, t->gang, s->now_ms);
+	o->gangs[o->n_gangs++] = g;
 }
 
 static void ours_arrived(struct sim *s, uint32_t task)
