--- a/packages/daemon/src/main.c
+++ b/packages/daemon/src/main.c
@@ -130,10 +130,13 @@
 static void make_core(struct daemon *d)
 {
 	const struct vh_settings *s = &d->settings;
+	char *operators = g_strdup_printf("%s:%u", s->operators.listen.address,
+					  s->operators.listen.port);
 	struct vh_core_settings c = {
 		.id = vh_slice_str(s->node.id),
 		.region = vh_slice_str(s->node.region),
 		.zone = vh_slice_str(s->node.zone),
+		.operators = vh_slice_str(operators),
 		.log_address = vh_slice_str(s->platform.log.address),
 		.log_port = s->platform.log.port,
 		.vms_address = vh_slice_str(s->platform.vms.address),
@@ -142,6 +145,7 @@
 	};
 
 	d->core = vh_core_new(&c, &d->kernel, d->peer);
+	g_free(operators);
 }
 
 static void make_gateway(struct daemon *d)
