--- a/packages/ctl/src/report_html.c
+++ b/packages/ctl/src/report_html.c
@@ -90,7 +90,9 @@
 
 static void format_time(char *out, size_t size, double s)
 {
-	if (s < 0.0995)
+	if (s < 0.001)
+		g_snprintf(out, size, "%.0f &micro;s", s * 1e6);
+	else if (s < 0.0995)
 		g_snprintf(out, size, "%.1f ms", s * 1000);
 	else
 		g_snprintf(out, size, "%.2f s", s);
