--- a/packages/policy/tests/sim_ours.c
+++ b/packages/policy/tests/sim_ours.c
@@ -14,7 +14,12 @@
 #define WAITS_A_STEP 4 /* of these, tasks that are only to wait there */
 #define PREEMPT_AFTER_MS 500
 #define PREEMPT_PER_MIN 600
-#define TRANSFER_BYTES_PER_MS 20000
+
+/* Bytes between regions that a millisecond of waiting is worth: sitara weighs
+ * waiting most, faserkreis weighs what it pays for. */
+static const uint64_t bytes_per_ms[] = {
+	[SIM_SITARA] = 1000000, [SIM_FASERKREIS] = 20000
+};
 #define GANGS_MAX 4096
 #define RACK_TASKS 1024
 
@@ -437,7 +442,7 @@
 	struct vh_pick pick;
 
 	want.away = waited >= vh_region_patience_ms(t->cls, t->transfer_bytes,
-						    TRANSFER_BYTES_PER_MS);
+						    bytes_per_ms[s->spec.user]);
 	vh_candidates_pick(&o->homes[t->team].racks, &want, &pick);
 	t->next_try_ms = s->now_ms + RETRY_MS +
 			 (int64_t)(sim_random(&o->rng) % 2) * SIM_TICK_MS;
@@ -494,7 +499,7 @@
 	const struct sim_task *t = &s->tasks[g->first_task];
 	bool away = s->now_ms - t->arrive_ms >=
 		    vh_region_patience_ms(t->cls, t->transfer_bytes,
-					  TRANSFER_BYTES_PER_MS);
+					  bytes_per_ms[s->spec.user]);
 
 	for (size_t i = 0; i < o->n_racks && n < VH_GANG_RACKS_MAX; i++) {
 		size_t r = (from + i) % o->n_racks;
