--- a/packages/policy/tests/sim.h
+++ b/packages/policy/tests/sim.h
@@ -55,6 +55,7 @@
 	int64_t first_start_ms; /* -1: never started */
 	int64_t start_ms, end_ms, next_try_ms;
 	uint32_t worker, starts, attempts, preempted, asks;
+	uint32_t waits_at; /* rack that was asked last */
 };
 
 struct sim_end {
--- a/packages/policy/tests/sim_ours.c
+++ b/packages/policy/tests/sim_ours.c
@@ -343,6 +343,7 @@
 	}
 	s->stats.refused++;
 	tell_home(s, rack, &o->homes[t->team]);
+	t->waits_at = (uint32_t)rack;
 	return false;
 }
 
@@ -429,6 +430,17 @@
 	return true;
 }
 
+/* Takes back the demand that the last try left at a rack. */
+static void withdraw(struct sim *s, uint32_t task)
+{
+	struct ours *o = s->state;
+	struct sim_task *t = &s->tasks[task];
+
+	if (t->asks)
+		vh_waitlist_remove(&o->racks[t->waits_at].list,
+				   (uint64_t)task << 8 | (t->starts & 255));
+}
+
 static bool try_task(struct sim *s, uint32_t task, struct quota *quota)
 {
 	struct ours *o = s->state;
@@ -453,6 +465,7 @@
 	if (is_reserved(&o->homes[t->team], task) &&
 	    ask(s, task, o->homes[t->team].reserved_rack, &size))
 		return true;
+	withdraw(s, task);
 	for (unsigned int i = 0; i < pick.n; i++) {
 		if (ask(s, task, pick.rack[i], &size)) {
 			vh_candidates_asked(&o->homes[t->team].racks,
