Blame no worker for a team that fails on three of them

A hundred broken jobs of one team, each failing once, would have set half of each rack aside; a rack of one worker would have been set aside whole.

--- a/packages/policy/include/vh/health.h
+++ b/packages/policy/include/vh/health.h
@@ -47,7 +47,8 @@
  * aside after failures of 3 distinct jobs of 2 teams, or of 5 distinct jobs,
  * with no more than a success for every two failures between; at most half of
  * the workers are. A job that failed on 3 workers and succeeded on none is
- * itself to blame, and its failures speak against no worker. After a while a
+ * itself to blame, and its failures speak against no worker; nor do those of a
+ * team that fails on 3 workers at the time. After a while a
  * worker set aside gets one task at a time; two that succeed bring it back, a
  * failure sets it aside for twice as long. Zeroed memory is a healthy rack;
  * set @n_workers.
--- a/packages/policy/src/health.c
+++ b/packages/policy/src/health.c
@@ -52,14 +52,35 @@
 	return j;
 }
 
-static void count_distinct(const struct vh_health_worker *w, int64_t now_ms,
-			   uint32_t *jobs, uint32_t *teams)
+/* Do this team's tasks fail on so many workers that it is not the workers? */
+static bool fails_widely(const struct vh_health *h, uint32_t team,
+			 int64_t now_ms)
 {
+	unsigned int workers = 0;
+
+	for (size_t i = 0; i < h->n_workers; i++) {
+		const struct vh_health_worker *w = &h->workers[i];
+		bool any = false;
+
+		for (size_t k = 0; k < w->n; k++)
+			any |= w->evidence[k].team == team &&
+			       now_ms - w->evidence[k].at_ms <= EVIDENCE_MS;
+		workers += any;
+	}
+	return workers >= BLAMED_WORKERS;
+}
+
+static void count_distinct(const struct vh_health *h, size_t worker,
+			   int64_t now_ms, uint32_t *jobs, uint32_t *teams)
+{
+	const struct vh_health_worker *w = &h->workers[worker];
+
 	*jobs = *teams = 0;
 	for (size_t i = 0; i < w->n; i++) {
 		bool new_job = true, new_team = true;
 
-		if (now_ms - w->evidence[i].at_ms > EVIDENCE_MS)
+		if (now_ms - w->evidence[i].at_ms > EVIDENCE_MS ||
+		    fails_widely(h, w->evidence[i].team, now_ms))
 			continue;
 		for (size_t k = 0; k < i; k++) {
 			new_job &= w->evidence[k].job != w->evidence[i].job;
@@ -70,11 +91,12 @@
 	}
 }
 
-static bool speaks_against(const struct vh_health_worker *w, int64_t now_ms)
+static bool speaks_against(const struct vh_health *h, size_t worker,
+			   int64_t now_ms)
 {
 	uint32_t jobs, teams;
 
-	count_distinct(w, now_ms, &jobs, &teams);
+	count_distinct(h, worker, now_ms, &jobs, &teams);
 	return jobs >= DISTINCT_JOBS_ONE_TEAM ||
 	       (jobs >= DISTINCT_JOBS && teams >= DISTINCT_TEAMS);
 }
@@ -122,7 +144,7 @@
 				k++;
 		}
 		if (w->n < before && w->state != VH_HEALTH_GOOD &&
-		    !speaks_against(w, now_ms)) {
+		    !speaks_against(h, i, now_ms)) {
 			w->state = VH_HEALTH_GOOD;
 			w->aside_ms = ASIDE_FIRST_MS;
 		}
@@ -148,8 +170,9 @@
 	w->evidence[w->n++] = (struct vh_health_evidence){ job, team, now_ms };
 	if (w->state == VH_HEALTH_PROBING)
 		set_aside(w, now_ms);
-	else if (w->state == VH_HEALTH_GOOD && speaks_against(w, now_ms) &&
-		 count_aside(h) < (h->n_workers + 1) / 2)
+	else if (w->state == VH_HEALTH_GOOD &&
+		 speaks_against(h, worker, now_ms) &&
+		 count_aside(h) < h->n_workers / 2)
 		set_aside(w, now_ms);
 }
 
@@ -212,6 +235,6 @@
 {
 	uint32_t jobs, teams;
 
-	count_distinct(&h->workers[worker], now_ms, &jobs, &teams);
+	count_distinct(h, worker, now_ms, &jobs, &teams);
 	return jobs;
 }
