Set aside workers that fail what they start

A rack's owner judges its workers by the ends of programs and leaves those set aside out of placement and of the rack's summary. Known only to the owner; a new one begins anew.

--- a/packages/core/src/placement.c
+++ b/packages/core/src/placement.c
@@ -51,6 +51,7 @@
 }
 
 size_t placement_choose(struct vh_waitlist *waiting,
+			struct worker_health *health,
 			const struct vh_demand *demand,
 			const struct vh_worker_view *views, size_t n,
 			int64_t now_ms, enum vh_err *why)
@@ -61,12 +62,19 @@
 
 	memset(loads, 0, sizeof(loads));
 	for (size_t i = 0; i < used; i++) {
-		loads[i].worker.capacity = views[i].capacity;
-		loads[i].worker.free = views[i].free;
-		loads[i].worker.usable = views[i].usable;
-		loads[i].worker.same_job = views[i].n_tasks;
+		struct vh_candidate *c = &loads[i].worker;
+		bool healthy = worker_health_takes(health, views[i].id,
+						   &c->failures, now_ms);
+
+		c->capacity = views[i].capacity;
+		c->free = views[i].free;
+		c->usable = views[i].usable && healthy;
+		c->same_job = views[i].n_tasks;
 	}
 	vh_waitlist_ask(waiting, demand, loads, used, now_ms, &ask);
 	*why = wait_kind(&ask);
-	return *why == VH_OK ? ask.place.index : n;
+	if (*why != VH_OK)
+		return n;
+	worker_health_started(health, views[ask.place.index].id, now_ms);
+	return ask.place.index;
 }
--- a/packages/core/src/placement.h
+++ b/packages/core/src/placement.h
@@ -4,6 +4,7 @@
 #include "vh/rack.h"
 #include "vh/waitlist.h"
 #include "wire.h"
+#include "worker_health.h"
 
 /* What a start asks for, as policy sees it; times on the clock of @now_ms. */
 void placement_demand(const struct wire_place *msg, int64_t now_ms,
@@ -13,10 +14,12 @@
  * placement_choose - picks a worker of one rack, or keeps the demand waiting
  * @waiting: the rack's waiting list; decides whose turn it is when room is
  *	     short
+ * @health: of the rack's workers; one set aside is not chosen
  *
  * Returns @n and *@why if the start has to wait.
  */
 size_t placement_choose(struct vh_waitlist *waiting,
+			struct worker_health *health,
 			const struct vh_demand *demand,
 			const struct vh_worker_view *views, size_t n,
 			int64_t now_ms, enum vh_err *why);
--- a/packages/core/src/racks.c
+++ b/packages/core/src/racks.c
@@ -39,6 +39,7 @@
 	struct worker *workers;
 	struct place_wait *waits;
 	struct vh_waitlist waiting;
+	struct worker_health health;
 	const struct wire_place *asking; /* during a decision */
 	struct vh_timer timer;
 };
@@ -131,6 +132,8 @@
 {
 	struct rack *r = ctx;
 
+	worker_health_ended(&r->health, worker, ended,
+			    vh_kernel_now_ms(r->racks->core->kernel));
 	answer_waits(r, ended->task, ended->attempt, VH_OK, worker);
 	ends_add(&r->racks->ends, vh_slice_str(r->name), worker, ended);
 }
@@ -145,7 +148,8 @@
 
 	(void)start;
 	placement_demand(r->asking, now, &demand);
-	return placement_choose(&r->waiting, &demand, views, n, now, why);
+	return placement_choose(&r->waiting, &r->health, &demand, views, n, now,
+				why);
 }
 
 static void on_settled(void *ctx, struct vh_slice rack, struct vh_slice task,
@@ -355,6 +359,7 @@
 	vh_log(G_LOG_LEVEL_INFO, "gave up a rack", "rack", r->name, NULL);
 	r->owned = false;
 	vh_rack_disown(r->state);
+	worker_health_clear(&r->health);
 	drop_waits(r);
 	ends_drop_rack(&r->racks->ends, vh_slice_str(r->name));
 }
@@ -591,6 +596,7 @@
 	drop_waits(r);
 	vh_timer_finish(&r->timer);
 	vh_rack_free(r->state);
+	worker_health_clear(&r->health);
 	g_free(r->name);
 	g_free(r->unit);
 	g_free(r);
@@ -651,6 +657,7 @@
 }
 
 struct sum_ctx {
+	struct rack *rack;
 	struct vh_candidate workers[MAX_SUMMED];
 	size_t n;
 };
@@ -668,7 +675,10 @@
 	memset(c, 0, sizeof(*c));
 	c->capacity = view->capacity;
 	c->free = view->free;
-	c->usable = view->usable;
+	c->usable = worker_health_takes(
+			    &sum->rack->health, view->id, &c->failures,
+			    vh_kernel_now_ms(sum->rack->racks->core->kernel)) &&
+		    view->usable;
 }
 
 void racks_summaries(const struct vh_racks *rs,
@@ -682,6 +692,7 @@
 	for (struct rack *r = rs->list; r; r = r->next) {
 		if (!r->owned)
 			continue;
+		sum.rack = r;
 		sum.n = 0;
 		vh_rack_views(r->state, add_candidate, &sum);
 		vh_summary_build(&summary, sum.workers, NULL, sum.n, 0);
