--- a/packages/peer/src/news.c
+++ b/packages/peer/src/news.c
@@ -7,6 +7,7 @@
 /* State and summary of a node are sent this often for each doubling of N. */
 #define SPREAD_FACTOR 3
 #define STALE_PER_MESSAGE 2
+#define STATE_PERCENT 60 /* of a message, which states may take */
 #define NEWS_FIELDS 10
 
 static void pack_one(msgpack_packer *pk, const struct vh_node *node,
@@ -47,11 +48,10 @@
 };
 
 /* Adds news of node @i; false, and nothing added, when it does not fit. */
-static bool add_news(struct packing *p, size_t i, bool stale)
+static bool add_news(struct packing *p, size_t i, bool summary)
 {
 	struct vh_member *m = &p->t->members[i];
 	size_t before = p->out.size;
-	bool summary = stale || m->summary_spread < p->limit;
 
 	pack_one(&p->pk, &p->t->nodes[i], m, summary);
 	if (p->out.size > p->budget) {
@@ -65,18 +65,18 @@
 	return true;
 }
 
-static uint32_t least_spread(const struct vh_member *m)
+static uint32_t times_spread(const struct vh_member *m, bool summary)
 {
-	return m->spread < m->summary_spread ? m->spread : m->summary_spread;
+	return summary ? m->summary_spread : m->spread;
 }
 
-/* The node least spread, among those spread more often than @above. */
-static uint32_t next_level(const struct packing *p, int64_t above)
+/* How often the least spread node among those above @above was spread. */
+static uint32_t next_level(const struct packing *p, int64_t above, bool summary)
 {
 	uint32_t level = p->limit;
 
 	for (size_t i = 1; i < p->t->n; i++) {
-		uint32_t s = least_spread(&p->t->members[i]);
+		uint32_t s = times_spread(&p->t->members[i], summary);
 
 		if ((int64_t)s > above && s < level)
 			level = s;
@@ -84,7 +84,12 @@
 	return level;
 }
 
-static void add_fresh(struct packing *p, size_t to)
+/*
+ * Adds fresh states without summaries, or fresh summaries, least spread first.
+ * States go first, in a part of each message: summaries that change all the time would fill every message
+ * and the living would be taken for dead.
+ */
+static void add_fresh(struct packing *p, size_t to, bool summary)
 {
 	struct vh_members *t = p->t;
 	int64_t level = -1;
@@ -93,15 +98,15 @@
 			 : 0;
 	bool *done = g_new0(bool, t->n);
 
-	while ((level = next_level(p, level)) < p->limit) {
+	while ((level = next_level(p, level, summary)) < p->limit) {
 		for (size_t k = 0; k < t->n; k++) {
 			size_t i = (start + k) % t->n;
 
 			if (!i || i == to || done[i] ||
-			    least_spread(&t->members[i]) != level)
+			    times_spread(&t->members[i], summary) != level)
 				continue;
 			done[i] = true;
-			if (!add_news(p, i, false))
+			if (!add_news(p, i, summary))
 				goto full;
 		}
 	}
@@ -117,7 +122,7 @@
 		size_t i = 1 + t->stale++ % (t->n - 1);
 
 		if (i == to || t->nodes[i].state == VH_NODE_DEAD ||
-		    least_spread(&t->members[i]) < p->limit)
+		    t->members[i].summary_spread < p->limit)
 			continue;
 		if (!add_news(p, i, true))
 			break;
@@ -132,11 +137,14 @@
 	p.limit = spread_limit(t);
 	msgpack_sbuffer_init(&p.out);
 	msgpack_packer_init(&p.pk, &p.out, msgpack_sbuffer_write);
-	add_news(&p, 0, false);
+	add_news(&p, 0, t->members[0].summary_spread < p.limit);
 	if (to > 0 && to < t->n &&
 	    (t->nodes[to].state != VH_NODE_ALIVE || t->members[to].contested))
 		add_news(&p, to, false);
-	add_fresh(&p, to);
+	p.budget = budget * STATE_PERCENT / 100;
+	add_fresh(&p, to, false);
+	p.budget = budget;
+	add_fresh(&p, to, true);
 	add_stale(&p, to);
 	msgpack_pack_array(pk, p.count);
 	pk->callback(pk->data, p.out.data, p.out.size);
--- a/packages/peer/src/probe.c
+++ b/packages/peer/src/probe.c
@@ -11,7 +11,7 @@
  */
 #define HELPERS 2
 #define SEED_EVERY 8 /* rounds between pings to a seed or a dead node */
-#define NEWS_BYTES_PER_S 6000 /* for all pings and acknowledgements together */
+#define NEWS_BYTES_PER_S 8000 /* for all pings and acknowledgements together */
 #define NEWS_PER_ROUND 4      /* ping and acknowledgement, sent and received */
 #define NEWS_MIN 700	      /* bytes; news of oneself with a full summary */
 
