--- a/tools/run.sh
+++ b/tools/run.sh
@@ -20,7 +20,8 @@
 done
 
 echo "publishing $example/objects"
-"$bin/vhctl" publish --server "$(cell_servers $nodes)" --wait \
+"$bin/vhctl" publish --server "$(cell_servers $nodes)" \
+	--nodes "$(cell_servers $nodes)" --wait \
 	"$example/objects"
 for i in $(seq 1 $nodes); do
 	cell_wait "$i" /readyz 30
