Send the incarnation that a sync request is meant for

json_pack() was given one value fewer than its format asked for, so every request to a worker had an empty body and no worker was ever adopted. The stand-in does nothing for another incarnation.

--- a/packages/platform/src/sync_json.c
+++ b/packages/platform/src/sync_json.c
@@ -39,7 +39,8 @@
 	json_t *root =
 		json_pack("{s:I,s:o,s:o,s:I,s:I,s:b,s:I}", "epoch",
 			  (json_int_t)req->epoch, "owner", text(req->owner),
-			  "lease_until", (json_int_t)req->lease_until_ms, "ack",
+			  "incarnation", text(req->incarnation), "lease_until",
+			  (json_int_t)req->lease_until_ms, "ack",
 			  (json_int_t)req->ack, "full", req->full, "wait_ms",
 			  (json_int_t)req->wait_ms);
 	json_t *list;
--- a/packages/standins/src/worker_host.c
+++ b/packages/standins/src/worker_host.c
@@ -92,18 +92,22 @@
 	return list;
 }
 
+static void incarnation(const struct vh_worker *w, char *out, size_t room)
+{
+	g_snprintf(out, room, "%s/%u", w->id, w->incarnation);
+}
+
 static json_t *sync_json(const struct vh_worker_host *h, uint64_t ack,
 			 bool full, json_t *refused)
 {
 	const struct vh_worker *w = &h->worker;
-	char incarnation[96];
+	char own[96];
 
-	g_snprintf(incarnation, sizeof(incarnation), "%s/%u", w->id,
-		   w->incarnation);
+	incarnation(w, own, sizeof(own));
 	return json_pack("{s:I,s:I,s:s,s:b,s:b,s:o,s:o,s:o}", "epoch",
 			 (json_int_t)w->epoch, "clock", own_clock(w, now(h)),
-			 "incarnation", incarnation, "leaving", (int)w->leaving,
-			 "full", (int)full, "running",
+			 "incarnation", own, "leaving", (int)w->leaving, "full",
+			 (int)full, "running",
 			 full ? running_json(w) : json_array(), "ended",
 			 ended_json(w, ack), "refused", refused);
 }
@@ -200,9 +204,16 @@
 	return vh_worker_begin(&h->worker, &s, now(h));
 }
 
-static json_t *begin_all(struct vh_worker_host *h, json_t *starts)
+static json_t *refusal_json(json_t *start, const char *why)
+{
+	return json_pack("{s:s,s:i,s:s}", "task", text_of(start, "task"),
+			 "attempt", (int)amount_of(start, "attempt"), "why",
+			 why);
+}
+
+static void begin_all(struct vh_worker_host *h, json_t *starts, json_t *refused)
 {
-	json_t *refused = json_array(), *start;
+	json_t *start;
 	size_t i;
 
 	json_array_foreach(starts, i, start)
@@ -212,13 +223,8 @@
 		if (!why)
 			continue;
 		h->server->counts.refused++;
-		json_array_append_new(
-			refused, json_pack("{s:s,s:i,s:s}", "task",
-					   text_of(start, "task"), "attempt",
-					   (int)amount_of(start, "attempt"),
-					   "why", why));
+		json_array_append_new(refused, refusal_json(start, why));
 	}
-	return refused;
 }
 
 static void stop_all(struct vh_worker_host *h, json_t *stops)
@@ -251,6 +257,35 @@
 	vh_timer_start(&d->timeout, wait_ms);
 }
 
+/* Whether the request is meant for this incarnation of the worker. */
+static bool is_addressed(const struct vh_worker_host *h, json_t *json)
+{
+	const char *meant = text_of(json, "incarnation");
+	char own[96];
+
+	incarnation(&h->worker, own, sizeof(own));
+	return !*meant || !strcmp(meant, own);
+}
+
+/* Does what is asked; returns the starts that are refused. */
+static json_t *obey(struct vh_worker_host *h, json_t *json)
+{
+	json_t *starts = json_object_get(json, "starts"), *start;
+	json_t *refused = json_array();
+	size_t i;
+
+	if (!is_addressed(h, json)) {
+		json_array_foreach(starts, i, start) json_array_append_new(
+			refused, refusal_json(start, "late"));
+		return refused;
+	}
+	vh_worker_renew(&h->worker, number_of(json, "lease_until"));
+	vh_worker_ack(&h->worker, (uint64_t)number_of(json, "ack"));
+	stop_all(h, json_object_get(json, "stops"));
+	begin_all(h, starts, refused);
+	return refused;
+}
+
 static void do_sync(struct vh_worker_host *h, struct vh_httpd_req *req,
 		    json_t *json)
 {
@@ -267,10 +302,8 @@
 				      "epoch", (json_int_t)w->epoch));
 		return;
 	}
-	vh_worker_renew(w, number_of(json, "lease_until"));
-	vh_worker_ack(w, ack);
-	stop_all(h, json_object_get(json, "stops"));
-	refused = begin_all(h, json_object_get(json, "starts"));
+	ack = is_addressed(h, json) ? ack : 0;
+	refused = obey(h, json);
 	vh_worker_server_advance(h->server);
 	if (wait_ms > 0 && !json_array_size(refused) &&
 	    g_queue_is_empty(&w->ended))
--- a/packages/standins/tests/test_worker_server.cc
+++ b/packages/standins/tests/test_worker_server.cc
@@ -89,6 +89,26 @@
 	EXPECT_EQ(s.witness.begun, 0u);
 }
 
+TEST_F(WorkerServer, RequestForAnEarlierIncarnationDoesNothing)
+{
+	post(port(0), "/v1/sync", sync(5, start("a/0", "run_ms=60000")));
+	Reply r = post(port(0), "/v1/sync",
+		       sync(5, start("b/0", "run_ms=9"),
+			    ",\"incarnation\":\"north-a-r1-w1/9\",\"ack\":9,"
+			    "\"stops\":[{\"task\":\"a/0\",\"attempt\":1,"
+			    "\"mode\":\"kill\"}]"));
+
+	EXPECT_EQ(r.status, 200);
+	EXPECT_NE(
+		r.body.find("\"task\":\"b/0\",\"attempt\":1,\"why\":\"late\""),
+		std::string::npos);
+	EXPECT_EQ(s.hosts[0].worker.tasks->len, 1u);
+	r = post(port(0), "/v1/sync",
+		 sync(5, start("b/0", "run_ms=60000"),
+		      ",\"incarnation\":\"north-a-r1-w1/1\""));
+	EXPECT_EQ(s.hosts[0].worker.tasks->len, 2u);
+}
+
 TEST_F(WorkerServer, FullListsWhatRuns)
 {
 	Reply r = post(port(0), "/v1/sync",
