--- a/packages/platform/src/sync_json.c
+++ b/packages/platform/src/sync_json.c
@@ -37,7 +37,7 @@
 char *vh_sync_req_to_json(const struct vh_sync_req *req)
 {
 	json_t *root =
-		json_pack("{s:I,s:o,s:I,s:I,s:b,s:I}", "epoch",
+		json_pack("{s:I,s:o,s:o,s:I,s:I,s:b,s:I}", "epoch",
 			  (json_int_t)req->epoch, "owner", text(req->owner),
 			  "incarnation", text(req->incarnation), "lease_until",
 			  (json_int_t)req->lease_until_ms, "ack",
