--- a/packages/gateway/src/conn.c
+++ b/packages/gateway/src/conn.c
@@ -2,6 +2,7 @@
 #include <sys/socket.h>
 
 #include "listener_impl.h"
+#include "vh/invariant.h"
 
 #define READ_AHEAD_MAX 65536 /* bytes taken off the socket but not parsed */
 
@@ -184,10 +185,12 @@
 	switch (c->state) {
 	case VH_CONN_IDLE:
 		if (l->draining && now >= l->close_at_ms &&
-		    age >= l->settle_ms && !has_unread_bytes(c))
+		    age >= l->settle_ms && !has_unread_bytes(c)) {
+			vh_invariant(VH_I9_DRAIN, !c->exchange && !c->unsent,
+				     "closing a connection in use");
 			cut_off(c);
-		else if (age > l->settings.idle_timeout_ms &&
-			 !has_unread_bytes(c))
+		} else if (age > l->settings.idle_timeout_ms &&
+			   !has_unread_bytes(c))
 			cut_off(c);
 		return;
 	case VH_CONN_READING:
