--- a/packages/state/include/vh/claims.h
+++ b/packages/state/include/vh/claims.h
@@ -50,6 +50,11 @@
 		    void *ctx);
 size_t vh_claims_count(const struct vh_claims *c);
 
+/* vh_claims_dump, vh_claims_load - all of it, for a snapshot; load replaces
+ * what was there, and returns false, with nothing left, if @bytes are torn */
+void vh_claims_dump(const struct vh_claims *c, struct vh_buf *out);
+bool vh_claims_load(struct vh_claims *c, struct vh_slice bytes);
+
 /* Bodies of VH_REC_CLAIM and VH_REC_RELEASE. @prev is the epoch superseded. */
 void vh_claim_pack(struct vh_buf *out, struct vh_slice unit,
 		   struct vh_slice node, uint64_t incarnation, uint64_t prev);
--- a/packages/state/include/vh/home.h
+++ b/packages/state/include/vh/home.h
@@ -244,6 +244,11 @@
 void vh_home_request_ended(struct vh_home *h, struct vh_slice key,
 			   uint32_t status, struct vh_buf *body);
 
+/* vh_home_dump, vh_home_load - all that must last, for a snapshot. Load into a
+ * new home only; if it returns false the home must be freed. */
+void vh_home_dump(const struct vh_home *h, struct vh_buf *out);
+bool vh_home_load(struct vh_home *h, struct vh_slice bytes, int64_t now_ms);
+
 /** struct vh_home_counts - for metrics and summaries */
 struct vh_home_counts {
 	size_t jobs, waiting, running, keys;
--- a/packages/state/include/vh/stream.h
+++ b/packages/state/include/vh/stream.h
@@ -164,6 +164,15 @@
  * append that reached the end of the stream; INT64_MIN if none did */
 int64_t vh_stream_fresh_ms(const struct vh_stream *s);
 
+/* vh_stream_save - what a snapshot must hold of the stream itself: the last
+ * sequence numbers of writers, and the newest epoch that opened it. @id gets
+ * an id that no other snapshot has. */
+void vh_stream_save(struct vh_stream *s, struct vh_buf *out, struct vh_buf *id);
+
+/* vh_stream_restore - takes it over before vh_stream_start() behind a snapshot;
+ * false if @bytes are torn */
+bool vh_stream_restore(struct vh_stream *s, struct vh_slice bytes);
+
 const struct vh_stream_stats *vh_stream_stats(const struct vh_stream *s);
 
 #endif
--- a/packages/state/src/claims.c
+++ b/packages/state/src/claims.c
@@ -1,6 +1,7 @@
 #include "vh/claims.h"
 
 #include <glib.h>
+#include <stdlib.h>
 
 #include "table.h"
 #include "vh/codec.h"
@@ -23,18 +24,23 @@
 	return g_new0(struct vh_claims, 1);
 }
 
-void vh_claims_free(struct vh_claims *c)
+static void claims_clear(struct vh_claims *c)
 {
 	struct vh_table_iter it = { 0 };
 	struct vh_table_node *node;
 
-	if (!c)
-		return;
 	while ((node = vh_table_next(&c->units, &it))) {
 		g_free(((struct claim_entry *)node)->owner);
 		g_free(node);
 	}
 	vh_table_finish(&c->units);
+}
+
+void vh_claims_free(struct vh_claims *c)
+{
+	if (!c)
+		return;
+	claims_clear(c);
 	g_free(c);
 }
 
@@ -164,6 +170,64 @@
 	vh_pack_u64(out, prev);
 }
 
+static int entry_cmp(const void *a, const void *b)
+{
+	const struct claim_entry *const *x = a;
+	const struct claim_entry *const *y = b;
+
+	return vh_slice_cmp((*x)->node.key, (*y)->node.key);
+}
+
+/* Sorted, so that all readers of the same records write the same bytes. */
+void vh_claims_dump(const struct vh_claims *c, struct vh_buf *out)
+{
+	struct claim_entry **all = g_new(struct claim_entry *, c->units.n + 1);
+	struct vh_table_iter it = { 0 };
+	struct vh_table_node *node;
+	size_t n = 0;
+
+	while ((node = vh_table_next(&c->units, &it)))
+		all[n++] = (struct claim_entry *)node;
+	qsort(all, n, sizeof(*all), entry_cmp);
+	vh_pack_array(out, n);
+	for (size_t i = 0; i < n; i++)
+		vh_claim_pack(out, all[i]->node.key, entry_view(all[i]).node,
+			      all[i]->incarnation, all[i]->epoch);
+	g_free(all);
+}
+
+static bool entry_load(struct vh_claims *c, struct vh_unpack *u)
+{
+	struct vh_claim claim;
+	uint64_t epoch;
+
+	claim.unit = vh_unpack_slice(u);
+	claim.node = vh_unpack_slice(u);
+	claim.incarnation = vh_unpack_u64(u);
+	epoch = vh_unpack_u64(u);
+	if (!u->ok || entry_find(c, claim.unit))
+		return false;
+	entry_set(entry_add(c, claim.unit), &claim, epoch);
+	return true;
+}
+
+bool vh_claims_load(struct vh_claims *c, struct vh_slice bytes)
+{
+	struct vh_unpack u, item;
+	bool ok;
+
+	claims_clear(c);
+	ok = vh_unpack_init(&u, bytes, NULL);
+	for (uint32_t i = 0; ok && i < u.n; i++) {
+		vh_unpack_array(&u, &item);
+		ok = entry_load(c, &item);
+	}
+	vh_unpack_finish(&u);
+	if (!ok)
+		claims_clear(c);
+	return ok;
+}
+
 size_t vh_rendezvous(struct vh_slice unit, const struct vh_slice *members,
 		     size_t n)
 {
--- a/packages/state/src/stream.c
+++ b/packages/state/src/stream.c
@@ -34,6 +34,7 @@
 	for (struct stream_call *call = s->calls; call; call = call->next)
 		call->stream = NULL;
 	stream_append_finish(s);
+	snap_writes_free(s);
 	vh_writers_finish(&s->writers);
 	g_rand_free(s->rand);
 	g_free(s->writer);
@@ -104,6 +105,31 @@
 	return s->fresh_ms;
 }
 
+void vh_stream_save(struct vh_stream *s, struct vh_buf *out, struct vh_buf *id)
+{
+	vh_pack_array(out, 2);
+	vh_pack_u64(out, s->opened);
+	vh_writers_pack(&s->writers, out);
+	vh_buf_printf(id, "%s/%" G_GUINT64_FORMAT, s->writer,
+		      (guint64)++s->snapshots);
+}
+
+bool vh_stream_restore(struct vh_stream *s, struct vh_slice bytes)
+{
+	struct vh_unpack u;
+	uint64_t opened;
+	bool ok;
+
+	vh_writers_finish(&s->writers);
+	vh_unpack_init(&u, bytes, NULL);
+	opened = vh_unpack_u64(&u);
+	ok = u.ok && vh_writers_unpack(&s->writers, &u);
+	vh_unpack_finish(&u);
+	if (ok)
+		vh_stream_set_opened(s, opened);
+	return ok;
+}
+
 const struct vh_stream_stats *vh_stream_stats(const struct vh_stream *s)
 {
 	return &s->stats;
--- a/packages/state/src/stream_priv.h
+++ b/packages/state/src/stream_priv.h
@@ -75,6 +75,8 @@
 	struct vh_backoff read_backoff;
 
 	uint64_t epoch;
+	uint64_t snapshots;		/* written */
+	struct snap_write *snap_writes; /* under way */
 	struct stream_queue waiting;
 	struct stream_append append;
 	struct vh_stream_stats stats;
@@ -101,4 +103,7 @@
 int64_t stream_append_tick(struct vh_stream *s);
 void stream_append_finish(struct vh_stream *s);
 
+/* snapshot.c */
+void snap_writes_free(struct vh_stream *s);
+
 #endif
--- a/packages/state/src/writers.c
+++ b/packages/state/src/writers.c
@@ -76,3 +76,28 @@
 		writer_drop(w, w->oldest);
 	return true;
 }
+
+void vh_writers_pack(const struct vh_writers *w, struct vh_buf *out)
+{
+	vh_pack_array(out, w->table.n * 2);
+	for (const struct vh_writer *i = w->oldest; i; i = i->newer) {
+		vh_pack_slice(out, i->node.key);
+		vh_pack_u64(out, i->seq);
+	}
+}
+
+bool vh_writers_unpack(struct vh_writers *w, struct vh_unpack *u)
+{
+	struct vh_unpack list;
+	uint32_t n = vh_unpack_array(u, &list);
+
+	for (uint32_t i = 0; i + 1 < n; i += 2) {
+		struct vh_slice name = vh_unpack_slice(&list);
+		uint64_t seq = vh_unpack_u64(&list);
+
+		if (!list.ok)
+			return false;
+		vh_writers_accept(w, name, seq);
+	}
+	return u->ok;
+}
--- a/packages/state/src/writers.h
+++ b/packages/state/src/writers.h
@@ -2,6 +2,7 @@
 #define VH_WRITERS_H
 
 #include "table.h"
+#include "vh/codec.h"
 
 /**
  * struct vh_writers - the last sequence number of each writer of a stream
@@ -23,4 +24,8 @@
 bool vh_writers_accept(struct vh_writers *w, struct vh_slice writer,
 		       uint64_t seq);
 
+/* vh_writers_pack, vh_writers_unpack - for snapshots; oldest first */
+void vh_writers_pack(const struct vh_writers *w, struct vh_buf *out);
+bool vh_writers_unpack(struct vh_writers *w, struct vh_unpack *u);
+
 #endif
