--- a/packages/peer/src/news.c
+++ b/packages/peer/src/news.c
@@ -137,13 +137,15 @@
 	p.limit = spread_limit(t);
 	msgpack_sbuffer_init(&p.out);
 	msgpack_packer_init(&p.pk, &p.out, msgpack_sbuffer_write);
-	add_news(&p, 0, t->members[0].summary_spread < p.limit);
+	add_news(&p, 0, false);
 	if (to > 0 && to < t->n &&
 	    (t->nodes[to].state != VH_NODE_ALIVE || t->members[to].contested))
 		add_news(&p, to, false);
 	p.budget = budget * STATE_PERCENT / 100;
 	add_fresh(&p, to, false);
 	p.budget = budget;
+	if (t->members[0].summary_spread < p.limit)
+		add_news(&p, 0, true);
 	add_fresh(&p, to, true);
 	add_stale(&p, to);
 	msgpack_pack_array(pk, p.count);
--- a/packages/peer/src/probe.c
+++ b/packages/peer/src/probe.c
@@ -13,6 +13,7 @@
 #define SEED_EVERY 8 /* rounds between pings to a seed or a dead node */
 #define NEWS_BYTES_PER_S 8000 /* for all pings and acknowledgements together */
 #define NEWS_PER_ROUND 4      /* ping and acknowledgement, sent and received */
+#define NEWS_FOR_NEW 32768    /* bytes, once, to a node not known before */
 #define NEWS_MIN 700	      /* bytes; news of oneself with a full summary */
 
 static size_t news_budget(const struct vh_peer *p)
@@ -23,8 +24,9 @@
 	return n < NEWS_MIN ? NEWS_MIN : (size_t)n;
 }
 
+/* @budget: bytes of news; 0 for none */
 static void send_news(struct vh_peer *p, struct vh_link *link,
-		      enum vh_frame_type type, uint64_t seq, bool with_news)
+		      enum vh_frame_type type, uint64_t seq, size_t budget)
 {
 	size_t to = vh_members_find(&p->members, vh_link_id(link));
 	msgpack_sbuffer buf;
@@ -35,8 +37,8 @@
 	msgpack_pack_array(&pk, 3);
 	msgpack_pack_int(&pk, type);
 	msgpack_pack_uint64(&pk, seq);
-	if (with_news)
-		vh_members_pack_news(&p->members, to, news_budget(p), &pk);
+	if (budget)
+		vh_members_pack_news(&p->members, to, budget, &pk);
 	else
 		msgpack_pack_array(&pk, 0);
 	vh_link_send(link, &buf);
@@ -85,7 +87,7 @@
 {
 	probe->link = vh_link_ref(link);
 	vh_link_expect(link);
-	send_news(p, link, VH_FRAME_PING, probe->seq, true);
+	send_news(p, link, VH_FRAME_PING, probe->seq, news_budget(p));
 }
 
 /* Pings a node; its id is empty if only its address is known. */
@@ -301,7 +303,7 @@
 
 void vh_probes_keepalive(struct vh_peer *p, struct vh_link *link)
 {
-	send_news(p, link, VH_FRAME_PING, 0, false);
+	send_news(p, link, VH_FRAME_PING, 0, 0);
 }
 
 static bool take_news(struct vh_peer *p, const msgpack_object *list)
@@ -329,7 +331,7 @@
 	if (!q)
 		return;
 	if (q->asker)
-		send_news(p, q->asker, VH_FRAME_ACK, q->asker_seq, false);
+		send_news(p, q->asker, VH_FRAME_ACK, q->asker_seq, 0);
 	remove_probe(p, q);
 }
 
@@ -354,6 +356,8 @@
 bool vh_probes_frame(struct vh_peer *p, struct vh_link *link,
 		     const struct vh_frame *f)
 {
+	bool known = vh_peer_node(p, vh_link_id(link)) != NULL;
+	size_t budget = known ? news_budget(p) : NEWS_FOR_NEW;
 	uint64_t seq;
 
 	if (f->n != 2 || !vh_frame_u64(&f->args[0], UINT64_MAX, &seq))
@@ -363,7 +367,7 @@
 	if (!take_news(p, &f->args[1]))
 		return false;
 	if (f->type == VH_FRAME_PING)
-		send_news(p, link, VH_FRAME_ACK, seq, seq != 0);
+		send_news(p, link, VH_FRAME_ACK, seq, seq ? budget : 0);
 	else
 		take_ack(p, seq);
 	return true;
