Backfill by the median run time

The 90th percentile of heavy-tailed run times is so long that little backfilled around a kept worker.

--- a/packages/policy/tests/sim_ours.c
+++ b/packages/policy/tests/sim_ours.c
@@ -624,7 +624,7 @@
 	for (int i = 0; i < SIM_TEAMS; i++) {
 		for (int c = 0; c < VH_CLASS_COUNT; c++)
 			o->homes[i].run_ms[c] = vh_estimate_run_ms(
-				&o->homes[i].estimates[c], 90);
+				&o->homes[i].estimates[c], 50);
 	}
 }
 
