--- a/packages/policy/src/candidates.c
+++ b/packages/policy/src/candidates.c
@@ -300,8 +300,8 @@
 			count_at(w->zone_count, w->n_zones, e->zone);
 		score = score << 16 | count_at(w->rack_count, w->n_racks, rack);
 	}
+	score = score << 8 | e->summary.max_free[VH_CPU];
 	score = score << 8 | e->summary.waiting;
-	score = score << 8 | e->summary.sum_free[VH_CPU];
 	return score << 8 | (mix(w->seed ^ rack) & 0xff);
 }
 
