--- a/packages/policy/tests/bench_policy.c
+++ b/packages/policy/tests/bench_policy.c
@@ -11,7 +11,7 @@
 
 /*
  * Lines: bench NAME value unit bound verdict. Usage: policy_bench_policy
- * [decide|trace|ours|stale|all] [SEED], or one USER LOAD POLICY SEED [w]
+ * [decide|fill|trace|ours|stale|all] [SEED], or one USER LOAD POLICY SEED [w]
  * with w for wrong declarations. A bound of "-" is not judged.
  */
 
@@ -263,6 +263,52 @@
 	}
 }
 
+/* Single tasks that never end, one a tick, until the first that has to wait. */
+static void bench_fill(enum sim_user user, uint64_t seed, size_t workers,
+		       const struct sim_policy *policy)
+{
+	struct sim_spec spec = { .user = user,
+				 .seed = seed,
+				 .workers = workers,
+				 .load = 100,
+				 .horizon_ms = 900000 };
+	struct vh_res used = { { 0 } };
+	struct sim s;
+	char name[128];
+
+	sim_init(&s, &spec, policy);
+	for (uint32_t i = 0; i < s.n_tasks; i++) {
+		struct sim_task *t = &s.tasks[i];
+
+		if (t->cls != VH_CLASS_BATCH || t->gang)
+			continue;
+		t->run_ms = 100 * spec.horizon_ms;
+		t->broken = false;
+		t->transfer_bytes = 0;
+		s.now_ms += SIM_TICK_MS;
+		t->arrive_ms = s.now_ms;
+		policy->arrived(&s, i);
+		policy->step(&s);
+		if (t->state == SIM_WAITING)
+			break;
+		vh_res_add(&used, &t->committed);
+	}
+	g_snprintf(name, sizeof(name), "%s.%s.fill_first_refusal",
+		   user == SIM_SITARA ? "sitara" : "faserkreis", policy->name);
+	note(name, (double)vh_share_dominant(&used, &s.fleet) / 10000,
+	     "percent");
+	sim_finish(&s);
+}
+
+static void bench_fills(uint64_t seed, size_t workers)
+{
+	for (int user = 0; user < 2; user++) {
+		for (size_t p = 0; p < G_N_ELEMENTS(policies); p++)
+			bench_fill((enum sim_user)user, seed, workers,
+				   policies[p]);
+	}
+}
+
 static void bench_stale(uint64_t seed, size_t workers, int64_t horizon_ms)
 {
 	static const int64_t ages[] = { 0, 1000, 5000 };
@@ -328,6 +374,8 @@
 		bench_traces(seed, 48, 900000, G_N_ELEMENTS(policies));
 	if (!strcmp(what, "ours"))
 		bench_traces(seed, 48, 900000, 1);
+	if (all || !strcmp(what, "fill"))
+		bench_fills(seed, 48);
 	if (all || !strcmp(what, "stale"))
 		bench_stale(seed, 48, 600000);
 	return failures ? 1 : 0;
--- a/packages/policy/tests/test_summary.cc
+++ b/packages/policy/tests/test_summary.cc
@@ -228,3 +228,28 @@
 		ASSERT_NE(out.rack[0], *asked.begin());
 	}
 }
+
+/* What a pick reads grows far slower than the fleet. */
+TEST(Candidates, CostGrowsUnderLinear)
+{
+	double mean[2];
+	size_t racks[2] = { 50, 900 };
+
+	for (int i = 0; i < 2; i++) {
+		fleet f(6, racks[i]);
+		std::mt19937 rng(6);
+		uint64_t sum = 0;
+
+		for (int k = 0; k < 2000; k++) {
+			struct vh_pick_want w = random_want(rng);
+			struct vh_pick out;
+
+			w.k = 2;
+			vh_candidates_pick(&f.c, &w, &out);
+			sum += out.examined;
+		}
+		mean[i] = sum / 2000.0;
+	}
+	EXPECT_LE(mean[1], 6 * mean[0]) << "18 times the racks";
+	EXPECT_LE(mean[1], 100);
+}
