--- a/packages/policy/tests/sim_ours.c
+++ b/packages/policy/tests/sim_ours.c
@@ -10,7 +10,8 @@
 
 #define RETRY_MS 250
 #define TRIES_A_STEP \
-	32 /* tasks of one team and class that racks are asked for */
+	32	      /* tasks of one team and class that racks are asked for */
+#define PICKS_FIRST_TRY 4 /* a refusal's summary leads to the next pick */
 #define WAITS_A_STEP 4 /* of these, tasks that are only to wait there */
 #define PREEMPT_AFTER_MS 500
 #define PREEMPT_PER_MIN 600
@@ -441,6 +442,22 @@
 				   (uint64_t)task << 8 | (t->starts & 255));
 }
 
+static bool ask_racks(struct sim *s, uint32_t task, const struct vh_pick *pick,
+		      const struct vh_res *size)
+{
+	struct ours *o = s->state;
+	struct home *h = &o->homes[s->tasks[task].team];
+
+	withdraw(s, task);
+	for (unsigned int i = 0; i < pick->n; i++) {
+		if (ask(s, task, pick->rack[i], size)) {
+			vh_candidates_asked(&h->racks, pick->rack[i]);
+			return true;
+		}
+	}
+	return false;
+}
+
 static bool try_task(struct sim *s, uint32_t task, struct quota *quota)
 {
 	struct ours *o = s->state;
@@ -465,13 +482,15 @@
 	if (is_reserved(&o->homes[t->team], task) &&
 	    ask(s, task, o->homes[t->team].reserved_rack, &size))
 		return true;
-	withdraw(s, task);
-	for (unsigned int i = 0; i < pick.n; i++) {
-		if (ask(s, task, pick.rack[i], &size)) {
-			vh_candidates_asked(&o->homes[t->team].racks,
-					    pick.rack[i]);
+	for (int i = 0; i < (waited < RETRY_MS ? PICKS_FIRST_TRY : 1); i++) {
+		if (ask_racks(s, task, &pick, &size))
 			return true;
-		}
+		if (pick.kind != VH_PICK_FREE)
+			break;
+		/* refusals brought newer summaries */
+		vh_candidates_pick(&o->homes[t->team].racks, &want, &pick);
+		if (pick.kind != VH_PICK_FREE)
+			break;
 	}
 	for (unsigned int i = 0; i < pick.n; i++) {
 		if (sim_knobs.preemption && t->cls == VH_CLASS_URGENT &&
