--- a/packages/policy/tests/sim_ours.c
+++ b/packages/policy/tests/sim_ours.c
@@ -10,9 +10,9 @@
 
 #define RETRY_MS 250
 #define TRIES_A_STEP \
-	32	      /* tasks of one team and class that racks are asked for */
+	32 /* tasks of one team and class that racks are asked for */
 #define PICKS_FIRST_TRY 4 /* a refusal's summary leads to the next pick */
-#define WAITS_A_STEP 4 /* of these, tasks that are only to wait there */
+#define WAITS_A_STEP 4	  /* of these, tasks that are only to wait there */
 #define PREEMPT_AFTER_MS 500
 #define PREEMPT_PER_MIN 600
 
