Move a team's limit credit to the home that needs it

Conclusion: a home that wants tells its siblings, one with credit to spare gives by records. A drain no longer waits for ever for a log that is down.

--- a/packages/core/src/home_place.c
+++ b/packages/core/src/home_place.c
@@ -291,6 +291,7 @@
 	n = vh_home_waiting(h->state, home_now_ms(h), tasks, DISPATCH_MAX);
 	for (size_t i = 0; i < n; i++)
 		start_one(h, tasks[i]);
+	home_move_credit(h);
 	home_answer_waits(h);
 	if (!vh_timer_pending(&h->dispatch))
 		vh_timer_start(&h->dispatch, IDLE_MS);
--- a/packages/core/src/home_priv.h
+++ b/packages/core/src/home_priv.h
@@ -59,7 +59,11 @@
 	struct vh_timer dispatch;
 	struct vh_timer upkeep;
 	uint64_t replica_serial;
-	uint64_t turn; /* rotates the choice of racks */
+	uint64_t turn;	  /* rotates the choice of racks */
+	uint32_t n_homes; /* of the team */
+	bool offering;	  /* a gift of credit is being offered */
+	int64_t next_offer_ms;
+	int64_t next_ask_ms;
 };
 
 struct vh_homes {
@@ -99,6 +103,10 @@
 void home_answer_waits(struct home *h);
 void home_drop_waits(struct home *h);
 
+/* home_credit.c: gives credit to the team's other homes and asks for it. */
+void home_move_credit(struct home *h);
+void home_credit_register(struct vh_homes *hs);
+
 /* replicas.c: keeps the replicas of the team's services at their number. */
 void home_keep_replicas(struct home *h);
 
--- a/packages/core/src/homes.c
+++ b/packages/core/src/homes.c
@@ -281,6 +281,7 @@
 	h->team = vh_slice_dup(team);
 	h->index = index;
 	h->epoch = epoch;
+	h->n_homes = settings.homes;
 	settings.team = vh_slice_str(h->team);
 	h->state = vh_home_new(&settings);
 	vh_timer_init(&h->dispatch, hs->core->kernel, home_dispatch, h);
@@ -339,6 +340,7 @@
 	owners_watch(hs->core->owners, on_claim, hs);
 	config_watch(hs->core->config, on_objects, hs);
 	home_rpc_register(hs);
+	home_credit_register(hs);
 	return true;
 }
 
--- a/packages/core/src/owners.c
+++ b/packages/core/src/owners.c
@@ -6,6 +6,7 @@
 #define TICK_MS 200
 #define DEAD_GRACE_MS 4000	/* unheard nodes count as dead only after it */
 #define REBALANCE_AFTER_MS 3000 /* of unchanged membership */
+#define RELEASE_MAX_MS 5000	/* a drain waits so long for the log */
 #define MAX_WATCHERS 4
 #define MAX_NODES 512
 
@@ -37,6 +38,7 @@
 	bool (*gate)(void *ctx, struct vh_slice unit);
 	void *gate_ctx;
 	bool releasing_all;
+	int64_t release_until_ms;
 };
 
 bool owners_get(const struct vh_owners *o, struct vh_slice unit,
@@ -296,12 +298,17 @@
 	struct vh_owners *o = ctx;
 
 	vh_timer_start(&o->timer, TICK_MS);
-	if (!owners_known(o))
+	if (!owners_known(o)) {
+		if (o->releasing_all)
+			vh_kernel_drained(o->core->kernel, &o->service);
 		return;
+	}
 	refresh_units(o);
 	for (struct unit *u = o->units; u; u = u->next)
 		consider(o, u);
-	if (o->releasing_all && !owns_any(o))
+	if (o->releasing_all &&
+	    (!owns_any(o) ||
+	     vh_kernel_now_ms(o->core->kernel) >= o->release_until_ms))
 		vh_kernel_drained(o->core->kernel, &o->service);
 }
 
@@ -373,6 +380,8 @@
 	struct vh_owners *o = self;
 
 	o->releasing_all = true;
+	o->release_until_ms =
+		vh_kernel_now_ms(o->core->kernel) + RELEASE_MAX_MS;
 	vh_peer_leave(o->core->peer);
 	vh_timer_start(&o->timer, 0);
 }
