--- a/packages/policy/src/waitlist.c
+++ b/packages/policy/src/waitlist.c
@@ -150,7 +150,8 @@
 	for (size_t i = 0; i < w->n; i++) {
 		const struct vh_demand *d = &w->items[i].demand;
 
-		if (now_ms - d->accepted_ms >= VH_RESERVE_AFTER_MS &&
+		if (d->reserve &&
+		    now_ms - d->accepted_ms >= VH_RESERVE_AFTER_MS &&
 		    d->share <= d->due &&
 		    (!oldest || d->accepted_ms < oldest->accepted_ms))
 			oldest = d;
@@ -204,16 +205,29 @@
 	return first;
 }
 
+/* What fits nowhere before turns are taken will not fit after. */
+static bool has_room(const struct turn *t, const struct vh_res *size)
+{
+	for (size_t i = 0; i < t->n; i++) {
+		if (t->workers[i].usable &&
+		    vh_res_fits(size, &t->workers[i].free))
+			return true;
+	}
+	return false;
+}
+
 /* Serves demands in order up to the one asked for. */
 static void take_turns(const struct vh_waitlist *w, struct turn *t, uint64_t id,
 		       int64_t now_ms, struct vh_ask *out)
 {
 	struct vh_demand left[VH_WAITLIST_MAX];
-	size_t n = w->n;
+	size_t n = 0;
 	bool served_before = false;
 
-	for (size_t i = 0; i < n; i++)
-		left[i] = w->items[i].demand;
+	for (size_t i = 0; i < w->n; i++) {
+		if (has_room(t, &w->items[i].demand.want.size))
+			left[n++] = w->items[i].demand;
+	}
 	while (n) {
 		size_t at = next_in_order(left, n, now_ms);
 		struct vh_demand d = left[at];
@@ -258,6 +272,8 @@
 		return;
 	}
 	note(w, demand, now_ms);
+	if (out->place.reason != VH_PLACE_OK)
+		return;
 	keep_worker(&t, w, now_ms);
 	take_turns(w, &t, demand->id, now_ms, out);
 	if (out->result == VH_ASK_START) {
