Own racks only once objects are known

Cause: a rack's lease length was read before the first publish and then kept. Before: lease 30 s whatever [fleet] says. After: racks are claimed once objects are in force. Conclusion: a change of the lease length later still needs a setter.

--- a/packages/core/src/owners.c
+++ b/packages/core/src/owners.c
@@ -122,6 +122,9 @@
 	size_t n = vh_vm_list_workers(o->core->vms, &vms);
 	char name[VH_UNIT_MAX + 1];
 
+	/* Without objects nothing may run, and leases have no length yet. */
+	if (!core_objects(o->core))
+		return;
 	for (size_t i = 0; i < n; i++) {
 		g_snprintf(name, sizeof(name), "rack/%.*s",
 			   VH_FMT(vms[i].rack));
