Copy slices byte for byte, and fence homes when a rack is gained

Cause: vh_slice_dup() stopped at the first NUL and filled up with NULs; peers kept summaries by it, so a node knew one rack of each other node. Ruled out: the codec (a round trip of the same digest is whole), the room in a digest (100 and 142 of 512 bytes), the candidate index. Conclusion: a test copies bytes behind a NUL.

--- a/packages/base/include/vh/slice.h
+++ b/packages/base/include/vh/slice.h
@@ -56,7 +56,8 @@
 /* vh_slice_cmp - orders by bytes, then by length; <0, 0 or >0 */
 int vh_slice_cmp(struct vh_slice a, struct vh_slice b);
 
-/* vh_slice_dup - returns a NUL-terminated copy; free with g_free() */
+/* vh_slice_dup - returns a copy of all bytes, NULs too, and a NUL behind them;
+ * free with g_free() */
 char *vh_slice_dup(struct vh_slice s);
 
 /* vh_slice_hash - 64-bit FNV-1a with a final mix; stable over releases */
--- a/packages/base/src/slice.c
+++ b/packages/base/src/slice.c
@@ -17,7 +17,12 @@
 
 char *vh_slice_dup(struct vh_slice s)
 {
-	return g_strndup(s.data ? s.data : "", s.len);
+	char *copy = g_malloc(s.len + 1);
+
+	if (s.len)
+		memcpy(copy, s.data, s.len);
+	copy[s.len] = '\0';
+	return copy;
 }
 
 uint64_t vh_slice_hash(struct vh_slice s, uint64_t seed)
--- a/packages/base/tests/test_base.cc
+++ b/packages/base/tests/test_base.cc
@@ -50,6 +50,16 @@
 	}
 }
 
+TEST(Slice, CopiesBytesBehindANul)
+{
+	const char bytes[] = { 'a', 0, 'b' };
+	char *copy = vh_slice_dup(vh_slice(bytes, sizeof(bytes)));
+
+	EXPECT_EQ(memcmp(copy, bytes, sizeof(bytes)), 0);
+	EXPECT_EQ(copy[sizeof(bytes)], 0);
+	g_free(copy);
+}
+
 TEST(Buf, GrowsAndDrops)
 {
 	struct vh_buf buf;
--- a/packages/core/src/racks.c
+++ b/packages/core/src/racks.c
@@ -351,6 +351,7 @@
 	vh_log(G_LOG_LEVEL_INFO, "own a rack", "rack", r->name, NULL);
 	r->owned = true;
 	vh_rack_own(r->state, epoch, vh_kernel_now_ms(r->racks->core->kernel));
+	owners_each(r->racks->core->owners, fence_home, r);
 	pump_soon(r);
 }
 
