--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -1,6 +1,7 @@
 #include <inttypes.h>
 
 #include "config.h"
+#include "cost.h"
 #include "fleet.h"
 #include "homes.h"
 #include "jobs.h"
@@ -52,6 +53,7 @@
 	core->jobs = jobs_new(core);
 	core->upstreams = upstreams_new(core);
 	core->status = status_new(core);
+	core->cost = cost_new(core);
 	vh_kernel_add(kernel, vh_vm_list_service(core->vms));
 	vh_kernel_add(kernel, config_service(core->config));
 	vh_kernel_add(kernel, owners_service(core->owners));
@@ -61,6 +63,7 @@
 	vh_kernel_add(kernel, jobs_service(core->jobs));
 	vh_kernel_add(kernel, upstreams_service(core->upstreams));
 	vh_kernel_add(kernel, status_service(core->status));
+	vh_kernel_add(kernel, cost_service(core->cost));
 	return core;
 }
 
@@ -68,6 +71,7 @@
 {
 	if (!core)
 		return;
+	cost_free(core->cost);
 	status_free(core->status);
 	upstreams_free(core->upstreams);
 	jobs_free(core->jobs);
--- a/packages/core/src/core_priv.h
+++ b/packages/core/src/core_priv.h
@@ -15,6 +15,7 @@
 struct vh_upstreams;
 struct vh_status;
 struct vh_fleet;
+struct vh_cost;
 
 struct vh_core {
 	struct vh_kernel *kernel;
@@ -36,6 +37,7 @@
 	struct vh_jobs *jobs;
 	struct vh_upstreams *upstreams;
 	struct vh_status *status;
+	struct vh_cost *cost;
 };
 
 /* The objects in force, or NULL. */
--- a/packages/core/src/racks.c
+++ b/packages/core/src/racks.c
@@ -50,6 +50,7 @@
 	struct ends ends;
 	uint64_t *placed;
 	uint64_t *refused;
+	uint64_t gone_bytes; /* of clients that were freed */
 	bool stopping;
 };
 
@@ -64,6 +65,13 @@
 	return NULL;
 }
 
+static void client_free(struct worker *w)
+{
+	if (w->client)
+		w->rack->racks->gone_bytes += vh_worker_client_bytes(w->client);
+	vh_worker_client_free(w->client);
+}
+
 static struct worker *worker_find(struct rack *r, struct vh_slice id)
 {
 	for (struct worker *w = r->workers; w; w = w->next) {
@@ -273,7 +281,7 @@
 
 static void worker_free(struct worker *w)
 {
-	vh_worker_client_free(w->client);
+	client_free(w);
 	g_free(w->id);
 	g_free(w->address);
 	g_free(w);
@@ -284,7 +292,7 @@
 	if (w->client && w->port == vm->port &&
 	    vh_slice_eq_str(vm->address, w->address))
 		return;
-	vh_worker_client_free(w->client);
+	client_free(w);
 	g_free(w->address);
 	w->address = vh_slice_dup(vm->address);
 	w->port = vm->port;
@@ -688,3 +696,15 @@
 		fn(ctx, vh_slice_str(r->name), &summary);
 	}
 }
+
+uint64_t racks_worker_bytes(const struct vh_racks *rs)
+{
+	uint64_t sum = rs->gone_bytes;
+
+	for (const struct rack *r = rs->list; r; r = r->next) {
+		for (const struct worker *w = r->workers; w; w = w->next)
+			sum += w->client ? vh_worker_client_bytes(w->client)
+					 : 0;
+	}
+	return sum;
+}
--- a/packages/core/src/racks.h
+++ b/packages/core/src/racks.h
@@ -27,6 +27,9 @@
 				const struct vh_rack_summary *summary),
 		     void *ctx);
 
+/* Bytes sent to and received from workers so far. */
+uint64_t racks_worker_bytes(const struct vh_racks *r);
+
 /* Ends not yet settled with their homes. */
 size_t racks_unsettled(const struct vh_racks *r);
 
--- a/packages/ctl/src/report_data.c
+++ b/packages/ctl/src/report_data.c
@@ -49,10 +49,7 @@
 	cost->cpu_part =
 		samples_value(s, "vh_process_cpu_seconds_total") / uptime;
 	cost->memory = samples_value(s, "vh_process_resident_bytes");
-	cost->bytes_rate =
-		(samples_value(s, "vh_control_sent_bytes_total") +
-		 samples_value(s, "vh_control_received_bytes_total")) /
-		uptime;
+	cost->bytes_rate = samples_value(s, "vh_control_bytes_total") / uptime;
 	cost->violations = samples_value(s, "vh_invariant_violated_total");
 }
 
