--- a/tools/bench.sh
+++ b/tools/bench.sh
@@ -22,6 +22,7 @@
 		failed=1
 	fi
 done
+tools/bench_cell.sh "$build" || failed=1
 [ "$failed" -eq 0 ] || exit 1
 if [ "$missed" -ne 0 ]; then
 	echo "$missed figures missed their bounds" >&2
