--- a/packages/core/include/vh/core_node.h
+++ b/packages/core/include/vh/core_node.h
@@ -7,6 +7,7 @@
  * struct vh_core_settings - what the core of a node needs to know
  * @operators: "IP:PORT" that operators reach this node by; told to the others
  * @appends_per_s: this node's part of the log's appends
+ * @retention_s: how long the platform's log keeps a record
  * All strings are copied.
  */
 struct vh_core_settings {
@@ -19,6 +20,7 @@
 	struct vh_slice vms_address;
 	uint16_t vms_port;
 	uint32_t appends_per_s;
+	uint32_t retention_s;
 };
 
 /**
--- a/packages/core/src/config.c
+++ b/packages/core/src/config.c
@@ -210,6 +210,13 @@
 	return p;
 }
 
+static void tell_watchers(struct vh_config *c)
+{
+	vh_log(G_LOG_LEVEL_INFO, "configuration in force", NULL);
+	for (size_t i = 0; i < c->n_watchers; i++)
+		c->watchers[i].fn(c->watchers[i].ctx);
+}
+
 static void apply(struct vh_config *c, uint64_t offset, struct vh_slice body)
 {
 	struct publish_record r;
@@ -229,9 +236,7 @@
 	vh_unpack_finish(&u);
 	if (verdict != VH_OK)
 		return;
-	vh_log(G_LOG_LEVEL_INFO, "configuration in force", NULL);
-	for (size_t i = 0; i < c->n_watchers; i++)
-		c->watchers[i].fn(c->watchers[i].ctx);
+	tell_watchers(c);
 }
 
 static void on_batch(void *ctx, uint64_t offset, const struct vh_batch *batch)
@@ -246,13 +251,43 @@
 	}
 }
 
-static void on_gone(void *ctx, uint64_t first)
+static void dump(void *ctx, struct vh_buf *out)
 {
 	struct vh_config *c = ctx;
 
-	vh_log(G_LOG_LEVEL_WARNING,
-	       "configuration records removed by retention", NULL);
-	vh_hub_restart(c->stream, first);
+	vh_pack_array(out, 2);
+	vh_pack_u64(out, c->version);
+	vh_pack_slice(out, vh_buf_slice(&c->text));
+}
+
+static bool load_version(struct vh_config *c, uint64_t version,
+			 struct vh_slice text)
+{
+	struct publish_record r = { .author = VH_SLICE("snapshot") };
+	struct vh_objects *set;
+
+	if (version <= c->version)
+		return version == c->version;
+	set = objects_read(text, NULL);
+	if (!set)
+		return false;
+	set_replace(c, &r, version, set);
+	tell_watchers(c);
+	return true;
+}
+
+static bool load(void *ctx, struct vh_slice state)
+{
+	struct vh_unpack u;
+	uint64_t version;
+	struct vh_slice text;
+	bool ok = vh_unpack_init(&u, state, NULL);
+
+	version = vh_unpack_u64(&u);
+	text = vh_unpack_slice(&u);
+	ok = ok && u.ok && (!version || load_version(ctx, version, text));
+	vh_unpack_finish(&u);
+	return ok;
 }
 
 static void publish_release(void *ctx)
@@ -495,15 +530,20 @@
 	return false;
 }
 
+static uint32_t rank(void *ctx)
+{
+	return core_rank(((struct vh_config *)ctx)->core, "config");
+}
+
 static bool config_start(void *self, struct vh_kernel *kernel, GError **err)
 {
 	struct vh_config *c = self;
-	struct vh_stream_callbacks callbacks = { on_batch, on_gone, c };
+	struct vh_hub_user user = { on_batch, dump, load, rank, c };
 
 	(void)kernel;
 	(void)err;
-	c->stream = vh_hub_open(&c->core->hub, vh_slice_str("config"), 0,
-				&callbacks);
+	c->stream =
+		vh_hub_open(&c->core->hub, vh_slice_str("config"), 0, &user);
 	return true;
 }
 
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -17,6 +17,22 @@
 	return config_objects(core->config);
 }
 
+uint32_t core_rank(const struct vh_core *core, const char *what)
+{
+	uint64_t seed = vh_slice_hash(vh_slice_str(what), 0);
+	uint64_t own = vh_slice_hash(vh_slice_str(core->id), seed);
+	const struct vh_node *nodes;
+	size_t n = vh_peer_nodes(core->peer, &nodes);
+	uint32_t before = 0;
+
+	for (size_t i = 1; i < n; i++) {
+		if (nodes[i].state == VH_NODE_ALIVE &&
+		    vh_slice_hash(nodes[i].id, seed) < own)
+			before++;
+	}
+	return before;
+}
+
 bool core_is_self(const struct vh_core *core, const struct vh_claim *claim)
 {
 	return claim->incarnation == core->incarnation &&
@@ -42,7 +58,8 @@
 	core->log = vh_log_client_new(kernel, settings->log_address,
 				      settings->log_port, MAX_LOG_READERS);
 	vh_hub_init(&core->hub, kernel, vh_log_client_transport(core->log),
-		    vh_slice_str(core->writer), VH_MS_PER_S / rate);
+		    vh_slice_str(core->writer), VH_MS_PER_S / rate,
+		    (int64_t)settings->retention_s * VH_MS_PER_S);
 	core->vms = vh_vm_list_new(kernel, settings->vms_address,
 				   settings->vms_port);
 	core->config = config_new(core);
--- a/packages/core/src/core_priv.h
+++ b/packages/core/src/core_priv.h
@@ -43,6 +43,9 @@
 /* The objects in force, or NULL. */
 const struct vh_objects *core_objects(const struct vh_core *core);
 
+/* This node's place in the rendezvous order of live nodes for @what. */
+uint32_t core_rank(const struct vh_core *core, const char *what);
+
 /* Does @claim name this process? */
 bool core_is_self(const struct vh_core *core, const struct vh_claim *claim);
 
--- a/packages/core/src/homes.c
+++ b/packages/core/src/homes.c
@@ -7,6 +7,7 @@
 #define UPKEEP_MS 300
 #define DISPATCH_MS 20
 #define MAX_ATTEMPTS 8
+#define DEDUPE_S 86400 /* until objects say */
 
 struct home *home_find(struct vh_homes *hs, struct vh_slice unit)
 {
@@ -134,13 +135,53 @@
 		home_poke(h);
 }
 
-static void on_gone(void *ctx, uint64_t first)
+static void dump(void *ctx, struct vh_buf *out)
+{
+	vh_home_dump(((struct home *)ctx)->state, out);
+}
+
+static void home_restart(struct home *h);
+
+static struct vh_home *state_new(const struct home *h)
+{
+	const struct vh_objects *set = core_objects(h->homes->core);
+	uint32_t window_s = set ? set->fleet.dedupe_window_s : DEDUPE_S;
+	struct vh_home_settings settings = {
+		.team = vh_slice_str(h->team),
+		.index = h->index,
+		.homes = h->n_homes,
+		.dedupe_window_ms = (int64_t)window_s * VH_MS_PER_S,
+		.max_attempts = MAX_ATTEMPTS,
+	};
+
+	return vh_home_new(&settings);
+}
+
+/* Only before the home is open: an open one that was away for longer than the
+ * retention begins anew. */
+static bool load(void *ctx, struct vh_slice state)
 {
 	struct home *h = ctx;
+	struct vh_home *fresh;
 
-	vh_log(G_LOG_LEVEL_WARNING, "home records removed by retention", "home",
-	       h->unit, NULL);
-	vh_hub_restart(h->stream, first);
+	if (h->open || h->asked_open) {
+		home_restart(h);
+		return false;
+	}
+	fresh = state_new(h);
+	if (!vh_home_load(fresh, state, home_now_ms(h))) {
+		vh_home_free(fresh);
+		return false;
+	}
+	vh_home_free(h->state);
+	h->state = fresh;
+	return true;
+}
+
+static uint32_t rank(void *ctx)
+{
+	(void)ctx;
+	return 0;
 }
 
 static void set_limit(struct home *h)
@@ -198,7 +239,7 @@
 {
 	struct vh_core *core = h->homes->core;
 
-	if (h->asked_open || !vh_stream_caught_up(vh_hub_stream(h->stream)) ||
+	if (h->asked_open || !vh_hub_ready(h->stream) ||
 	    !vh_vm_list_known(core->vms))
 		return;
 	h->asked_open = true;
@@ -265,15 +306,7 @@
 	const struct vh_objects *set = core_objects(hs->core);
 	const struct vh_team *t = set ? vh_objects_team(set, team) : NULL;
 	struct home *h = g_new0(struct home, 1);
-	struct vh_stream_callbacks callbacks = { on_batch, on_gone, h };
-	struct vh_home_settings settings = {
-		.index = index,
-		.homes = t ? t->homes : 1,
-		.dedupe_window_ms =
-			(int64_t)(set ? set->fleet.dedupe_window_s : 86400) *
-			VH_MS_PER_S,
-		.max_attempts = MAX_ATTEMPTS,
-	};
+	struct vh_hub_user user = { on_batch, dump, load, rank, h };
 	char *name;
 
 	h->homes = hs;
@@ -281,21 +314,28 @@
 	h->team = vh_slice_dup(team);
 	h->index = index;
 	h->epoch = epoch;
-	h->n_homes = settings.homes;
-	settings.team = vh_slice_str(h->team);
-	h->state = vh_home_new(&settings);
+	h->n_homes = t ? t->homes : 1;
+	h->state = state_new(h);
 	vh_timer_init(&h->dispatch, hs->core->kernel, home_dispatch, h);
 	vh_timer_init(&h->upkeep, hs->core->kernel, upkeep, h);
 	h->next = hs->list;
 	hs->list = h;
 	name = g_strdup_printf("home.%s.%u", h->team, index);
-	h->stream = vh_hub_open(&hs->core->hub, vh_slice_str(name), epoch,
-				&callbacks);
+	h->stream =
+		vh_hub_open(&hs->core->hub, vh_slice_str(name), epoch, &user);
 	g_free(name);
 	vh_timer_start(&h->upkeep, DISPATCH_MS);
 	vh_log(G_LOG_LEVEL_INFO, "own a home", "home", h->unit, NULL);
 }
 
+/* Begins anew under the same epoch. */
+static void home_restart(struct home *h)
+{
+	home_lose(h);
+	home_gain(h->homes, vh_slice_str(h->unit), vh_slice_str(h->team),
+		  h->index, h->epoch);
+}
+
 static void on_claim(void *ctx, const struct vh_claim *claim)
 {
 	static const struct vh_slice rack = VH_SLICE("rack/");
--- a/packages/core/src/hub.c
+++ b/packages/core/src/hub.c
@@ -1,5 +1,7 @@
 #include "hub.h"
 
+#include "vh/log.h"
+
 #define MAX_WAITING_BYTES (4u << 20)
 #define MAX_BATCH_BYTES (256u << 10)
 #define REPLY_TIMEOUT_MS 3000
@@ -10,6 +12,11 @@
 	struct vh_stream *stream;
 	struct vh_timer timer;
 	char *name;
+	struct vh_hub_user user;
+	struct vh_snap_reader reader;
+	bool rebuilding; /* looks for a snapshot, applies nothing */
+	bool writing;
+	int64_t newest_ms;    /* newest complete snapshot; INT64_MIN: none */
 	unsigned int pending; /* transport calls that will still call back */
 	bool closed;
 };
@@ -28,6 +35,7 @@
 
 static void stream_release(struct vh_hub_stream *hs)
 {
+	vh_snap_reader_finish(&hs->reader);
 	vh_timer_finish(&hs->timer);
 	g_free(hs->name);
 	g_free(hs);
@@ -91,11 +99,90 @@
 	t->read(t->ctx, stream, from, max_bytes, wait_ms, read_over, call);
 }
 
+static void snapshot_written(void *arg, enum vh_err err, uint64_t offset)
+{
+	struct vh_hub_stream *hs = arg;
+
+	(void)offset;
+	hs->writing = false;
+	if (err == VH_OK)
+		hs->newest_ms = vh_kernel_now_ms(hs->hub->kernel);
+}
+
+/* Writes the state again before retention removes what it came from. */
+static void snapshot_if_due(struct vh_hub_stream *hs, int64_t now)
+{
+	struct vh_buf state;
+	uint64_t next = vh_stream_next(hs->stream);
+
+	if (hs->writing || !vh_hub_ready(hs) || vh_hub_down(hs) || next <= 1)
+		return;
+	if (hs->newest_ms == INT64_MIN)
+		hs->newest_ms = now - hs->hub->retention_ms / 4;
+	if (now < vh_snap_due_ms(hs->newest_ms, hs->hub->retention_ms,
+				 hs->user.rank(hs->user.ctx)))
+		return;
+	hs->writing = true;
+	vh_buf_init(&state);
+	hs->user.dump(hs->user.ctx, &state);
+	vh_snap_write(hs->stream, next - 1, vh_buf_slice(&state),
+		      snapshot_written, hs);
+	vh_buf_finish(&state);
+	vh_timer_start(&hs->timer, 0);
+}
+
+/* Loads a complete snapshot; false if it cannot be used. */
+static bool snapshot_load(struct vh_hub_stream *hs, const struct vh_snapshot *s)
+{
+	if (!hs->user.load(hs->user.ctx, s->state) ||
+	    !vh_stream_restore(hs->stream, s->stream))
+		return false;
+	hs->rebuilding = false;
+	vh_stream_start(hs->stream, s->covers + 1,
+			vh_kernel_now_ms(hs->hub->kernel));
+	vh_timer_start(&hs->timer, 0);
+	return true;
+}
+
+static void on_batch(void *ctx, uint64_t offset, const struct vh_batch *batch)
+{
+	struct vh_hub_stream *hs = ctx;
+	struct vh_slice rest = batch->records;
+	struct vh_snapshot snapshot;
+	struct vh_slice body;
+	uint32_t kind;
+
+	while (vh_record_next(&rest, &kind, &body)) {
+		if (!vh_snap_reader_apply(&hs->reader, kind, body, &snapshot))
+			continue;
+		hs->newest_ms = vh_kernel_now_ms(hs->hub->kernel);
+		if (hs->rebuilding && snapshot_load(hs, &snapshot))
+			return;
+	}
+	if (!hs->rebuilding)
+		hs->user.batch(hs->user.ctx, offset, batch);
+}
+
+static void on_gone(void *ctx, uint64_t first)
+{
+	struct vh_hub_stream *hs = ctx;
+
+	vh_log(G_LOG_LEVEL_WARNING,
+	       "records removed by retention: looking for a snapshot", "stream",
+	       hs->name, NULL);
+	hs->rebuilding = true;
+	vh_stream_start(hs->stream, first, vh_kernel_now_ms(hs->hub->kernel));
+	vh_timer_start(&hs->timer, 0);
+}
+
 static void hub_tick(void *ctx)
 {
 	struct vh_hub_stream *hs = ctx;
 	int64_t now = vh_kernel_now_ms(hs->hub->kernel);
-	int64_t next = vh_stream_tick(hs->stream, now);
+	int64_t next;
+
+	snapshot_if_due(hs, now);
+	next = vh_stream_tick(hs->stream, now);
 
 	if (!hs->closed && next != INT64_MAX && !vh_timer_pending(&hs->timer))
 		vh_timer_start(&hs->timer, next - now);
@@ -103,8 +190,10 @@
 
 void vh_hub_init(struct vh_hub *hub, struct vh_kernel *kernel,
 		 const struct vh_log_transport *transport,
-		 struct vh_slice writer, int64_t min_gap_ms)
+		 struct vh_slice writer, int64_t min_gap_ms,
+		 int64_t retention_ms)
 {
+	hub->retention_ms = retention_ms;
 	hub->kernel = kernel;
 	hub->transport = transport;
 	hub->writer = writer;
@@ -114,10 +203,11 @@
 
 struct vh_hub_stream *vh_hub_open(struct vh_hub *hub, struct vh_slice name,
 				  uint64_t epoch,
-				  const struct vh_stream_callbacks *callbacks)
+				  const struct vh_hub_user *user)
 {
 	struct vh_hub_stream *hs = g_new0(struct vh_hub_stream, 1);
 	struct vh_log_transport transport = { hub_append, hub_read, hs };
+	struct vh_stream_callbacks callbacks = { on_batch, on_gone, hs };
 	struct vh_stream_settings settings = {
 		.writer = hub->writer,
 		.max_waiting_bytes = MAX_WAITING_BYTES,
@@ -129,10 +219,12 @@
 	};
 
 	hs->hub = hub;
+	hs->user = *user;
+	hs->newest_ms = INT64_MIN;
 	hs->name = vh_slice_dup(name);
 	settings.name = vh_slice_str(hs->name);
 	vh_timer_init(&hs->timer, hub->kernel, hub_tick, hs);
-	hs->stream = vh_stream_new(&settings, &transport, callbacks);
+	hs->stream = vh_stream_new(&settings, &transport, &callbacks);
 	vh_stream_set_epoch(hs->stream, epoch);
 	vh_stream_start(hs->stream, 1, vh_kernel_now_ms(hub->kernel));
 	vh_timer_start(&hs->timer, 0);
@@ -160,10 +252,9 @@
 	vh_timer_start(&hs->timer, 0);
 }
 
-void vh_hub_restart(struct vh_hub_stream *hs, uint64_t from)
+bool vh_hub_ready(const struct vh_hub_stream *hs)
 {
-	vh_stream_start(hs->stream, from, vh_kernel_now_ms(hs->hub->kernel));
-	vh_timer_start(&hs->timer, 0);
+	return !hs->rebuilding && vh_stream_caught_up(hs->stream);
 }
 
 struct vh_stream *vh_hub_stream(struct vh_hub_stream *hs)
@@ -175,7 +266,7 @@
 {
 	int64_t fresh = vh_stream_fresh_ms(hs->stream);
 
-	if (fresh == INT64_MIN)
+	if (fresh == INT64_MIN || hs->rebuilding)
 		return INT64_MAX;
 	return vh_kernel_now_ms(hs->hub->kernel) - fresh;
 }
--- a/packages/core/src/hub.h
+++ b/packages/core/src/hub.h
@@ -2,6 +2,7 @@
 #define VH_HUB_H
 
 #include "vh/kernel.h"
+#include "vh/snapshot.h"
 #include "vh/stream.h"
 
 /**
@@ -12,20 +13,42 @@
 	const struct vh_log_transport *transport;
 	struct vh_slice writer;
 	int64_t min_gap_ms;
+	int64_t retention_ms; /* how long the log keeps records */
 	uint64_t next_seed;
 };
 
+/**
+ * struct vh_hub_user - who uses a stream
+ * @batch: a batch in log order, snapshots' own batches too
+ * @dump: appends all state that the batches so far gave
+ * @load: replaces all state by a dump; false if it is unreadable
+ * @rank: place among the nodes that could write the next snapshot, 0 first
+ */
+struct vh_hub_user {
+	void (*batch)(void *ctx, uint64_t offset, const struct vh_batch *batch);
+	void (*dump)(void *ctx, struct vh_buf *out);
+	bool (*load)(void *ctx, struct vh_slice state);
+	uint32_t (*rank)(void *ctx);
+	void *ctx;
+};
+
 /* One open stream. */
 struct vh_hub_stream;
 
 void vh_hub_init(struct vh_hub *hub, struct vh_kernel *kernel,
 		 const struct vh_log_transport *transport,
-		 struct vh_slice writer, int64_t min_gap_ms);
+		 struct vh_slice writer, int64_t min_gap_ms,
+		 int64_t retention_ms);
 
-/* vh_hub_open - opens a stream at its front; callbacks come from the loop */
+/**
+ * vh_hub_open - opens a stream at its front; callbacks come from the loop
+ *
+ * Where retention has removed the front, the state is loaded from the newest
+ * complete snapshot. Snapshots are written before retention passes.
+ */
 struct vh_hub_stream *vh_hub_open(struct vh_hub *hub, struct vh_slice name,
 				  uint64_t epoch,
-				  const struct vh_stream_callbacks *callbacks);
+				  const struct vh_hub_user *user);
 
 /* vh_hub_close - appends not yet done are never told about */
 void vh_hub_close(struct vh_hub_stream *hs);
@@ -36,8 +59,8 @@
 		   void (*done)(void *arg, enum vh_err err, uint64_t offset),
 		   void *arg);
 
-/* vh_hub_restart - reads on from @from, after the callback gone() */
-void vh_hub_restart(struct vh_hub_stream *hs, uint64_t from);
+/* vh_hub_ready - is all that the stream says known? */
+bool vh_hub_ready(const struct vh_hub_stream *hs);
 
 struct vh_stream *vh_hub_stream(struct vh_hub_stream *hs);
 
--- a/packages/core/src/owners.c
+++ b/packages/core/src/owners.c
@@ -69,7 +69,7 @@
 
 bool owners_known(const struct vh_owners *o)
 {
-	return o->stream && vh_stream_caught_up(vh_hub_stream(o->stream));
+	return o->stream && vh_hub_ready(o->stream);
 }
 
 int64_t owners_fresh_ms(const struct vh_owners *o)
@@ -315,6 +315,12 @@
 		vh_kernel_drained(o->core->kernel, &o->service);
 }
 
+static void tell(struct vh_owners *o, const struct vh_claim *claim)
+{
+	for (size_t i = 0; i < o->n_watchers; i++)
+		o->watchers[i].fn(o->watchers[i].ctx, claim);
+}
+
 static void on_batch(void *ctx, uint64_t offset, const struct vh_batch *batch)
 {
 	struct vh_owners *o = ctx;
@@ -326,17 +332,49 @@
 	while (vh_record_next(&rest, &kind, &body)) {
 		if (!vh_claims_apply(o->claims, offset, kind, body, &changed))
 			continue;
-		for (size_t i = 0; i < o->n_watchers; i++)
-			o->watchers[i].fn(o->watchers[i].ctx, &changed);
+		tell(o, &changed);
 	}
 }
 
-static void on_gone(void *ctx, uint64_t first)
+static void dump(void *ctx, struct vh_buf *out)
+{
+	vh_claims_dump(((struct vh_owners *)ctx)->claims, out);
+}
+
+struct load_ctx {
+	struct vh_owners *owners;
+	const struct vh_claims *before;
+};
+
+static void tell_if_new(void *ctx, const struct vh_claim *claim)
+{
+	struct load_ctx *l = ctx;
+	struct vh_claim old;
+
+	if (!vh_claims_get(l->before, claim->unit, &old) ||
+	    old.epoch != claim->epoch)
+		tell(l->owners, claim);
+}
+
+static bool load(void *ctx, struct vh_slice state)
 {
 	struct vh_owners *o = ctx;
+	struct vh_claims *loaded = vh_claims_new();
+	struct load_ctx l = { o, o->claims };
 
-	vh_log(G_LOG_LEVEL_WARNING, "claims removed by retention", NULL);
-	vh_hub_restart(o->stream, first);
+	if (!vh_claims_load(loaded, state)) {
+		vh_claims_free(loaded);
+		return false;
+	}
+	o->claims = loaded;
+	vh_claims_each(loaded, tell_if_new, &l);
+	vh_claims_free((struct vh_claims *)l.before);
+	return true;
+}
+
+static uint32_t rank(void *ctx)
+{
+	return core_rank(((struct vh_owners *)ctx)->core, "claims");
 }
 
 static void on_members(void *ctx)
@@ -364,13 +402,13 @@
 static bool owners_start(void *self, struct vh_kernel *kernel, GError **err)
 {
 	struct vh_owners *o = self;
-	struct vh_stream_callbacks callbacks = { on_batch, on_gone, o };
+	struct vh_hub_user user = { on_batch, dump, load, rank, o };
 
 	(void)err;
 	o->started_ms = vh_kernel_now_ms(kernel);
 	o->members_changed_ms = o->started_ms;
-	o->stream = vh_hub_open(&o->core->hub, vh_slice_str("claims"), 0,
-				&callbacks);
+	o->stream =
+		vh_hub_open(&o->core->hub, vh_slice_str("claims"), 0, &user);
 	vh_peer_watch(o->core->peer, on_members, o);
 	config_watch(o->core->config, on_objects, o);
 	vh_vm_list_watch(o->core->vms, on_vm, o);
--- a/packages/daemon/src/main.c
+++ b/packages/daemon/src/main.c
@@ -142,6 +142,7 @@
 		.vms_address = vh_slice_str(s->platform.vms.address),
 		.vms_port = s->platform.vms.port,
 		.appends_per_s = s->platform.appends_per_s,
+		.retention_s = s->platform.retention_s,
 	};
 
 	d->core = vh_core_new(&c, &d->kernel, d->peer);
--- a/packages/daemon/src/settings.c
+++ b/packages/daemon/src/settings.c
@@ -20,7 +20,7 @@
 					  "heartbeat_ms", "suspect_ms",
 					  "dead_ms",	  NULL };
 static const char *const platform_keys[] = { "log", "vms", "appends_per_s",
-					     NULL };
+					     "retention_s", NULL };
 static const char *const limits_keys[] = { "buffered_mb", NULL };
 
 void vh_settings_init(struct vh_settings *s)
@@ -35,6 +35,7 @@
 	s->peers.suspect_ms = 3000;
 	s->peers.dead_ms = 6000;
 	s->platform.appends_per_s = 300;
+	s->platform.retention_s = 86400;
 	s->limits.buffered_mb = 24;
 }
 
@@ -297,6 +298,8 @@
 	read_endpoint(g, "vms", &s->platform.vms, problems);
 	vh_ini_u32(g, "appends_per_s", 1, 100000, &s->platform.appends_per_s,
 		   problems);
+	vh_ini_u32(g, "retention_s", 10, 31536000, &s->platform.retention_s,
+		   problems);
 }
 
 static void read_limits(struct vh_settings *s, const struct vh_ini_group *g,
--- a/packages/daemon/src/settings.h
+++ b/packages/daemon/src/settings.h
@@ -27,6 +27,7 @@
  * @idle_timeout_s: of a caller's connection, and the longest time for reading
  *		    one request
  * @appends_per_s: what all nodes together may append to the log
+ * @retention_s: how long the log keeps a record
  * @buffered_mb: bodies of requests and answers held at once
  */
 struct vh_settings {
@@ -59,6 +60,7 @@
 		struct vh_endpoint log;
 		struct vh_endpoint vms;
 		uint32_t appends_per_s;
+		uint32_t retention_s;
 	} platform;
 	struct {
 		uint32_t buffered_mb;
