--- a/packages/core/src/racks.c
+++ b/packages/core/src/racks.c
@@ -1,63 +1,15 @@
-#include "racks.h"
-
 #include "config.h"
-#include "ends.h"
 #include "owners.h"
 #include "placement.h"
+#include "racks_priv.h"
 #include "vh/log.h"
-#include "vh/worker_client.h"
 
 #define PUMP_MS 50
 #define CLOCK_MARGIN_MS 500
-#define MAX_SUMMED 256 /* workers of one rack in a summary */
-
-/* A worker of a known rack and the way to it. */
-struct worker {
-	struct worker *next;
-	struct rack *rack;
-	char *id;
-	char *address;
-	uint16_t port;
-	struct vh_worker_client *client;
-};
-
-/* A call that waits for a start's fate. */
-struct place_wait {
-	struct place_wait *next;
-	char *task;
-	uint32_t attempt;
-	struct vh_peer_reply *reply;
-};
-
-struct rack {
-	struct rack *next;
-	struct vh_racks *racks;
-	char *name;
-	char *unit;
-	struct vh_rack *state;
-	bool owned;
-	struct worker *workers;
-	struct place_wait *waits;
-	struct vh_waitlist waiting;
-	struct worker_health health;
-	const struct wire_place *asking; /* during a decision */
-	struct vh_timer timer;
-};
-
-struct vh_racks {
-	struct vh_core *core;
-	struct vh_service service;
-	struct rack *list;
-	struct ends ends;
-	uint64_t *placed;
-	uint64_t *refused;
-	uint64_t gone_bytes; /* of clients that were freed */
-	bool stopping;
-};
 
 static void pump(void *ctx);
 
-static struct rack *rack_find(const struct vh_racks *rs, struct vh_slice name)
+struct rack *rack_find(const struct vh_racks *rs, struct vh_slice name)
 {
 	for (struct rack *r = rs->list; r; r = r->next) {
 		if (vh_slice_eq_str(name, r->name))
@@ -82,34 +34,11 @@
 	return NULL;
 }
 
-static void pump_soon(struct rack *r)
+void rack_pump_soon(struct rack *r)
 {
 	vh_timer_start(&r->timer, 0);
 }
 
-/* Answers every call that waits for this run. */
-static bool answer_waits(struct rack *r, struct vh_slice task, uint32_t attempt,
-			 enum vh_err err, struct vh_slice body)
-{
-	struct place_wait **at = &r->waits;
-	bool any = false;
-
-	while (*at) {
-		struct place_wait *w = *at;
-
-		if (w->attempt != attempt || !vh_slice_eq_str(task, w->task)) {
-			at = &w->next;
-			continue;
-		}
-		*at = w->next;
-		vh_peer_answer(w->reply, err, body);
-		g_free(w->task);
-		g_free(w);
-		any = true;
-	}
-	return any;
-}
-
 static void on_placed(void *ctx, struct vh_slice task, uint32_t attempt,
 		      struct vh_slice home, struct vh_slice worker)
 {
@@ -117,7 +46,7 @@
 
 	(void)home;
 	++*r->racks->placed;
-	answer_waits(r, task, attempt, VH_OK, worker);
+	rack_answer_waits(r, task, attempt, VH_OK, worker);
 }
 
 static void on_refused(void *ctx, struct vh_slice task, uint32_t attempt,
@@ -130,7 +59,7 @@
 				  .end = VH_END_VOID };
 
 	++*r->racks->refused;
-	if (!answer_waits(r, task, attempt, why, vh_slice("", 0)))
+	if (!rack_answer_waits(r, task, attempt, why, vh_slice("", 0)))
 		ends_add(&r->racks->ends, vh_slice_str(r->name),
 			 vh_slice("", 0), &ended);
 }
@@ -142,7 +71,7 @@
 
 	worker_health_ended(&r->health, worker, ended,
 			    vh_kernel_now_ms(r->racks->core->kernel));
-	answer_waits(r, ended->task, ended->attempt, VH_OK, worker);
+	rack_answer_waits(r, ended->task, ended->attempt, VH_OK, worker);
 	ends_add(&r->racks->ends, vh_slice_str(r->name), worker, ended);
 }
 
@@ -167,7 +96,7 @@
 
 	if (r && r->owned) {
 		vh_rack_end_settled_by(r->state, task, attempt, home_epoch);
-		pump_soon(r);
+		rack_pump_soon(r);
 	}
 }
 
@@ -200,7 +129,7 @@
 		vh_rack_exchange_failed(ref.rack->state, ref.exchange, err,
 					now);
 	check_disowned(ref.rack);
-	pump_soon(ref.rack);
+	rack_pump_soon(ref.rack);
 }
 
 static void send_sync(struct rack *r, struct vh_slice worker,
@@ -325,7 +254,7 @@
 	}
 	worker_address(w, vm);
 	vh_rack_vm(r->state, vm, vh_kernel_now_ms(rs->core->kernel));
-	pump_soon(r);
+	rack_pump_soon(r);
 }
 
 static void drop_waits(struct rack *r)
@@ -360,7 +289,7 @@
 	r->owned = true;
 	vh_rack_own(r->state, epoch, vh_kernel_now_ms(r->racks->core->kernel));
 	owners_each(r->racks->core->owners, fence_home, r);
-	pump_soon(r);
+	rack_pump_soon(r);
 }
 
 static void rack_lost(struct rack *r)
@@ -402,159 +331,6 @@
 	}
 }
 
-/* Is the asking home's epoch older than one that the claims show? */
-static bool home_is_stale(struct vh_racks *rs, const struct vh_start *s)
-{
-	struct vh_claim claim;
-
-	owners_get(rs->core->owners, s->home, &claim);
-	return s->home_epoch < claim.epoch;
-}
-
-static enum vh_err decide(struct rack *r, const struct wire_place *msg)
-{
-	int64_t now = vh_kernel_now_ms(r->racks->core->kernel);
-	struct vh_place_req req = { .start = msg->start,
-				    .rack_epoch = msg->rack_epoch,
-				    .again = msg->again };
-	enum vh_err err;
-
-	if (msg->deadline_in_ms)
-		req.deadline_ms = now + msg->deadline_in_ms;
-	r->asking = msg;
-	err = vh_rack_place(r->state, &req, now);
-	r->asking = NULL;
-	return err;
-}
-
-static void place(struct vh_racks *rs, const struct wire_place *msg,
-		  struct vh_peer_reply *reply)
-{
-	struct rack *r = rack_find(rs, msg->rack);
-	struct place_wait *w;
-	enum vh_err err;
-
-	if (!r || !r->owned) {
-		vh_peer_answer(reply, VH_ERR_NOT_OWNER, vh_slice("", 0));
-		return;
-	}
-	if (home_is_stale(rs, &msg->start)) {
-		vh_peer_answer(reply, VH_ERR_STALE_EPOCH, vh_slice("", 0));
-		return;
-	}
-	w = g_new0(struct place_wait, 1);
-	w->task = vh_slice_dup(msg->start.task);
-	w->attempt = msg->start.attempt;
-	w->reply = reply;
-	w->next = r->waits;
-	r->waits = w;
-	err = decide(r, msg);
-	if (err != VH_OK)
-		answer_waits(r, msg->start.task, msg->start.attempt, err,
-			     vh_slice("", 0));
-	pump_soon(r);
-}
-
-static void on_place(void *ctx, const struct vh_node *from,
-		     struct vh_slice body, struct vh_peer_reply *reply)
-{
-	struct wire_place msg;
-	struct vh_unpack u;
-
-	(void)from;
-	if (wire_place_unpack(&u, body, &msg))
-		place(ctx, &msg, reply);
-	else
-		vh_peer_answer(reply, VH_ERR_BAD_REQUEST, vh_slice("", 0));
-	vh_unpack_finish(&u);
-}
-
-static void on_stop(void *ctx, const struct vh_node *from, struct vh_slice body,
-		    struct vh_peer_reply *reply)
-{
-	enum vh_err err = VH_ERR_BAD_REQUEST;
-	struct wire_stop msg;
-	struct vh_unpack u;
-	struct rack *r;
-
-	(void)from;
-	if (wire_stop_unpack(&u, body, &msg)) {
-		r = rack_find(ctx, msg.rack);
-		err = VH_ERR_NOT_OWNER;
-		if (r && r->owned) {
-			err = vh_rack_stop(r->state, msg.stop.task,
-					   msg.stop.attempt, msg.stop.mode);
-			pump_soon(r);
-		}
-	}
-	vh_unpack_finish(&u);
-	vh_peer_answer(reply, err, vh_slice("", 0));
-}
-
-struct run_list {
-	struct vh_buf runs;
-	size_t n;
-};
-
-static void add_run(void *ctx, const struct vh_running *run,
-		    struct vh_slice worker)
-{
-	struct run_list *list = ctx;
-
-	wire_run_pack(&list->runs, run, worker);
-	list->n++;
-}
-
-static void seal_one(struct vh_racks *rs, struct vh_slice name,
-		     struct vh_slice home, uint64_t home_epoch,
-		     struct vh_buf *out)
-{
-	struct rack *r = rack_find(rs, name);
-	struct run_list list = { { 0 }, 0 };
-	bool complete = false;
-	uint64_t epoch = 0;
-
-	if (r && r->owned) {
-		epoch = vh_rack_epoch(r->state);
-		complete = vh_rack_fence_home(r->state, home, home_epoch);
-		vh_rack_tasks_of(r->state, home, add_run, &list);
-	}
-	vh_pack_array(out, 4);
-	vh_pack_slice(out, name);
-	vh_pack_u64(out, epoch);
-	vh_pack_bool(out, complete);
-	vh_pack_array(out, list.n);
-	vh_buf_add_slice(out, vh_buf_slice(&list.runs));
-	vh_buf_finish(&list.runs);
-}
-
-static void on_seal(void *ctx, const struct vh_node *from, struct vh_slice body,
-		    struct vh_peer_reply *reply)
-{
-	struct vh_unpack u, names;
-	struct vh_slice home;
-	struct vh_buf out;
-	uint64_t epoch;
-	uint32_t n;
-
-	(void)from;
-	vh_buf_init(&out);
-	vh_unpack_init(&u, body, NULL);
-	home = vh_unpack_slice(&u);
-	epoch = vh_unpack_u64(&u);
-	n = vh_unpack_array(&u, &names);
-	if (u.ok) {
-		vh_pack_array(&out, n);
-		for (uint32_t i = 0; i < n; i++)
-			seal_one(ctx, vh_unpack_slice(&names), home, epoch,
-				 &out);
-	}
-	vh_peer_answer(reply, u.ok ? VH_OK : VH_ERR_BAD_REQUEST,
-		       vh_buf_slice(&out));
-	vh_unpack_finish(&u);
-	vh_buf_finish(&out);
-}
-
 static bool racks_start(void *self, struct vh_kernel *kernel, GError **err)
 {
 	struct vh_racks *rs = self;
@@ -566,9 +342,7 @@
 					 "vh_starts_refused_total", "");
 	vh_vm_list_watch(rs->core->vms, on_vm, rs);
 	owners_watch(rs->core->owners, on_claim, rs);
-	vh_peer_handle(rs->core->peer, VH_METHOD_PLACE, on_place, rs);
-	vh_peer_handle(rs->core->peer, VH_METHOD_STOP, on_stop, rs);
-	vh_peer_handle(rs->core->peer, VH_METHOD_SEAL, on_seal, rs);
+	racks_calls_register(rs);
 	return true;
 }
 
@@ -634,89 +408,3 @@
 {
 	return rs->ends.n;
 }
-
-struct each_ctx {
-	struct rack *rack;
-	void (*fn)(void *ctx, struct vh_slice rack,
-		   const struct vh_worker_view *view, const struct vh_vm *vm);
-	void *ctx;
-};
-
-static void each_view(void *ctx, const struct vh_worker_view *view,
-		      const struct vh_vm *vm)
-{
-	struct each_ctx *each = ctx;
-
-	each->fn(each->ctx, vh_slice_str(each->rack->name), view, vm);
-}
-
-void racks_each_worker(const struct vh_racks *rs,
-		       void (*fn)(void *ctx, struct vh_slice rack,
-				  const struct vh_worker_view *view,
-				  const struct vh_vm *vm),
-		       void *ctx)
-{
-	struct each_ctx each = { NULL, fn, ctx };
-
-	for (struct rack *r = rs->list; r; r = r->next) {
-		each.rack = r;
-		if (r->owned)
-			vh_rack_views(r->state, each_view, &each);
-	}
-}
-
-struct sum_ctx {
-	struct rack *rack;
-	struct vh_candidate workers[MAX_SUMMED];
-	size_t n;
-};
-
-static void add_candidate(void *ctx, const struct vh_worker_view *view,
-			  const struct vh_vm *vm)
-{
-	struct sum_ctx *sum = ctx;
-	struct vh_candidate *c;
-
-	(void)vm;
-	if (sum->n == MAX_SUMMED)
-		return;
-	c = &sum->workers[sum->n++];
-	memset(c, 0, sizeof(*c));
-	c->capacity = view->capacity;
-	c->free = view->free;
-	c->usable = worker_health_takes(
-			    &sum->rack->health, view->id, &c->failures,
-			    vh_kernel_now_ms(sum->rack->racks->core->kernel)) &&
-		    view->usable;
-}
-
-void racks_summaries(const struct vh_racks *rs,
-		     void (*fn)(void *ctx, struct vh_slice rack,
-				const struct vh_rack_summary *summary),
-		     void *ctx)
-{
-	struct vh_rack_summary summary;
-	struct sum_ctx sum;
-
-	for (struct rack *r = rs->list; r; r = r->next) {
-		if (!r->owned)
-			continue;
-		sum.rack = r;
-		sum.n = 0;
-		vh_rack_views(r->state, add_candidate, &sum);
-		vh_summary_build(&summary, sum.workers, NULL, sum.n, 0);
-		fn(ctx, vh_slice_str(r->name), &summary);
-	}
-}
-
-uint64_t racks_worker_bytes(const struct vh_racks *rs)
-{
-	uint64_t sum = rs->gone_bytes;
-
-	for (const struct rack *r = rs->list; r; r = r->next) {
-		for (const struct worker *w = r->workers; w; w = w->next)
-			sum += w->client ? vh_worker_client_bytes(w->client)
-					 : 0;
-	}
-	return sum;
-}
--- /dev/null
+++ b/packages/core/src/racks_calls.c
@@ -0,0 +1,187 @@
+#include "owners.h"
+#include "placement.h"
+#include "racks_priv.h"
+
+bool rack_answer_waits(struct rack *r, struct vh_slice task, uint32_t attempt,
+		       enum vh_err err, struct vh_slice body)
+{
+	struct place_wait **at = &r->waits;
+	bool any = false;
+
+	while (*at) {
+		struct place_wait *w = *at;
+
+		if (w->attempt != attempt || !vh_slice_eq_str(task, w->task)) {
+			at = &w->next;
+			continue;
+		}
+		*at = w->next;
+		vh_peer_answer(w->reply, err, body);
+		g_free(w->task);
+		g_free(w);
+		any = true;
+	}
+	return any;
+}
+
+/* Is the asking home's epoch older than one that the claims show? */
+static bool home_is_stale(struct vh_racks *rs, const struct vh_start *s)
+{
+	struct vh_claim claim;
+
+	owners_get(rs->core->owners, s->home, &claim);
+	return s->home_epoch < claim.epoch;
+}
+
+static enum vh_err decide(struct rack *r, const struct wire_place *msg)
+{
+	int64_t now = vh_kernel_now_ms(r->racks->core->kernel);
+	struct vh_place_req req = { .start = msg->start,
+				    .rack_epoch = msg->rack_epoch,
+				    .again = msg->again };
+	enum vh_err err;
+
+	if (msg->deadline_in_ms)
+		req.deadline_ms = now + msg->deadline_in_ms;
+	r->asking = msg;
+	err = vh_rack_place(r->state, &req, now);
+	r->asking = NULL;
+	return err;
+}
+
+static void place(struct vh_racks *rs, const struct wire_place *msg,
+		  struct vh_peer_reply *reply)
+{
+	struct rack *r = rack_find(rs, msg->rack);
+	struct place_wait *w;
+	enum vh_err err;
+
+	if (!r || !r->owned) {
+		vh_peer_answer(reply, VH_ERR_NOT_OWNER, vh_slice("", 0));
+		return;
+	}
+	if (home_is_stale(rs, &msg->start)) {
+		vh_peer_answer(reply, VH_ERR_STALE_EPOCH, vh_slice("", 0));
+		return;
+	}
+	w = g_new0(struct place_wait, 1);
+	w->task = vh_slice_dup(msg->start.task);
+	w->attempt = msg->start.attempt;
+	w->reply = reply;
+	w->next = r->waits;
+	r->waits = w;
+	err = decide(r, msg);
+	if (err != VH_OK)
+		rack_answer_waits(r, msg->start.task, msg->start.attempt, err,
+				  vh_slice("", 0));
+	rack_pump_soon(r);
+}
+
+static void on_place(void *ctx, const struct vh_node *from,
+		     struct vh_slice body, struct vh_peer_reply *reply)
+{
+	struct wire_place msg;
+	struct vh_unpack u;
+
+	(void)from;
+	if (wire_place_unpack(&u, body, &msg))
+		place(ctx, &msg, reply);
+	else
+		vh_peer_answer(reply, VH_ERR_BAD_REQUEST, vh_slice("", 0));
+	vh_unpack_finish(&u);
+}
+
+static void on_stop(void *ctx, const struct vh_node *from, struct vh_slice body,
+		    struct vh_peer_reply *reply)
+{
+	enum vh_err err = VH_ERR_BAD_REQUEST;
+	struct wire_stop msg;
+	struct vh_unpack u;
+	struct rack *r;
+
+	(void)from;
+	if (wire_stop_unpack(&u, body, &msg)) {
+		r = rack_find(ctx, msg.rack);
+		err = VH_ERR_NOT_OWNER;
+		if (r && r->owned) {
+			err = vh_rack_stop(r->state, msg.stop.task,
+					   msg.stop.attempt, msg.stop.mode);
+			rack_pump_soon(r);
+		}
+	}
+	vh_unpack_finish(&u);
+	vh_peer_answer(reply, err, vh_slice("", 0));
+}
+
+struct run_list {
+	struct vh_buf runs;
+	size_t n;
+};
+
+static void add_run(void *ctx, const struct vh_running *run,
+		    struct vh_slice worker)
+{
+	struct run_list *list = ctx;
+
+	wire_run_pack(&list->runs, run, worker);
+	list->n++;
+}
+
+static void seal_one(struct vh_racks *rs, struct vh_slice name,
+		     struct vh_slice home, uint64_t home_epoch,
+		     struct vh_buf *out)
+{
+	struct rack *r = rack_find(rs, name);
+	struct run_list list = { { 0 }, 0 };
+	bool complete = false;
+	uint64_t epoch = 0;
+
+	if (r && r->owned) {
+		epoch = vh_rack_epoch(r->state);
+		complete = vh_rack_fence_home(r->state, home, home_epoch);
+		vh_rack_tasks_of(r->state, home, add_run, &list);
+	}
+	vh_pack_array(out, 4);
+	vh_pack_slice(out, name);
+	vh_pack_u64(out, epoch);
+	vh_pack_bool(out, complete);
+	vh_pack_array(out, list.n);
+	vh_buf_add_slice(out, vh_buf_slice(&list.runs));
+	vh_buf_finish(&list.runs);
+}
+
+static void on_seal(void *ctx, const struct vh_node *from, struct vh_slice body,
+		    struct vh_peer_reply *reply)
+{
+	struct vh_unpack u, names;
+	struct vh_slice home;
+	struct vh_buf out;
+	uint64_t epoch;
+	uint32_t n;
+
+	(void)from;
+	vh_buf_init(&out);
+	vh_unpack_init(&u, body, NULL);
+	home = vh_unpack_slice(&u);
+	epoch = vh_unpack_u64(&u);
+	n = vh_unpack_array(&u, &names);
+	if (u.ok) {
+		vh_pack_array(&out, n);
+		for (uint32_t i = 0; i < n; i++)
+			seal_one(ctx, vh_unpack_slice(&names), home, epoch,
+				 &out);
+	}
+	vh_peer_answer(reply, u.ok ? VH_OK : VH_ERR_BAD_REQUEST,
+		       vh_buf_slice(&out));
+	vh_unpack_finish(&u);
+	vh_buf_finish(&out);
+}
+
+void racks_calls_register(struct vh_racks *rs)
+{
+	struct vh_peer *p = rs->core->peer;
+
+	vh_peer_handle(p, VH_METHOD_PLACE, on_place, rs);
+	vh_peer_handle(p, VH_METHOD_STOP, on_stop, rs);
+	vh_peer_handle(p, VH_METHOD_SEAL, on_seal, rs);
+}
--- /dev/null
+++ b/packages/core/src/racks_priv.h
@@ -0,0 +1,67 @@
+#ifndef VH_RACKS_PRIV_H
+#define VH_RACKS_PRIV_H
+
+#include "ends.h"
+#include "racks.h"
+#include "vh/gang.h"
+#include "vh/waitlist.h"
+#include "vh/worker_client.h"
+#include "wire.h"
+#include "worker_health.h"
+
+/* A worker of a known rack and the way to it. */
+struct worker {
+	struct worker *next;
+	struct rack *rack;
+	char *id;
+	char *address;
+	uint16_t port;
+	struct vh_worker_client *client;
+};
+
+/* A call that waits for a start's fate. */
+struct place_wait {
+	struct place_wait *next;
+	char *task;
+	uint32_t attempt;
+	struct vh_peer_reply *reply;
+};
+
+struct rack {
+	struct rack *next;
+	struct vh_racks *racks;
+	char *name;
+	char *unit;
+	struct vh_rack *state;
+	bool owned;
+	struct worker *workers;
+	struct place_wait *waits;
+	struct vh_waitlist waiting;
+	struct worker_health health;
+	const struct wire_place *asking; /* during a decision */
+	struct vh_timer timer;
+};
+
+struct vh_racks {
+	struct vh_core *core;
+	struct vh_service service;
+	struct rack *list;
+	struct ends ends;
+	uint64_t *placed;
+	uint64_t *refused;
+	uint64_t gone_bytes; /* of clients that were freed */
+	bool stopping;
+};
+
+/* racks.c */
+struct rack *rack_find(const struct vh_racks *rs, struct vh_slice name);
+void rack_pump_soon(struct rack *r);
+
+/* racks_calls.c: what homes ask. */
+void racks_calls_register(struct vh_racks *rs);
+
+/* Answers every call that waits for this run; false if there is none. */
+bool rack_answer_waits(struct rack *r, struct vh_slice task, uint32_t attempt,
+		       enum vh_err err, struct vh_slice body);
+
+#endif
