Start the tasks of a gang together or not at all

Cause: tasks of a gang were started one by one, so a full cell could run part of a gang and keep the rest waiting. Before: no reservation.

--- a/packages/core/src/home_place.c
+++ b/packages/core/src/home_place.c
@@ -63,8 +63,7 @@
 	return NULL;
 }
 
-static struct vh_slice wanted_region(const struct home *h,
-				     const struct vh_job *job)
+struct vh_slice home_region(const struct home *h, const struct vh_job *job)
 {
 	if (job->spec.region.len)
 		return job->spec.region;
@@ -170,6 +169,11 @@
 	return g_strdup_printf("%.*s/%u", VH_FMT(task->job->id), task->index);
 }
 
+static bool is_gang(const struct vh_job *job)
+{
+	return job->spec.gang && job->spec.n_tasks > 1;
+}
+
 static uint32_t team_weight(const struct home *h)
 {
 	const struct vh_objects *set = core_objects(h->homes->core);
@@ -197,6 +201,8 @@
 	msg->waited_ms = home_now_ms(h) - job->accepted_ms;
 	msg->priority = job->spec.priority;
 	msg->run_ms = job->spec.tasks[task->index].run_ms;
+	if (is_gang(job))
+		msg->ticket = home_gang_ticket(job);
 }
 
 /* Asks the rack's owner; a repeat, the owner of @asked_epoch or nobody: when
@@ -273,11 +279,20 @@
 	vh_hub_append(h->stream, VH_REC_ATTEMPT, body, attempt_recorded, op);
 }
 
+void home_launch(struct home *h, struct vh_task *task,
+		 const struct vh_buf *record)
+{
+	if (record->len)
+		record_attempt(h, task, vh_buf_slice(record));
+	else
+		send_place(h, task, false);
+}
+
 static void start_one(struct home *h, struct vh_task *task)
 {
 	enum vh_err why, err;
 	struct home_rack *r =
-		pick_rack(h, task, wanted_region(h, task->job), &why);
+		pick_rack(h, task, home_region(h, task->job), &why);
 	struct vh_buf body;
 
 	if (!r) {
@@ -305,8 +320,14 @@
 		return;
 	run_repeats(h);
 	n = vh_home_waiting(h->state, home_now_ms(h), tasks, DISPATCH_MAX);
-	for (size_t i = 0; i < n; i++)
-		start_one(h, tasks[i]);
+	for (size_t i = 0; i < n; i++) {
+		struct vh_job *job = tasks[i]->job;
+
+		if (!is_gang(job))
+			start_one(h, tasks[i]);
+		else if (!i || tasks[i - 1]->job != job)
+			home_gang_step(h, job);
+	}
 	home_move_credit(h);
 	home_answer_waits(h);
 	if (!vh_timer_pending(&h->dispatch))
--- a/packages/core/src/home_priv.h
+++ b/packages/core/src/home_priv.h
@@ -5,6 +5,7 @@
 #include "wire.h"
 
 struct home;
+struct home_gang;
 
 /*
  * Something under way for a home: an append or a call to another node. The
@@ -57,6 +58,7 @@
 	struct home_rack *racks;
 	struct home_op *ops;
 	struct job_wait *waits;
+	struct home_gang *gangs;
 	struct vh_timer dispatch;
 	struct vh_timer upkeep;
 	uint64_t replica_serial;
@@ -92,6 +94,19 @@
 void home_send_stop(struct home *h, const struct vh_task *task,
 		    enum vh_stop_mode mode);
 
+/* Sends a start that has begun, after its record if it has one. */
+void home_launch(struct home *h, struct vh_task *task,
+		 const struct vh_buf *record);
+
+/* The region that a job's tasks are wanted in. */
+struct vh_slice home_region(const struct home *h, const struct vh_job *job);
+
+/* home_gang.c */
+struct vh_ticket home_gang_ticket(const struct vh_job *job);
+void home_gang_step(struct home *h, struct vh_job *job);
+void home_gangs_forget(struct home *h);
+void home_gangs_finish(struct home *h);
+
 /* home_seal.c */
 void home_seal_racks(struct home *h);
 void home_racks_refresh(struct home *h);
--- a/packages/core/src/homes.c
+++ b/packages/core/src/homes.c
@@ -79,6 +79,7 @@
 static void home_free(struct home *h)
 {
 	home_drop_waits(h);
+	home_gangs_finish(h);
 	vh_hub_close(h->stream);
 	drop_ops(h);
 	vh_timer_finish(&h->dispatch);
@@ -273,6 +274,7 @@
 	home_expire(h);
 	vh_home_each_job(h->state, stop_cancelled, h);
 	home_keep_replicas(h);
+	home_gangs_forget(h);
 	home_poke(h);
 }
 
--- a/packages/core/src/placement.c
+++ b/packages/core/src/placement.c
@@ -50,27 +50,65 @@
 							 : VH_ERR_NO_CAPACITY;
 }
 
+static size_t fill_workers(struct worker_health *health,
+			   const struct vh_worker_view *views, size_t n,
+			   int64_t now_ms, struct vh_candidate *out)
+{
+	size_t used = n < VH_WAITLIST_WORKERS ? n : VH_WAITLIST_WORKERS;
+
+	memset(out, 0, used * sizeof(*out));
+	for (size_t i = 0; i < used; i++) {
+		bool healthy = worker_health_takes(health, views[i].id,
+						   &out[i].failures, now_ms);
+
+		out[i].capacity = views[i].capacity;
+		out[i].free = views[i].free;
+		out[i].usable = views[i].usable && healthy;
+		out[i].same_job = views[i].n_tasks;
+	}
+	return used;
+}
+
+/* The worker of a confirmed hold, or @n. */
+static size_t held_worker(struct vh_gang_table *gangs,
+			  const struct vh_ticket *ticket,
+			  const struct vh_candidate *workers, size_t n,
+			  const struct vh_res *size)
+{
+	uint32_t w = vh_gang_start(gangs, ticket);
+
+	return w < n && workers[w].usable && vh_res_fits(size, &workers[w].free)
+		       ? w
+		       : n;
+}
+
 size_t placement_choose(struct vh_waitlist *waiting,
 			struct worker_health *health,
+			struct vh_gang_table *gangs,
+			const struct vh_ticket *ticket,
 			const struct vh_demand *demand,
 			const struct vh_worker_view *views, size_t n,
 			int64_t now_ms, enum vh_err *why)
 {
+	struct vh_candidate workers[VH_WAITLIST_WORKERS];
 	struct vh_worker_load loads[VH_WAITLIST_WORKERS];
-	size_t used = n < VH_WAITLIST_WORKERS ? n : VH_WAITLIST_WORKERS;
+	size_t used = fill_workers(health, views, n, now_ms, workers);
+	size_t at = used;
 	struct vh_ask ask;
 
-	memset(loads, 0, sizeof(loads));
-	for (size_t i = 0; i < used; i++) {
-		struct vh_candidate *c = &loads[i].worker;
-		bool healthy = worker_health_takes(health, views[i].id,
-						   &c->failures, now_ms);
-
-		c->capacity = views[i].capacity;
-		c->free = views[i].free;
-		c->usable = views[i].usable && healthy;
-		c->same_job = views[i].n_tasks;
+	vh_gang_expire(gangs, now_ms);
+	if (ticket)
+		at = held_worker(gangs, ticket, workers, used,
+				 &demand->want.size);
+	if (at < used) {
+		worker_health_started(health, views[at].id, now_ms);
+		return at;
 	}
+	vh_gang_fill(gangs, workers, used, now_ms);
+	vh_gang_visible(gangs, workers, used, demand->run_ms, now_ms);
+	memset(loads, 0, sizeof(loads));
+	for (size_t i = 0; i < used; i++)
+		loads[i].worker = workers[i];
 	vh_waitlist_ask(waiting, demand, loads, used, now_ms, &ask);
 	*why = wait_kind(&ask);
 	if (*why != VH_OK)
--- a/packages/core/src/placement.h
+++ b/packages/core/src/placement.h
@@ -16,10 +16,15 @@
  *	     short
  * @health: of the rack's workers; one set aside is not chosen
  *
+ * @gangs: the rack's holds, which other work must not take
+ * @ticket: of the gang whose confirmed hold this start uses, or NULL
+ *
  * Returns @n and *@why if the start has to wait.
  */
 size_t placement_choose(struct vh_waitlist *waiting,
 			struct worker_health *health,
+			struct vh_gang_table *gangs,
+			const struct vh_ticket *ticket,
 			const struct vh_demand *demand,
 			const struct vh_worker_view *views, size_t n,
 			int64_t now_ms, enum vh_err *why);
--- a/packages/core/src/racks.c
+++ b/packages/core/src/racks.c
@@ -85,8 +85,10 @@
 
 	(void)start;
 	placement_demand(r->asking, now, &demand);
-	return placement_choose(&r->waiting, &r->health, &demand, views, n, now,
-				why);
+	return placement_choose(&r->waiting, &r->health, &r->gangs,
+				r->asking->ticket.id ? &r->asking->ticket
+						     : NULL,
+				&demand, views, n, now, why);
 }
 
 static void on_settled(void *ctx, struct vh_slice rack, struct vh_slice task,
--- a/packages/core/src/racks_calls.c
+++ b/packages/core/src/racks_calls.c
@@ -177,6 +177,114 @@
 	vh_buf_finish(&out);
 }
 
+struct worker_list {
+	struct vh_candidate workers[VH_WAITLIST_WORKERS];
+	size_t n;
+};
+
+static void add_worker(void *ctx, const struct vh_worker_view *view,
+		       const struct vh_vm *vm)
+{
+	struct worker_list *list = ctx;
+	struct vh_candidate *c;
+
+	(void)vm;
+	if (list->n == VH_WAITLIST_WORKERS)
+		return;
+	c = &list->workers[list->n++];
+	c->capacity = view->capacity;
+	c->free = view->free;
+	c->usable = view->usable;
+	c->same_job = view->n_tasks;
+}
+
+/* The rack that a hold or confirm is for, or NULL after answering. */
+static struct rack *hold_rack(struct vh_racks *rs, const struct wire_hold *msg,
+			      struct vh_peer_reply *reply)
+{
+	struct rack *r = rack_find(rs, msg->rack);
+	struct vh_claim claim;
+
+	owners_get(rs->core->owners, msg->home, &claim);
+	if (r && r->owned && msg->home_epoch >= claim.epoch)
+		return r;
+	vh_peer_answer(reply,
+		       r && r->owned ? VH_ERR_STALE_EPOCH : VH_ERR_NOT_OWNER,
+		       vh_slice("", 0));
+	return NULL;
+}
+
+static void hold(struct rack *r, const struct wire_hold *msg,
+		 struct vh_peer_reply *reply)
+{
+	struct vh_gang_ask ask = {
+		.ticket = msg->ticket,
+		.want = { .size = msg->size,
+			  .cls = msg->cls,
+			  .region = UINT32_MAX },
+		.tasks = msg->tasks,
+	};
+	int64_t now = vh_kernel_now_ms(r->racks->core->kernel);
+	struct worker_list list = { .n = 0 };
+	struct vh_buf out;
+	uint32_t held = 0;
+
+	vh_gang_expire(&r->gangs, now);
+	if (msg->tasks) {
+		vh_rack_views(r->state, add_worker, &list);
+		held = vh_gang_hold(&r->gangs, &ask, list.workers, list.n, now);
+	} else {
+		vh_gang_release(&r->gangs, &msg->ticket);
+	}
+	vh_buf_init(&out);
+	vh_pack_array(&out, 1);
+	vh_pack_u64(&out, held);
+	vh_peer_answer(reply, VH_OK, vh_buf_slice(&out));
+	vh_buf_finish(&out);
+}
+
+static void on_hold(void *ctx, const struct vh_node *from, struct vh_slice body,
+		    struct vh_peer_reply *reply)
+{
+	struct wire_hold msg;
+	struct vh_unpack u;
+	struct rack *r;
+
+	(void)from;
+	if (!wire_hold_unpack(&u, body, &msg)) {
+		vh_peer_answer(reply, VH_ERR_BAD_REQUEST, vh_slice("", 0));
+	} else {
+		r = hold_rack(ctx, &msg, reply);
+		if (r)
+			hold(r, &msg, reply);
+	}
+	vh_unpack_finish(&u);
+}
+
+static void on_confirm(void *ctx, const struct vh_node *from,
+		       struct vh_slice body, struct vh_peer_reply *reply)
+{
+	struct wire_hold msg;
+	struct vh_unpack u;
+	struct rack *r;
+	bool ok;
+
+	(void)from;
+	if (!wire_hold_unpack(&u, body, &msg)) {
+		vh_peer_answer(reply, VH_ERR_BAD_REQUEST, vh_slice("", 0));
+	} else {
+		r = hold_rack(ctx, &msg, reply);
+		if (r) {
+			ok = vh_gang_confirm(
+				&r->gangs, &msg.ticket, msg.tasks,
+				vh_kernel_now_ms(r->racks->core->kernel));
+			vh_peer_answer(reply, ok ? VH_OK : VH_ERR_NO_CAPACITY,
+				       vh_slice("", 0));
+		}
+	}
+	vh_unpack_finish(&u);
+}
+
 void racks_calls_register(struct vh_racks *rs)
 {
 	struct vh_peer *p = rs->core->peer;
@@ -184,4 +292,6 @@
 	vh_peer_handle(p, VH_METHOD_PLACE, on_place, rs);
 	vh_peer_handle(p, VH_METHOD_STOP, on_stop, rs);
 	vh_peer_handle(p, VH_METHOD_SEAL, on_seal, rs);
+	vh_peer_handle(p, VH_METHOD_HOLD, on_hold, rs);
+	vh_peer_handle(p, VH_METHOD_HOLD_CONFIRM, on_confirm, rs);
 }
--- a/packages/core/src/racks_priv.h
+++ b/packages/core/src/racks_priv.h
@@ -37,6 +37,7 @@
 	struct worker *workers;
 	struct place_wait *waits;
 	struct vh_waitlist waiting;
+	struct vh_gang_table gangs;
 	struct worker_health health;
 	const struct wire_place *asking; /* during a decision */
 	struct vh_timer timer;
--- a/packages/core/src/wire.c
+++ b/packages/core/src/wire.c
@@ -33,7 +33,7 @@
 {
 	const struct vh_start *s = &p->start;
 
-	vh_pack_array(out, 17);
+	vh_pack_array(out, 19);
 	vh_pack_slice(out, p->rack);
 	vh_pack_slice(out, s->task);
 	vh_pack_u64(out, s->attempt);
@@ -50,6 +50,8 @@
 	vh_pack_u64(out, p->step);
 	vh_pack_u64(out, p->priority);
 	vh_pack_u64(out, p->run_ms);
+	vh_pack_i64(out, p->ticket.accepted_wall_ms);
+	vh_pack_u64(out, p->ticket.id);
 	vh_pack_u64(out, p->rack_epoch);
 }
 
@@ -77,6 +79,8 @@
 	p->step = vh_unpack_u64(u);
 	p->priority = vh_unpack_u32(u);
 	p->run_ms = vh_unpack_u32(u);
+	p->ticket.accepted_wall_ms = vh_unpack_i64(u);
+	p->ticket.id = vh_unpack_u64(u);
 	p->rack_epoch = vh_unpack_u64(u);
 	return u->ok;
 }
@@ -168,3 +172,33 @@
 	*worker = vh_unpack_slice(&sub);
 	u->ok = u->ok && sub.ok;
 }
+
+void wire_hold_pack(struct vh_buf *out, const struct wire_hold *h)
+{
+	vh_pack_array(out, 8);
+	vh_pack_slice(out, h->rack);
+	vh_pack_slice(out, h->home);
+	vh_pack_u64(out, h->home_epoch);
+	vh_pack_i64(out, h->ticket.accepted_wall_ms);
+	vh_pack_u64(out, h->ticket.id);
+	wire_pack_res(out, &h->size);
+	vh_pack_u64(out, h->cls);
+	vh_pack_u64(out, h->tasks);
+}
+
+bool wire_hold_unpack(struct vh_unpack *u, struct vh_slice body,
+		      struct wire_hold *h)
+{
+	memset(h, 0, sizeof(*h));
+	if (!vh_unpack_init(u, body, NULL))
+		return false;
+	h->rack = vh_unpack_slice(u);
+	h->home = vh_unpack_slice(u);
+	h->home_epoch = vh_unpack_u64(u);
+	h->ticket.accepted_wall_ms = vh_unpack_i64(u);
+	h->ticket.id = vh_unpack_u64(u);
+	wire_unpack_res(u, &h->size);
+	h->cls = unpack_class(u);
+	h->tasks = vh_unpack_u32(u);
+	return u->ok;
+}
--- a/packages/core/src/wire.h
+++ b/packages/core/src/wire.h
@@ -2,6 +2,7 @@
 #define VH_WIRE_H
 
 #include "vh/codec.h"
+#include "vh/gang.h"
 #include "vh/rack.h"
 
 /* Bodies of the calls between homes and racks. Slices borrow. */
@@ -29,6 +30,7 @@
 	uint64_t step;
 	uint32_t priority;
 	uint32_t run_ms;
+	struct vh_ticket ticket; /* of a gang's confirmed holds; id 0: none */
 };
 
 void wire_place_pack(struct vh_buf *out, const struct wire_place *p);
@@ -55,6 +57,25 @@
 bool wire_stop_unpack(struct vh_unpack *u, struct vh_slice body,
 		      struct wire_stop *s);
 
+/**
+ * struct wire_hold - VH_METHOD_HOLD, answered [held], and
+ *		      VH_METHOD_HOLD_CONFIRM, answered VH_OK if all are held
+ * @tasks: 0 gives all holds back
+ */
+struct wire_hold {
+	struct vh_slice rack;
+	struct vh_slice home;
+	uint64_t home_epoch;
+	struct vh_ticket ticket;
+	struct vh_res size;
+	enum vh_class cls;
+	uint32_t tasks;
+};
+
+void wire_hold_pack(struct vh_buf *out, const struct wire_hold *h);
+bool wire_hold_unpack(struct vh_unpack *u, struct vh_slice body,
+		      struct wire_hold *h);
+
 void wire_run_pack(struct vh_buf *out, const struct vh_running *run,
 		   struct vh_slice worker);
 void wire_run_unpack(struct vh_unpack *u, struct vh_running *run,
