--- a/packages/state/include/vh/rack.h
+++ b/packages/state/include/vh/rack.h
@@ -140,8 +140,8 @@
 			uint64_t home_epoch);
 
 /* vh_rack_tasks_of - calls @fn for each run of this home committed here,
- * with the worker's id. Ended but unsettled runs are among them: ended() is
- * told for them as well. */
+ * with the worker's id. Ended and refused runs that are not settled are
+ * among them: ended() or refused() is told for them as well. */
 void vh_rack_tasks_of(const struct vh_rack *r, struct vh_slice home,
 		      void (*fn)(void *ctx, const struct vh_running *run,
 				 struct vh_slice worker),
--- a/packages/state/src/home_task.c
+++ b/packages/state/src/home_task.c
@@ -93,6 +93,18 @@
 	vh_pack_slice(body, task->result);
 }
 
+/* Attempt numbers up to here are earlier owners'. */
+static uint32_t attempt_base(const struct vh_home *h)
+{
+	return (h->opens ? h->opens - 1 : 0) << 16;
+}
+
+/* May a rack that has not told yet run a later attempt than the known one? */
+static bool later_possible(const struct vh_home *h, const struct vh_task *task)
+{
+	return h->n_initial && task->attempt <= attempt_base(h);
+}
+
 static enum vh_err begin_check(const struct vh_home *h,
 			       const struct vh_task *task)
 {
@@ -115,7 +127,6 @@
 {
 	bool idempotent = task->job->spec.idempotent;
 	enum vh_err err = begin_check(h, task);
-	uint32_t base = (h->opens ? h->opens - 1 : 0) << 16;
 
 	if (err != VH_OK)
 		return err;
@@ -123,7 +134,7 @@
 		     idempotent || !task_priv(task)->recorded,
 		     "task %.*s/%u may have begun before",
 		     VH_FMT(task->job->id), task->index);
-	task->attempt = MAX(task->attempt, base) + 1;
+	task->attempt = MAX(task->attempt, attempt_base(h)) + 1;
 	task->why = VH_OK;
 	task_priv(task)->doubt = false;
 	home_task_place(task, rack, vh_slice("", 0));
@@ -175,6 +186,10 @@
 	priv->maybe_ran = true;
 	priv->doubt = false;
 	home_task_place(task, vh_slice("", 0), vh_slice("", 0));
+	if (task->job->spec.idempotent && later_possible(h, task)) {
+		home_task_set(h, task, VH_TASK_UNPLACED);
+		return;
+	}
 	home_task_set(h, task, VH_TASK_WAITING);
 	if (task->job->spec.idempotent && task->lost < h->settings.max_attempts)
 		return;
@@ -202,17 +217,9 @@
  * says nothing: an attempt that was given up as lost may have been done, and
  * a later one may run. A task that is not idempotent has only one that may
  * have begun. */
-static bool unplaced_ended(struct vh_task *task, const struct vh_ended *e)
+static bool unplaced_final(const struct vh_task *task, enum vh_end end)
 {
-	struct task_priv *priv = task_priv(task);
-	bool idempotent = task->job->spec.idempotent;
-
-	if (e->end == VH_END_VOID) {
-		if (e->attempt == priv->rec_attempt)
-			priv->recorded = false;
-		return false;
-	}
-	return !idempotent;
+	return !task->job->spec.idempotent && end != VH_END_VOID;
 }
 
 bool vh_home_end_early(struct vh_home *h, const struct vh_ended *ended)
@@ -225,8 +232,12 @@
 		return false;
 	if (task->state == VH_TASK_ENDING)
 		return task->attempt == ended->attempt;
-	return task->state == VH_TASK_UNPLACED && task->job->spec.idempotent &&
-	       (ended->end == VH_END_DONE || ended->end == VH_END_FAILED);
+	/* Were it settled, the rack could drop a run that the answer to a
+	 * seal, on its way, still lists. */
+	if (task->state == VH_TASK_UNPLACED ||
+	    (task->state == VH_TASK_RUNNING && later_possible(h, task)))
+		return !unplaced_final(task, ended->end);
+	return false;
 }
 
 /* Returns true if the end of a run under way is final. */
@@ -266,7 +277,7 @@
 	switch (task->state) {
 	case VH_TASK_UNPLACED:
 		if (ended->attempt >= task->attempt)
-			final = unplaced_ended(task, ended);
+			final = unplaced_final(task, ended->end);
 		break;
 	case VH_TASK_ASKED:
 	case VH_TASK_RUNNING:
--- a/packages/state/src/rack.c
+++ b/packages/state/src/rack.c
@@ -147,8 +147,7 @@
 
 		for (const struct rack_run *run = w->runs; run;
 		     run = run->next) {
-			if (run->state != RUN_REFUSED &&
-			    vh_slice_eq(run->info.home, home))
+			if (vh_slice_eq(run->info.home, home))
 				fn(ctx, &run->info, w->vm.id);
 		}
 	}
--- a/packages/state/src/rack_tick.c
+++ b/packages/state/src/rack_tick.c
@@ -1,6 +1,8 @@
 #include "rack_priv.h"
 
 #define TICK_MAX_MS 1000
+/* A refusal that no home settles is forgotten then. */
+#define REFUSED_KEEP_MS 600000
 
 static void earlier(int64_t *next, int64_t at)
 {
@@ -37,7 +39,7 @@
 	case RUN_RUNNING:
 		return;
 	case RUN_REFUSED:
-		if (now_ms - run->decided_ms >= VH_RACK_MEMORY_MS) {
+		if (now_ms - run->decided_ms >= REFUSED_KEEP_MS) {
 			refused_expire(r, run);
 			return;
 		}
--- a/packages/state/tests/sim.h
+++ b/packages/state/tests/sim.h
@@ -33,6 +33,7 @@
 	int64_t faults_until = 40000;
 	int64_t heal_ms = 60000;
 	size_t jobs = 12;
+	int64_t replace_all_at = 0; /* all nodes die; 0: never */
 	Mutations without;
 };
 
@@ -220,6 +221,7 @@
 	void make_faults();
 	void make_jobs();
 	void fault();
+	void replace_all();
 	void tick_node(size_t i);
 	void tick_workers();
 	void heal();
--- a/packages/state/tests/sim_run.h
+++ b/packages/state/tests/sim_run.h
@@ -228,6 +228,22 @@
 	}
 }
 
+/* All die at once and come back, as others, within seconds. */
+inline void Sim::replace_all()
+{
+	note("all nodes are replaced");
+	for (auto &n : nodes) {
+		Node *p = n.get();
+
+		p->crash();
+		p->wakes_at = 0;
+		events.at(events.now + (int64_t)below(5000), [=] {
+			if (!stopped && !p->up)
+				p->start();
+		});
+	}
+}
+
 inline void Sim::tick_node(size_t i)
 {
 	Node &n = *nodes[i];
@@ -320,6 +336,8 @@
 			if (!stopped)
 				fault();
 		});
+	if (settings.replace_all_at)
+		events.at(settings.replace_all_at, [this] { replace_all(); });
 	while (events.now < settings.faults_until + settings.heal_ms &&
 	       ledger.violations.empty()) {
 		events.run_until(events.now + 500);
