--- a/packages/core/src/status.c
+++ b/packages/core/src/status.c
@@ -98,8 +98,8 @@
 			    json_boolean(core->kernel->draining));
 	json_object_set_new(
 		o, "units",
-		json_integer((json_int_t)(json_array_size(owned.racks) +
-					  json_array_size(owned.homes))));
+		json_integer((json_int_t)json_array_size(owned.racks) +
+			     (json_int_t)json_array_size(owned.homes)));
 	json_object_set_new(o, "racks", owned.racks);
 	json_object_set_new(o, "homes", owned.homes);
 	json_object_set_new(
