--- a/packages/standins/src/vm_list.c
+++ b/packages/standins/src/vm_list.c
@@ -24,6 +24,8 @@
 void vh_vm_list_init(struct vh_vm_list *l, int64_t lag_ms)
 {
 	l->seen = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_vm);
+	l->known =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_vm);
 	l->changes = g_queue_new();
 	l->lag_ms = lag_ms;
 	l->version = 1;
@@ -32,9 +34,18 @@
 void vh_vm_list_finish(struct vh_vm_list *l)
 {
 	g_hash_table_destroy(l->seen);
+	g_hash_table_destroy(l->known);
 	g_queue_free_full(l->changes, free_change);
 }
 
+static void put(GHashTable *table, const struct vh_fleet_vm *vm)
+{
+	struct vh_fleet_vm *copy = g_new0(struct vh_fleet_vm, 1);
+
+	vh_fleet_vm_copy(copy, vm);
+	g_hash_table_replace(table, copy->id, copy);
+}
+
 void vh_vm_list_set(struct vh_vm_list *l, const struct vh_fleet_vm *vm,
 		    int64_t now_ms)
 {
@@ -43,30 +54,21 @@
 	c->due_ms = now_ms + l->lag_ms;
 	vh_fleet_vm_copy(&c->vm, vm);
 	g_queue_push_tail(l->changes, c);
+	put(l->known, vm);
 }
 
 const struct vh_fleet_vm *vh_vm_list_find(const struct vh_vm_list *l,
 					  const char *id)
 {
-	for (GList *i = l->changes->tail; i; i = i->prev) {
-		struct change *c = i->data;
-
-		if (!strcmp(c->vm.id, id))
-			return &c->vm;
-	}
-	return g_hash_table_lookup(l->seen, id);
+	return g_hash_table_lookup(l->known, id);
 }
 
 static void apply(struct vh_vm_list *l, struct change *c)
 {
-	struct vh_fleet_vm *vm;
-
-	g_hash_table_remove(l->seen, c->vm.id);
-	if (!strcmp(c->vm.state, "gone"))
-		return;
-	vm = g_new0(struct vh_fleet_vm, 1);
-	vh_fleet_vm_copy(vm, &c->vm);
-	g_hash_table_insert(l->seen, vm->id, vm);
+	if (strcmp(c->vm.state, "gone"))
+		put(l->seen, &c->vm);
+	else
+		g_hash_table_remove(l->seen, c->vm.id);
 }
 
 bool vh_vm_list_tick(struct vh_vm_list *l, int64_t now_ms)
--- a/packages/standins/tests/test_vm_list.cc
+++ b/packages/standins/tests/test_vm_list.cc
@@ -77,6 +77,12 @@
 
 	EXPECT_EQ(body.find("north-a-r1"), std::string::npos);
 	EXPECT_NE(body.find("middle-a-r1-w2"), std::string::npos);
+	EXPECT_EQ(post(s.http.port, "/control",
+		       "{\"vm\":\"north-a-r1-w1\",\"state\":\"live\"}")
+			  .status,
+		  200);
+	body = get(s.http.port, "/vms").body;
+	EXPECT_NE(body.find("north-a-r1-w1"), std::string::npos);
 }
 
 TEST_F(VmServer, UnknownVmOrStateIsRefused)
