--- a/packages/standins/src/worker_host.c
+++ b/packages/standins/src/worker_host.c
@@ -275,8 +275,11 @@
 	size_t i;
 
 	if (!is_addressed(h, json)) {
-		json_array_foreach(starts, i, start) json_array_append_new(
-			refused, refusal_json(start, "late"));
+		json_array_foreach(starts, i, start)
+		{
+			json_array_append_new(refused,
+					      refusal_json(start, "late"));
+		}
 		return refused;
 	}
 	vh_worker_renew(&h->worker, number_of(json, "lease_until"));
