Read streams at least once a second

Cause: a stream's age runs from the start of a read that waits; with a wait of 2 s a healthy node's configuration looked up to 4 s old, near the 5 s after which keys are no longer trusted. Before: config_age_ms up to 3.7 s on an idle node. Conclusion: costs one more read a second and stream.

--- a/packages/core/src/hub.c
+++ b/packages/core/src/hub.c
@@ -5,7 +5,7 @@
 #define MAX_WAITING_BYTES (4u << 20)
 #define MAX_BATCH_BYTES (256u << 10)
 #define REPLY_TIMEOUT_MS 3000
-#define POLL_WAIT_MS 2000
+#define POLL_WAIT_MS 1000 /* a stream's age is at most twice this and a reply */
 
 struct vh_hub_stream {
 	struct vh_hub *hub;
