--- a/packages/core/src/core_priv.h
+++ b/packages/core/src/core_priv.h
@@ -15,6 +15,7 @@
 struct vh_upstreams;
 struct vh_status;
 struct vh_fleet;
+struct vh_cost;
 
 struct vh_core {
 	struct vh_kernel *kernel;
@@ -36,11 +37,15 @@
 	struct vh_jobs *jobs;
 	struct vh_upstreams *upstreams;
 	struct vh_status *status;
+	struct vh_cost *cost;
 };
 
 /* The objects in force, or NULL. */
 const struct vh_objects *core_objects(const struct vh_core *core);
 
+/* This node's place in the rendezvous order of live nodes for @what. */
+uint32_t core_rank(const struct vh_core *core, const char *what);
+
 /* Does @claim name this process? */
 bool core_is_self(const struct vh_core *core, const struct vh_claim *claim);
 
