Share the log's appends among the nodes

Cause: appends_per_s is what all nodes together may append, but each stream of each node kept to it alone: three nodes with four streams could send 12 times the budget. Conclusion: appends over the part wait and carry more records each.

--- a/packages/core/include/vh/core_node.h
+++ b/packages/core/include/vh/core_node.h
@@ -6,7 +6,7 @@
 /**
  * struct vh_core_settings - what the core of a node needs to know
  * @operators: "IP:PORT" that operators reach this node by; told to the others
- * @appends_per_s: this node's part of the log's appends
+ * @appends_per_s: what all nodes together may append to the log
  * @retention_s: how long the platform's log keeps a record
  * All strings are copied.
  */
--- a/packages/core/src/core.c
+++ b/packages/core/src/core.c
@@ -11,6 +11,7 @@
 #include "upstreams.h"
 
 #define MAX_LOG_READERS 128
+#define MIN_GAP_MS 5 /* between two appends to one stream */
 
 const struct vh_objects *core_objects(const struct vh_core *core)
 {
@@ -39,11 +40,22 @@
 	       vh_slice_eq_str(claim->node, core->id);
 }
 
+static uint32_t live_nodes(void *ctx)
+{
+	struct vh_core *core = ctx;
+	const struct vh_node *nodes;
+	size_t n = vh_peer_nodes(core->peer, &nodes);
+	uint32_t live = 1;
+
+	for (size_t i = 1; i < n; i++)
+		live += nodes[i].state != VH_NODE_DEAD;
+	return live;
+}
+
 struct vh_core *vh_core_new(const struct vh_core_settings *settings,
 			    struct vh_kernel *kernel, struct vh_peer *peer)
 {
 	struct vh_core *core = g_new0(struct vh_core, 1);
-	uint32_t rate = settings->appends_per_s ? settings->appends_per_s : 1;
 
 	core->kernel = kernel;
 	core->peer = peer;
@@ -57,8 +69,10 @@
 		g_strdup_printf("%s/%" PRIx64, core->id, core->incarnation);
 	core->log = vh_log_client_new(kernel, settings->log_address,
 				      settings->log_port, MAX_LOG_READERS);
-	vh_hub_init(&core->hub, kernel, vh_log_client_transport(core->log),
-		    vh_slice_str(core->writer), VH_MS_PER_S / rate,
+	budget_init(&core->budget, kernel, vh_log_client_transport(core->log),
+		    settings->appends_per_s, live_nodes, core);
+	vh_hub_init(&core->hub, kernel, &core->budget.transport,
+		    vh_slice_str(core->writer), MIN_GAP_MS,
 		    (int64_t)settings->retention_s * VH_MS_PER_S);
 	core->vms = vh_vm_list_new(kernel, settings->vms_address,
 				   settings->vms_port);
@@ -98,6 +112,7 @@
 	owners_free(core->owners);
 	config_free(core->config);
 	vh_vm_list_free(core->vms);
+	budget_finish(&core->budget);
 	vh_log_client_free(core->log);
 	g_free(core->id);
 	g_free(core->region);
--- a/packages/core/src/core_priv.h
+++ b/packages/core/src/core_priv.h
@@ -1,6 +1,7 @@
 #ifndef VH_CORE_PRIV_H
 #define VH_CORE_PRIV_H
 
+#include "budget.h"
 #include "hub.h"
 #include "vh/claims.h"
 #include "vh/core_node.h"
@@ -28,6 +29,7 @@
 	uint64_t incarnation;
 	struct vh_log_client *log;
 	struct vh_vm_list *vms;
+	struct budget budget;
 	struct vh_hub hub;
 	struct vh_config *config;
 	struct vh_owners *owners;
