Stop batch tasks for urgent work that finds the cell full

Cause: urgent work has to start within 3.4 s in a full cell; nothing was ever stopped for it. Conclusion: only idempotent batch tasks are stopped, a team's budget a minute bounds it, and the stopped task waits again. Workers now keep and tell whether a task is idempotent. How often a task was stopped before is not yet kept, so the limit on being stopped again rests on one second of protection.

--- a/packages/core/src/home_place.c
+++ b/packages/core/src/home_place.c
@@ -242,6 +242,7 @@
 	msg.start.size = spec->size;
 	msg.start.service = task->job->spec.service;
 	msg.start.input = spec->input;
+	msg.start.idempotent = task->job->spec.idempotent;
 	msg.deadline_in_ms = deadline_left(h, task->job);
 	fill_demand(h, task, &msg);
 	vh_buf_init(&body);
--- a/packages/core/src/placement.c
+++ b/packages/core/src/placement.c
@@ -1,7 +1,6 @@
 #include "placement.h"
 
-/* A team as a number: only its being equal counts. */
-static uint32_t team_number(struct vh_slice home)
+uint32_t placement_team(struct vh_slice home)
 {
 	const char *from = memchr(home.data, '/', home.len);
 	size_t skip = from ? (size_t)(from - home.data) + 1 : 0;
@@ -18,7 +17,7 @@
 
 	memset(out, 0, sizeof(*out));
 	out->id = vh_slice_hash(s->task, 0);
-	out->team = team_number(s->home);
+	out->team = placement_team(s->home);
 	out->priority = msg->priority;
 	out->share = msg->share;
 	out->step = msg->step;
--- a/packages/core/src/racks.c
+++ b/packages/core/src/racks.c
@@ -340,6 +340,8 @@
 	(void)err;
 	rs->placed = vh_metrics_counter(&kernel->metrics,
 					"vh_starts_placed_total", "");
+	rs->preempted = vh_metrics_counter(&kernel->metrics,
+					   "vh_preemptions_total", "");
 	rs->refused = vh_metrics_counter(&kernel->metrics,
 					 "vh_starts_refused_total", "");
 	vh_vm_list_watch(rs->core->vms, on_vm, rs);
@@ -397,6 +399,12 @@
 		rs->list = r->next;
 		rack_free(r);
 	}
+	while (rs->budgets) {
+		struct team_budget *b = rs->budgets;
+
+		rs->budgets = b->next;
+		g_free(b);
+	}
 	ends_finish(&rs->ends);
 	g_free(rs);
 }
--- a/packages/core/src/racks_calls.c
+++ b/packages/core/src/racks_calls.c
@@ -46,6 +46,8 @@
 	r->asking = msg;
 	err = vh_rack_place(r->state, &req, now);
 	r->asking = NULL;
+	if (err == VH_ERR_NO_CAPACITY)
+		rack_make_room(r, msg);
 	return err;
 }
 
--- a/packages/core/src/racks_priv.h
+++ b/packages/core/src/racks_priv.h
@@ -4,6 +4,7 @@
 #include "ends.h"
 #include "racks.h"
 #include "vh/gang.h"
+#include "vh/preempt.h"
 #include "vh/waitlist.h"
 #include "vh/worker_client.h"
 #include "wire.h"
@@ -27,6 +28,19 @@
 	struct vh_peer_reply *reply;
 };
 
+/* Room was made for a task, so that it is not made twice. */
+struct rack_preempted {
+	uint64_t demand;
+	int64_t at_ms;
+};
+
+/* What a team may still have others stopped for. */
+struct team_budget {
+	struct team_budget *next;
+	uint32_t team;
+	struct vh_preempt_budget budget;
+};
+
 struct rack {
 	struct rack *next;
 	struct vh_racks *racks;
@@ -38,6 +52,7 @@
 	struct place_wait *waits;
 	struct vh_waitlist waiting;
 	struct vh_gang_table gangs;
+	struct rack_preempted preempted[32];
 	struct worker_health health;
 	const struct wire_place *asking; /* during a decision */
 	struct vh_timer timer;
@@ -50,6 +65,8 @@
 	struct ends ends;
 	uint64_t *placed;
 	uint64_t *refused;
+	uint64_t *preempted;
+	struct team_budget *budgets;
 	uint64_t gone_bytes; /* of clients that were freed */
 	bool stopping;
 };
@@ -58,6 +75,9 @@
 struct rack *rack_find(const struct vh_racks *rs, struct vh_slice name);
 void rack_pump_soon(struct rack *r);
 
+/* racks_preempt.c: stops batch tasks for an urgent one that found no room. */
+void rack_make_room(struct rack *r, const struct wire_place *msg);
+
 /* racks_calls.c: what homes ask. */
 void racks_calls_register(struct vh_racks *rs);
 
--- a/packages/core/src/racks_view.c
+++ b/packages/core/src/racks_view.c
@@ -35,6 +35,7 @@
 struct sum_ctx {
 	struct rack *rack;
 	struct vh_candidate workers[MAX_SUMMED];
+	struct vh_res preemptible[MAX_SUMMED];
 	size_t n;
 };
 
@@ -47,6 +48,7 @@
 	(void)vm;
 	if (sum->n == MAX_SUMMED)
 		return;
+	memset(&sum->preemptible[sum->n], 0, sizeof(struct vh_res));
 	c = &sum->workers[sum->n++];
 	memset(c, 0, sizeof(*c));
 	c->capacity = view->capacity;
@@ -57,6 +59,16 @@
 		    view->usable;
 }
 
+static void add_preemptible(void *ctx, const struct vh_running *run,
+			    size_t worker, int64_t since_ms)
+{
+	struct sum_ctx *sum = ctx;
+
+	(void)since_ms;
+	if (worker < sum->n && run->cls == VH_CLASS_BATCH && run->idempotent)
+		vh_res_add(&sum->preemptible[worker], &run->size);
+}
+
 void racks_summaries(const struct vh_racks *rs,
 		     void (*fn)(void *ctx, struct vh_slice rack,
 				const struct vh_rack_summary *summary),
@@ -71,7 +83,9 @@
 		sum.rack = r;
 		sum.n = 0;
 		vh_rack_views(r->state, add_candidate, &sum);
-		vh_summary_build(&summary, sum.workers, NULL, sum.n, 0);
+		vh_rack_each_run(r->state, add_preemptible, &sum);
+		vh_summary_build(&summary, sum.workers, sum.preemptible, sum.n,
+				 (uint32_t)r->waiting.n);
 		fn(ctx, vh_slice_str(r->name), &summary);
 	}
 }
--- a/packages/core/src/wire.c
+++ b/packages/core/src/wire.c
@@ -33,7 +33,7 @@
 {
 	const struct vh_start *s = &p->start;
 
-	vh_pack_array(out, 19);
+	vh_pack_array(out, 20);
 	vh_pack_slice(out, p->rack);
 	vh_pack_slice(out, s->task);
 	vh_pack_u64(out, s->attempt);
@@ -53,6 +53,7 @@
 	vh_pack_i64(out, p->ticket.accepted_wall_ms);
 	vh_pack_u64(out, p->ticket.id);
 	vh_pack_u64(out, p->rack_epoch);
+	vh_pack_bool(out, s->idempotent);
 }
 
 bool wire_place_unpack(struct vh_unpack *u, struct vh_slice body,
@@ -82,6 +83,7 @@
 	p->ticket.accepted_wall_ms = vh_unpack_i64(u);
 	p->ticket.id = vh_unpack_u64(u);
 	p->rack_epoch = vh_unpack_u64(u);
+	s->idempotent = vh_unpack_bool(u);
 	return u->ok;
 }
 
--- a/packages/core/tests/test_wire.cc
+++ b/packages/core/tests/test_wire.cc
@@ -38,6 +38,7 @@
 	in.run_ms = 11;
 	in.ticket = { 12, 13 };
 	in.rack_epoch = 14;
+	in.start.idempotent = true;
 	vh_buf_init(&buf);
 	wire_place_pack(&buf, &in);
 	ASSERT_TRUE(wire_place_unpack(&u, vh_buf_slice(&buf), &out));
@@ -52,6 +53,7 @@
 	EXPECT_EQ(out.ticket.accepted_wall_ms, 12);
 	EXPECT_EQ(out.ticket.id, 13u);
 	EXPECT_EQ(out.rack_epoch, 14u);
+	EXPECT_TRUE(out.start.idempotent);
 	vh_unpack_finish(&u);
 	vh_buf_finish(&buf);
 }
--- a/packages/platform/src/sync_json.c
+++ b/packages/platform/src/sync_json.c
@@ -13,17 +13,17 @@
 static json_t *start_json(const struct vh_start *s)
 {
 	return json_pack(
-		"{s:o,s:I,s:o,s:I,s:s,s:I,s:I,s:I,s:I,s:I,s:o,s:o,s:I}", "task",
-		text(s->task), "attempt", (json_int_t)s->attempt, "home",
-		text(s->home), "home_epoch", (json_int_t)s->home_epoch, "class",
-		vh_class_name(s->cls), "cpu_milli",
+		"{s:o,s:I,s:o,s:I,s:s,s:I,s:I,s:I,s:I,s:I,s:o,s:o,s:b,s:I}",
+		"task", text(s->task), "attempt", (json_int_t)s->attempt,
+		"home", text(s->home), "home_epoch", (json_int_t)s->home_epoch,
+		"class", vh_class_name(s->cls), "cpu_milli",
 		(json_int_t)s->size.v[VH_CPU], "memory_mb",
 		(json_int_t)s->size.v[VH_MEM], "accelerators",
 		(json_int_t)s->size.v[VH_ACCEL], "slots",
 		(json_int_t)s->size.v[VH_SLOTS], "connections",
 		(json_int_t)s->size.v[VH_CONNS], "service", text(s->service),
-		"input", text(s->input), "not_after",
-		(json_int_t)s->not_after_ms);
+		"input", text(s->input), "idempotent", s->idempotent,
+		"not_after", (json_int_t)s->not_after_ms);
 }
 
 static json_t *stop_json(const struct vh_stop *s)
@@ -98,6 +98,7 @@
 	r->size.v[VH_SLOTS] = get_u32(o, "slots");
 	r->size.v[VH_CONNS] = get_u32(o, "connections");
 	r->service = get_text(o, "service");
+	r->idempotent = json_is_true(json_object_get(o, "idempotent"));
 	r->used_cpu_milli = get_u32(o, "used_cpu_milli");
 	r->used_mem_mb = get_u32(o, "used_memory_mb");
 	r->since_ms = get_int(o, "since");
--- a/packages/standins/src/worker.c
+++ b/packages/standins/src/worker.c
@@ -249,6 +249,7 @@
 	t->size = s->size;
 	t->service = g_strdup(s->service ? s->service : "");
 	t->since_ms = now_ms;
+	t->declared_idempotent = s->declared_idempotent;
 	read_input(t, s->input, now_ms);
 	if (w->fail_tasks > 0 && g_rand_double(w->rand) < w->fail_tasks) {
 		t->exit_code = 1;
--- a/packages/standins/src/worker.h
+++ b/packages/standins/src/worker.h
@@ -16,6 +16,7 @@
 	const char *service;
 	const char *input;
 	int64_t not_after_ms;
+	bool declared_idempotent;
 };
 
 /**
@@ -34,6 +35,7 @@
 	char *echo;
 	char *token;
 	bool idempotent;
+	bool declared_idempotent; /* as the start said */
 	int exit_code;
 	int64_t since_ms;
 	int64_t ends_ms;
--- a/packages/standins/src/worker_host.c
+++ b/packages/standins/src/worker_host.c
@@ -59,12 +59,13 @@
 	for (unsigned int i = 0; i < w->tasks->len; i++) {
 		const struct vh_worker_task *t = w->tasks->pdata[i];
 		json_t *size = size_json(t);
-		json_t *run = json_pack("{s:s,s:i,s:s,s:I,s:s,s:s,s:I}", "task",
-					t->task, "attempt", (int)t->attempt,
-					"home", t->home, "home_epoch",
-					(json_int_t)t->home_epoch, "class",
-					t->cls, "service", t->service, "since",
-					own_clock(w, t->since_ms));
+		json_t *run = json_pack("{s:s,s:i,s:s,s:I,s:s,s:s,s:b,s:I}",
+					"task", t->task, "attempt",
+					(int)t->attempt, "home", t->home,
+					"home_epoch", (json_int_t)t->home_epoch,
+					"class", t->cls, "service", t->service,
+					"idempotent", t->declared_idempotent,
+					"since", own_clock(w, t->since_ms));
 
 		json_object_update(run, size);
 		json_decref(size);
@@ -199,6 +200,8 @@
 	s.size.v[VH_CONNS] = amount_of(json, "connections");
 	s.service = text_of(json, "service");
 	s.input = text_of(json, "input");
+	s.declared_idempotent =
+		json_is_true(json_object_get(json, "idempotent"));
 	s.not_after_ms = number_of(json, "not_after");
 	h->server->counts.starts++;
 	return vh_worker_begin(&h->worker, &s, now(h));
--- a/packages/state/include/vh/rack.h
+++ b/packages/state/include/vh/rack.h
@@ -214,6 +214,14 @@
 /* vh_rack_tick - lapses leases; returns when it wants the next call */
 int64_t vh_rack_tick(struct vh_rack *r, int64_t now_ms);
 
+/* vh_rack_each_run - calls @fn with each running task that is not being
+ * stopped, the index of its worker as in vh_rack_views(), and since when it
+ * runs, on the owner's clock */
+void vh_rack_each_run(const struct vh_rack *r,
+		      void (*fn)(void *ctx, const struct vh_running *run,
+				 size_t worker, int64_t since_ms),
+		      void *ctx);
+
 /* vh_rack_views - calls @fn with each worker and where to reach it */
 void vh_rack_views(const struct vh_rack *r,
 		   void (*fn)(void *ctx, const struct vh_worker_view *view,
--- a/packages/state/include/vh/sync.h
+++ b/packages/state/include/vh/sync.h
@@ -30,6 +30,7 @@
  * struct vh_start - an order to a worker to run a task
  * @home: unit "home/TEAM/K" that the job belongs to
  * @home_epoch: epoch under which the home decided it
+ * @idempotent: it may be stopped and run again
  * @not_after_ms: on the worker's clock: begun by then or never
  */
 struct vh_start {
@@ -41,6 +42,7 @@
 	struct vh_res size;
 	struct vh_slice service;
 	struct vh_slice input;
+	bool idempotent;
 	int64_t not_after_ms;
 };
 
@@ -91,6 +93,7 @@
 	enum vh_class cls;
 	struct vh_res size;
 	struct vh_slice service;
+	bool idempotent; /* as in struct vh_start */
 	uint32_t used_cpu_milli;
 	uint32_t used_mem_mb;
 	int64_t since_ms; /* on the worker's clock */
--- a/packages/state/src/rack.c
+++ b/packages/state/src/rack.c
@@ -230,6 +230,7 @@
 		.cls = start->cls,
 		.size = start->size,
 		.service = start->service,
+		.idempotent = start->idempotent,
 	};
 	enum vh_err err = place_check(r, req, now_ms);
 	struct rack_worker *w = NULL;
@@ -308,6 +309,29 @@
 		vh_rack_end_settled(r, task, attempt);
 }
 
+static int64_t run_since(const struct rack_run *run)
+{
+	const struct rack_worker *w = run->worker;
+
+	if (!run->info.since_ms)
+		return run->decided_ms;
+	return w->clock_at_ms - (w->clock_ms - run->info.since_ms);
+}
+
+void vh_rack_each_run(const struct vh_rack *r,
+		      void (*fn)(void *ctx, const struct vh_running *run,
+				 size_t worker, int64_t since_ms),
+		      void *ctx)
+{
+	for (size_t i = 0; i < r->n_workers; i++) {
+		for (const struct rack_run *run = r->workers[i]->runs; run;
+		     run = run->next) {
+			if (run->state == RUN_RUNNING && !run->stop_wanted)
+				fn(ctx, &run->info, i, run_since(run));
+		}
+	}
+}
+
 void vh_rack_views(const struct vh_rack *r,
 		   void (*fn)(void *ctx, const struct vh_worker_view *view,
 			      const struct vh_vm *vm),
--- a/packages/state/src/rack_sync.c
+++ b/packages/state/src/rack_sync.c
@@ -102,6 +102,7 @@
 			.size = run->info.size,
 			.service = run->info.service,
 			.input = run->input,
+			.idempotent = run->info.idempotent,
 			.not_after_ms = run->not_after_ms,
 		};
 		n++;
