--- a/tools/bench_cell.sh
+++ b/tools/bench_cell.sh
@@ -4,7 +4,10 @@
 #   bench cell_idle_WHAT_at_W VALUE UNIT - -
 # for W workers, WHAT one of cpu (of one core), bytes (of control, sent and
 # received, a second) and memory, each the mean of the three nodes over SPAN seconds.
-# tools/capacity.sh takes the slopes from these.
+# tools/capacity.sh takes the slopes from these. Then, with LOAD_WORKERS workers
+# and a mixed load of R jobs and requests a second:
+#   bench cell_load_WHAT_at_R VALUE UNIT - -
+# WHAT one of cpu, bytes (the mean of the nodes) and appends (a second, all).
 set -eu
 cd "$(dirname "$0")/.."
 . tools/cell.sh
@@ -35,13 +38,15 @@
 		grep -c '"state": "live"' || true
 }
 
-measure() {
+# start W: a cell with W workers, all adopted
+start() {
 	cell_init "$build" sitara
 	cell_spawn log "$bin/vh-standin-log" --seed 1
 	cell_port log
 	log_port=$port
 	cell_spawn workers "$bin/vh-standin-workers" --seed 1 --count "$1"
 	cell_port workers
+	workers_port=$port
 	curl -sf "http://127.0.0.1:$port/vms" >"$dir/vms.json"
 	cell_spawn vms "$bin/vh-standin-vms" --vms "$dir/vms.json"
 	cell_port vms
@@ -64,6 +69,10 @@
 		exit 1
 	}
 	sleep 3
+}
+
+measure() {
+	start "$1"
 	cpu=$(total vh_process_cpu_seconds_total)
 	bytes=$(total vh_control_bytes_total)
 	sleep "$SPAN"
@@ -81,7 +90,49 @@
 	cell_stop
 }
 
+appended() {
+	curl -sf "http://127.0.0.1:$log_port/stats" |
+		sed 's/.*"appends":\([0-9]*\).*/\1/'
+}
+
+# Publishes the example's own objects, whose teams the load sends as.
+load() {
+	start "$LOAD_WORKERS"
+	to=
+	for n in $(seq 1 $NODES); do
+		cell_wait "$n" /readyz 30
+	done
+	for n in $(seq 1 $NODES); do
+		to="$to --node $(callers_port "$n")"
+	done
+	for rate in ${RATES:-10 20 40}; do
+		cpu=$(total vh_process_cpu_seconds_total)
+		bytes=$(total vh_control_bytes_total)
+		appends=$(appended)
+		# shellcheck disable=SC2086
+		"$bin/vh-standin-load" --profile "$example/load.ini" $to \
+			--witness "$workers_port" --duration "$SPAN" \
+			--rate "$rate" --quiet >"$dir/load.out" || {
+			cat "$dir/load.out" >&2
+			exit 1
+		}
+		cpu2=$(total vh_process_cpu_seconds_total)
+		bytes2=$(total vh_control_bytes_total)
+		appends2=$(appended)
+		awk -v r="$rate" -v n=$NODES -v t="$SPAN" -v c="$cpu" \
+			-v c2="$cpu2" -v b="$bytes" -v b2="$bytes2" \
+			-v a="$appends" -v a2="$appends2" 'BEGIN {
+			printf "bench cell_load_cpu_at_%d %.5f core - -\n", r, (c2 - c) / t / n
+			printf "bench cell_load_bytes_at_%d %.0f B/s - -\n", r, (b2 - b) / t / n
+			printf "bench cell_load_appends_at_%d %.1f appends/s - -\n", r, (a2 - a) / t
+		}'
+	done
+	cell_stop
+}
+
 build=${1:-build}
 for workers in ${SIZES:-64 192 384}; do
 	measure "$workers"
 done
+LOAD_WORKERS=${LOAD_WORKERS:-50}
+load
--- a/tools/capacity.awk
+++ b/tools/capacity.awk
@@ -64,14 +64,50 @@
 			"changed groups only; every node checks each change itself")
 		total_b += b; total_c += c; total_m += m
 	}
-	role("entry: admission, answers", sprintf("%.3g starts/s", STARTS / nodes), "", "", "", "", "requests go to the home or an upstream directly")
-	role("home: jobs, keys, limits", sprintf("%.0f tasks", TASKS / nodes), "", "", "", "", "records a job and an end, batched by group commit")
-	role("log writer", "one stream a home", "", "", "", "", "batches within the node's part of the appends")
-	role("snapshot writer", "not built", "", "", "", "", "none yet")
+	if (known("cell_load_cpu")) {
+		# Slopes are a node's cost for each job a second of the whole cell.
+		b = slope("cell_load_bytes") * CELL_NODES * STARTS / nodes
+		c = slope("cell_load_cpu") * CELL_NODES * STARTS / nodes
+		role("entry, home and rack owner, for each start", sprintf("%.3g starts/s", STARTS / nodes), "", b, c, "", \
+			"entry to home to rack owner to worker; records batched by group commit")
+		total_b += b; total_c += c
+	} else {
+		role("entry, home and rack owner, for each start", sprintf("%.3g starts/s", STARTS / nodes), "", "", "", "", "")
+	}
+	m = value["state_home_69000_memory"] * 1e6 / nodes
+	if (m) {
+		role("home: a day's jobs and keys", sprintf("%.0f keys", 69000 / nodes), "", "", "", m, \
+			"one home a team, more for a large team; the window is the day")
+		total_m += m
+	}
+	if (value["state_home_69000_snapshot"])
+		role("snapshot writer, once in a quarter of the retention", sprintf("%.0f keys", 69000 / nodes), "", \
+			value["state_home_69000_snapshot"] * 1e6 / nodes / (86400 / 4), "", value["state_home_69000_snapshot"] * 1e6 / nodes, \
+			"the owner of a stream; chunks of 32 KB, complete or ignored")
+	if (value["state_claims_965_memory"])
+		role("claims: 900 racks, 65 homes", "965 units", "", "", "", value["state_claims_965_memory"] * 1e6, \
+			"one stream that every node reads")
+	role("membership among as many nodes", nodes " nodes", "", nodes <= 7 ? value["membership_bytes_7_nodes"] : \
+		nodes <= 50 ? value["membership_bytes_50_nodes"] : value["membership_bytes_200_nodes"], "", "", \
+		"random probes with news in a byte budget; at a heartbeat of 500 ms, the default of 1 s costs less; part of the fixed row")
 	if (total_b)
 		role("**sum of what is measured**", "", "", total_b, total_c, total_m, "")
 }
 
+# The log takes several hundred appends a second over the whole system.
+function appends(   one, many) {
+	one = value["state_appends_one_home_510_per_s"]
+	many = value["state_appends_65_homes_8_per_s"]
+	if (!one || !many) return
+	print "\n### Appends of the whole system\n"
+	print "| at the peak of 510 starts a second | appends/s | bound | |"
+	print "|---|---|---|---|"
+	printf "| all in one home | %.0f | 300 | %s |\n", one * STARTS / 1000, one * STARTS / 1000 <= 300 ? "holds" : "**missed**"
+	printf "| spread over 65 homes | %.0f | 300 | %s |\n", many * STARTS / 1000, many * STARTS / 1000 <= 300 ? "holds" : "**missed**"
+	if (known("cell_load_appends"))
+		printf "| measured: appends for each job or request, cell of 3 nodes | %.2f | | |\n", slope("cell_load_appends")
+}
+
 function needed(   best, k, f, s) {
 	if (!known("cell_idle_bytes")) return
 	split("cell_idle_bytes cell_idle_cpu cell_idle_memory", names, " ")
@@ -85,7 +121,14 @@
 		count[k] = f < limit[k] ? ceil(WORKERS * s / (limit[k] - f)) : 0
 		printf "| %s | %.3g | %.3g | %s |\n", words[k], s, f, count[k] ? count[k] : "**missed** at any number"
 	}
-	return max(count[1], max(count[2], count[3]))
+	most = max(count[1], max(count[2], count[3]))
+	if (known("cell_load_bytes")) {
+		s = slope("cell_load_bytes") * CELL_NODES * STARTS + WORKERS * slope("cell_idle_bytes") * CELL_NODES
+		with_load = ceil(s / (BYTES - fixed("cell_idle_bytes")))
+		printf "\nWith the peak of starts as well, traffic needs %d nodes.\n", with_load
+		most = max(most, with_load)
+	}
+	return most
 }
 
 END {
@@ -103,4 +146,5 @@
 	total_b = total_c = total_m = 0
 	nodes = needed()
 	if (nodes > 7) table(nodes)
+	appends()
 }
