--- a/packages/state/tests/test_rack.cc
+++ b/packages/state/tests/test_rack.cc
@@ -29,6 +29,7 @@
 	std::vector<std::string> told; /* what the rack said, in order */
 	bool settle = true;
 	bool fresh = true;
+	bool careless = false; /* chooses a worker whether it has room */
 	int64_t latency = 1;
 	std::function<Fate(const FakeWorker &)> fate;
 	std::map<std::string, int> begun;
@@ -81,10 +82,12 @@
 		v.gone = gone;
 		vh_rack_vm(rack, &v, events.now);
 	}
-	static size_t choose(void *, const struct vh_start *start,
+	static size_t choose(void *ctx, const struct vh_start *start,
 			     const struct vh_worker_view *views, size_t n,
 			     enum vh_err *why)
 	{
+		if (((RackTest *)ctx)->careless)
+			return 0;
 		for (size_t i = 0; i < n; i++)
 			if (views[i].usable &&
 			    vh_res_fits(&start->size, &views[i].free))
@@ -306,6 +309,15 @@
 	EXPECT_EQ(place("t/8"), VH_OK);
 }
 
+TEST_F(RackTest, PolicyThatChoosesAFullWorkerCommitsNothing)
+{
+	run(20);
+	careless = true;
+	for (int i = 0; i < 4; i++)
+		EXPECT_EQ(place(("t/" + std::to_string(i)).c_str()), VH_OK);
+	EXPECT_EQ(place("t/4"), VH_ERR_NO_CAPACITY);
+}
+
 TEST_F(RackTest, StartDoesNotWaitBehindAHeldExchange)
 {
 	run(20);
