Refuse as not run only keys never seen, while the log is down

Conclusion: a home answers from what it knows of the key first; an ask whose earlier try is unknown no longer ends as refused.

--- a/packages/core/src/home_rpc.c
+++ b/packages/core/src/home_rpc.c
@@ -136,15 +136,17 @@
 	struct home_op *op;
 	struct vh_buf body;
 
-	if (vh_hub_down(h->stream)) {
-		vh_peer_answer(reply, VH_ERR_LOG_UNAVAILABLE, NO_BODY);
-		return;
-	}
 	vh_buf_init(&body);
 	switch (vh_home_submit(h->state, msg->key, msg->fingerprint, &msg->spec,
 			       vh_clock_wall_ms(h->homes->core->kernel->clock),
 			       home_now_ms(h), &body, &job)) {
 	case VH_SUBMIT_NEW:
+		/* Only a key never seen is surely not run. */
+		if (vh_hub_down(h->stream)) {
+			vh_home_submit_failed(h->state, job);
+			vh_peer_answer(reply, VH_ERR_LOG_UNAVAILABLE, NO_BODY);
+			break;
+		}
 		op = home_op_new(h, false);
 		op->id = vh_slice_dup(job->id);
 		op->reply = reply;
@@ -372,16 +374,17 @@
 	uint32_t status = 0;
 	struct vh_buf body, answer;
 
-	if (vh_hub_down(h->stream)) {
-		vh_peer_answer(reply, VH_ERR_LOG_UNAVAILABLE, NO_BODY);
-		return;
-	}
 	vh_buf_init(&body);
 	vh_buf_init(&answer);
 	switch (vh_home_request(h->state, key, fingerprint,
 				vh_clock_wall_ms(h->homes->core->kernel->clock),
 				&body, &status)) {
 	case VH_REQUEST_NEW:
+		if (vh_hub_down(h->stream)) {
+			vh_home_request_failed(h->state, key);
+			vh_peer_answer(reply, VH_ERR_LOG_UNAVAILABLE, NO_BODY);
+			break;
+		}
 		request_append(h, VH_REC_REQUEST, &body, reply);
 		break;
 	case VH_REQUEST_UNDER_WAY:
--- a/packages/core/src/jobs.c
+++ b/packages/core/src/jobs.c
@@ -93,6 +93,9 @@
 {
 	struct ask *a = ctx;
 
+	/* An earlier try may have taken effect: no word of "not run" now. */
+	if (a->unknown && err == VH_ERR_LOG_UNAVAILABLE)
+		err = VH_ERR_UNKNOWN_OUTCOME;
 	if (worth_retry(err) && !(a->once && err == VH_ERR_UNKNOWN_OUTCOME &&
 				  a->method == VH_METHOD_REQUEST_BEGIN))
 		ask_again(a, err);
