--- a/cmake/package.cmake
+++ b/cmake/package.cmake
@@ -22,6 +22,9 @@
 # benchmark program per tests/bench_*.c and, with VH_FUZZ, one libFuzzer program
 # per fuzz/fuzz_*.c. They see the package's private headers.
 function(vh_package_tests name)
+	if(NOT VH_TESTS)
+		return()
+	endif()
 	file(GLOB tests CONFIGURE_DEPENDS
 		${CMAKE_CURRENT_SOURCE_DIR}/tests/test_*.cc)
 	foreach(t ${tests})
--- a/packages/base/include/vh/error.h
+++ b/packages/base/include/vh/error.h
@@ -18,6 +18,7 @@
 	VH_ERR_UNAUTHENTICATED, /* no key, unknown key, withdrawn key */
 	VH_ERR_FORBIDDEN, /* the key's team may not use this queue or service */
 	VH_ERR_NOT_FOUND,
+	VH_ERR_NO_SUCH_JOB,
 	VH_ERR_METHOD,	 /* HTTP method not served on this path */
 	VH_ERR_CONFLICT, /* same idempotency key, other request */
 	VH_ERR_VERSION,	 /* publish made from a version that was superseded */
--- a/packages/base/include/vh/log.h
+++ b/packages/base/include/vh/log.h
@@ -5,12 +5,13 @@
 #include <stdbool.h>
 
 /**
- * vh_log_init - sends GLib's logs to standard error as JSON lines
+ * vh_log_init - sends GLib's logs to standard output as JSON lines
  * @node: name put into each line as "node"; copied
  * @min_level: the least severe level written, e.g. G_LOG_LEVEL_INFO
  *
  * A line has the keys ts (RFC 3339, UTC), level, node and msg, then the
- * fields given to vh_log(). Keys and bodies of callers are never logged.
+ * fields given to vh_log(). Keys and bodies of callers are never logged. Lines
+ * beyond a rate, or that the reader does not take, are left out and counted.
  */
 void vh_log_init(const char *node, GLogLevelFlags min_level);
 
--- a/packages/base/src/error.c
+++ b/packages/base/src/error.c
@@ -7,6 +7,7 @@
 	[VH_ERR_UNAUTHENTICATED] = { "unauthenticated", 401, VH_NOT_RUN, 0 },
 	[VH_ERR_FORBIDDEN] = { "forbidden", 403, VH_NOT_RUN, 0 },
 	[VH_ERR_NOT_FOUND] = { "not_found", 404, VH_NOT_RUN, 0 },
+	[VH_ERR_NO_SUCH_JOB] = { "no_such_job", 410, VH_NOT_RUN, 0 },
 	[VH_ERR_METHOD] = { "method_not_allowed", 405, VH_NOT_RUN, 0 },
 	[VH_ERR_CONFLICT] = { "conflict", 409, VH_NOT_RUN, 0 },
 	[VH_ERR_VERSION] = { "version_superseded", 409, VH_NOT_RUN, 0 },
--- a/packages/base/src/log.c
+++ b/packages/base/src/log.c
@@ -1,17 +1,25 @@
 #include "vh/log.h"
 
+#include <poll.h>
 #include <stdarg.h>
+#include <stdint.h>
 #include <stdio.h>
 #include <string.h>
 #include <time.h>
+#include <unistd.h>
 
 #include "vh/buf.h"
 
 #define LOG_MAX_FIELDS 16
 #define FIELD_PREFIX "VH_"
+#define LINES_PER_S 400.0     /* written at most, on the mean */
+#define LINES_BURST 2000.0    /* and so many at once */
+#define LINE_BYTES_MOST 4000u /* a pipe that takes any takes so many */
 
 static char *node_name;
 static GLogLevelFlags least_severe = G_LOG_LEVEL_INFO;
+static double allowance = LINES_BURST;
+static unsigned int left_out;
 
 static const struct {
 	GLogLevelFlags level;
@@ -62,6 +70,62 @@
 	add_json_string(out, node_name ? node_name : "");
 }
 
+/* A reader that stopped reading costs lines, never time. */
+static bool writable(void)
+{
+	struct pollfd p = { .fd = STDOUT_FILENO, .events = POLLOUT };
+
+	return poll(&p, 1, 0) == 1 && (p.revents & POLLOUT);
+}
+
+/* Refills the allowance of lines for the time that has passed. */
+static void refill(void)
+{
+	static int64_t last_ms;
+	struct timespec now;
+	int64_t now_ms;
+
+	clock_gettime(CLOCK_MONOTONIC, &now);
+	now_ms = (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
+	allowance += (double)(now_ms - last_ms) * LINES_PER_S / 1000;
+	allowance = MIN(allowance, LINES_BURST);
+	last_ms = now_ms;
+}
+
+static void write_out(const struct vh_buf *line)
+{
+	size_t n = MIN(line->len, LINE_BYTES_MOST);
+
+	if (!writable() || write(STDOUT_FILENO, line->data, n) < 0)
+		left_out++;
+}
+
+static void say_left_out(void)
+{
+	struct vh_buf line;
+
+	vh_buf_init(&line);
+	add_head(&line, G_LOG_LEVEL_WARNING);
+	vh_buf_printf(&line, ",\"msg\":\"lines left out\",\"count\":\"%u\"}\n",
+		      left_out);
+	left_out = 0;
+	write_out(&line);
+	vh_buf_finish(&line);
+}
+
+static void write_line(const struct vh_buf *line)
+{
+	refill();
+	if (allowance < 1) {
+		left_out++;
+		return;
+	}
+	allowance -= 1;
+	if (left_out && writable())
+		say_left_out();
+	write_out(line);
+}
+
 static GLogWriterOutput write_json(GLogLevelFlags level,
 				   const GLogField *fields, gsize n,
 				   gpointer data)
@@ -86,7 +150,7 @@
 		add_json_string(&line, fields[i].value);
 	}
 	vh_buf_add_str(&line, "}\n");
-	fwrite(line.data, 1, line.len, stderr);
+	write_line(&line);
 	vh_buf_finish(&line);
 	return G_LOG_WRITER_HANDLED;
 }
--- /dev/null
+++ b/packages/cell/src/cell.c
@@ -0,0 +1,257 @@
+#include "cell_priv.h"
+
+#include <inttypes.h>
+
+#include "keys.h"
+#include "routes.h"
+#include "vh/log.h"
+
+#define OBJECTS_WAIT_MS 900   /* longest that a reading of the objects waits */
+#define READY_AGE_MS 2600     /* of the configuration, to be called ready */
+#define ANSWER_SLACK_MS 120   /* an answer is on its way for so long */
+
+static void on_object(void *ctx, const struct vh_record *r)
+{
+	struct vh_cell *c = ctx;
+	struct vh_config_view *v = c->ports->decode->config(r->key, r->value);
+	char version[24];
+
+	if (!v)
+		return;
+	if (c->view && v->version <= c->view->version) {
+		vh_config_view_free(v);
+		return;
+	}
+	g_snprintf(version, sizeof(version), "%" PRIu64, v->version);
+	vh_log(G_LOG_LEVEL_INFO, "configuration in force", "version", version,
+	       NULL);
+	vh_config_view_free(c->view);
+	c->view = v;
+	if (c->lead)
+		lead_config(c->lead, v);
+}
+
+static bool start(void *self, struct vh_kernel *kernel, GError **err)
+{
+	struct vh_cell *c = self;
+
+	(void)kernel;
+	if (!owner_start(c, err))
+		return false;
+	follow_start(&c->objects);
+	return true;
+}
+
+static void stop(void *self)
+{
+	struct vh_cell *c = self;
+
+	owner_stop(c);
+	follow_stop(&c->objects);
+	writer_finish(&c->writer);
+}
+
+struct vh_cell *vh_cell_new(const struct vh_cell_settings *settings,
+			    const struct vh_ports *ports,
+			    struct vh_kernel *kernel)
+{
+	struct vh_cell *c = g_new0(struct vh_cell, 1);
+
+	c->kernel = kernel;
+	c->ports = ports;
+	c->name = vh_slice_dup(settings->name);
+	c->peer_address = vh_slice_dup(settings->peer_address);
+	c->key_proof_ms = settings->key_proof_ms;
+	c->lead_settings.engine = settings->engine;
+	c->incarnation = (uint64_t)g_random_int() << 32 | g_random_int();
+	c->objects.kernel = kernel;
+	c->objects.ports = ports;
+	c->objects.topic = VH_TOPIC_OBJECTS;
+	c->objects.wait_ms = OBJECTS_WAIT_MS;
+	c->objects.record = on_object;
+	c->objects.ctx = c;
+	owner_init(c);
+	writer_init(&c->writer, kernel, ports, VH_TOPIC_JOBS);
+	c->service.name = "cell";
+	c->service.self = c;
+	c->service.start = start;
+	c->service.stop = stop;
+	return c;
+}
+
+void vh_cell_free(struct vh_cell *c)
+{
+	vh_config_view_free(c->view);
+	g_free(c->name);
+	g_free(c->peer_address);
+	g_free(c);
+}
+
+struct vh_service *vh_cell_service(struct vh_cell *c)
+{
+	return &c->service;
+}
+
+static int64_t config_age(const struct vh_cell *c)
+{
+	return follow_age_ms(&c->objects, vh_kernel_now_ms(c->kernel));
+}
+
+bool vh_cell_ready(const struct vh_cell *c)
+{
+	return c->view && !c->leaving && config_age(c) < READY_AGE_MS;
+}
+
+enum vh_err vh_cell_route(const struct vh_cell *c, struct vh_slice host,
+			  struct vh_slice path, struct vh_slice key,
+			  struct vh_cell_route *out)
+{
+	const struct eng_team *team;
+
+	memset(out, 0, sizeof(*out));
+	if (!c->view || config_age(c) > c->key_proof_ms)
+		return VH_ERR_NOT_READY;
+	out->queue = routes_find(c->view, host, path);
+	if (!out->queue)
+		return VH_ERR_NOT_FOUND;
+	out->max_body_bytes = c->view->max_body_bytes;
+	out->rest = vh_slice(path.data + out->queue->prefix.len,
+			     path.len - out->queue->prefix.len);
+	if (out->queue->open_to_all)
+		return VH_OK;
+	team = routes_team(c->view, key);
+	if (!team)
+		return VH_ERR_UNAUTHENTICATED;
+	out->team = team->name;
+	return VH_OK;
+}
+
+/* A record of a caller that is being stored. */
+struct write {
+	void (*done)(void *ctx, enum vh_err err, const char *why);
+	void *ctx;
+};
+
+static void on_written(void *ctx, enum write_outcome outcome)
+{
+	static const enum vh_err errs[] = {
+		[WRITE_STORED] = VH_OK,
+		[WRITE_REFUSED] = VH_ERR_LOG_UNAVAILABLE,
+		[WRITE_UNKNOWN] = VH_ERR_TIMEOUT,
+	};
+	struct write *w = ctx;
+
+	w->done(w->ctx, errs[outcome], "");
+	g_free(w);
+}
+
+static void store(struct vh_cell *c, char kind, uint64_t id,
+		  struct vh_slice value, int64_t timeout_ms,
+		  void (*done)(void *ctx, enum vh_err err, const char *why),
+		  void *ctx)
+{
+	struct write *w = g_new0(struct write, 1);
+	char key[VH_KEY_BYTES];
+
+	w->done = done;
+	w->ctx = ctx;
+	vh_key_format(key, kind, id);
+	writer_add(&c->writer, vh_slice_str(key), value,
+		   vh_kernel_now_ms(c->kernel) + timeout_ms - ANSWER_SLACK_MS,
+		   on_written, w);
+}
+
+void vh_cell_submit(struct vh_cell *c, const struct vh_cell_route *route,
+		    struct eng_job_spec *spec, int64_t timeout_ms,
+		    void (*done)(void *ctx, enum vh_err err, const char *why),
+		    void *ctx)
+{
+	const struct vh_queue_terms *q = route->queue;
+	const char *wrong = eng_job_check(spec);
+	struct vh_buf bytes;
+
+	if (wrong) {
+		done(ctx, VH_ERR_BAD_REQUEST, wrong);
+		return;
+	}
+	spec->queue = q->name;
+	spec->service = q->service;
+	spec->team = route->team;
+	spec->priority = q->priority;
+	spec->max_attempts = q->max_attempts;
+	spec->stretch = q->stretch;
+	spec->target_ms = q->target_ms;
+	spec->advice = q->advice;
+	spec->received_ms = vh_clock_wall_ms(c->kernel->clock);
+	vh_buf_init(&bytes);
+	eng_job_pack(spec, &bytes);
+	store(c, VH_KEY_JOB, spec->id, vh_buf_slice(&bytes), timeout_ms, done,
+	      ctx);
+	vh_buf_finish(&bytes);
+}
+
+void vh_cell_cancel(struct vh_cell *c, uint64_t id, int64_t timeout_ms,
+		    void (*done)(void *ctx, enum vh_err err, const char *why),
+		    void *ctx)
+{
+	store(c, VH_KEY_CANCEL, id, vh_slice_str("1"), timeout_ms, done, ctx);
+}
+
+/* A question to the owner that is out. */
+struct question {
+	void (*done)(void *ctx, enum vh_err err, uint64_t value);
+	void *ctx;
+};
+
+static void on_answer(void *ctx, bool known, uint64_t value)
+{
+	struct question *q = ctx;
+
+	q->done(q->ctx, known ? VH_OK : VH_ERR_NOT_READY, value);
+	g_free(q);
+}
+
+static struct question *question_new(void (*done)(void *ctx, enum vh_err err,
+						  uint64_t value),
+				     void *ctx)
+{
+	struct question *q = g_new0(struct question, 1);
+
+	q->done = done;
+	q->ctx = ctx;
+	return q;
+}
+
+void vh_cell_status(struct vh_cell *c, uint64_t id, int64_t timeout_ms,
+		    void (*done)(void *ctx, enum vh_err err, uint64_t status),
+		    void *ctx)
+{
+	enum eng_status s;
+	bool known;
+
+	if (!c->lead) {
+		spoke_status(&c->spoke, id, timeout_ms - ANSWER_SLACK_MS,
+			     on_answer, question_new(done, ctx));
+		return;
+	}
+	s = lead_status(c->lead, id, &known);
+	done(ctx, known ? VH_OK : VH_ERR_NOT_READY, s);
+}
+
+void vh_cell_count(struct vh_cell *c, const struct vh_cell_route *route,
+		   int64_t timeout_ms,
+		   void (*done)(void *ctx, enum vh_err err, uint64_t jobs),
+		   void *ctx)
+{
+	size_t jobs = 0;
+	bool known;
+
+	if (!c->lead) {
+		spoke_count(&c->spoke, route->queue->name,
+			    timeout_ms - ANSWER_SLACK_MS, on_answer,
+			    question_new(done, ctx));
+		return;
+	}
+	known = lead_count(c->lead, route->queue->name, &jobs);
+	done(ctx, known ? VH_OK : VH_ERR_NOT_READY, jobs);
+}
--- /dev/null
+++ b/packages/cell/src/claim.c
@@ -0,0 +1,121 @@
+#include "claim.h"
+
+#include <string.h>
+
+#define SILENT_MS 900	      /* an owner not heard for so long is looked for */
+#define LOOK_PAUSE_MS 400     /* after a look that saw it write */
+#define LOOK_FAILED_MS 300    /* after a look that the store did not answer */
+#define REFUSED_PAUSE_MS 300  /* after a claim that came second */
+#define UNPROVED_MS 2500      /* an owner acts so long without the store */
+#define FORMER_SLACK_MS 800   /* an order on its way, a late timer */
+
+void claim_init(struct claim *c, int64_t delay_ms, int64_t now_ms)
+{
+	memset(c, 0, sizeof(*c));
+	c->delay_ms = delay_ms;
+	c->heard_ms = now_ms;
+}
+
+void claim_record(struct claim *c, uint64_t epoch, bool mine, bool released,
+		  int64_t now_ms)
+{
+	if (epoch < c->epoch || (epoch == c->epoch && !released))
+		return;
+	c->epoch = epoch;
+	c->mine = mine && !released;
+	c->released = released;
+	c->dead = false;
+	c->busy = false;
+	c->heard_ms = now_ms;
+	c->proved_ms = now_ms;
+	c->look_after_ms = 0;
+	c->vacant_ms = released ? now_ms : 0;
+}
+
+void claim_known(struct claim *c, int64_t now_ms)
+{
+	c->known = true;
+	if (!c->epoch && !c->vacant_ms)
+		c->vacant_ms = now_ms;
+}
+
+void claim_heard(struct claim *c, uint64_t epoch, int64_t now_ms)
+{
+	if (epoch < c->epoch || c->released)
+		return;
+	c->heard_ms = now_ms;
+	c->dead = false;
+	if (!c->mine)
+		c->vacant_ms = 0;
+}
+
+void claim_dead(struct claim *c, uint64_t epoch, int64_t now_ms)
+{
+	if (epoch != c->epoch || c->mine || c->dead)
+		return;
+	c->dead = true;
+	if (!c->vacant_ms)
+		c->vacant_ms = now_ms;
+}
+
+void claim_looked(struct claim *c, bool writes, bool failed, int64_t now_ms)
+{
+	c->busy = false;
+	c->look_after_ms = now_ms + (failed ? LOOK_FAILED_MS : LOOK_PAUSE_MS);
+	if (failed || writes)
+		return;
+	if (now_ms - c->heard_ms >= SILENT_MS && !c->vacant_ms)
+		c->vacant_ms = now_ms;
+}
+
+void claim_refused(struct claim *c, int64_t now_ms)
+{
+	c->busy = false;
+	if (c->vacant_ms)
+		c->vacant_ms = now_ms + REFUSED_PAUSE_MS;
+}
+
+static enum claim_action owner_tick(const struct claim *c, int64_t now_ms,
+				    bool peers, bool peers_reach)
+{
+	bool proved = now_ms - c->proved_ms < UNPROVED_MS;
+
+	if (proved)
+		return CLAIM_NOTHING;
+	/* Down for all: nobody can claim, and what runs goes on. */
+	if (peers && !peers_reach)
+		return CLAIM_NOTHING;
+	return CLAIM_STEP_DOWN;
+}
+
+enum claim_action claim_tick(struct claim *c, int64_t now_ms, bool peers,
+			     bool peers_reach)
+{
+	if (c->mine)
+		return owner_tick(c, now_ms, peers, peers_reach);
+	if (!c->known || c->busy)
+		return CLAIM_NOTHING;
+	if (c->vacant_ms) {
+		if (now_ms - c->vacant_ms < c->delay_ms)
+			return CLAIM_NOTHING;
+		c->busy = true;
+		return CLAIM_TAKE;
+	}
+	if (now_ms - c->heard_ms < SILENT_MS || now_ms < c->look_after_ms)
+		return CLAIM_NOTHING;
+	c->busy = true;
+	return CLAIM_LOOK;
+}
+
+int64_t claim_former_ms(void)
+{
+	return UNPROVED_MS + FORMER_SLACK_MS;
+}
+
+void claim_gave_up(struct claim *c, int64_t now_ms)
+{
+	c->mine = false;
+	c->heard_ms = now_ms;
+	c->busy = false;
+	c->vacant_ms = 0;
+}
--- /dev/null
+++ b/packages/cell/src/follow.c
@@ -0,0 +1,135 @@
+#include "follow.h"
+
+#define RETRY_FIRST_MS 100 /* after a read that failed */
+#define RETRY_LAST_MS 800  /* after many that failed */
+#define AGE_NEVER INT64_MAX
+
+static void step(void *ctx);
+
+static void again(struct follow *f, int64_t delay_ms)
+{
+	vh_timer_start(&f->timer, delay_ms);
+}
+
+static void failed(struct follow *f, enum vh_store_result result)
+{
+	int64_t wait = (int64_t)RETRY_FIRST_MS << MIN(f->failures, 3u);
+
+	f->failures++;
+	if (result == VH_STORE_GONE) {
+		f->loaded = false;
+		f->next = 0;
+		g_clear_pointer(&f->after, g_free);
+	}
+	again(f, MIN(wait, RETRY_LAST_MS));
+}
+
+static void give(struct follow *f, const struct vh_read_reply *r)
+{
+	for (size_t i = 0; i < r->n && !f->stopped; i++)
+		f->record(f->ctx, &r->records[i]);
+}
+
+static void mark_fresh(struct follow *f)
+{
+	f->fresh_ms = f->sent_ms;
+	if (f->fresh && !f->stopped)
+		f->fresh(f->ctx, f->sent_ms);
+}
+
+static void on_newest(void *ctx, const struct vh_read_reply *r)
+{
+	struct follow *f = ctx;
+
+	f->open = false;
+	if (f->stopped)
+		return;
+	if (r->result != VH_STORE_OK) {
+		failed(f, r->result);
+		return;
+	}
+	f->failures = 0;
+	/* Pages are no snapshot: the tail starts where the first one ended. */
+	if (!f->after)
+		f->next = r->end;
+	give(f, r);
+	if (f->stopped)
+		return;
+	if (r->more && r->n) {
+		g_free(f->after);
+		f->after = vh_slice_dup(r->records[r->n - 1].key);
+		again(f, 0);
+		return;
+	}
+	g_clear_pointer(&f->after, g_free);
+	f->loaded = true;
+	mark_fresh(f);
+	again(f, f->pause_ms);
+}
+
+static void on_read(void *ctx, const struct vh_read_reply *r)
+{
+	struct follow *f = ctx;
+
+	f->open = false;
+	if (f->stopped)
+		return;
+	if (r->result != VH_STORE_OK) {
+		failed(f, r->result);
+		return;
+	}
+	f->failures = 0;
+	give(f, r);
+	if (f->stopped)
+		return;
+	f->next += r->n;
+	if (f->next >= r->end)
+		mark_fresh(f);
+	again(f, f->next < r->end ? 0 : f->pause_ms);
+}
+
+static void step(void *ctx)
+{
+	struct follow *f = ctx;
+	const struct vh_store_ops *ops = f->ports->store;
+
+	if (f->stopped || f->open)
+		return;
+	f->open = true;
+	f->sent_ms = vh_kernel_now_ms(f->kernel);
+	if (f->loaded)
+		ops->read(f->ports->store_self, f->topic, f->next, f->wait_ms,
+			  on_read, f);
+	else
+		ops->newest(f->ports->store_self, f->topic,
+			    vh_slice_str(f->after), on_newest, f);
+}
+
+void follow_start(struct follow *f)
+{
+	f->stopped = false;
+	vh_timer_init(&f->timer, f->kernel, step, f);
+	again(f, 0);
+}
+
+void follow_stop(struct follow *f)
+{
+	f->stopped = true;
+	vh_timer_stop(&f->timer);
+}
+
+bool follow_idle(const struct follow *f)
+{
+	return !f->open;
+}
+
+void follow_finish(struct follow *f)
+{
+	vh_timer_finish(&f->timer);
+	g_clear_pointer(&f->after, g_free);
+}
+
+int64_t follow_age_ms(const struct follow *f, int64_t now_ms)
+{
+	return f->fresh_ms ? now_ms - f->fresh_ms : AGE_NEVER;
+}
--- /dev/null
+++ b/packages/cell/src/hub.c
@@ -0,0 +1,238 @@
+#include "hub.h"
+
+#include <arpa/inet.h>
+#include <string.h>
+
+#define PING_MS 250	    /* between two heartbeats of an owner */
+#define HEARD_MS 1200	    /* a node heard so lately is there */
+#define STORE_LATELY_MS 1500 /* a node that reached the store so lately can */
+#define SILENT_MS 5000	    /* a connection without a word for so long ends */
+
+static void link_drop(struct hub_link *l)
+{
+	struct hub *h = l->hub;
+
+	for (struct hub_link **p = &h->links; *p; p = &(*p)->next) {
+		if (*p != l)
+			continue;
+		*p = l->next;
+		break;
+	}
+	if (l->ready && h->epoch)
+		h->ops.left(h->ctx, l);
+	bufferevent_free(l->bev);
+	g_free(l->name);
+	g_free(l);
+}
+
+static void send_ping(struct hub_link *l)
+{
+	struct wire_out o;
+
+	wire_begin(&o, WIRE_PING, 2);
+	msgpack_pack_uint64(&o.pk, l->hub->epoch);
+	msgpack_pack_uint64(&o.pk, l->hub->incarnation);
+	wire_send(&o, l->bev);
+}
+
+static void on_query(struct hub_link *l, const struct vh_frame *f)
+{
+	struct hub *h = l->hub;
+	enum eng_status status = ENG_UNKNOWN + 1;
+	struct wire_out o;
+
+	if (h->epoch)
+		status = h->ops.status(h->ctx, wire_u64(f, 1));
+	wire_begin(&o, WIRE_STATUS, 2);
+	msgpack_pack_uint64(&o.pk, wire_u64(f, 0));
+	msgpack_pack_int(&o.pk, (int)status);
+	wire_send(&o, l->bev);
+}
+
+static void on_count(struct hub_link *l, const struct vh_frame *f)
+{
+	struct hub *h = l->hub;
+	struct wire_out o;
+	size_t jobs = 0;
+	bool known = false;
+
+	if (h->epoch)
+		known = h->ops.count(h->ctx, wire_bytes(f, 1), &jobs);
+	wire_begin(&o, WIRE_COUNTED, 3);
+	msgpack_pack_uint64(&o.pk, wire_u64(f, 0));
+	msgpack_pack_int(&o.pk, known);
+	msgpack_pack_uint64(&o.pk, jobs);
+	wire_send(&o, l->bev);
+}
+
+static void on_hello(struct hub_link *l, const struct vh_frame *f)
+{
+	struct hub *h = l->hub;
+
+	if (l->ready)
+		return;
+	l->name = vh_slice_dup(wire_bytes(f, 0));
+	l->ready = true;
+	send_ping(l);
+	if (h->epoch)
+		h->ops.joined(h->ctx, l);
+}
+
+static bool on_frame(void *ctx, const struct vh_frame *f)
+{
+	struct hub_link *l = ctx;
+	struct hub *h = l->hub;
+
+	l->heard_ms = vh_kernel_now_ms(h->kernel);
+	switch ((enum wire_type)f->type) {
+	case WIRE_HELLO:
+		on_hello(l, f);
+		return true;
+	case WIRE_PONG:
+		l->store_age_ms = (int64_t)wire_u64(f, 1);
+		return true;
+	case WIRE_QUERY:
+		on_query(l, f);
+		return true;
+	case WIRE_COUNT:
+		on_count(l, f);
+		return true;
+	case WIRE_ADVICE:
+		if (h->epoch)
+			h->ops.advice(h->ctx, l, f);
+		return true;
+	default:
+		return false;
+	}
+}
+
+static void on_input(struct bufferevent *bev, void *ctx)
+{
+	if (!wire_read(bev, on_frame, ctx))
+		link_drop(ctx);
+}
+
+static void on_event(struct bufferevent *bev, short what, void *ctx)
+{
+	(void)bev;
+	if (what & (BEV_EVENT_EOF | BEV_EVENT_ERROR | BEV_EVENT_TIMEOUT))
+		link_drop(ctx);
+}
+
+static void on_accept(struct evconnlistener *listener, evutil_socket_t fd,
+		      struct sockaddr *from, int len, void *ctx)
+{
+	struct hub *h = ctx;
+	struct hub_link *l = g_new0(struct hub_link, 1);
+
+	(void)listener;
+	(void)from;
+	(void)len;
+	l->hub = h;
+	l->advisor = -1;
+	l->store_age_ms = INT64_MAX;
+	l->heard_ms = vh_kernel_now_ms(h->kernel);
+	l->bev = bufferevent_socket_new(h->kernel->base, fd,
+					BEV_OPT_CLOSE_ON_FREE);
+	l->next = h->links;
+	h->links = l;
+	wire_socket(l->bev);
+	bufferevent_setcb(l->bev, on_input, NULL, on_event, l);
+	bufferevent_enable(l->bev, EV_READ | EV_WRITE);
+}
+
+static void on_ping(void *ctx)
+{
+	struct hub *h = ctx;
+	int64_t now = vh_kernel_now_ms(h->kernel);
+	struct hub_link *next;
+
+	for (struct hub_link *l = h->links; l; l = next) {
+		next = l->next;
+		if (now - l->heard_ms > SILENT_MS)
+			link_drop(l);
+		else if (l->ready && h->epoch)
+			send_ping(l);
+	}
+	vh_timer_start(&h->ping, PING_MS);
+}
+
+bool hub_start(struct hub *h, struct vh_kernel *kernel,
+	       struct vh_slice address, uint64_t incarnation, GError **err)
+{
+	char *text = vh_slice_dup(address);
+	struct sockaddr_storage at;
+	int len = sizeof(at);
+
+	memset(h, 0, sizeof(*h));
+	h->kernel = kernel;
+	h->incarnation = incarnation;
+	if (!evutil_parse_sockaddr_port(text, (struct sockaddr *)&at, &len))
+		h->listener = evconnlistener_new_bind(
+			kernel->base, on_accept, h,
+			LEV_OPT_CLOSE_ON_FREE | LEV_OPT_REUSEABLE, -1,
+			(struct sockaddr *)&at, len);
+	if (!h->listener) {
+		g_set_error(err, VH_ERROR, VH_ERR_INTERNAL,
+			    "cannot listen on %s", text);
+		g_free(text);
+		return false;
+	}
+	g_free(text);
+	vh_timer_init(&h->ping, kernel, on_ping, h);
+	vh_timer_start(&h->ping, PING_MS);
+	return true;
+}
+
+void hub_stop(struct hub *h)
+{
+	while (h->links)
+		link_drop(h->links);
+	if (h->listener)
+		evconnlistener_free(h->listener);
+	vh_timer_finish(&h->ping);
+}
+
+void hub_own(struct hub *h, uint64_t epoch, const struct hub_ops *ops,
+	     void *ctx)
+{
+	h->epoch = epoch;
+	h->ctx = ctx;
+	if (ops)
+		h->ops = *ops;
+	for (struct hub_link *l = h->links; l; l = l->next) {
+		l->advisor = -1;
+		if (l->ready && epoch)
+			h->ops.joined(h->ctx, l);
+		if (l->ready)
+			send_ping(l);
+	}
+}
+
+void hub_peers(const struct hub *h, int64_t now_ms, bool *heard, bool *reach)
+{
+	*heard = false;
+	*reach = false;
+	for (const struct hub_link *l = h->links; l; l = l->next) {
+		if (!l->ready || now_ms - l->heard_ms > HEARD_MS)
+			continue;
+		*heard = true;
+		if (l->store_age_ms < STORE_LATELY_MS)
+			*reach = true;
+	}
+}
+
+void hub_ask(struct hub_link *l, uint64_t sequence, uint64_t job,
+	     uint32_t step, const struct vh_slice *workers, size_t n)
+{
+	struct wire_out o;
+
+	wire_begin(&o, WIRE_ASK, 4);
+	msgpack_pack_uint64(&o.pk, sequence);
+	msgpack_pack_uint64(&o.pk, job);
+	msgpack_pack_uint32(&o.pk, step);
+	msgpack_pack_array(&o.pk, n);
+	for (size_t i = 0; i < n; i++)
+		vh_frame_pack_bytes(&o.pk, workers[i]);
+	wire_send(&o, l->bev);
+}
--- /dev/null
+++ b/packages/cell/src/keys.c
@@ -0,0 +1,18 @@
+#include "keys.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+
+#include "vh/eng_job.h"
+
+void vh_key_format(char out[VH_KEY_BYTES], char kind, uint64_t id)
+{
+	snprintf(out, VH_KEY_BYTES, "%c%016" PRIx64, kind, id);
+}
+
+bool vh_key_parse(struct vh_slice key, char kind, uint64_t *id)
+{
+	if (!key.len || key.data[0] != kind)
+		return false;
+	return eng_id_parse(vh_slice(key.data + 1, key.len - 1), id);
+}
--- /dev/null
+++ b/packages/cell/src/lead.c
@@ -0,0 +1,362 @@
+#include "lead.h"
+
+#include "keys.h"
+#include "lead_priv.h"
+#include "vh/log.h"
+
+#define RUN_SOON_MS 4	       /* after an event, so that several share a run */
+#define TICK_MS 40	       /* between runs without events */
+#define FLEET_PAUSE_MS 400     /* between two readings of the fleet's list */
+#define JOBS_WAIT_MS 1000      /* longest that a reading of jobs waits */
+#define JOBS_PAUSE_MS 8	       /* so that jobs come several at a time */
+#define PULSE_MS 500	       /* an owner writes at least this often */
+#define APPEND_TIMEOUT_MS 900
+#define APPEND_RETRY_MS 60
+#define FROZEN_MS 900	       /* a loop that stood still so long */
+#define JOBS_AGE_MOST_MS 1500  /* older: a job may exist that is not known */
+
+void lead_poke(struct lead *l)
+{
+	if (!vh_timer_pending(&l->run) && l->phase != LEAD_ENDED)
+		vh_timer_start(&l->run, RUN_SOON_MS);
+}
+
+int64_t lead_now(const struct lead *l)
+{
+	return vh_kernel_now_ms(l->kernel);
+}
+
+static void gave_up(struct lead *l, const char *why)
+{
+	if (l->phase == LEAD_ENDED)
+		return;
+	l->ops.gave_up(l->ctx, why);
+}
+
+static void append_send(struct lead *l);
+
+static void append_done(struct lead *l)
+{
+	l->append_open = false;
+	l->wrote_ms = lead_now(l);
+	l->ops.proved(l->ctx, l->append_ms);
+	l->frozen = false;
+	if (l->phase == LEAD_FENCING) {
+		l->phase = LEAD_LOADING;
+		follow_start(&l->fleet);
+		follow_start(&l->state);
+	}
+	if (l->batch)
+		eng_stored(l->engine, l->batch, lead_now(l));
+	l->batch = 0;
+	eng_records_free(l->records, l->n_records);
+	l->records = NULL;
+	l->n_records = 0;
+	lead_poke(l);
+}
+
+static void on_append(void *ctx, const struct vh_append_reply *r)
+{
+	struct lead *l = ctx;
+
+	l->calls--;
+	if (lead_gone(l))
+		return;
+	switch (r->result) {
+	case VH_STORE_OK:
+		append_done(l);
+		return;
+	case VH_STORE_SEQUENCE:
+		if (r->expected == l->sequence + 1) {
+			append_done(l); /* an earlier try was stored */
+			return;
+		}
+		gave_up(l, "another writer used this epoch");
+		return;
+	case VH_STORE_FENCED:
+		gave_up(l, "the store knows a newer owner");
+		return;
+	default:
+		vh_timer_start(&l->retry, APPEND_RETRY_MS);
+	}
+}
+
+static void append_send(struct lead *l)
+{
+	struct vh_append a = { .topic = VH_TOPIC_STATE,
+			       .epoch = l->epoch,
+			       .sequence = l->sequence,
+			       .timeout_ms = APPEND_TIMEOUT_MS };
+	struct vh_record *out = g_new0(struct vh_record, l->n_records + 1);
+	char(*keys)[VH_KEY_BYTES] = g_malloc0((l->n_records + 1) *
+					      VH_KEY_BYTES);
+
+	for (size_t i = 0; i < l->n_records; i++) {
+		vh_key_format(keys[i], VH_KEY_STATE, l->records[i].job);
+		out[i].key = vh_slice_str(keys[i]);
+		out[i].value = vh_buf_slice(&l->records[i].bytes);
+	}
+	a.n = l->n_records;
+	if (!a.n && l->phase == LEAD_ACTING) {
+		out[0].key = vh_slice_str(VH_KEY_PULSE);
+		out[0].value = vh_slice_str("1");
+		a.n = 1;
+	}
+	a.records = out;
+	l->append_ms = lead_now(l);
+	l->calls++;
+	l->ports->store->append(l->ports->store_self, &a, on_append, l);
+	g_free(out);
+	g_free(keys);
+}
+
+static void on_retry(void *ctx)
+{
+	append_send(ctx);
+}
+
+/* Stores what has changed, or that this owner is still there. */
+static void flush(struct lead *l)
+{
+	if (l->append_open || l->phase != LEAD_ACTING)
+		return;
+	l->batch = eng_flush(l->engine, &l->records, &l->n_records);
+	if (!l->batch && lead_now(l) - l->wrote_ms < PULSE_MS && !l->frozen)
+		return;
+	l->append_open = true;
+	l->sequence++;
+	append_send(l);
+}
+
+static void on_run(void *ctx)
+{
+	struct lead *l = ctx;
+	int64_t now = lead_now(l);
+
+	if (now - l->ran_ms > FROZEN_MS && l->phase == LEAD_ACTING) {
+		/* Another may own the cell by now: ask the store first. */
+		l->frozen = true;
+		vh_log(G_LOG_LEVEL_WARNING, "owner stood still", NULL);
+	}
+	l->ran_ms = now;
+	if (l->phase == LEAD_ACTING && !l->frozen) {
+		eng_run(l->engine, now);
+		if (l->phase == LEAD_ENDED)
+			return;
+		lead_asks_run(l);
+	}
+	flush(l);
+	vh_timer_start(&l->run, TICK_MS);
+}
+
+static void maybe_ready(struct lead *l)
+{
+	char jobs[24];
+
+	if (l->phase != LEAD_LOADING || !l->fleet.loaded || !l->jobs.loaded)
+		return;
+	l->phase = LEAD_ACTING;
+	l->ran_ms = lead_now(l);
+	l->wrote_ms = l->ran_ms;
+	eng_ready(l->engine, l->ran_ms);
+	g_snprintf(jobs, sizeof(jobs), "%u", l->n_loaded);
+	vh_log(G_LOG_LEVEL_INFO, "owner ready", "records", jobs, NULL);
+	lead_poke(l);
+}
+
+static void on_fleet_record(void *ctx, const struct vh_record *r)
+{
+	struct lead *l = ctx;
+	GStringChunk *scratch;
+	struct eng_worker_info info = { 0 };
+
+	scratch = g_string_chunk_new(512);
+	if (l->ports->decode->worker(r->key, r->value, &info, scratch))
+		eng_worker(l->engine, &info, lead_now(l));
+	else
+		eng_worker_unlisted(l->engine, r->key, lead_now(l));
+	g_string_chunk_free(scratch);
+}
+
+static void on_fleet_fresh(void *ctx, int64_t as_of_ms)
+{
+	(void)as_of_ms;
+	maybe_ready(ctx);
+}
+
+static void on_state_record(void *ctx, const struct vh_record *r)
+{
+	struct lead *l = ctx;
+	uint64_t id;
+
+	if (!vh_key_parse(r->key, VH_KEY_STATE, &id))
+		return;
+	l->n_loaded++;
+	eng_recover(l->engine, id, r->value, lead_now(l));
+}
+
+static void on_state_fresh(void *ctx, int64_t as_of_ms)
+{
+	struct lead *l = ctx;
+
+	(void)as_of_ms;
+	/* Nobody else writes there from the fence on. */
+	follow_stop(&l->state);
+	follow_start(&l->jobs);
+}
+
+static void on_job_record(void *ctx, const struct vh_record *r)
+{
+	struct lead *l = ctx;
+	struct eng_job_spec *spec;
+	uint64_t id;
+
+	l->n_loaded++;
+	if (vh_key_parse(r->key, VH_KEY_CANCEL, &id)) {
+		eng_cancel(l->engine, id, lead_now(l));
+	} else if (vh_key_parse(r->key, VH_KEY_JOB, &id) && r->value.len) {
+		spec = eng_job_unpack(r->value);
+		if (spec && spec->id == id)
+			eng_job(l->engine, spec, lead_now(l),
+				vh_clock_wall_ms(l->kernel->clock));
+		else
+			vh_log(G_LOG_LEVEL_WARNING, "unreadable job record",
+			       NULL);
+	}
+	lead_poke(l);
+}
+
+static void on_job_fresh(void *ctx, int64_t as_of_ms)
+{
+	(void)as_of_ms;
+	maybe_ready(ctx);
+}
+
+static void follow_setup(struct lead *l, struct follow *f, enum vh_topic topic,
+			 void (*record)(void *ctx, const struct vh_record *r),
+			 void (*fresh)(void *ctx, int64_t as_of_ms))
+{
+	f->kernel = l->kernel;
+	f->ports = l->ports;
+	f->topic = topic;
+	f->record = record;
+	f->fresh = fresh;
+	f->ctx = l;
+	f->stopped = true;
+}
+
+struct lead *lead_new(struct vh_kernel *kernel, const struct vh_ports *ports,
+		      struct hub *hub, const struct lead_settings *settings,
+		      uint64_t epoch, int64_t former_ms,
+		      const struct lead_ops *ops, void *ctx)
+{
+	struct lead *l = g_new0(struct lead, 1);
+	struct eng_settings s = settings->engine;
+
+	l->kernel = kernel;
+	l->ports = ports;
+	l->hub = hub;
+	l->epoch = epoch;
+	l->ops = *ops;
+	l->ctx = ctx;
+	s.fence = epoch;
+	s.former_ms = former_ms;
+	l->engine = lead_engine(l, &s);
+	follow_setup(l, &l->fleet, VH_TOPIC_FLEET, on_fleet_record,
+		     on_fleet_fresh);
+	l->fleet.pause_ms = FLEET_PAUSE_MS;
+	follow_setup(l, &l->state, VH_TOPIC_STATE, on_state_record,
+		     on_state_fresh);
+	follow_setup(l, &l->jobs, VH_TOPIC_JOBS, on_job_record, on_job_fresh);
+	l->jobs.wait_ms = JOBS_WAIT_MS;
+	l->jobs.pause_ms = JOBS_PAUSE_MS;
+	vh_timer_init(&l->run, kernel, on_run, l);
+	vh_timer_init(&l->retry, kernel, on_retry, l);
+	lead_asks_init(l);
+	l->append_open = true;
+	append_send(l);
+	vh_timer_start(&l->run, TICK_MS);
+	l->ran_ms = lead_now(l);
+	return l;
+}
+
+static bool idle(const struct lead *l)
+{
+	return !l->calls && follow_idle(&l->fleet) && follow_idle(&l->jobs) &&
+	       follow_idle(&l->state);
+}
+
+static void reap(void *ctx)
+{
+	struct lead *l = ctx;
+
+	if (!idle(l)) {
+		vh_timer_start(&l->run, TICK_MS);
+		return;
+	}
+	vh_timer_finish(&l->run);
+	vh_timer_finish(&l->retry);
+	if (l->fleet.timer.ev)
+		follow_finish(&l->fleet);
+	if (l->state.timer.ev)
+		follow_finish(&l->state);
+	if (l->jobs.timer.ev)
+		follow_finish(&l->jobs);
+	eng_free(l->engine);
+	eng_records_free(l->records, l->n_records);
+	g_free(l);
+}
+
+bool lead_gone(struct lead *l)
+{
+	return l->phase == LEAD_ENDED;
+}
+
+void lead_end(struct lead *l)
+{
+	l->phase = LEAD_ENDED;
+	hub_own(l->hub, 0, NULL, NULL);
+	if (l->fleet.timer.ev)
+		follow_stop(&l->fleet);
+	if (l->state.timer.ev)
+		follow_stop(&l->state);
+	if (l->jobs.timer.ev)
+		follow_stop(&l->jobs);
+	vh_timer_stop(&l->retry);
+	lead_asks_finish(l);
+	l->run.fn = reap;
+	vh_timer_start(&l->run, TICK_MS);
+}
+
+void lead_config(struct lead *l, const struct vh_config_view *view)
+{
+	eng_teams(l->engine, view->teams, view->n_teams);
+}
+
+enum eng_status lead_status(struct lead *l, uint64_t job, bool *known)
+{
+	enum eng_status s = eng_status(l->engine, job);
+
+	*known = l->phase == LEAD_ACTING;
+	if (s == ENG_UNKNOWN &&
+	    follow_age_ms(&l->jobs, lead_now(l)) > JOBS_AGE_MOST_MS)
+		*known = false;
+	return s;
+}
+
+bool lead_count(struct lead *l, struct vh_slice queue, size_t *jobs)
+{
+	*jobs = eng_pending(l->engine, queue);
+	return l->phase == LEAD_ACTING;
+}
+
+bool lead_stats(const struct lead *l, struct eng_stats *out)
+{
+	eng_stats(l->engine, out);
+	return l->phase == LEAD_ACTING;
+}
+
+uint64_t lead_epoch(const struct lead *l)
+{
+	return l->epoch;
+}
--- /dev/null
+++ b/packages/cell/src/lead_orders.c
@@ -0,0 +1,157 @@
+#include "lead_priv.h"
+
+#include <inttypes.h>
+
+#include "vh/log.h"
+
+/* A call to a worker that is out. */
+struct order {
+	struct lead *lead;
+	char *worker;
+	struct eng_task_ref task;
+};
+
+static struct order *order_new(struct lead *l, struct vh_slice worker)
+{
+	struct order *o = g_new0(struct order, 1);
+
+	o->lead = l;
+	o->worker = vh_slice_dup(worker);
+	l->calls++;
+	return o;
+}
+
+static void order_free(struct order *o)
+{
+	g_free(o->worker);
+	g_free(o);
+}
+
+static void on_started(void *ctx, enum eng_answer answer)
+{
+	struct order *o = ctx;
+	struct lead *l = o->lead;
+
+	l->calls--;
+	if (!lead_gone(l)) {
+		eng_started(l->engine, vh_slice_str(o->worker), o->task,
+			    answer, lead_now(l));
+		lead_poke(l);
+	}
+	order_free(o);
+}
+
+static void on_stopped(void *ctx, enum eng_answer answer)
+{
+	struct order *o = ctx;
+	struct lead *l = o->lead;
+
+	l->calls--;
+	if (!lead_gone(l)) {
+		eng_stopped(l->engine, vh_slice_str(o->worker), o->task,
+			    answer, lead_now(l));
+		lead_poke(l);
+	}
+	order_free(o);
+}
+
+static void on_hold(void *ctx, enum eng_answer answer,
+		    const struct eng_report *report)
+{
+	struct order *o = ctx;
+	struct lead *l = o->lead;
+	struct vh_slice worker = vh_slice_str(o->worker);
+
+	l->calls--;
+	if (!lead_gone(l)) {
+		if (answer == ENG_ANSWER_OK)
+			eng_report(l->engine, worker, report, lead_now(l));
+		else
+			eng_hold_failed(l->engine, worker, answer,
+					lead_now(l));
+		lead_poke(l);
+	}
+	order_free(o);
+}
+
+static void send_start(void *ctx, const struct eng_start_order *s)
+{
+	struct lead *l = ctx;
+	struct order *o = order_new(l, s->worker);
+
+	o->task = s->task;
+	l->ports->workers->start(l->ports->workers_self, s->address, l->epoch,
+				 s, on_started, o);
+}
+
+static void send_stop(void *ctx, struct vh_slice worker,
+		      struct vh_slice address, struct eng_task_ref task)
+{
+	struct lead *l = ctx;
+	struct order *o = order_new(l, worker);
+
+	o->task = task;
+	l->ports->workers->stop(l->ports->workers_self, address, worker,
+				l->epoch, task, on_stopped, o);
+}
+
+static void send_hold(void *ctx, const struct eng_hold_order *h)
+{
+	struct lead *l = ctx;
+	struct order *o = order_new(l, h->worker);
+
+	l->ports->workers->hold(l->ports->workers_self, h->address, l->epoch,
+				h, on_hold, o);
+}
+
+static void give_up(void *ctx)
+{
+	struct lead *l = ctx;
+
+	l->calls--;
+	if (!lead_gone(l))
+		l->ops.gave_up(l->ctx, "a worker knows a newer owner");
+}
+
+/* Later, since the engine is in the middle of something. */
+static void on_deposed(void *ctx, const char *why)
+{
+	struct lead *l = ctx;
+
+	(void)why;
+	l->calls++;
+	vh_kernel_defer(l->kernel, give_up, l);
+}
+
+static void on_decided(void *ctx, const char *what, uint64_t job,
+		       struct eng_task_ref task, struct vh_slice worker)
+{
+	char id[20];
+	char part[40];
+	char run[12];
+	char *name = vh_slice_dup(worker);
+
+	(void)ctx;
+	g_snprintf(id, sizeof(id), "%016" PRIx64, job);
+	g_snprintf(part, sizeof(part), "%u.%u.%u", task.occurrence, task.step,
+		   task.index);
+	g_snprintf(run, sizeof(run), "%u", task.run);
+	vh_log(G_LOG_LEVEL_INFO, what, "job", id, "task", part, "run", run,
+	       "worker", name, NULL);
+	g_free(name);
+}
+
+struct engine *lead_engine(struct lead *l, const struct eng_settings *s)
+{
+	struct eng_ports ports = {
+		.start = send_start,
+		.stop = send_stop,
+		.hold = send_hold,
+		.advise = lead_advise,
+		.deposed = on_deposed,
+		.decided = on_decided,
+		.ctx = l,
+	};
+
+	return eng_new(s, &ports, lead_now(l));
+}
--- /dev/null
+++ b/packages/cell/src/lead_priv.h
@@ -0,0 +1,71 @@
+#ifndef CELL_LEAD_PRIV_H
+#define CELL_LEAD_PRIV_H
+
+#include "lead.h"
+
+enum lead_phase {
+	LEAD_FENCING,
+	LEAD_LOADING,
+	LEAD_ACTING,
+	LEAD_ENDED
+};
+
+/**
+ * struct lead
+ * @calls: calls that are out
+ * @sequence: of the append that is out, or was last
+ * @batch: the engine's batch in that append, 0: none
+ * @frozen: nothing is decided until the store has taken a write
+ * @asks: calls to the policy service that wait for a node
+ * @asked: those that are out, by sequence
+ */
+struct lead {
+	struct vh_kernel *kernel;
+	const struct vh_ports *ports;
+	struct hub *hub;
+	struct lead_ops ops;
+	void *ctx;
+	uint64_t epoch;
+	enum lead_phase phase;
+	struct engine *engine;
+	struct follow fleet;
+	struct follow state;
+	struct follow jobs;
+	struct vh_timer run;
+	struct vh_timer retry;
+	unsigned int calls;
+	unsigned int n_loaded;
+
+	bool append_open;
+	bool frozen;
+	uint64_t sequence;
+	uint64_t batch;
+	struct eng_record *records;
+	size_t n_records;
+	int64_t append_ms;
+	int64_t wrote_ms;
+	int64_t ran_ms;
+
+	struct advisors advisors;
+	int self_advisor;
+	GQueue asks;
+	GHashTable *asked;
+	uint64_t ask_sequence;
+};
+
+void lead_poke(struct lead *l);
+int64_t lead_now(const struct lead *l);
+
+/* lead_gone - the lead has ended; a call that comes back changes nothing */
+bool lead_gone(struct lead *l);
+
+/* lead_orders.c: the engine's orders to workers */
+struct engine *lead_engine(struct lead *l, const struct eng_settings *s);
+
+/* lead_asks.c: calls to the policy service, by all nodes */
+void lead_asks_init(struct lead *l);
+void lead_asks_finish(struct lead *l);
+void lead_asks_run(struct lead *l);
+void lead_advise(void *ctx, const struct eng_ask *ask);
+
+#endif
--- /dev/null
+++ b/packages/cell/src/owner.c
@@ -0,0 +1,344 @@
+#include "cell_priv.h"
+
+#include <inttypes.h>
+
+#include "keys.h"
+#include "vh/log.h"
+
+#define TICK_MS 50
+#define OWNER_WAIT_MS 5000   /* longest that a reading of the owner waits */
+#define CLAIM_TIMEOUT_MS 900 /* for writing a claim */
+#define LOOK_MS 650	     /* an owner writes at least once in this time */
+#define DELAY_PER_MS 6	     /* of waiting, for each that the store is away */
+#define DELAY_MOST_MS 900
+#define DELAY_SPREAD_MS 80   /* so that nodes alike do not claim at once */
+
+/* Who owns the cell, as its record says. */
+struct owner_record {
+	uint64_t incarnation;
+	struct vh_slice name;
+	struct vh_slice address;
+	bool released;
+};
+
+static void log_epoch(const char *what, uint64_t epoch, const char *why)
+{
+	char text[24];
+
+	g_snprintf(text, sizeof(text), "%" PRIu64, epoch);
+	vh_log(G_LOG_LEVEL_INFO, what, "epoch", text, "why", why, NULL);
+}
+
+static void stop_lead(struct vh_cell *c, const char *why)
+{
+	if (!c->lead)
+		return;
+	log_epoch("ownership ended", lead_epoch(c->lead), why);
+	lead_end(c->lead);
+	c->lead = NULL;
+}
+
+static void on_proved(void *ctx, int64_t sent_ms)
+{
+	struct vh_cell *c = ctx;
+
+	c->claim.proved_ms = MAX(c->claim.proved_ms, sent_ms);
+}
+
+static void on_gave_up(void *ctx, const char *why)
+{
+	struct vh_cell *c = ctx;
+
+	stop_lead(c, why);
+	claim_gave_up(&c->claim, vh_kernel_now_ms(c->kernel));
+}
+
+static void start_lead(struct vh_cell *c, uint64_t epoch)
+{
+	static const struct lead_ops ops = { on_proved, on_gave_up };
+
+	stop_lead(c, "claimed anew");
+	spoke_follow(&c->spoke, epoch, c->incarnation, vh_slice(NULL, 0));
+	log_epoch("ownership begins", epoch, "claim stored");
+	c->lead = lead_new(c->kernel, c->ports, &c->hub, &c->lead_settings,
+			   epoch, claim_former_ms(), &ops, c);
+	if (c->view)
+		lead_config(c->lead, c->view);
+}
+
+static bool record_read(struct vh_slice bytes, struct owner_record *r,
+			msgpack_unpacked *u)
+{
+	const msgpack_object *p;
+	size_t off = 0;
+	uint64_t released;
+
+	if (msgpack_unpack_next(u, bytes.data, bytes.len, &off) !=
+		    MSGPACK_UNPACK_SUCCESS ||
+	    u->data.type != MSGPACK_OBJECT_ARRAY || u->data.via.array.size < 4)
+		return false;
+	p = u->data.via.array.ptr;
+	if (!vh_frame_u64(&p[0], UINT64_MAX, &r->incarnation) ||
+	    !vh_frame_bytes(&p[1], ENG_NAME_MAX, &r->name) ||
+	    !vh_frame_bytes(&p[2], ENG_NAME_MAX, &r->address) ||
+	    !vh_frame_u64(&p[3], 1, &released))
+		return false;
+	r->released = released;
+	return true;
+}
+
+static void follow_owner(struct vh_cell *c, uint64_t epoch,
+			 const struct owner_record *r, bool mine, int64_t now)
+{
+	if (mine)
+		return;
+	stop_lead(c, "a newer owner is recorded");
+	if (r->released) {
+		spoke_follow(&c->spoke, epoch, 0, vh_slice(NULL, 0));
+		return;
+	}
+	log_epoch("owner recorded", epoch, "read");
+	/* This node's own earlier process: nobody is there any more. */
+	if (vh_slice_eq_str(r->name, c->name))
+		claim_dead(&c->claim, epoch, now);
+	else
+		spoke_follow(&c->spoke, epoch, r->incarnation, r->address);
+}
+
+static void on_owner_record(void *ctx, const struct vh_record *rec)
+{
+	struct vh_cell *c = ctx;
+	uint64_t epoch = rec->offset + 1;
+	int64_t now = vh_kernel_now_ms(c->kernel);
+	struct owner_record r = { 0 };
+	msgpack_unpacked u;
+	bool mine;
+
+	msgpack_unpacked_init(&u);
+	if (!vh_slice_eq_str(rec->key, VH_KEY_OWNER) ||
+	    !record_read(rec->value, &r, &u)) {
+		msgpack_unpacked_destroy(&u);
+		return;
+	}
+	mine = r.incarnation == c->incarnation && !r.released;
+	if (epoch > c->claim.epoch) {
+		claim_record(&c->claim, epoch, mine, r.released, now);
+		follow_owner(c, epoch, &r, mine, now);
+		if (mine && !c->leaving)
+			start_lead(c, epoch);
+	}
+	msgpack_unpacked_destroy(&u);
+}
+
+static void on_owner_fresh(void *ctx, int64_t as_of_ms)
+{
+	struct vh_cell *c = ctx;
+	int64_t now = vh_kernel_now_ms(c->kernel);
+	uint64_t spread = vh_slice_hash(vh_slice_str(c->name), 0);
+
+	if (!c->claim.known) {
+		c->fastest_ms = now - as_of_ms;
+		c->claim.delay_ms =
+			MIN(c->fastest_ms * DELAY_PER_MS, DELAY_MOST_MS) +
+			(int64_t)(spread % DELAY_SPREAD_MS);
+	}
+	claim_known(&c->claim, now);
+}
+
+static void pack_record(struct vh_cell *c, bool released, struct vh_buf *out)
+{
+	msgpack_sbuffer sb;
+	msgpack_packer pk;
+
+	msgpack_sbuffer_init(&sb);
+	msgpack_packer_init(&pk, &sb, msgpack_sbuffer_write);
+	msgpack_pack_array(&pk, 4);
+	msgpack_pack_uint64(&pk, c->incarnation);
+	vh_frame_pack_bytes(&pk, vh_slice_str(c->name));
+	vh_frame_pack_bytes(&pk, vh_slice_str(c->peer_address));
+	msgpack_pack_int(&pk, released);
+	vh_buf_add(out, sb.data, sb.size);
+	msgpack_sbuffer_destroy(&sb);
+}
+
+static void write_record(struct vh_cell *c, bool released,
+			 void (*done)(void *ctx,
+				      const struct vh_append_reply *r))
+{
+	struct vh_record rec = { .key = VH_SLICE(VH_KEY_OWNER) };
+	struct vh_append a = { .topic = VH_TOPIC_OWNER,
+			       .records = &rec,
+			       .n = 1,
+			       .if_end = true,
+			       .end = c->owner.next,
+			       .timeout_ms = CLAIM_TIMEOUT_MS };
+	struct vh_buf bytes;
+
+	vh_buf_init(&bytes);
+	pack_record(c, released, &bytes);
+	rec.value = vh_buf_slice(&bytes);
+	c->ports->store->append(c->ports->store_self, &a, done, c);
+	vh_buf_finish(&bytes);
+}
+
+static void on_claimed(void *ctx, const struct vh_append_reply *r)
+{
+	struct vh_cell *c = ctx;
+	int64_t now = vh_kernel_now_ms(c->kernel);
+
+	if (r->result != VH_STORE_OK) {
+		claim_refused(&c->claim, now);
+		return;
+	}
+	if (r->offset + 1 <= c->claim.epoch || c->leaving)
+		return;
+	claim_record(&c->claim, r->offset + 1, true, false, now);
+	start_lead(c, r->offset + 1);
+}
+
+static void on_looked_again(void *ctx, const struct vh_read_reply *r)
+{
+	struct vh_cell *c = ctx;
+
+	claim_looked(&c->claim, r->end != c->look_end,
+		     r->result != VH_STORE_OK, vh_kernel_now_ms(c->kernel));
+	if (r->result == VH_STORE_OK && r->end == c->look_end)
+		log_epoch("owner does not write", c->claim.epoch, "looked");
+}
+
+static void look_again(void *ctx)
+{
+	struct vh_cell *c = ctx;
+
+	c->ports->store->newest(c->ports->store_self, VH_TOPIC_STATE,
+				vh_slice_str(VH_KEY_BEFORE_PULSE),
+				on_looked_again, c);
+}
+
+static void on_looked(void *ctx, const struct vh_read_reply *r)
+{
+	struct vh_cell *c = ctx;
+
+	if (r->result != VH_STORE_OK) {
+		claim_looked(&c->claim, false, true,
+			     vh_kernel_now_ms(c->kernel));
+		return;
+	}
+	c->look_end = r->end;
+	vh_timer_start(&c->look, LOOK_MS);
+}
+
+static void on_tick(void *ctx)
+{
+	struct vh_cell *c = ctx;
+	int64_t now = vh_kernel_now_ms(c->kernel);
+	bool peers;
+	bool reach;
+
+	hub_peers(&c->hub, now, &peers, &reach);
+	switch (c->leaving ? CLAIM_NOTHING :
+			     claim_tick(&c->claim, now, peers, reach)) {
+	case CLAIM_NOTHING:
+		break;
+	case CLAIM_LOOK:
+		c->ports->store->newest(c->ports->store_self, VH_TOPIC_STATE,
+					vh_slice_str(VH_KEY_BEFORE_PULSE),
+					on_looked, c);
+		break;
+	case CLAIM_TAKE:
+		write_record(c, false, on_claimed);
+		break;
+	case CLAIM_STEP_DOWN:
+		stop_lead(c, "the store has not answered");
+		claim_gave_up(&c->claim, now);
+		break;
+	}
+	vh_timer_start(&c->tick, TICK_MS);
+}
+
+static void on_ask(void *ctx, const struct vh_frame *f)
+{
+	own_advice(ctx, f);
+}
+
+static void on_heard(void *ctx, uint64_t epoch)
+{
+	struct vh_cell *c = ctx;
+
+	claim_heard(&c->claim, epoch, vh_kernel_now_ms(c->kernel));
+}
+
+static void on_dead(void *ctx, uint64_t epoch)
+{
+	struct vh_cell *c = ctx;
+
+	if (!c->claim.dead)
+		log_epoch("owner does not answer", epoch, "refused");
+	claim_dead(&c->claim, epoch, vh_kernel_now_ms(c->kernel));
+}
+
+static int64_t store_age_ms(void *ctx)
+{
+	struct vh_cell *c = ctx;
+
+	return follow_age_ms(&c->objects, vh_kernel_now_ms(c->kernel));
+}
+
+void owner_init(struct vh_cell *c)
+{
+	c->owner.kernel = c->kernel;
+	c->owner.ports = c->ports;
+	c->owner.topic = VH_TOPIC_OWNER;
+	c->owner.wait_ms = OWNER_WAIT_MS;
+	c->owner.record = on_owner_record;
+	c->owner.fresh = on_owner_fresh;
+	c->owner.ctx = c;
+}
+
+bool owner_start(struct vh_cell *c, GError **err)
+{
+	if (!hub_start(&c->hub, c->kernel, vh_slice_str(c->peer_address),
+		       c->incarnation, err))
+		return false;
+	spoke_init(&c->spoke, c->kernel, c->name, c->incarnation);
+	c->spoke.ask = on_ask;
+	c->spoke.heard = on_heard;
+	c->spoke.dead = on_dead;
+	c->spoke.store_age_ms = store_age_ms;
+	c->spoke.ctx = c;
+	claim_init(&c->claim, DELAY_MOST_MS, vh_kernel_now_ms(c->kernel));
+	vh_timer_init(&c->tick, c->kernel, on_tick, c);
+	vh_timer_init(&c->look, c->kernel, look_again, c);
+	vh_timer_start(&c->tick, TICK_MS);
+	follow_start(&c->owner);
+	return true;
+}
+
+void owner_stop(struct vh_cell *c)
+{
+	stop_lead(c, "the process stops");
+	follow_stop(&c->owner);
+	vh_timer_stop(&c->tick);
+	vh_timer_stop(&c->look);
+	spoke_finish(&c->spoke);
+	hub_stop(&c->hub);
+}
+
+static void on_released(void *ctx, const struct vh_append_reply *r)
+{
+	(void)ctx;
+	if (r->result != VH_STORE_OK)
+		vh_log(G_LOG_LEVEL_WARNING, "ownership not released", NULL);
+}
+
+void vh_cell_leave(struct vh_cell *c)
+{
+	bool owned = c->lead;
+
+	if (c->leaving)
+		return;
+	c->leaving = true;
+	stop_lead(c, "the node leaves");
+	if (owned)
+		write_record(c, true, on_released);
+}
--- /dev/null
+++ b/packages/cell/src/spoke.c
@@ -0,0 +1,277 @@
+#include "spoke.h"
+
+#include <string.h>
+
+#define TICK_MS 50
+#define RECONNECT_MS 150 /* after a connection that failed */
+#define CONNECT_MS 1500	 /* a connection that is not up by then is given up */
+#define SILENT_MS 1500	 /* an owner's connection without a word ends */
+
+struct spoke_call {
+	uint64_t sequence;
+	int64_t deadline_ms;
+	void (*done)(void *ctx, bool known, uint64_t value);
+	void *ctx;
+};
+
+static void call_end(struct spoke *s, struct spoke_call *c, bool known,
+		     uint64_t value)
+{
+	g_hash_table_steal(s->calls, &c->sequence);
+	c->done(c->ctx, known, value);
+	g_free(c);
+}
+
+static void expire(struct spoke *s, int64_t now_ms)
+{
+	GList *all = g_hash_table_get_values(s->calls);
+
+	for (GList *l = all; l; l = l->next) {
+		struct spoke_call *c = l->data;
+
+		if (c->deadline_ms <= now_ms)
+			call_end(s, c, false, 0);
+	}
+	g_list_free(all);
+}
+
+static void drop(struct spoke *s)
+{
+	if (s->bev)
+		bufferevent_free(s->bev);
+	s->bev = NULL;
+	s->ready = false;
+	s->connect_ms = vh_kernel_now_ms(s->kernel);
+	expire(s, INT64_MAX);
+}
+
+static void send_pong(struct spoke *s)
+{
+	struct wire_out o;
+
+	wire_begin(&o, WIRE_PONG, 2);
+	msgpack_pack_uint64(&o.pk, s->epoch);
+	msgpack_pack_uint64(&o.pk, (uint64_t)s->store_age_ms(s->ctx));
+	wire_send(&o, s->bev);
+}
+
+static bool on_ping(struct spoke *s, const struct vh_frame *f)
+{
+	uint64_t epoch = wire_u64(f, 0);
+	uint64_t incarnation = wire_u64(f, 1);
+
+	if (incarnation != s->incarnation) {
+		drop(s);
+		s->dead(s->ctx, s->epoch);
+		return false;
+	}
+	if (epoch < s->epoch) {
+		s->ready = false;
+		return true;
+	}
+	s->ready = true;
+	send_pong(s);
+	s->heard(s->ctx, epoch);
+	return true;
+}
+
+static bool on_answer(struct spoke *s, const struct vh_frame *f)
+{
+	uint64_t sequence = wire_u64(f, 0);
+	struct spoke_call *c = g_hash_table_lookup(s->calls, &sequence);
+	bool counted = (int)f->type == WIRE_COUNTED;
+
+	if (!c)
+		return true;
+	if (counted)
+		call_end(s, c, wire_u64(f, 1), wire_u64(f, 2));
+	else
+		call_end(s, c, wire_u64(f, 1) <= ENG_UNKNOWN, wire_u64(f, 1));
+	return true;
+}
+
+static bool on_frame(void *ctx, const struct vh_frame *f)
+{
+	struct spoke *s = ctx;
+
+	s->last_ms = vh_kernel_now_ms(s->kernel);
+	switch ((enum wire_type)f->type) {
+	case WIRE_PING:
+		return on_ping(s, f);
+	case WIRE_STATUS:
+	case WIRE_COUNTED:
+		return on_answer(s, f);
+	case WIRE_ASK:
+		s->ask(s->ctx, f);
+		return true;
+	default:
+		return false;
+	}
+}
+
+static void on_input(struct bufferevent *bev, void *ctx)
+{
+	struct spoke *s = ctx;
+
+	if (!wire_read(bev, on_frame, s) && s->bev == bev)
+		drop(s);
+}
+
+static void say_hello(struct spoke *s)
+{
+	struct wire_out o;
+
+	wire_begin(&o, WIRE_HELLO, 2);
+	vh_frame_pack_bytes(&o.pk, vh_slice_str(s->name));
+	msgpack_pack_uint64(&o.pk, s->own_incarnation);
+	wire_send(&o, s->bev);
+}
+
+static void on_event(struct bufferevent *bev, short what, void *ctx)
+{
+	struct spoke *s = ctx;
+	bool refused = EVUTIL_SOCKET_ERROR() == ECONNREFUSED;
+
+	if (what & BEV_EVENT_CONNECTED) {
+		wire_socket(bev);
+		s->last_ms = vh_kernel_now_ms(s->kernel);
+		say_hello(s);
+		return;
+	}
+	if (!(what & (BEV_EVENT_EOF | BEV_EVENT_ERROR)))
+		return;
+	drop(s);
+	if ((what & BEV_EVENT_ERROR) && refused)
+		s->dead(s->ctx, s->epoch);
+}
+
+static void connect_owner(struct spoke *s)
+{
+	struct sockaddr_storage at;
+	int len = sizeof(at);
+
+	s->connect_ms = vh_kernel_now_ms(s->kernel);
+	s->last_ms = s->connect_ms;
+	if (evutil_parse_sockaddr_port(s->address, (struct sockaddr *)&at,
+				       &len))
+		return;
+	s->bev = bufferevent_socket_new(s->kernel->base, -1,
+					BEV_OPT_CLOSE_ON_FREE);
+	bufferevent_setcb(s->bev, on_input, NULL, on_event, s);
+	bufferevent_enable(s->bev, EV_READ | EV_WRITE);
+	if (bufferevent_socket_connect(s->bev, (struct sockaddr *)&at, len)) {
+		bufferevent_free(s->bev);
+		s->bev = NULL;
+	}
+}
+
+static void on_tick(void *ctx)
+{
+	struct spoke *s = ctx;
+	int64_t now = vh_kernel_now_ms(s->kernel);
+
+	expire(s, now);
+	if (s->bev && now - s->last_ms > (s->ready ? SILENT_MS : CONNECT_MS))
+		drop(s);
+	if (!s->bev && s->address && now - s->connect_ms >= RECONNECT_MS)
+		connect_owner(s);
+	vh_timer_start(&s->tick, TICK_MS);
+}
+
+void spoke_init(struct spoke *s, struct vh_kernel *kernel, const char *name,
+		uint64_t incarnation)
+{
+	memset(s, 0, sizeof(*s));
+	s->kernel = kernel;
+	s->name = g_strdup(name);
+	s->own_incarnation = incarnation;
+	s->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
+	vh_timer_init(&s->tick, kernel, on_tick, s);
+	vh_timer_start(&s->tick, TICK_MS);
+}
+
+void spoke_finish(struct spoke *s)
+{
+	drop(s);
+	vh_timer_finish(&s->tick);
+	g_hash_table_destroy(s->calls);
+	g_free(s->address);
+	g_free(s->name);
+}
+
+void spoke_follow(struct spoke *s, uint64_t epoch, uint64_t incarnation,
+		  struct vh_slice address)
+{
+	drop(s);
+	g_clear_pointer(&s->address, g_free);
+	s->epoch = epoch;
+	s->incarnation = incarnation;
+	if (!address.len)
+		return;
+	s->address = vh_slice_dup(address);
+	connect_owner(s);
+}
+
+bool spoke_usable(const struct spoke *s)
+{
+	return s->bev && s->ready;
+}
+
+static void call(struct spoke *s, struct wire_out *o, uint64_t sequence,
+		 int64_t timeout_ms,
+		 void (*done)(void *ctx, bool known, uint64_t value), void *ctx)
+{
+	struct spoke_call *c = g_new0(struct spoke_call, 1);
+
+	c->sequence = sequence;
+	c->deadline_ms = spoke_usable(s) ?
+				 vh_kernel_now_ms(s->kernel) + timeout_ms :
+				 0;
+	c->done = done;
+	c->ctx = ctx;
+	g_hash_table_insert(s->calls, &c->sequence, c);
+	wire_send(o, spoke_usable(s) ? s->bev : NULL);
+}
+
+void spoke_status(struct spoke *s, uint64_t job, int64_t timeout_ms,
+		  void (*done)(void *ctx, bool known, uint64_t value),
+		  void *ctx)
+{
+	uint64_t sequence = ++s->sequence;
+	struct wire_out o;
+
+	wire_begin(&o, WIRE_QUERY, 2);
+	msgpack_pack_uint64(&o.pk, sequence);
+	msgpack_pack_uint64(&o.pk, job);
+	call(s, &o, sequence, timeout_ms, done, ctx);
+}
+
+void spoke_count(struct spoke *s, struct vh_slice queue, int64_t timeout_ms,
+		 void (*done)(void *ctx, bool known, uint64_t value),
+		 void *ctx)
+{
+	uint64_t sequence = ++s->sequence;
+	struct wire_out o;
+
+	wire_begin(&o, WIRE_COUNT, 2);
+	msgpack_pack_uint64(&o.pk, sequence);
+	vh_frame_pack_bytes(&o.pk, queue);
+	call(s, &o, sequence, timeout_ms, done, ctx);
+}
+
+void spoke_advice(struct spoke *s, uint64_t sequence, bool ok,
+		  int64_t valid_ms, const struct eng_good *good, size_t n)
+{
+	struct wire_out o;
+
+	wire_begin(&o, WIRE_ADVICE, 4);
+	msgpack_pack_uint64(&o.pk, sequence);
+	msgpack_pack_int(&o.pk, ok);
+	msgpack_pack_uint64(&o.pk, (uint64_t)valid_ms);
+	msgpack_pack_array(&o.pk, n * 2);
+	for (size_t i = 0; i < n; i++) {
+		vh_frame_pack_bytes(&o.pk, good[i].worker);
+		vh_frame_pack_bytes(&o.pk, good[i].ticket);
+	}
+	wire_send(&o, s->bev);
+}
--- /dev/null
+++ b/packages/cell/src/spoke.h
@@ -0,0 +1,64 @@
+#ifndef CELL_SPOKE_H
+#define CELL_SPOKE_H
+
+#include "wire.h"
+
+/**
+ * struct spoke - this node's connection to the owner
+ * @epoch, @incarnation, @address: the owner's, from its record
+ * @ask: the owner wants the policy service called; see WIRE_ASK
+ * @heard: the owner of an epoch was heard
+ * @dead: nobody, or another process, is at the owner's address
+ * @store_age_ms: how long ago this node reached the store
+ */
+struct spoke {
+	struct vh_kernel *kernel;
+	char *name;
+	uint64_t own_incarnation;
+	void (*ask)(void *ctx, const struct vh_frame *f);
+	void (*heard)(void *ctx, uint64_t epoch);
+	void (*dead)(void *ctx, uint64_t epoch);
+	int64_t (*store_age_ms)(void *ctx);
+	void *ctx;
+
+	uint64_t epoch;
+	uint64_t incarnation;
+	char *address;
+	struct bufferevent *bev;
+	bool ready; /* the owner has answered on this connection */
+	uint64_t sequence;
+	GHashTable *calls; /* sequence to struct spoke_call */
+	struct vh_timer tick;
+	int64_t connect_ms;
+	int64_t last_ms; /* when anything came */
+};
+
+void spoke_init(struct spoke *s, struct vh_kernel *kernel, const char *name,
+		uint64_t incarnation);
+void spoke_finish(struct spoke *s);
+
+/* spoke_follow - connects to an owner; an empty address: to nobody */
+void spoke_follow(struct spoke *s, uint64_t epoch, uint64_t incarnation,
+		  struct vh_slice address);
+
+/* spoke_usable - whether a question could be answered now */
+bool spoke_usable(const struct spoke *s);
+
+/**
+ * spoke_status - asks the owner for a job's state
+ * @done: called once, later; known is false if there was no answer in time
+ */
+void spoke_status(struct spoke *s, uint64_t job, int64_t timeout_ms,
+		  void (*done)(void *ctx, bool known, uint64_t value),
+		  void *ctx);
+
+/* spoke_count - asks for the jobs of a queue of which nothing has started */
+void spoke_count(struct spoke *s, struct vh_slice queue, int64_t timeout_ms,
+		 void (*done)(void *ctx, bool known, uint64_t value),
+		 void *ctx);
+
+/* spoke_advice - answers an ask */
+void spoke_advice(struct spoke *s, uint64_t sequence, bool ok,
+		  int64_t valid_ms, const struct eng_good *good, size_t n);
+
+#endif
--- /dev/null
+++ b/packages/cell/src/wire.h
@@ -0,0 +1,54 @@
+#ifndef CELL_WIRE_H
+#define CELL_WIRE_H
+
+#include <event2/bufferevent.h>
+
+#include "vh/engine.h"
+#include "vh/frame.h"
+#include "vh/kernel.h"
+
+/*
+ * What nodes tell each other: frames of a four-byte length and a msgpack
+ * array, whose first element is a type. Every node keeps one connection to the
+ * owner; nothing else is connected.
+ */
+enum wire_type {
+	WIRE_HELLO = 1, /* name, incarnation of the node that connects */
+	WIRE_PONG,	/* epoch known, milliseconds since the store answered */
+	WIRE_QUERY,	/* sequence, job */
+	WIRE_COUNT,	/* sequence, queue */
+	WIRE_ADVICE,	/* sequence, ok, valid_ms, [worker, ticket, ...] */
+	WIRE_PING,	/* epoch, incarnation of the owner */
+	WIRE_STATUS,	/* sequence, status */
+	WIRE_COUNTED,	/* sequence, known, jobs */
+	WIRE_ASK	/* sequence, job, step, [worker, ...] */
+};
+
+/* A frame being made: WIRE_BEGIN, pack into .pk, wire_send(). */
+struct wire_out {
+	msgpack_sbuffer sb;
+	msgpack_packer pk;
+};
+
+void wire_begin(struct wire_out *o, enum wire_type type, size_t n_args);
+
+/* wire_send - frees @o; nothing is sent if @bev is NULL */
+void wire_send(struct wire_out *o, struct bufferevent *bev);
+
+/**
+ * wire_read - hands out the frames at the front of a connection's input
+ * @frame: returns false if the connection is to be closed, or was
+ *
+ * Returns false then, and if the bytes are not frames.
+ */
+bool wire_read(struct bufferevent *bev,
+	       bool (*frame)(void *ctx, const struct vh_frame *f), void *ctx);
+
+/* wire_u64 - element @i of a frame; 0 if there is none of that type */
+uint64_t wire_u64(const struct vh_frame *f, size_t i);
+struct vh_slice wire_bytes(const struct vh_frame *f, size_t i);
+
+/* wire_socket - options of a connection between nodes */
+void wire_socket(struct bufferevent *bev);
+
+#endif
--- a/packages/daemon/src/main.c
+++ b/packages/daemon/src/main.c
@@ -8,6 +8,7 @@
 #include "vh/gateway.h"
 #include "vh/invariant.h"
 #include "vh/log.h"
+#include "vh/platform_main.h"
 
 #define EXIT_BAD_SETTINGS 2
 #define MAX_SEEDS 64
@@ -16,6 +17,7 @@
 	char *settings;
 	gboolean check_only;
 	gboolean version;
+	gboolean platform;
 	gboolean abort_on_violation;
 };
 
@@ -39,6 +41,9 @@
 		{ "abort-on-violation", 0, 0, G_OPTION_ARG_NONE,
 		  &o->abort_on_violation,
 		  "Abort when an invariant is violated, for tests", NULL },
+		{ "platform", 0, 0, G_OPTION_ARG_NONE, &o->platform,
+		  "Run on the users' platform, with the settings it names",
+		  NULL },
 		{ "version", 0, 0, G_OPTION_ARG_NONE, &o->version,
 		  "Show the version", NULL },
 		G_OPTION_ENTRY_NULL
@@ -231,6 +236,8 @@
 		puts("vanillahollowd " VH_VERSION);
 		return EXIT_SUCCESS;
 	}
+	if (o.platform)
+		return vh_platform_main();
 	if (!o.settings) {
 		fprintf(stderr, "vanillahollowd: --settings FILE is missing\n");
 		return EXIT_BAD_SETTINGS;
--- /dev/null
+++ b/packages/engine/src/eng_ask.c
@@ -0,0 +1,263 @@
+#include "eng_priv.h"
+
+/*
+ * Which workers to ask the policy service about, and when.
+ *
+ * Load that it answers: a step waits for a call of up to 0.75 s while its
+ * worth runs out, and each node can make only one call at a time. So a step is
+ * asked for once, as soon as it is ready, about as many workers as it will
+ * probably need; what is known of a worker is kept, and a second call names
+ * only workers that may help.
+ */
+#define TICKET_MARGIN_MS 200   /* a ticket is not used closer to its end */
+#define ASK_SPARE 1.5	       /* workers asked for, against those needed */
+#define ASK_EXTRA 2	       /* and so many more */
+#define ASK_MOST 100	       /* workers that one call may name */
+#define ASK_AGAIN_MS 120       /* after a call that found no room */
+#define ASK_FAILED_MS 200      /* after a call without an answer */
+#define LONG_DECISION_MS 150.0 /* such a call is made once for all workers */
+#define GOOD_SHARE_STEP 0.1    /* weight of a new answer in the learned share */
+
+void eng_verdict_free(gpointer p)
+{
+	struct verdict *v = p;
+
+	g_free(v->ticket);
+	g_free(v);
+}
+
+struct verdict *eng_verdict(const struct step *s, const struct worker *w)
+{
+	return g_hash_table_lookup(s->verdicts, w);
+}
+
+static bool has_label(const struct worker *w, struct vh_slice label)
+{
+	for (char **l = w->labels; *l; l++) {
+		if (vh_slice_eq_str(label, *l))
+			return true;
+	}
+	return false;
+}
+
+static bool suits(const struct step *s, const struct worker *w)
+{
+	if (!vh_slice_eq_str(s->job->spec->service, w->service))
+		return false;
+	return !s->spec->label.len || has_label(w, s->spec->label);
+}
+
+static uint32_t on_worker(const struct step *s, const struct worker *w)
+{
+	uint32_t n = 0;
+
+	for (guint i = 0; i < w->tasks->len; i++) {
+		const struct task *t = w->tasks->pdata[i];
+
+		if (t->step == s)
+			n++;
+	}
+	return n;
+}
+
+static int64_t fit(int64_t free, int64_t need, int64_t most)
+{
+	return need > 0 ? MIN(most, MAX(free, 0) / need) : most;
+}
+
+/* How many tasks of a step a worker has room for now. */
+uint32_t eng_slots(const struct engine *e, const struct step *s,
+		   const struct worker *w)
+{
+	const struct eng_room *need = &s->spec->need;
+	int64_t n = s->spec->n_tasks;
+
+	if (!eng_worker_usable(e, w) || !suits(s, w))
+		return 0;
+	if (!s->spec->filler)
+		n = fit(w->capacity.cpu_milli - w->used.cpu_milli,
+			need->cpu_milli, n);
+	n = fit(w->capacity.mem_mb - w->used.mem_mb, need->mem_mb, n);
+	n = fit(w->capacity.gpu - w->used.gpu, need->gpu, n);
+	if (n > 0 && s->spec->max_per_worker)
+		n = MIN(n, (int64_t)s->spec->max_per_worker -
+				   (int64_t)on_worker(s, w));
+	return n > 0 ? (uint32_t)n : 0;
+}
+
+static bool ticket_valid(const struct engine *e, const struct verdict *v)
+{
+	return v->good && v->expires_ms > e->now_ms + TICKET_MARGIN_MS;
+}
+
+/* One worker that may be named, and what it would bring. */
+struct candidate {
+	struct worker *w;
+	double slots; /* tasks, times the chance that it is good */
+	bool known;
+};
+
+static int by_use(const void *a, const void *b)
+{
+	const struct candidate *x = a;
+	const struct candidate *y = b;
+
+	if (x->known != y->known)
+		return x->known ? -1 : 1;
+	return x->slots < y->slots ? 1 : x->slots > y->slots ? -1 : 0;
+}
+
+static size_t candidates(struct engine *e, struct step *s, bool everyone,
+			 struct candidate *out, double *have)
+{
+	size_t n = 0;
+
+	*have = 0;
+	for (guint i = 0; i < e->worker_list->len; i++) {
+		struct worker *w = e->worker_list->pdata[i];
+		struct verdict *v = eng_verdict(s, w);
+		double slots;
+
+		if (v && !v->good)
+			continue;
+		slots = eng_slots(e, s, w);
+		if (v && ticket_valid(e, v)) {
+			*have += slots;
+			continue;
+		}
+		if (!slots && !(everyone && !v && w->listed && suits(s, w)))
+			continue;
+		out[n].w = w;
+		out[n].known = v;
+		out[n].slots = v ? slots : slots * s->job->queue->good_share;
+		n++;
+	}
+	qsort(out, n, sizeof(*out), by_use);
+	return n;
+}
+
+/* How many of the sorted candidates to name. */
+static size_t enough(const struct step *s, const struct candidate *c, size_t n,
+		     double have, bool everyone)
+{
+	double want = s->n_waiting * ASK_SPARE;
+	size_t take = 0;
+
+	if (everyone)
+		return MIN(n, ASK_MOST);
+	while (take < n && have < want)
+		have += c[take++].slots;
+	return MIN(MIN(take + ASK_EXTRA, n), ASK_MOST);
+}
+
+static void send_ask(struct engine *e, struct step *s,
+		     const struct vh_slice *ids, size_t n)
+{
+	const struct eng_advice_terms *terms = &s->job->spec->advice;
+	struct eng_ask ask = {
+		.job = s->job->id,
+		.step = s->number,
+		.workers = ids,
+		.n = n,
+		.cost_ms = terms->decide_ms + terms->each_ms * (double)n,
+	};
+
+	s->asking = true;
+	e->stats.advice_calls++;
+	e->ports.advise(e->ports.ctx, &ask);
+}
+
+void eng_ask_run(struct engine *e, struct step *s)
+{
+	const struct eng_advice_terms *terms = &s->job->spec->advice;
+	bool everyone = terms->decide_ms >= LONG_DECISION_MS &&
+			!g_hash_table_size(s->verdicts);
+	struct candidate *c;
+	struct vh_slice ids[ASK_MOST];
+	double have;
+	size_t n;
+
+	if (!terms->needed || s->asking || s->ask_after_ms > e->now_ms)
+		return;
+	c = g_new(struct candidate, e->worker_list->len + 1);
+	n = candidates(e, s, everyone, c, &have);
+	if (have < s->n_waiting && n) {
+		n = enough(s, c, n, have, everyone);
+		for (size_t i = 0; i < n; i++)
+			ids[i] = eng_str(c[i].w->id);
+		send_ask(e, s, ids, n);
+	}
+	g_free(c);
+}
+
+static struct step *find_step(struct engine *e, uint64_t job, uint32_t step)
+{
+	struct job *j = g_hash_table_lookup(e->jobs, &job);
+
+	if (!j || !j->steps || step >= j->spec->n_steps)
+		return NULL;
+	return &j->steps[step];
+}
+
+static struct verdict *verdict_get(struct step *s, struct worker *w)
+{
+	struct verdict *v = eng_verdict(s, w);
+
+	if (v)
+		return v;
+	v = g_new0(struct verdict, 1);
+	g_hash_table_insert(s->verdicts, w, v);
+	return v;
+}
+
+void eng_advice(struct engine *e, uint64_t job, uint32_t step,
+		const struct vh_slice *asked, size_t n_asked,
+		const struct eng_good *good, size_t n_good, int64_t sent_ms,
+		int64_t valid_ms, int64_t now_ms)
+{
+	struct step *s = find_step(e, job, step);
+	struct queue *q;
+
+	e->now_ms = now_ms;
+	if (!s)
+		return;
+	s->asking = false;
+	s->ask_after_ms = now_ms + ASK_AGAIN_MS;
+	for (size_t i = 0; i < n_asked; i++) {
+		struct worker *w = eng_worker_find(e, asked[i]);
+
+		if (w)
+			verdict_get(s, w);
+	}
+	for (size_t i = 0; i < n_good; i++) {
+		struct worker *w = eng_worker_find(e, good[i].worker);
+		struct verdict *v = w ? verdict_get(s, w) : NULL;
+
+		if (!v)
+			continue;
+		v->good = true;
+		g_free(v->ticket);
+		v->ticket = vh_slice_dup(good[i].ticket);
+		v->expires_ms = sent_ms + valid_ms;
+	}
+	q = s->job->queue;
+	if (n_asked)
+		q->good_share += GOOD_SHARE_STEP *
+				 ((double)n_good / (double)n_asked -
+				  q->good_share);
+	q->good_share = CLAMP(q->good_share, 0.05, 1.0);
+	eng_job_shrink(e, s->job);
+}
+
+void eng_advice_failed(struct engine *e, uint64_t job, uint32_t step,
+		       int64_t now_ms)
+{
+	struct step *s = find_step(e, job, step);
+
+	e->now_ms = now_ms;
+	if (!s)
+		return;
+	s->asking = false;
+	s->ask_after_ms = now_ms + ASK_FAILED_MS;
+	eng_job_shrink(e, s->job);
+}
--- /dev/null
+++ b/packages/engine/src/eng_place.c
@@ -0,0 +1,250 @@
+#include "eng_priv.h"
+
+/*
+ * Which waiting tasks go to which workers.
+ *
+ * Load that it answers: the cell is four fifths full on the mean, and bursts
+ * double a class. Work that can still meet its objective goes first, by its
+ * queue's priority and then by when its objective passes; then what would be
+ * late; last what earns nothing any more.
+ */
+#define CHAIN_OPTIMISM 0.8 /* share of the declared chain that is believed */
+#define BAD_LIMIT 2.5	   /* score from which a worker is set aside */
+#define BAD_AFTER 1.5	   /* score that it has when it is tried again */
+#define BAD_AVOID_MS 3000  /* how long it is set aside */
+#define WHOLE_CORE 1000    /* thousandths of a processor */
+
+enum tier {
+	TIER_IN_TIME,
+	TIER_LATE,
+	TIER_HOPELESS
+};
+
+static enum tier step_tier(const struct engine *e, const struct step *s)
+{
+	int64_t end = e->now_ms +
+		      (int64_t)(CHAIN_OPTIMISM * (double)s->chain_ms);
+
+	if (end <= s->job->due_ms)
+		return TIER_IN_TIME;
+	return end <= s->job->late_ms ? TIER_LATE : TIER_HOPELESS;
+}
+
+static int by_order(gconstpointer a, gconstpointer b)
+{
+	const struct step *x = *(const struct step *const *)a;
+	const struct step *y = *(const struct step *const *)b;
+	const struct eng_job_spec *p = x->job->spec;
+	const struct eng_job_spec *q = y->job->spec;
+
+	if (x->order != y->order)
+		return x->order < y->order ? -1 : 1;
+	if (p->priority != q->priority)
+		return p->priority < q->priority ? -1 : 1;
+	if (x->job->due_ms != y->job->due_ms)
+		return x->job->due_ms < y->job->due_ms ? -1 : 1;
+	return p->id < q->id ? -1 : p->id > q->id;
+}
+
+static bool may(const struct step *s, const struct engine *e,
+		const struct worker *w)
+{
+	const struct verdict *v;
+
+	if (!s->job->spec->advice.needed)
+		return true;
+	v = eng_verdict(s, w);
+	return v && v->good && v->expires_ms > e->now_ms;
+}
+
+static void set_aside(struct engine *e)
+{
+	for (guint i = 0; i < e->worker_list->len; i++) {
+		struct worker *w = e->worker_list->pdata[i];
+
+		if (w->bad < BAD_LIMIT)
+			continue;
+		w->bad = BAD_AFTER;
+		w->avoid_until_ms = e->now_ms + BAD_AVOID_MS;
+	}
+}
+
+static bool under(int64_t used, int64_t need, int64_t n, int64_t cap)
+{
+	return cap <= 0 || used + need * n <= cap;
+}
+
+static bool team_allows(const struct step *s, int64_t n)
+{
+	const struct team *t = s->job->team;
+	const struct eng_room *need = &s->spec->need;
+
+	if (!s->spec->filler &&
+	    !under(t->used.cpu_milli, need->cpu_milli, n, t->cap.cpu_milli))
+		return false;
+	return under(t->used.mem_mb, need->mem_mb, n, t->cap.mem_mb) &&
+	       under(t->used.gpu, need->gpu, n, t->cap.gpu);
+}
+
+/* Smaller is better: tight fit, sound workers, the data's rack. */
+static double cost(const struct step *s, const struct worker *w)
+{
+	double left = (double)(w->capacity.cpu_milli - w->used.cpu_milli -
+			       s->spec->need.cpu_milli) /
+		      WHOLE_CORE;
+	double c = left + 4 * w->bad;
+
+	if (s->spec->rack.len) {
+		for (char **l = w->labels; *l; l++) {
+			if (vh_slice_eq_str(s->spec->rack, *l))
+				return c - 1000;
+		}
+	}
+	return c;
+}
+
+static struct worker *best_worker(struct engine *e, struct step *s)
+{
+	struct worker *best = NULL;
+	double best_cost = 0;
+
+	for (guint i = 0; i < e->worker_list->len; i++) {
+		struct worker *w = e->worker_list->pdata[i];
+		double c;
+
+		if (!may(s, e, w) || !eng_slots(e, s, w))
+			continue;
+		c = cost(s, w);
+		if (best && c >= best_cost)
+			continue;
+		best = w;
+		best_cost = c;
+	}
+	return best;
+}
+
+static void place_task(struct engine *e, struct task *t, struct worker *w,
+		       uint32_t run)
+{
+	eng_task_commit(e, t, w);
+	t->run = run;
+	t->gate = e->batch;
+	eng_task_set(e, t, TASK_STORING);
+	g_queue_push_tail(&e->storing, t);
+	eng_decided(e, "place", t, w);
+}
+
+static void place_single(struct engine *e, struct step *s)
+{
+	for (uint32_t k = 0; k < s->spec->n_tasks && s->n_waiting; k++) {
+		struct task *t = &s->tasks[k];
+		struct worker *w;
+
+		if (t->worker || t->done)
+			continue;
+		if (!team_allows(s, 1))
+			return;
+		w = best_worker(e, s);
+		if (!w)
+			return;
+		place_task(e, t, w, t->run + 1);
+	}
+}
+
+/* One worker's part of a gang. */
+struct part {
+	struct worker *w;
+	uint32_t slots;
+	double cost;
+};
+
+static int by_slots(const void *a, const void *b)
+{
+	const struct part *x = a;
+	const struct part *y = b;
+
+	if (x->slots != y->slots)
+		return x->slots < y->slots ? 1 : -1;
+	return x->cost < y->cost ? -1 : x->cost > y->cost;
+}
+
+static uint32_t gang_run(const struct step *s)
+{
+	uint32_t run = 0;
+
+	for (uint32_t k = 0; k < s->spec->n_tasks; k++)
+		run = MAX(run, s->tasks[k].run);
+	return run + 1;
+}
+
+static void place_parts(struct engine *e, struct step *s,
+			const struct part *parts)
+{
+	uint32_t run = gang_run(s);
+	uint32_t left = parts->slots;
+
+	for (uint32_t k = 0; k < s->spec->n_tasks; k++) {
+		if (!left)
+			left = (++parts)->slots;
+		place_task(e, &s->tasks[k], parts->w, run);
+		left--;
+	}
+}
+
+/* All of a gang's tasks at once, or none. */
+static void place_gang(struct engine *e, struct step *s)
+{
+	struct part *parts;
+	uint64_t have = 0;
+	size_t n = 0;
+
+	if (s->n_placed || !team_allows(s, s->spec->n_tasks))
+		return;
+	parts = g_new(struct part, e->worker_list->len + 1);
+	for (guint i = 0; i < e->worker_list->len; i++) {
+		struct worker *w = e->worker_list->pdata[i];
+		uint32_t slots = may(s, e, w) ? eng_slots(e, s, w) : 0;
+
+		if (!slots)
+			continue;
+		parts[n++] = (struct part){ w, slots, cost(s, w) };
+		have += slots;
+	}
+	if (have >= s->spec->n_tasks) {
+		qsort(parts, n, sizeof(*parts), by_slots);
+		place_parts(e, s, parts);
+	}
+	g_free(parts);
+}
+
+static void place_step(struct engine *e, struct step *s)
+{
+	if (s->spec->gang)
+		place_gang(e, s);
+	else
+		place_single(e, s);
+	if (s->n_waiting)
+		eng_ask_run(e, s);
+}
+
+void eng_place_run(struct engine *e)
+{
+	GPtrArray *order;
+
+	if (!e->open_steps->len)
+		return;
+	set_aside(e);
+	order = g_ptr_array_sized_new(e->open_steps->len);
+	for (guint i = 0; i < e->open_steps->len; i++) {
+		struct step *s = e->open_steps->pdata[i];
+
+		s->order = step_tier(e, s);
+		g_ptr_array_add(order, s);
+	}
+	g_ptr_array_sort(order, by_order);
+	for (guint i = 0; i < order->len; i++)
+		place_step(e, order->pdata[i]);
+	for (guint i = 0; i < order->len; i++)
+		eng_step_check(e, order->pdata[i]);
+	g_ptr_array_free(order, TRUE);
+}
--- /dev/null
+++ b/packages/engine/src/eng_record.c
@@ -0,0 +1,306 @@
+#include "eng_priv.h"
+
+#define RECORD_FORMAT 2 /* version of the record's shape */
+
+/*
+ * [format, status, begun, [[worker, born]...], [[gang fails, [task...]]...]]
+ * A task is nil if nothing ever happened to it, else
+ * [done, run, fails, number of its worker from 1 or 0, checkpoint].
+ * The record of an ended job stops after its status.
+ */
+enum {
+	REC_FORMAT,
+	REC_STATUS,
+	REC_BEGUN,
+	REC_WORKERS,
+	REC_STEPS,
+	REC_FIELDS
+};
+
+static void pack_bytes(msgpack_packer *pk, struct vh_slice s)
+{
+	msgpack_pack_bin(pk, s.len);
+	msgpack_pack_bin_body(pk, s.data, s.len);
+}
+
+static uint32_t worker_number(GPtrArray *list, struct worker *w)
+{
+	guint at;
+
+	if (!w)
+		return 0;
+	if (g_ptr_array_find(list, w, &at))
+		return at + 1;
+	g_ptr_array_add(list, w);
+	return list->len;
+}
+
+static void collect_workers(const struct job *j, GPtrArray *list)
+{
+	for (size_t i = 0; i < j->spec->n_steps; i++) {
+		const struct step *s = &j->steps[i];
+
+		for (uint32_t k = 0; k < s->spec->n_tasks; k++)
+			worker_number(list, s->tasks[k].worker);
+	}
+}
+
+static void pack_task(msgpack_packer *pk, const struct task *t,
+		      GPtrArray *workers)
+{
+	if (!t->run && !t->done) {
+		msgpack_pack_nil(pk);
+		return;
+	}
+	msgpack_pack_array(pk, 5);
+	msgpack_pack_int(pk, t->done);
+	msgpack_pack_uint32(pk, t->run);
+	msgpack_pack_uint32(pk, t->fails);
+	msgpack_pack_uint32(pk, worker_number(workers, t->worker));
+	pack_bytes(pk, t->done ? vh_slice(NULL, 0) : t->checkpoint);
+}
+
+static void pack_steps(msgpack_packer *pk, const struct job *j)
+{
+	GPtrArray *workers = g_ptr_array_new();
+
+	collect_workers(j, workers);
+	msgpack_pack_array(pk, workers->len);
+	for (guint i = 0; i < workers->len; i++) {
+		const struct worker *w = workers->pdata[i];
+
+		msgpack_pack_array(pk, 2);
+		pack_bytes(pk, eng_str(w->id));
+		msgpack_pack_int64(pk, w->born_ms);
+	}
+	msgpack_pack_array(pk, j->spec->n_steps);
+	for (size_t i = 0; i < j->spec->n_steps; i++) {
+		const struct step *s = &j->steps[i];
+
+		msgpack_pack_array(pk, 2);
+		msgpack_pack_uint32(pk, s->gang_fails);
+		msgpack_pack_array(pk, s->spec->n_tasks);
+		for (uint32_t k = 0; k < s->spec->n_tasks; k++)
+			pack_task(pk, &s->tasks[k], workers);
+	}
+	g_ptr_array_free(workers, TRUE);
+}
+
+static bool anything_placed(const struct job *j)
+{
+	for (size_t i = 0; j->steps && i < j->spec->n_steps; i++) {
+		if (j->steps[i].n_placed)
+			return true;
+	}
+	return false;
+}
+
+void eng_record_pack(const struct job *j, struct vh_buf *out)
+{
+	bool whole = j->steps &&
+		     (j->status < ENG_COMPLETE || anything_placed(j));
+	msgpack_sbuffer sb;
+	msgpack_packer pk;
+
+	msgpack_sbuffer_init(&sb);
+	msgpack_packer_init(&pk, &sb, msgpack_sbuffer_write);
+	msgpack_pack_array(&pk, whole ? REC_FIELDS : REC_BEGUN);
+	msgpack_pack_int(&pk, RECORD_FORMAT);
+	msgpack_pack_int(&pk, (int)j->status);
+	if (whole) {
+		msgpack_pack_int(&pk, j->begun);
+		pack_steps(&pk, j);
+	}
+	vh_buf_add(out, sb.data, sb.size);
+	msgpack_sbuffer_destroy(&sb);
+}
+
+static bool get_uint(const msgpack_object *o, uint64_t max, uint64_t *out)
+{
+	if (o->type != MSGPACK_OBJECT_POSITIVE_INTEGER || o->via.u64 > max)
+		return false;
+	*out = o->via.u64;
+	return true;
+}
+
+static bool get_array(const msgpack_object *o, const msgpack_object **p,
+		      size_t *n)
+{
+	if (o->type != MSGPACK_OBJECT_ARRAY)
+		return false;
+	*p = o->via.array.ptr;
+	*n = o->via.array.size;
+	return true;
+}
+
+static bool head(const msgpack_object *o, const msgpack_object **p, size_t *n,
+		 enum eng_status *status)
+{
+	uint64_t format;
+	uint64_t s;
+
+	if (!get_array(o, p, n) || *n < REC_BEGUN)
+		return false;
+	if (!get_uint(&(*p)[REC_FORMAT], RECORD_FORMAT, &format) ||
+	    format != RECORD_FORMAT)
+		return false;
+	if (!get_uint(&(*p)[REC_STATUS], ENG_CANCELLED, &s))
+		return false;
+	*status = (enum eng_status)s;
+	return true;
+}
+
+bool eng_record_status(struct vh_slice bytes, enum eng_status *status)
+{
+	const msgpack_object *p;
+	msgpack_unpacked u;
+	size_t off = 0;
+	size_t n;
+	bool ok;
+
+	msgpack_unpacked_init(&u);
+	ok = msgpack_unpack_next(&u, bytes.data, bytes.len, &off) ==
+		     MSGPACK_UNPACK_SUCCESS &&
+	     head(&u.data, &p, &n, status);
+	msgpack_unpacked_destroy(&u);
+	return ok;
+}
+
+static bool apply_task(struct engine *e, struct task *t,
+		       const msgpack_object *o, GPtrArray *workers)
+{
+	const msgpack_object *p;
+	uint64_t done;
+	uint64_t run;
+	uint64_t fails;
+	uint64_t number;
+	size_t n;
+
+	if (o->type == MSGPACK_OBJECT_NIL)
+		return true;
+	if (!get_array(o, &p, &n) || n < 5)
+		return false;
+	if (!get_uint(&p[0], 1, &done) || !get_uint(&p[1], UINT32_MAX, &run) ||
+	    !get_uint(&p[2], UINT32_MAX, &fails) ||
+	    !get_uint(&p[3], workers->len, &number) ||
+	    p[4].type != MSGPACK_OBJECT_BIN)
+		return false;
+	t->run = (uint32_t)run;
+	t->fails = (uint32_t)fails;
+	if (p[4].via.bin.size) {
+		struct vh_slice c = vh_slice(p[4].via.bin.ptr,
+					     p[4].via.bin.size);
+
+		t->checkpoint = vh_slice(vh_slice_dup(c), c.len);
+	}
+	if (done) {
+		t->done = true;
+		t->step->n_done++;
+		t->step->n_waiting--;
+	}
+	if (number && workers->pdata[number - 1]) {
+		eng_task_commit(e, t, workers->pdata[number - 1]);
+		eng_task_set(e, t, TASK_DOUBT);
+	}
+	return true;
+}
+
+/* Workers of a record; NULL for one that has started anew since. */
+static bool apply_workers(struct engine *e, const msgpack_object *o,
+			  GPtrArray *workers)
+{
+	const msgpack_object *rows;
+	size_t n;
+
+	if (!get_array(o, &rows, &n))
+		return false;
+	for (size_t i = 0; i < n; i++) {
+		const msgpack_object *row;
+		struct worker *w;
+		uint64_t born;
+		size_t m;
+
+		if (!get_array(&rows[i], &row, &m) || m < 2 ||
+		    row[0].type != MSGPACK_OBJECT_BIN ||
+		    !get_uint(&row[1], INT64_MAX, &born))
+			return false;
+		w = eng_worker_get(e, vh_slice(row[0].via.bin.ptr,
+					       row[0].via.bin.size));
+		if (!w->born_ms)
+			w->born_ms = (int64_t)born;
+		g_ptr_array_add(workers,
+				w->born_ms > (int64_t)born ? NULL : w);
+	}
+	return true;
+}
+
+static bool apply_step(struct engine *e, struct step *s,
+		       const msgpack_object *o, GPtrArray *workers)
+{
+	const msgpack_object *p;
+	const msgpack_object *tasks;
+	uint64_t fails;
+	size_t n;
+	size_t n_tasks;
+
+	if (!get_array(o, &p, &n) || n < 2 ||
+	    !get_uint(&p[0], UINT32_MAX, &fails) ||
+	    !get_array(&p[1], &tasks, &n_tasks) ||
+	    n_tasks != s->spec->n_tasks)
+		return false;
+	s->gang_fails = (uint32_t)fails;
+	for (size_t k = 0; k < n_tasks; k++) {
+		if (!apply_task(e, &s->tasks[k], &tasks[k], workers))
+			return false;
+	}
+	if (s->n_done == s->spec->n_tasks)
+		s->job->n_steps_done++;
+	return true;
+}
+
+static bool apply(struct engine *e, struct job *j, const msgpack_object *o,
+		  GPtrArray *workers)
+{
+	const msgpack_object *p;
+	const msgpack_object *steps;
+	enum eng_status status;
+	uint64_t begun;
+	size_t n;
+	size_t n_steps;
+
+	if (!head(o, &p, &n, &status))
+		return false;
+	j->status = status;
+	if (n < REC_FIELDS)
+		return true;
+	if (!get_uint(&p[REC_BEGUN], 1, &begun) ||
+	    !apply_workers(e, &p[REC_WORKERS], workers) ||
+	    !get_array(&p[REC_STEPS], &steps, &n_steps) ||
+	    n_steps != j->spec->n_steps)
+		return false;
+	j->begun = begun;
+	for (size_t i = 0; i < n_steps; i++) {
+		if (!apply_step(e, &j->steps[i], &steps[i], workers))
+			return false;
+	}
+	return true;
+}
+
+bool eng_record_apply(struct engine *e, struct job *j, struct vh_slice bytes)
+{
+	GPtrArray *workers = g_ptr_array_new();
+	msgpack_unpacked u;
+	size_t off = 0;
+	bool ok;
+
+	msgpack_unpacked_init(&u);
+	e->applying = true;
+	j->begun = true;
+	ok = msgpack_unpack_next(&u, bytes.data, bytes.len, &off) ==
+		     MSGPACK_UNPACK_SUCCESS &&
+	     apply(e, j, &u.data, workers);
+	e->applying = false;
+	msgpack_unpacked_destroy(&u);
+	g_ptr_array_free(workers, TRUE);
+	return ok;
+}
--- /dev/null
+++ b/packages/engine/src/eng_tasks.c
@@ -0,0 +1,335 @@
+#include "eng_priv.h"
+
+#define START_RETRY_MS 250   /* an unanswered start is sent again after this */
+#define START_TRIES 4	     /* then the run is stopped instead */
+#define STOP_RETRY_MS 300    /* an unanswered stop is sent again after this */
+#define ROOM_AVOID_MS 300    /* a worker that had no room is left alone */
+#define REFUSED_AVOID_MS 1500 /* a worker that refused is left alone */
+#define BAD_PER_FAILURE 1.0  /* added to a worker's score by a failed end */
+#define BAD_DECAY 0.7	     /* factor of the score for each good end */
+
+struct eng_task_ref eng_task_ref(const struct task *t)
+{
+	struct eng_task_ref ref = { .job = t->step->job->id,
+				    .step = t->step->number,
+				    .index = t->index,
+				    .run = t->run };
+
+	return ref;
+}
+
+struct task *eng_find_task(struct engine *e, struct eng_task_ref ref)
+{
+	struct job *j = g_hash_table_lookup(e->jobs, &ref.job);
+
+	if (!j || !j->steps || ref.step >= j->spec->n_steps || ref.occurrence)
+		return NULL;
+	if (ref.index >= j->steps[ref.step].spec->n_tasks)
+		return NULL;
+	return &j->steps[ref.step].tasks[ref.index];
+}
+
+void eng_task_set(struct engine *e, struct task *t, enum task_state s)
+{
+	t->state = s;
+	t->since_ms = e->now_ms;
+}
+
+static void room_add(struct eng_room *to, const struct eng_step_spec *s,
+		     int sign)
+{
+	if (!s->filler)
+		to->cpu_milli += sign * s->need.cpu_milli;
+	to->mem_mb += sign * s->need.mem_mb;
+	to->gpu += sign * s->need.gpu;
+}
+
+/* Takes room for a task; its state becomes the caller's to set. */
+void eng_task_commit(struct engine *e, struct task *t, struct worker *w)
+{
+	struct step *s = t->step;
+
+	t->worker = w;
+	t->tries = 0;
+	t->stop_acked_ms = 0;
+	room_add(&w->used, s->spec, 1);
+	room_add(&s->job->team->used, s->spec, 1);
+	g_ptr_array_add(w->tasks, t);
+	s->n_placed++;
+	if (!t->done)
+		s->n_waiting--;
+	if (!s->job->begun && s->job->status == ENG_PENDING) {
+		s->job->begun = true;
+		s->job->queue->pending--;
+		s->job->status = ENG_RUNNING;
+	}
+	eng_job_dirty(e, s->job);
+}
+
+void eng_task_release(struct engine *e, struct task *t)
+{
+	struct step *s = t->step;
+	struct worker *w = t->worker;
+
+	if (!w)
+		return;
+	if (t->state == TASK_STORING)
+		g_queue_remove(&e->storing, t);
+	room_add(&w->used, s->spec, -1);
+	room_add(&s->job->team->used, s->spec, -1);
+	g_ptr_array_remove_fast(w->tasks, t);
+	t->worker = NULL;
+	s->n_placed--;
+	if (!t->done)
+		s->n_waiting++;
+	eng_task_set(e, t, TASK_WAITING);
+	eng_job_dirty(e, s->job);
+	eng_step_check(e, s);
+	eng_job_shrink(e, s->job);
+}
+
+static void send_stop(struct engine *e, struct task *t)
+{
+	t->order_open = true;
+	t->since_ms = e->now_ms;
+	e->ports.stop(e->ports.ctx, eng_str(t->worker->id),
+		      eng_str(t->worker->address), eng_task_ref(t));
+}
+
+void eng_task_stop(struct engine *e, struct task *t)
+{
+	if (!t->worker || t->state == TASK_STOPPING)
+		return;
+	if (t->state == TASK_STORING) {
+		eng_task_release(e, t);
+		return;
+	}
+	eng_decided(e, "stop", t, t->worker);
+	eng_task_set(e, t, TASK_STOPPING);
+	send_stop(e, t);
+}
+
+void eng_send_start(struct engine *e, struct task *t)
+{
+	struct worker *w = t->worker;
+	struct verdict *v = eng_verdict(t->step, w);
+	struct eng_start_order o = {
+		.worker = eng_str(w->id),
+		.address = eng_str(w->address),
+		.task = eng_task_ref(t),
+		.payload = t->step->job->spec->payload,
+		.checkpoint = t->checkpoint,
+		.ticket = eng_str(v && v->ticket ? v->ticket : ""),
+	};
+
+	o.until_ms = eng_worker_until(e, w);
+	eng_task_set(e, t, TASK_STARTING);
+	t->order_open = true;
+	t->tries++;
+	e->stats.starts++;
+	e->ports.start(e->ports.ctx, &o);
+}
+
+/* The run is not there and will never be. */
+void eng_task_lost(struct engine *e, struct task *t, const char *why)
+{
+	struct step *s = t->step;
+
+	eng_decided(e, why, t, t->worker);
+	e->stats.ends_lost++;
+	eng_task_release(e, t);
+	if (!s->spec->gang || !s->job->steps || t->done)
+		return;
+	/* The others of the gang cannot work without it. */
+	for (uint32_t k = 0; s->job->steps && k < s->spec->n_tasks; k++)
+		eng_task_stop(e, &s->tasks[k]);
+}
+
+static void step_done(struct engine *e, struct step *s)
+{
+	struct job *j = s->job;
+
+	if (s->n_done < s->spec->n_tasks)
+		return;
+	if (++j->n_steps_done == j->spec->n_steps) {
+		eng_job_end(e, j, ENG_COMPLETE);
+		return;
+	}
+	for (size_t i = 0; i < j->spec->n_steps; i++)
+		eng_step_check(e, &j->steps[i]);
+}
+
+static void mark_done(struct task *t)
+{
+	if (t->done)
+		return;
+	if (!t->worker)
+		t->step->n_waiting--;
+	t->done = true;
+	t->step->n_done++;
+}
+
+static void end_done(struct engine *e, struct task *t)
+{
+	struct step *s = t->step;
+	bool before = s->n_done == s->spec->n_tasks;
+
+	if (!s->spec->gang) {
+		mark_done(t);
+	} else {
+		for (uint32_t k = 0; k < s->spec->n_tasks; k++)
+			mark_done(&s->tasks[k]);
+	}
+	eng_job_dirty(e, s->job);
+	if (!before && s->n_done == s->spec->n_tasks)
+		step_done(e, s);
+}
+
+static void end_failed(struct engine *e, struct task *t)
+{
+	struct step *s = t->step;
+	uint32_t fails = s->spec->gang ? ++s->gang_fails : ++t->fails;
+
+	eng_job_dirty(e, s->job);
+	if (s->spec->service || t->done || !eng_job_live(s->job))
+		return;
+	if (fails >= MAX(s->job->spec->max_attempts, 1))
+		eng_job_end(e, s->job, ENG_FAILED);
+}
+
+static void keep_checkpoint(struct task *t, struct vh_slice checkpoint)
+{
+	struct step *s = t->step;
+	uint32_t n = s->spec->gang ? s->spec->n_tasks : 1;
+	struct task *first = s->spec->gang ? s->tasks : t;
+
+	if (!checkpoint.len || !s->spec->checkpoints)
+		return;
+	for (uint32_t k = 0; k < n; k++) {
+		g_free((char *)first[k].checkpoint.data);
+		first[k].checkpoint.data = vh_slice_dup(checkpoint);
+		first[k].checkpoint.len = checkpoint.len;
+	}
+}
+
+/* An end that a worker lists for the first time. */
+void eng_task_ended(struct engine *e, struct task *t,
+		    const struct eng_finished *f)
+{
+	struct worker *w = t->worker;
+	struct step *s = t->step;
+	bool current = w && t->run == f->task.run;
+
+	keep_checkpoint(t, f->checkpoint);
+	if (f->how == ENG_END_DONE) {
+		e->stats.ends_done++;
+		if (w)
+			w->bad *= BAD_DECAY;
+		end_done(e, t);
+	} else if (f->how == ENG_END_FAILED) {
+		e->stats.ends_failed++;
+		if (w)
+			w->bad += BAD_PER_FAILURE;
+		end_failed(e, t);
+	}
+	if (!s->job->steps)
+		return;
+	eng_decided(e, f->how == ENG_END_DONE ? "done" : "ended", t, w);
+	if (current)
+		eng_task_release(e, t);
+	else if (t->done && w && s->job->steps)
+		eng_task_stop(e, t);
+}
+
+void eng_started(struct engine *e, struct vh_slice worker,
+		 struct eng_task_ref ref, enum eng_answer answer,
+		 int64_t now_ms)
+{
+	struct task *t = eng_find_task(e, ref);
+	struct worker *w = eng_worker_find(e, worker);
+
+	e->now_ms = now_ms;
+	if (answer == ENG_ANSWER_FENCE) {
+		e->deposed = true;
+		e->ports.deposed(e->ports.ctx, "a worker knows a newer fence");
+		return;
+	}
+	if (!t || t->worker != w || t->run != ref.run)
+		return;
+	t->order_open = false;
+	if (t->state != TASK_STARTING)
+		return;
+	switch (answer) {
+	case ENG_ANSWER_OK:
+		eng_task_set(e, t, TASK_RUNNING);
+		return;
+	case ENG_ANSWER_ROOM:
+		w->avoid_until_ms = now_ms + ROOM_AVOID_MS;
+		eng_task_lost(e, t, "no room");
+		return;
+	case ENG_ANSWER_TICKET: {
+		struct verdict *v = eng_verdict(t->step, w);
+
+		if (v)
+			v->expires_ms = 0;
+		eng_task_lost(e, t, "ticket ran out");
+		return;
+	}
+	case ENG_ANSWER_REFUSED:
+		w->avoid_until_ms = now_ms + REFUSED_AVOID_MS;
+		w->bad += BAD_PER_FAILURE;
+		eng_task_lost(e, t, "refused");
+		return;
+	case ENG_ANSWER_OLD:
+		eng_task_set(e, t, TASK_DOUBT);
+		w->hold_now = true;
+		return;
+	default:
+		return; /* sent again by eng_retry_orders() */
+	}
+}
+
+void eng_stopped(struct engine *e, struct vh_slice worker,
+		 struct eng_task_ref ref, enum eng_answer answer,
+		 int64_t now_ms)
+{
+	struct task *t = eng_find_task(e, ref);
+	struct worker *w = eng_worker_find(e, worker);
+
+	e->now_ms = now_ms;
+	if (answer == ENG_ANSWER_FENCE) {
+		e->deposed = true;
+		e->ports.deposed(e->ports.ctx, "a worker knows a newer fence");
+		return;
+	}
+	if (!t || t->worker != w || t->run != ref.run)
+		return;
+	t->order_open = false;
+	if (t->state == TASK_STOPPING && answer == ENG_ANSWER_OK) {
+		t->stop_acked_ms = now_ms;
+		w->hold_now = true;
+	}
+}
+
+static void retry_order(struct engine *e, struct task *t)
+{
+	int64_t age = e->now_ms - t->since_ms;
+
+	if (t->order_open)
+		return;
+	if (t->state == TASK_STARTING && age >= START_RETRY_MS) {
+		if (t->tries < START_TRIES)
+			eng_send_start(e, t);
+		else
+			eng_task_stop(e, t);
+	} else if (t->state == TASK_STOPPING && !t->stop_acked_ms &&
+		   age >= STOP_RETRY_MS) {
+		send_stop(e, t);
+	}
+}
+
+void eng_retry_orders(struct engine *e, struct worker *w)
+{
+	for (guint i = 0; i < w->tasks->len; i++)
+		retry_order(e, w->tasks->pdata[i]);
+}
--- /dev/null
+++ b/packages/engine/src/eng_workers.c
@@ -0,0 +1,336 @@
+#include "eng_priv.h"
+
+#define CLOCK_SLOWEST 0.97	/* slowest clock of a worker, against ours */
+#define HOLD_WAIT_MS 2000	/* longest that a hold may wait for an end */
+#define HOLD_GAP_MS 40		/* between an answer and the next hold */
+#define HOLD_RETRY_MS 150	/* after the first hold without an answer */
+#define HOLD_RETRY_MAX_MS 1200	/* after many */
+#define LAPSE_MARGIN_MS 150	/* after a lease's last moment */
+#define RENEW_BEFORE 0.55	/* share of the lease that a hold may wait */
+
+struct worker *eng_worker_find(struct engine *e, struct vh_slice id)
+{
+	char key[ENG_NAME_MAX + 1];
+
+	if (id.len > ENG_NAME_MAX)
+		return NULL;
+	memcpy(key, id.data, id.len);
+	key[id.len] = '\0';
+	return g_hash_table_lookup(e->workers, key);
+}
+
+/* A worker named only by a record is out of reach until it is listed. */
+struct worker *eng_worker_get(struct engine *e, struct vh_slice id)
+{
+	struct worker *w = eng_worker_find(e, id);
+
+	if (w)
+		return w;
+	w = g_new0(struct worker, 1);
+	w->id = vh_slice_dup(id);
+	w->service = g_strdup("");
+	w->address = g_strdup("");
+	w->zone = g_strdup("");
+	w->labels = g_new0(char *, 1);
+	w->tasks = g_ptr_array_new();
+	w->lapse_ms = e->now_ms + e->settings.former_ms +
+		      (int64_t)((double)e->settings.lease_max_ms /
+				CLOCK_SLOWEST) +
+		      e->settings.stop_ms + LAPSE_MARGIN_MS;
+	g_hash_table_insert(e->workers, w->id, w);
+	g_ptr_array_add(e->worker_list, w);
+	return w;
+}
+
+static void lose_all(struct engine *e, struct worker *w, const char *why)
+{
+	while (w->tasks->len)
+		eng_task_lost(e, w->tasks->pdata[w->tasks->len - 1], why);
+}
+
+/* Another boot runs nothing, knows nothing and numbers its ends anew. */
+void eng_worker_reborn(struct engine *e, struct worker *w, int64_t born_ms)
+{
+	w->born_ms = born_ms;
+	w->fenced = false;
+	w->clock_at_ms = 0;
+	w->until_ms = 0;
+	w->processed = 0;
+	w->acknowledged = 0;
+	w->next_hold_ms = 0;
+	lose_all(e, w, "worker started anew");
+}
+
+static void copy_str(char **to, struct vh_slice s)
+{
+	g_free(*to);
+	*to = vh_slice_dup(s);
+}
+
+void eng_worker(struct engine *e, const struct eng_worker_info *info,
+		int64_t now_ms)
+{
+	struct worker *w;
+
+	e->now_ms = now_ms;
+	w = eng_worker_get(e, info->id);
+	if (!w->listed)
+		w->next_hold_ms = 0;
+	w->listed = true;
+	w->draining = info->draining;
+	copy_str(&w->service, info->service);
+	copy_str(&w->address, info->address);
+	copy_str(&w->zone, info->zone);
+	g_strfreev(w->labels);
+	w->labels = g_new0(char *, info->n_labels + 1);
+	for (size_t i = 0; i < info->n_labels; i++)
+		w->labels[i] = vh_slice_dup(info->labels[i]);
+	w->capacity = info->capacity;
+	if (!info->born_ms || info->born_ms == w->born_ms)
+		return;
+	if (w->born_ms && info->born_ms > w->born_ms)
+		eng_worker_reborn(e, w, info->born_ms);
+	else if (!w->born_ms)
+		w->born_ms = info->born_ms;
+}
+
+void eng_worker_unlisted(struct engine *e, struct vh_slice id, int64_t now_ms)
+{
+	struct worker *w = eng_worker_find(e, id);
+
+	e->now_ms = now_ms;
+	if (w)
+		w->listed = false;
+}
+
+bool eng_worker_usable(const struct engine *e, const struct worker *w)
+{
+	return w->listed && w->fenced && !w->draining && !w->hold_fails &&
+	       w->avoid_until_ms <= e->now_ms;
+}
+
+static int64_t clock_estimate(const struct engine *e, const struct worker *w)
+{
+	return w->clock_ms + (e->now_ms - w->clock_at_ms);
+}
+
+static void grant(struct engine *e, struct worker *w, int64_t until_ms)
+{
+	int64_t lapse;
+
+	w->until_ms = MAX(w->until_ms, until_ms);
+	lapse = w->clock_at_ms +
+		(int64_t)((double)(w->until_ms - w->clock_ms) / CLOCK_SLOWEST);
+	w->lapse_ms = lapse + e->settings.stop_ms + LAPSE_MARGIN_MS;
+}
+
+/* The lease to send now, on the worker's clock. */
+int64_t eng_worker_until(struct engine *e, struct worker *w)
+{
+	int64_t until;
+
+	if (!w->clock_at_ms)
+		return 0;
+	until = clock_estimate(e, w) + e->settings.lease_ms;
+	grant(e, w, until);
+	return until;
+}
+
+static void note_clock(struct engine *e, struct worker *w, int64_t clock_ms)
+{
+	if (clock_ms <= 0)
+		return;
+	w->clock_ms = clock_ms;
+	w->clock_at_ms = e->now_ms;
+	if (w->until_ms)
+		grant(e, w, w->until_ms);
+	else
+		w->lapse_ms = e->now_ms +
+			      (int64_t)((double)e->settings.lease_max_ms /
+					CLOCK_SLOWEST) +
+			      e->settings.stop_ms + LAPSE_MARGIN_MS;
+}
+
+static void take_ends(struct engine *e, struct worker *w,
+		      const struct eng_report *r)
+{
+	bool settled = w->acknowledged >= w->processed;
+
+	for (size_t i = 0; i < r->n_finished; i++) {
+		const struct eng_finished *f = &r->finished[i];
+		struct task *t;
+
+		if (f->number <= w->processed)
+			continue;
+		w->processed = f->number;
+		w->ack_gate = e->batch;
+		t = eng_find_task(e, f->task);
+		if (t)
+			eng_task_ended(e, t, f);
+	}
+	/* Ends that changed nothing need no record. */
+	if (settled && !e->dirty->len)
+		w->acknowledged = w->processed;
+}
+
+/* A run that nothing knows of: it must not go on. */
+static void stop_stray(struct engine *e, struct worker *w,
+		       struct eng_task_ref ref)
+{
+	if (e->ready)
+		e->ports.stop(e->ports.ctx, eng_str(w->id),
+			      eng_str(w->address), ref);
+}
+
+static void take_running(struct engine *e, struct worker *w,
+			 const struct eng_report *r)
+{
+	uint64_t serial = ++e->report_serial;
+
+	for (size_t i = 0; i < r->n_running; i++) {
+		const struct eng_running *run = &r->running[i];
+		struct task *t = eng_find_task(e, run->task);
+
+		if (!t || t->worker != w || t->run != run->task.run) {
+			stop_stray(e, w, run->task);
+			continue;
+		}
+		t->stamp = serial;
+		if (t->state == TASK_STARTING || t->state == TASK_DOUBT)
+			eng_task_set(e, t, TASK_RUNNING);
+		if (t->done || !eng_job_live(t->step->job))
+			eng_task_stop(e, t);
+	}
+}
+
+/* Whether a report that does not list the task proves that it is not there. */
+static bool absence_proves(const struct task *t, const struct eng_report *r)
+{
+	switch (t->state) {
+	case TASK_RUNNING:
+	case TASK_DOUBT:
+		return t->since_ms < r->sent_ms;
+	case TASK_STOPPING:
+		return t->stop_acked_ms && t->stop_acked_ms <= r->sent_ms;
+	default:
+		return false;
+	}
+}
+
+static void take_absent(struct engine *e, struct worker *w,
+			const struct eng_report *r)
+{
+	GPtrArray *gone = g_ptr_array_new();
+
+	for (guint i = 0; i < w->tasks->len; i++) {
+		struct task *t = w->tasks->pdata[i];
+
+		if (t->stamp != e->report_serial && absence_proves(t, r))
+			g_ptr_array_add(gone, t);
+	}
+	for (guint i = 0; i < gone->len; i++) {
+		struct task *t = gone->pdata[i];
+
+		if (t->worker == w)
+			eng_task_lost(e, t, "not on its worker");
+	}
+	g_ptr_array_free(gone, TRUE);
+}
+
+void eng_report(struct engine *e, struct vh_slice id,
+		const struct eng_report *r, int64_t now_ms)
+{
+	struct worker *w = eng_worker_find(e, id);
+
+	e->now_ms = now_ms;
+	if (!w)
+		return;
+	w->hold_open = false;
+	w->hold_fails = 0;
+	w->next_hold_ms = now_ms + HOLD_GAP_MS;
+	if (r->born_ms && w->born_ms && r->born_ms != w->born_ms) {
+		if (r->born_ms < w->born_ms)
+			return;
+		eng_worker_reborn(e, w, r->born_ms);
+	}
+	if (r->born_ms)
+		w->born_ms = r->born_ms;
+	note_clock(e, w, r->clock_ms);
+	w->fenced = true;
+	take_ends(e, w, r);
+	take_running(e, w, r);
+	take_absent(e, w, r);
+}
+
+void eng_hold_failed(struct engine *e, struct vh_slice id,
+		     enum eng_answer answer, int64_t now_ms)
+{
+	struct worker *w = eng_worker_find(e, id);
+	int64_t wait;
+
+	e->now_ms = now_ms;
+	if (!w)
+		return;
+	w->hold_open = false;
+	if (answer == ENG_ANSWER_FENCE) {
+		e->deposed = true;
+		e->ports.deposed(e->ports.ctx, "a worker knows a newer fence");
+		return;
+	}
+	wait = MIN((int64_t)HOLD_RETRY_MS << MIN(w->hold_fails, 4u),
+		   HOLD_RETRY_MAX_MS);
+	w->hold_fails++;
+	w->next_hold_ms = now_ms + wait;
+}
+
+static bool hold_due(const struct engine *e, const struct worker *w)
+{
+	if (w->hold_open || !*w->address)
+		return false;
+	if (w->next_hold_ms > e->now_ms)
+		return false;
+	if (!w->listed && !w->tasks->len)
+		return false;
+	if (!w->fenced || w->hold_now || w->hold_fails)
+		return true;
+	if (w->acknowledged < w->processed)
+		return false; /* the ends would only be listed again */
+	return w->tasks->len > 0;
+}
+
+static void send_hold(struct engine *e, struct worker *w)
+{
+	struct eng_hold_order o = {
+		.worker = eng_str(w->id),
+		.address = eng_str(w->address),
+		.acknowledged = w->acknowledged,
+	};
+
+	if (w->fenced && w->tasks->len) {
+		o.until_ms = eng_worker_until(e, w);
+		o.wait_ms = MIN(HOLD_WAIT_MS,
+				(int64_t)((double)e->settings.lease_ms *
+					  RENEW_BEFORE));
+	}
+	if (w->hold_now || w->hold_fails ||
+	    w->acknowledged < w->processed)
+		o.wait_ms = 0;
+	w->hold_now = false;
+	w->hold_open = true;
+	e->stats.holds++;
+	e->ports.hold(e->ports.ctx, &o);
+}
+
+void eng_workers_run(struct engine *e)
+{
+	for (guint i = 0; i < e->worker_list->len; i++) {
+		struct worker *w = e->worker_list->pdata[i];
+
+		if (w->tasks->len && w->lapse_ms && w->lapse_ms < e->now_ms &&
+		    (w->hold_fails || !*w->address || !w->listed))
+			lose_all(e, w, "lease ran out");
+		eng_retry_orders(e, w);
+		if (hold_due(e, w))
+			send_hold(e, w);
+	}
+}
--- /dev/null
+++ b/packages/engine/src/engine.c
@@ -0,0 +1,451 @@
+#include "eng_priv.h"
+
+#include <math.h>
+
+#define LATE_FACTOR 3		/* objectives after which nothing is earned */
+#define GOOD_SHARE_FIRST_GUESS 0.5 /* of asked workers */
+
+static void team_free(gpointer p)
+{
+	struct team *t = p;
+
+	g_free(t->name);
+	g_free(t);
+}
+
+static void queue_free(gpointer p)
+{
+	struct queue *q = p;
+
+	g_free(q->name);
+	g_free(q);
+}
+
+static void worker_free(gpointer p)
+{
+	struct worker *w = p;
+
+	g_free(w->id);
+	g_free(w->service);
+	g_free(w->address);
+	g_free(w->zone);
+	g_strfreev(w->labels);
+	g_ptr_array_free(w->tasks, TRUE);
+	g_free(w);
+}
+
+static void job_drop_steps(struct job *j)
+{
+	if (!j->steps)
+		return;
+	for (size_t i = 0; i < j->spec->n_steps; i++) {
+		struct step *s = &j->steps[i];
+
+		for (uint32_t k = 0; k < s->spec->n_tasks; k++)
+			g_free((char *)s->tasks[k].checkpoint.data);
+		g_free(s->tasks);
+		g_hash_table_destroy(s->verdicts);
+	}
+	g_free(j->steps);
+	j->steps = NULL;
+}
+
+static void job_free(gpointer p)
+{
+	struct job *j = p;
+
+	job_drop_steps(j);
+	eng_job_free(j->spec);
+	vh_buf_finish(&j->stored);
+	g_free(j);
+}
+
+struct engine *eng_new(const struct eng_settings *s,
+		       const struct eng_ports *ports, int64_t now_ms)
+{
+	struct engine *e = g_new0(struct engine, 1);
+
+	e->settings = *s;
+	e->ports = *ports;
+	e->now_ms = now_ms;
+	e->batch = 1;
+	e->jobs = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					job_free);
+	e->workers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					   worker_free);
+	e->worker_list = g_ptr_array_new();
+	e->teams = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					 team_free);
+	e->queues = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					  queue_free);
+	e->open_steps = g_ptr_array_new();
+	e->dirty = g_ptr_array_new();
+	g_queue_init(&e->storing);
+	return e;
+}
+
+void eng_free(struct engine *e)
+{
+	if (!e)
+		return;
+	g_queue_clear(&e->storing);
+	g_ptr_array_free(e->dirty, TRUE);
+	g_ptr_array_free(e->open_steps, TRUE);
+	g_hash_table_destroy(e->jobs);
+	g_ptr_array_free(e->worker_list, TRUE);
+	g_hash_table_destroy(e->workers);
+	g_hash_table_destroy(e->teams);
+	g_hash_table_destroy(e->queues);
+	g_free(e);
+}
+
+void eng_decided(struct engine *e, const char *what, const struct task *t,
+		 const struct worker *w)
+{
+	if (e->ports.decided)
+		e->ports.decided(e->ports.ctx, what, t->step->job->id,
+				 eng_task_ref(t), eng_str(w ? w->id : ""));
+}
+
+static struct team *team_get(struct engine *e, struct vh_slice name)
+{
+	char *key = vh_slice_dup(name);
+	struct team *t = g_hash_table_lookup(e->teams, key);
+
+	if (t) {
+		g_free(key);
+		return t;
+	}
+	t = g_new0(struct team, 1);
+	t->name = key;
+	t->weight = 1;
+	g_hash_table_insert(e->teams, t->name, t);
+	return t;
+}
+
+void eng_teams(struct engine *e, const struct eng_team *teams, size_t n)
+{
+	for (size_t i = 0; i < n; i++) {
+		struct team *t = team_get(e, teams[i].name);
+
+		t->weight = teams[i].weight;
+		t->cap = teams[i].cap;
+	}
+}
+
+static struct queue *queue_get(struct engine *e, struct vh_slice name)
+{
+	char *key = vh_slice_dup(name);
+	struct queue *q = g_hash_table_lookup(e->queues, key);
+
+	if (q) {
+		g_free(key);
+		return q;
+	}
+	q = g_new0(struct queue, 1);
+	q->name = key;
+	q->good_share = GOOD_SHARE_FIRST_GUESS;
+	g_hash_table_insert(e->queues, q->name, q);
+	return q;
+}
+
+static struct job *job_find(const struct engine *e, uint64_t id)
+{
+	return g_hash_table_lookup(e->jobs, &id);
+}
+
+static struct job *job_get(struct engine *e, uint64_t id)
+{
+	struct job *j = job_find(e, id);
+
+	if (j)
+		return j;
+	j = g_new0(struct job, 1);
+	j->id = id;
+	g_hash_table_insert(e->jobs, &j->id, j);
+	return j;
+}
+
+bool eng_job_live(const struct job *j)
+{
+	return j->spec && !j->cancelled &&
+	       (j->status == ENG_PENDING || j->status == ENG_RUNNING);
+}
+
+void eng_job_dirty(struct engine *e, struct job *j)
+{
+	if (j->dirty || e->applying)
+		return;
+	j->dirty = true;
+	g_ptr_array_add(e->dirty, j);
+}
+
+bool eng_step_ready(const struct step *s)
+{
+	for (size_t i = 0; i < s->spec->n_after; i++) {
+		const struct step *b = &s->job->steps[s->spec->after[i]];
+
+		if (b->n_done < b->spec->n_tasks)
+			return false;
+	}
+	return true;
+}
+
+/* Puts a step on the list of those to place, or takes it off. */
+void eng_step_check(struct engine *e, struct step *s)
+{
+	bool open = eng_job_live(s->job) && s->n_waiting && eng_step_ready(s);
+
+	if (open == s->open)
+		return;
+	s->open = open;
+	if (open)
+		g_ptr_array_add(e->open_steps, s);
+	else
+		g_ptr_array_remove_fast(e->open_steps, s);
+}
+
+static void steps_check(struct engine *e, struct job *j)
+{
+	for (size_t i = 0; j->steps && i < j->spec->n_steps; i++)
+		eng_step_check(e, &j->steps[i]);
+}
+
+static void job_begin_steps(struct job *j)
+{
+	size_t n = j->spec->n_steps;
+	int64_t *chains = g_new0(int64_t, n);
+
+	eng_chains_ms(j->spec, chains);
+	j->steps = g_new0(struct step, n);
+	for (size_t i = 0; i < n; i++) {
+		struct step *s = &j->steps[i];
+
+		s->job = j;
+		s->number = (uint32_t)i;
+		s->spec = &j->spec->steps[i];
+		s->chain_ms = chains[i];
+		s->n_waiting = s->spec->n_tasks;
+		s->tasks = g_new0(struct task, s->spec->n_tasks);
+		s->verdicts = g_hash_table_new_full(g_direct_hash,
+						    g_direct_equal, NULL,
+						    eng_verdict_free);
+		for (uint32_t k = 0; k < s->spec->n_tasks; k++) {
+			s->tasks[k].step = s;
+			s->tasks[k].index = k;
+		}
+	}
+	g_free(chains);
+}
+
+static int64_t job_objective_ms(const struct job *j)
+{
+	int64_t longest = 0;
+
+	for (size_t i = 0; i < j->spec->n_steps; i++)
+		longest = MAX(longest, j->steps[i].chain_ms);
+	return (int64_t)(j->spec->stretch * (double)longest) +
+	       j->spec->target_ms;
+}
+
+void eng_recover(struct engine *e, uint64_t id, struct vh_slice record,
+		 int64_t now_ms)
+{
+	struct job *j = job_get(e, id);
+	enum eng_status status;
+
+	e->now_ms = now_ms;
+	if (j->spec || !eng_record_status(record, &status))
+		return;
+	vh_buf_clear(&j->stored);
+	vh_buf_add_slice(&j->stored, record);
+	if (status >= ENG_COMPLETE)
+		j->status = status;
+}
+
+void eng_job(struct engine *e, struct eng_job_spec *spec, int64_t now_ms,
+	     int64_t wall_ms)
+{
+	struct job *j = job_get(e, spec->id);
+	int64_t age = CLAMP(wall_ms - spec->received_ms, 0, 60000);
+
+	e->now_ms = now_ms;
+	if (j->spec || j->status >= ENG_COMPLETE) {
+		eng_job_free(spec);
+		return;
+	}
+	j->spec = spec;
+	j->team = team_get(e, spec->team);
+	j->queue = queue_get(e, spec->queue);
+	job_begin_steps(j);
+	j->accepted_ms = now_ms - age;
+	j->due_ms = j->accepted_ms + job_objective_ms(j);
+	j->late_ms = j->accepted_ms + LATE_FACTOR * job_objective_ms(j);
+	e->stats.jobs++;
+	if (j->stored.len)
+		eng_record_apply(e, j, vh_buf_slice(&j->stored));
+	vh_buf_finish(&j->stored);
+	vh_buf_init(&j->stored);
+	if (!j->begun)
+		j->queue->pending++;
+	if (j->cancelled)
+		eng_job_end(e, j, ENG_CANCELLED);
+	steps_check(e, j);
+}
+
+static void stop_all(struct engine *e, struct job *j)
+{
+	for (size_t i = 0; j->steps && i < j->spec->n_steps; i++) {
+		struct step *s = &j->steps[i];
+
+		for (uint32_t k = 0; k < s->spec->n_tasks; k++)
+			eng_task_stop(e, &s->tasks[k]);
+	}
+}
+
+void eng_job_end(struct engine *e, struct job *j, enum eng_status status)
+{
+	if (j->status >= ENG_COMPLETE)
+		return;
+	j->status = status;
+	j->status_gate = e->batch;
+	if (j->queue && !j->begun)
+		j->queue->pending--;
+	j->begun = true;
+	eng_job_dirty(e, j);
+	steps_check(e, j);
+	if (status != ENG_COMPLETE)
+		stop_all(e, j);
+	eng_job_shrink(e, j);
+}
+
+/* Frees what an ended job no longer needs, once nothing of it is placed. */
+void eng_job_shrink(struct engine *e, struct job *j)
+{
+	(void)e;
+	if (j->status < ENG_COMPLETE || !j->steps)
+		return;
+	for (size_t i = 0; i < j->spec->n_steps; i++) {
+		if (j->steps[i].n_placed || j->steps[i].asking)
+			return;
+	}
+	if (j->dirty)
+		return;
+	job_drop_steps(j);
+	eng_job_free(j->spec);
+	j->spec = NULL;
+}
+
+void eng_cancel(struct engine *e, uint64_t id, int64_t now_ms)
+{
+	struct job *j = job_get(e, id);
+
+	e->now_ms = now_ms;
+	if (j->cancelled || j->status >= ENG_COMPLETE)
+		return;
+	j->cancelled = true;
+	if (j->spec)
+		eng_job_end(e, j, ENG_CANCELLED);
+}
+
+enum eng_status eng_status(const struct engine *e, uint64_t id)
+{
+	const struct job *j = job_find(e, id);
+
+	if (!j || (!j->spec && j->status < ENG_COMPLETE))
+		return ENG_UNKNOWN;
+	if (j->cancelled)
+		return ENG_CANCELLED;
+	if (j->status >= ENG_COMPLETE && j->status_gate > e->stored)
+		return ENG_RUNNING;
+	return j->status;
+}
+
+size_t eng_pending(const struct engine *e, struct vh_slice queue)
+{
+	char *key = vh_slice_dup(queue);
+	const struct queue *q = g_hash_table_lookup(e->queues, key);
+
+	g_free(key);
+	return q ? q->pending : 0;
+}
+
+uint64_t eng_flush(struct engine *e, struct eng_record **records, size_t *n)
+{
+	if (!e->dirty->len)
+		return 0;
+	*n = e->dirty->len;
+	*records = g_new0(struct eng_record, *n);
+	for (size_t i = 0; i < *n; i++) {
+		struct job *j = e->dirty->pdata[i];
+
+		(*records)[i].job = j->id;
+		eng_record_pack(j, &(*records)[i].bytes);
+		j->dirty = false;
+	}
+	for (size_t i = 0; i < *n; i++)
+		eng_job_shrink(e, e->dirty->pdata[i]);
+	g_ptr_array_set_size(e->dirty, 0);
+	return e->batch++;
+}
+
+void eng_records_free(struct eng_record *records, size_t n)
+{
+	for (size_t i = 0; i < n; i++)
+		vh_buf_finish(&records[i].bytes);
+	g_free(records);
+}
+
+void eng_stored(struct engine *e, uint64_t batch, int64_t now_ms)
+{
+	e->now_ms = now_ms;
+	e->stored = batch;
+	while (!g_queue_is_empty(&e->storing)) {
+		struct task *t = g_queue_peek_head(&e->storing);
+
+		if (t->gate > batch)
+			break;
+		g_queue_pop_head(&e->storing);
+		if (t->state == TASK_STORING)
+			eng_send_start(e, t);
+	}
+	for (guint i = 0; i < e->worker_list->len; i++) {
+		struct worker *w = e->worker_list->pdata[i];
+
+		if (w->acknowledged < w->processed && w->ack_gate <= batch)
+			w->acknowledged = w->processed;
+	}
+}
+
+void eng_ready(struct engine *e, int64_t now_ms)
+{
+	e->now_ms = now_ms;
+	e->ready = true;
+}
+
+void eng_run(struct engine *e, int64_t now_ms)
+{
+	e->now_ms = now_ms;
+	if (e->deposed)
+		return;
+	eng_workers_run(e);
+	if (e->ready)
+		eng_place_run(e);
+}
+
+void eng_stats(const struct engine *e, struct eng_stats *out)
+{
+	*out = e->stats;
+	out->jobs = g_hash_table_size(e->jobs);
+	for (guint i = 0; i < e->open_steps->len; i++)
+		out->waiting_tasks +=
+			((struct step *)e->open_steps->pdata[i])->n_waiting;
+	for (guint i = 0; i < e->worker_list->len; i++) {
+		const struct worker *w = e->worker_list->pdata[i];
+
+		out->running_tasks += w->tasks->len;
+		out->cpu_used += w->used.cpu_milli;
+		if (w->listed)
+			out->cpu_capacity += w->capacity.cpu_milli;
+	}
+}
--- a/packages/peer/fuzz/fuzz_frame.c
+++ b/packages/peer/fuzz/fuzz_frame.c
@@ -1,4 +1,4 @@
-#include "frame.h"
+#include "vh/frame.h"
 #include "members.h"
 
 int LLVMFuzzerTestOneInput(const uint8_t *data, size_t size);
--- a/packages/peer/src/frame.c
+++ b/packages/peer/src/frame.c
@@ -1,4 +1,4 @@
-#include "frame.h"
+#include "vh/frame.h"
 
 #include <arpa/inet.h>
 
--- a/packages/peer/src/link.h
+++ b/packages/peer/src/link.h
@@ -4,7 +4,7 @@
 #include <event2/bufferevent.h>
 
 #include "auth.h"
-#include "frame.h"
+#include "vh/frame.h"
 #include "vh/kernel.h"
 #include "vh/peer.h"
 
--- a/packages/peer/src/news.c
+++ b/packages/peer/src/news.c
@@ -1,6 +1,6 @@
 #include <arpa/inet.h>
 
-#include "frame.h"
+#include "vh/frame.h"
 #include "link.h"
 #include "members.h"
 
--- a/packages/peer/tests/test_members.cc
+++ b/packages/peer/tests/test_members.cc
@@ -5,7 +5,7 @@
 #include <vector>
 
 extern "C" {
-#include "frame.h"
+#include "vh/frame.h"
 #include "members.h"
 }
 
--- a/packages/platform/include/vh/http_pool.h
+++ b/packages/platform/include/vh/http_pool.h
@@ -21,6 +21,7 @@
  * struct vh_http_request
  * @path: with its query; copied
  * @content_type: NULL if there is no body
+ * @header, @header_value: one more header; NULL: none; copied
  */
 struct vh_http_request {
 	enum evhttp_cmd_type method;
@@ -28,6 +29,8 @@
 	const char *content_type;
 	struct vh_slice body;
 	int64_t timeout_ms;
+	const char *header;
+	const char *header_value;
 };
 
 /**
--- a/packages/platform/src/http_pool.c
+++ b/packages/platform/src/http_pool.c
@@ -14,6 +14,8 @@
 	const char *content_type;
 	struct vh_buf body;
 	int64_t timeout_ms;
+	char *header;
+	char *header_value;
 	void (*done)(void *ctx, const struct vh_http_reply *reply);
 	void *ctx;
 };
@@ -41,6 +43,8 @@
 {
 	vh_buf_finish(&x->body);
 	g_free(x->path);
+	g_free(x->header);
+	g_free(x->header_value);
 	g_free(x);
 }
 
@@ -164,6 +168,8 @@
 	evhttp_add_header(headers, "Host", pool->address);
 	if (x->content_type)
 		evhttp_add_header(headers, "Content-Type", x->content_type);
+	if (x->header)
+		evhttp_add_header(headers, x->header, x->header_value);
 	if (x->body.len)
 		evbuffer_add(evhttp_request_get_output_buffer(req),
 			     x->body.data, x->body.len);
@@ -199,6 +205,8 @@
 	x->content_type = request->content_type;
 	vh_buf_add_slice(&x->body, request->body);
 	x->timeout_ms = request->timeout_ms;
+	x->header = g_strdup(request->header);
+	x->header_value = g_strdup(request->header_value);
 	x->done = done;
 	x->ctx = ctx;
 	*pool->tail = x;
