--- a/packages/engine/src/eng_priv.h
+++ b/packages/engine/src/eng_priv.h
@@ -209,6 +209,7 @@
 /* eng_workers.c */
 struct worker *eng_worker_get(struct engine *e, struct vh_slice id);
 struct worker *eng_worker_find(struct engine *e, struct vh_slice id);
+void eng_worker_address(struct worker *w, struct vh_slice address);
 void eng_worker_reborn(struct engine *e, struct worker *w, int64_t born_ms);
 bool eng_worker_usable(const struct engine *e, const struct worker *w);
 int64_t eng_worker_until(struct engine *e, struct worker *w);
--- a/packages/engine/src/eng_record.c
+++ b/packages/engine/src/eng_record.c
@@ -1,9 +1,9 @@
 #include "eng_priv.h"
 
-#define RECORD_FORMAT 2 /* version of the record's shape */
+#define RECORD_FORMAT 3 /* version of the record's shape */
 
 /*
- * [format, status, begun, [[worker, born]...], [[gang fails, [task...]]...]]
+ * [format, status, begun, [[worker, born, address]...], [[gang fails, [task...]]...]]
  * A task is nil if nothing ever happened to it, else
  * [done, run, fails, number of its worker from 1 or 0, checkpoint].
  * The record of an ended job stops after its status.
@@ -69,9 +69,10 @@
 	for (guint i = 0; i < workers->len; i++) {
 		const struct worker *w = workers->pdata[i];
 
-		msgpack_pack_array(pk, 2);
+		msgpack_pack_array(pk, 3);
 		pack_bytes(pk, eng_str(w->id));
 		msgpack_pack_int64(pk, w->born_ms);
+		pack_bytes(pk, eng_str(w->address));
 	}
 	msgpack_pack_array(pk, j->spec->n_steps);
 	for (size_t i = 0; i < j->spec->n_steps; i++) {
@@ -220,12 +221,17 @@
 		uint64_t born;
 		size_t m;
 
-		if (!get_array(&rows[i], &row, &m) || m < 2 ||
+		if (!get_array(&rows[i], &row, &m) || m < 3 ||
 		    row[0].type != MSGPACK_OBJECT_BIN ||
-		    !get_uint(&row[1], INT64_MAX, &born))
+		    !get_uint(&row[1], INT64_MAX, &born) ||
+		    row[2].type != MSGPACK_OBJECT_BIN)
 			return false;
 		w = eng_worker_get(e, vh_slice(row[0].via.bin.ptr,
 					       row[0].via.bin.size));
+		if (!*w->address)
+			eng_worker_address(w,
+					   vh_slice(row[2].via.bin.ptr,
+						    row[2].via.bin.size));
 		if (!w->born_ms)
 			w->born_ms = (int64_t)born;
 		g_ptr_array_add(workers,
--- a/packages/engine/src/eng_tasks.c
+++ b/packages/engine/src/eng_tasks.c
@@ -90,8 +90,10 @@
 
 static void send_stop(struct engine *e, struct task *t)
 {
-	t->order_open = true;
 	t->since_ms = e->now_ms;
+	if (!*t->worker->address)
+		return; /* not known yet; sent again later */
+	t->order_open = true;
 	e->ports.stop(e->ports.ctx, eng_str(t->worker->id),
 		      eng_str(t->worker->address), eng_task_ref(t));
 }
--- a/packages/engine/src/eng_workers.c
+++ b/packages/engine/src/eng_workers.c
@@ -67,6 +67,11 @@
 	*to = vh_slice_dup(s);
 }
 
+void eng_worker_address(struct worker *w, struct vh_slice address)
+{
+	copy_str(&w->address, address);
+}
+
 void eng_worker(struct engine *e, const struct eng_worker_info *info,
 		int64_t now_ms)
 {
--- /dev/null
+++ b/packages/engine/tests/world.h
@@ -0,0 +1,769 @@
+#ifndef ENGINE_TESTS_WORLD_H
+#define ENGINE_TESTS_WORLD_H
+
+/*
+ * A small world around the engine, under a clock of its own: workers that
+ * speak the platform's rules, a store, a policy service, and faults drawn from
+ * a seed. It checks what must always hold as the workers see it.
+ */
+
+#include <cinttypes>
+#include <cstdio>
+#include <functional>
+#include <map>
+#include <queue>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "vh/engine.h"
+}
+
+namespace world
+{
+
+/* From a cancelling, or a late start, to the end of the work. */
+constexpr int64_t CANCEL_BOUND_MS = 4000 + 3000 + 300;
+
+struct Key {
+	uint64_t job;
+	uint32_t step, index;
+	bool operator<(const Key &o) const
+	{
+		return std::tie(job, step, index) <
+		       std::tie(o.job, o.step, o.index);
+	}
+};
+
+struct Run {
+	Key key;
+	uint32_t run;
+	int64_t ends_ms; /* when it would end by itself; -1: it hangs */
+	int64_t started_ms;
+	int64_t began_ms;
+	bool fails;
+	bool stopping;
+	eng_room need;
+};
+
+struct End {
+	int64_t number;
+	Key key;
+	uint32_t run;
+	eng_how how;
+	int64_t seen_ms = -1; /* when an answer listed it */
+};
+
+struct Worker {
+	std::string id, address = "10.0.0.1:1";
+	int64_t born = 1;
+	bool up = true, listed = true;
+	uint64_t fence = 0;
+	int64_t clock_offset = 0, until = 0, ends_from = 1;
+	double speed = 1;
+	std::vector<Run> running;
+	std::vector<End> ends;
+	std::set<std::pair<Key, uint32_t>> voided;
+	int64_t capacity = 16000;
+	bool reachable = true;
+};
+
+struct Job {
+	eng_job_spec *spec;
+	int64_t accepted_ms = 0, cancelled_ms = -1;
+};
+
+struct Faults {
+	double lose_order = 0;  /* answers of workers that never come */
+	double late_order = 0;  /* orders carried out seconds later, unanswered */
+	double crash = 0;	/* a worker, per second of the world */
+	double cut = 0;
+	double takeover = 0;
+	double store_slow = 0;
+	double cancel = 0;
+	double fail_task = 0.03;
+};
+
+class World
+{
+    public:
+	World(uint64_t seed, Faults f, int workers)
+		: rng(seed), faults(f)
+	{
+		for (int i = 0; i < workers; i++) {
+			Worker w;
+			w.id = "w" + std::to_string(i);
+			w.address = "10.0.0." + std::to_string(i) + ":1";
+			w.clock_offset = 1000 + (int64_t)(rnd() * 100000);
+			w.speed = 0.98 + 0.04 * rnd();
+			this->workers.push_back(w);
+		}
+	}
+
+	~World()
+	{
+		if (engine)
+			eng_free(engine);
+		for (auto &j : jobs)
+			eng_job_free(j.second.spec);
+	}
+
+	double rnd()
+	{
+		return std::uniform_real_distribution<>(0, 1)(rng);
+	}
+
+	bool chance(double p)
+	{
+		return rnd() < p;
+	}
+
+	void at(int64_t when, std::function<void()> fn)
+	{
+		events.emplace(Event{ when, order++, std::move(fn) });
+	}
+
+	void in(int64_t delay, std::function<void()> fn)
+	{
+		at(now + delay, std::move(fn));
+	}
+
+	void broken(const std::string &what)
+	{
+		violations.push_back("at " + std::to_string(now) + ": " + what);
+	}
+
+	static struct vh_slice str(const std::string &s)
+	{
+		struct vh_slice out = { s.data(), s.size() };
+
+		return out;
+	}
+
+	/* A job as a record would carry it. */
+	void submit(uint64_t id, std::vector<eng_step_spec> steps,
+		    uint32_t priority = 1, bool advice = false,
+		    uint32_t attempts = 4)
+	{
+		eng_job_spec spec = {};
+		vh_buf bytes = {};
+
+		spec.id = id;
+		spec.queue = str(queue_names[priority % 3]);
+		spec.service = str(service);
+		spec.team = str(team);
+		spec.priority = priority;
+		spec.max_attempts = attempts;
+		spec.stretch = 2;
+		spec.target_ms = 1000;
+		spec.advice.needed = advice;
+		spec.advice.decide_ms = 50;
+		spec.advice.each_ms = 1;
+		spec.advice.valid_ms = 1500;
+		spec.received_ms = now;
+		spec.payload = str(payload);
+		spec.steps = steps.data();
+		spec.n_steps = steps.size();
+		eng_job_pack(&spec, &bytes);
+		jobs[id].spec = eng_job_unpack(vh_buf_slice(&bytes));
+		jobs[id].accepted_ms = now;
+		job_bytes[id] = std::string(bytes.data, bytes.len);
+		vh_buf_finish(&bytes);
+		if (engine && ready)
+			give_job(id);
+	}
+
+	void give_job(uint64_t id)
+	{
+		eng_job(engine, eng_job_unpack(str(job_bytes[id])), now, now);
+	}
+
+	void cancel(uint64_t id)
+	{
+		jobs[id].cancelled_ms = now;
+		if (engine && ready)
+			eng_cancel(engine, id, now);
+	}
+
+	/* Another node takes over: it knows only what was stored. */
+	void take_over()
+	{
+		eng_settings s = {};
+		eng_ports p = {};
+
+		if (engine)
+			eng_free(engine);
+		epoch++;
+		s.fence = epoch;
+		s.lease_ms = 5000;
+		s.lease_max_ms = 6000;
+		s.stop_ms = 300;
+		s.gang_ms = 3000;
+		s.former_ms = 100;
+		p.start = start_cb;
+		p.stop = stop_cb;
+		p.hold = hold_cb;
+		p.advise = advise_cb;
+		p.deposed = deposed_cb;
+		p.ctx = this;
+		engine = eng_new(&s, &p, now);
+		batch_open = false;
+		for (auto &w : workers)
+			list(w);
+		for (auto &r : stored)
+			eng_recover(engine, r.first, str(r.second), now);
+		for (auto &j : jobs) {
+			give_job(j.first);
+			if (j.second.cancelled_ms >= 0)
+				eng_cancel(engine, j.first, now);
+		}
+		ready = true;
+		eng_ready(engine, now);
+	}
+
+	void list(Worker &w)
+	{
+		eng_worker_info i = {};
+		struct vh_slice labels[1] = { str(rack) };
+
+		i.id = str(w.id);
+		i.service = str(service);
+		i.address = str(w.address);
+		i.zone = str(rack);
+		i.capacity = { w.capacity, 64000, 0 };
+		i.labels = labels;
+		i.n_labels = 1;
+		i.born_ms = w.born;
+		if (w.listed)
+			eng_worker(engine, &i, now);
+	}
+
+	int64_t clock(const Worker &w) const
+	{
+		return (int64_t)((double)now * w.speed) + w.clock_offset;
+	}
+
+	Worker &find(struct vh_slice id)
+	{
+		for (auto &w : workers) {
+			if (vh_slice_eq(id, str(w.id)))
+				return w;
+		}
+		abort();
+	}
+
+	void run_until(int64_t end)
+	{
+		while (!events.empty() && events.top().when <= end) {
+			auto fn = events.top().fn;
+
+			now = std::max(now, events.top().when);
+			events.pop();
+			fn();
+		}
+		now = std::max(now, end);
+	}
+
+	/* Ticks of the world: workers, engine, faults. */
+	void play(int64_t ms, bool with_faults)
+	{
+		int64_t end = now + ms;
+
+		while (now < end) {
+			if (with_faults)
+				strike();
+			run_workers();
+			step_engine();
+			run_until(now + 10);
+		}
+	}
+
+	void step_engine()
+	{
+		eng_run(engine, now);
+		if (batch_open)
+			return;
+		eng_record *records = nullptr;
+		size_t n = 0;
+		uint64_t batch = eng_flush(engine, &records, &n);
+
+		if (!batch)
+			return;
+		std::vector<std::pair<uint64_t, std::string>> copy;
+		for (size_t i = 0; i < n; i++)
+			copy.emplace_back(records[i].job,
+					  std::string(records[i].bytes.data,
+						      records[i].bytes.len));
+		eng_records_free(records, n);
+		batch_open = true;
+		uint64_t e = epoch;
+		in(chance(faults.store_slow) ? 400 : 8, [=, this] {
+			if (e != epoch)
+				return;
+			for (auto &r : copy)
+				stored[r.first] = r.second;
+			in(5, [=, this] {
+				if (e != epoch)
+					return;
+				batch_open = false;
+				eng_stored(engine, batch, now);
+			});
+		});
+	}
+
+	void strike()
+	{
+		Worker &w = workers[(size_t)(rnd() * (double)workers.size())];
+
+		if (chance(faults.crash / 100) && w.up)
+			crash(w);
+		if (chance(faults.cut / 100) && w.reachable) {
+			w.reachable = false;
+			in(1000 + (int64_t)(rnd() * 9000),
+			   [&w] { w.reachable = true; });
+		}
+		if (chance(faults.takeover / 100))
+			take_over();
+		if (chance(faults.cancel / 100) && !jobs.empty()) {
+			auto j = jobs.begin();
+
+			std::advance(j, (long)(rnd() * (double)jobs.size()));
+			if (j->second.cancelled_ms < 0)
+				cancel(j->first);
+		}
+	}
+
+	void crash(Worker &w)
+	{
+		w.up = false;
+		w.listed = false;
+		eng_worker_unlisted(engine, str(w.id), now);
+		w.running.clear();
+		w.ends.clear();
+		w.voided.clear();
+		in(500 + (int64_t)(rnd() * 9000), [this, &w] {
+			w.up = true;
+			w.born = now;
+			w.fence = 0;
+			w.until = 0;
+			w.ends_from = 1;
+			w.listed = true;
+			list(w);
+		});
+	}
+
+	void end_run(Worker &w, size_t i, eng_how how)
+	{
+		Run r = w.running[i];
+
+		w.running.erase(w.running.begin() + (long)i);
+		w.ends.push_back({ w.ends_from++, r.key, r.run, how });
+		w.voided.insert({ r.key, r.run });
+		if (how == ENG_END_DONE)
+			done_runs.insert(r.key);
+	}
+
+	void run_workers()
+	{
+		for (auto &w : workers) {
+			if (!w.up)
+				continue;
+			if (!w.running.empty() && clock(w) > w.until) {
+				while (!w.running.empty())
+					end_run(w, 0, ENG_END_LAPSED);
+				lapsed++;
+			}
+			for (size_t i = w.running.size(); i-- > 0;) {
+				Run &r = w.running[i];
+
+				check_wanted(w, r);
+
+				if (r.stopping && r.started_ms <= now)
+					end_run(w, i, ENG_END_STOPPED);
+				else if (!r.stopping && r.ends_ms >= 0 &&
+					 r.ends_ms <= now)
+					end_run(w, i,
+						r.fails ? ENG_END_FAILED :
+							  ENG_END_DONE);
+			}
+		}
+	}
+
+	/* Nothing of a cancelled job works on for long, if it can be told. */
+	void check_wanted(const Worker &w, const Run &r)
+	{
+		const Job &j = jobs[r.key.job];
+		int64_t from = std::max(j.cancelled_ms, r.began_ms);
+
+		if (j.cancelled_ms >= 0 && w.reachable &&
+		    now > from + CANCEL_BOUND_MS && faults.lose_order == 0)
+			broken("a cancelled job works on");
+	}
+
+	/* A start that a worker carried out late has no bound of time. */
+	void check_start(Worker &w, const Run &r, int64_t cpu, bool late)
+	{
+		int64_t used = cpu;
+		const Job &j = jobs[r.key.job];
+		const eng_step_spec &s = j.spec->steps[r.key.step];
+
+		for (auto &o : w.running)
+			used += o.need.cpu_milli;
+		if (used > w.capacity)
+			broken("LIMIT on " + w.id);
+		for (auto &o : workers) {
+			for (auto &x : o.running) {
+				if (o.up && !(x.key < r.key) &&
+				    !(r.key < x.key))
+					broken("TWICE: " + w.id + " and " +
+					       o.id);
+			}
+		}
+		if (acked_done.count(r.key))
+			broken("start after an acknowledged end");
+		for (size_t i = 0; i < s.n_after; i++) {
+			const eng_step_spec &b = j.spec->steps[s.after[i]];
+
+			for (uint32_t k = 0; k < b.n_tasks; k++) {
+				if (!done_runs.count({ r.key.job, s.after[i],
+						       k }))
+					broken("ORDER");
+			}
+		}
+		if (!late && j.cancelled_ms >= 0 &&
+		    now > j.cancelled_ms + 3000)
+			broken("start of a cancelled job");
+	}
+
+	eng_answer do_start(Worker &w, uint64_t fence, Run r, int64_t until,
+			    bool late)
+	{
+		if (fence < w.fence)
+			return ENG_ANSWER_FENCE;
+		w.fence = fence;
+		w.until = std::max(w.until, std::min(until, clock(w) + 6000));
+		for (auto &x : w.running) {
+			if (!(x.key < r.key) && !(r.key < x.key) &&
+			    x.run == r.run)
+				return ENG_ANSWER_OK;
+		}
+		for (auto &v : w.voided) {
+			if (!(v.first < r.key) && !(r.key < v.first) &&
+			    v.second >= r.run)
+				return ENG_ANSWER_OLD;
+		}
+		if (clock(w) > until)
+			return ENG_ANSWER_LATE;
+		check_start(w, r, r.need.cpu_milli, late);
+		w.running.push_back(r);
+		starts++;
+		return ENG_ANSWER_OK;
+	}
+
+	static void start_cb(void *ctx, const eng_start_order *o)
+	{
+		((World *)ctx)->on_start(o);
+	}
+
+	void check_address(struct vh_slice address)
+	{
+		if (!address.len)
+			broken("an order without an address");
+	}
+
+	void on_start(const eng_start_order *o)
+	{
+		check_address(o->address);
+		Worker &w = find(o->worker);
+		const eng_step_spec &s =
+			jobs[o->task.job].spec->steps[o->task.step];
+		Run r = {};
+		eng_task_ref ref = o->task;
+		uint64_t e = epoch;
+		int64_t until = o->until_ms, born = w.born;
+		std::string id = w.id;
+		bool late = chance(faults.late_order);
+		bool lost = late || chance(faults.lose_order);
+
+		r.key = { ref.job, ref.step, ref.index };
+		r.run = ref.run;
+		r.need = s.need;
+		in(late ? 2000 + (int64_t)(rnd() * 10000) : 15, [=, this, &w] {
+			eng_answer a = ENG_ANSWER_NONE;
+			Run x = r;
+
+			x.started_ms = now;
+			x.began_ms = now;
+			x.ends_ms = now + 100 +
+				    (int64_t)(rnd() *
+					      (double)jobs[ref.job]
+						      .spec->steps[ref.step]
+						      .estimate_ms);
+			x.fails = chance(faults.fail_task);
+			if (w.up && w.born == born && (w.reachable || late))
+				a = do_start(w, e, x, until, late);
+			if (lost)
+				a = ENG_ANSWER_NONE;
+			in(a == ENG_ANSWER_NONE ? 700 : 15, [=, this] {
+				if (e == epoch)
+					eng_started(engine, str(id), ref, a,
+						    now);
+			});
+		});
+	}
+
+	static void stop_cb(void *ctx, struct vh_slice worker,
+			    struct vh_slice address, eng_task_ref task)
+	{
+		((World *)ctx)->on_stop(worker, address, task);
+	}
+
+	void on_stop(struct vh_slice worker, struct vh_slice address,
+		     eng_task_ref ref)
+	{
+		check_address(address);
+		Worker &w = find(worker);
+		uint64_t e = epoch;
+		std::string id = w.id;
+		int64_t born = w.born;
+		bool lost = chance(faults.lose_order);
+
+		in(15, [=, this, &w] {
+			eng_answer a = ENG_ANSWER_NONE;
+
+			if (w.up && w.born == born && w.reachable) {
+				a = do_stop(w, e, ref);
+				if (lost)
+					a = ENG_ANSWER_NONE;
+			}
+			in(a == ENG_ANSWER_NONE ? 700 : 15, [=, this] {
+				if (e == epoch)
+					eng_stopped(engine, str(id), ref, a,
+						    now);
+			});
+		});
+	}
+
+	eng_answer do_stop(Worker &w, uint64_t fence, eng_task_ref ref)
+	{
+		Key k = { ref.job, ref.step, ref.index };
+
+		if (fence < w.fence)
+			return ENG_ANSWER_FENCE;
+		w.fence = fence;
+		w.voided.insert({ k, ref.run });
+		for (auto &x : w.running) {
+			if (x.key < k || k < x.key || x.run > ref.run)
+				continue;
+			x.stopping = true;
+			x.started_ms = now + (int64_t)(rnd() * 300);
+		}
+		return ENG_ANSWER_OK;
+	}
+
+	static void hold_cb(void *ctx, const eng_hold_order *o)
+	{
+		((World *)ctx)->on_hold(o);
+	}
+
+	void on_hold(const eng_hold_order *o)
+	{
+		check_address(o->address);
+		Worker &w = find(o->worker);
+		uint64_t e = epoch;
+		eng_hold_order h = *o;
+		int64_t sent = now, born = w.born;
+		std::string id = w.id;
+
+		holds++;
+		in(15, [=, this, &w] {
+			hold_arrives(w, id, e, h, sent, born,
+				     now + h.wait_ms);
+		});
+	}
+
+	void hold_arrives(Worker &w, std::string id, uint64_t e,
+			  eng_hold_order h, int64_t sent, int64_t born,
+			  int64_t wait_until)
+	{
+		if (!w.up || !w.reachable) {
+			in(700, [=, this] {
+				if (e == epoch)
+					eng_hold_failed(engine, str(id),
+							ENG_ANSWER_NONE, now);
+			});
+			return;
+		}
+		if (e < w.fence) {
+			in(15, [=, this] {
+				if (e == epoch)
+					eng_hold_failed(engine, str(id),
+							ENG_ANSWER_FENCE, now);
+			});
+			return;
+		}
+		w.fence = e;
+		if (w.born == born && h.until_ms)
+			w.until = std::max(w.until,
+					   std::min(h.until_ms,
+						    clock(w) + 6000));
+		if (w.born == born)
+			acknowledge(w, h.acknowledged);
+		h.until_ms = 0;
+		if (w.ends.empty() && now < wait_until) {
+			in(20, [=, this, &w] {
+				hold_arrives(w, id, e, h, sent, born,
+					     wait_until);
+			});
+			return;
+		}
+		answer_hold(w, id, e, sent);
+	}
+
+	void acknowledge(Worker &w, int64_t number)
+	{
+		while (!w.ends.empty() && w.ends.front().number <= number) {
+			if (w.ends.front().how == ENG_END_DONE)
+				acked_done.insert(w.ends.front().key);
+			w.ends.erase(w.ends.begin());
+		}
+	}
+
+	void answer_hold(Worker &w, const std::string &id, uint64_t e,
+			 int64_t sent)
+	{
+		std::vector<eng_running> run;
+		std::vector<eng_finished> fin;
+		int64_t c = clock(w), born = w.born;
+
+		for (auto &r : w.running) {
+			eng_running x = {};
+
+			x.task = { r.key.job, 0, r.key.step, r.key.index,
+				   r.run };
+			run.push_back(x);
+		}
+		for (auto &n : w.ends) {
+			eng_finished x = {};
+
+			x.number = n.number;
+			x.task = { n.key.job, 0, n.key.step, n.key.index,
+				   n.run };
+			x.how = n.how;
+			fin.push_back(x);
+		}
+		in(15, [=, this] {
+			struct eng_report r = {};
+
+			if (e != epoch)
+				return;
+			r.sent_ms = sent;
+			r.clock_ms = c;
+			r.born_ms = born;
+			r.running = run.data();
+			r.n_running = run.size();
+			r.finished = fin.data();
+			r.n_finished = fin.size();
+			eng_report(engine, str(id), &r, now);
+		});
+	}
+
+	static void advise_cb(void *ctx, const eng_ask *a)
+	{
+		((World *)ctx)->on_advise(a);
+	}
+
+	/* A quarter of the workers may not run a step; which, never changes. */
+	static bool good(uint64_t job, uint32_t step, const std::string &w)
+	{
+		return std::hash<std::string>()(w + std::to_string(job + step)) %
+			       4 !=
+		       0;
+	}
+
+	void on_advise(const eng_ask *a)
+	{
+		std::vector<std::string> ids;
+		uint64_t e = epoch, job = a->job;
+		uint32_t step = a->step;
+
+		asks++;
+		for (size_t i = 0; i < a->n; i++)
+			ids.emplace_back(a->workers[i].data,
+					 a->workers[i].len);
+		in((int64_t)a->cost_ms + 40, [=, this] {
+			std::vector<struct vh_slice> asked;
+			std::vector<eng_good> ok;
+
+			if (e != epoch)
+				return;
+			for (auto &id : ids) {
+				asked.push_back(str(id));
+				if (good(job, step, id))
+					ok.push_back({ str(id), str(id) });
+			}
+			eng_advice(engine, job, step, asked.data(),
+				   asked.size(), ok.data(), ok.size(), now,
+				   1500, now);
+		});
+	}
+
+	static void deposed_cb(void *ctx, const char *why)
+	{
+		((World *)ctx)->broken(std::string("deposed: ") + why);
+	}
+
+	size_t count(enum eng_status s)
+	{
+		size_t n = 0;
+
+		for (auto &j : jobs)
+			n += eng_status(engine, j.first) == s;
+		return n;
+	}
+
+	struct Event {
+		int64_t when;
+		uint64_t order;
+		std::function<void()> fn;
+		bool operator<(const Event &o) const
+		{
+			return std::tie(o.when, o.order) <
+			       std::tie(when, order);
+		}
+	};
+
+	std::mt19937_64 rng;
+	Faults faults;
+	int64_t now = 1000;
+	uint64_t order = 0, epoch = 0;
+	bool ready = false, batch_open = false;
+	struct engine *engine = nullptr;
+	std::priority_queue<Event> events;
+	std::vector<Worker> workers;
+	std::map<uint64_t, Job> jobs;
+	std::map<uint64_t, std::string> job_bytes, stored;
+	std::set<Key> done_runs, acked_done;
+	std::vector<std::string> violations;
+	int starts = 0, holds = 0, asks = 0, lapsed = 0;
+	std::string service = "svc", team = "team", payload = "spec",
+		    rack = "r1";
+	std::string queue_names[3] = { "q0", "q1", "q2" };
+};
+
+inline eng_step_spec step(uint32_t n, int64_t cpu, int64_t ms)
+{
+	eng_step_spec s = {};
+
+	s.n_tasks = n;
+	s.need.cpu_milli = cpu;
+	s.need.mem_mb = 500;
+	s.estimate_ms = ms;
+	return s;
+}
+
+} // namespace world
+
+#endif
