--- a/packages/cell/src/owner.c
+++ b/packages/cell/src/owner.c
@@ -6,7 +6,7 @@
 #include "vh/log.h"
 
 #define TICK_MS 50
-#define OWNER_WAIT_MS 5000   /* longest that a reading of the owner waits */
+#define OWNER_WAIT_MS 900    /* longest that a reading of the owner waits */
 #define CLAIM_TIMEOUT_MS 900 /* for writing a claim */
 #define LOOK_MS 650	     /* an owner writes at least once in this time */
 #define DELAY_PER_MS 6	     /* of waiting, for each that the store is away */
@@ -143,6 +143,9 @@
 			(int64_t)(spread % DELAY_SPREAD_MS);
 	}
 	claim_known(&c->claim, now);
+	/* No newer owner is recorded: that proves this one, recovery included. */
+	if (c->claim.mine)
+		on_proved(c, as_of_ms);
 }
 
 static void pack_record(struct vh_cell *c, bool released, struct vh_buf *out)
--- a/packages/engine/src/eng_priv.h
+++ b/packages/engine/src/eng_priv.h
@@ -24,6 +24,8 @@
 
 /**
  * struct task
+ * @failed_runs: a bit for each run that ended failed, by its number modulo 64;
+ *		 an end is listed again if a former owner did not acknowledge it
  * @done: it has ended done, or its gang has; its room may still be taken
  * @order_open: a start or a stop is on its way
  * @stop_acked_ms: when its worker accepted a stop, 0: it did not
@@ -35,7 +37,7 @@
 	struct step *step;
 	uint32_t index;
 	uint32_t run;
-	uint32_t fails;
+	uint64_t failed_runs;
 	enum task_state state;
 	bool done;
 	bool order_open;
@@ -70,7 +72,7 @@
 	uint32_t n_done;
 	uint32_t n_waiting;
 	uint32_t n_placed;
-	uint32_t gang_fails;
+	uint64_t failed_runs; /* of a gang, as in struct task */
 	int64_t chain_ms;
 	bool open;
 	bool asking;
--- a/packages/engine/src/eng_record.c
+++ b/packages/engine/src/eng_record.c
@@ -1,11 +1,11 @@
 #include "eng_priv.h"
 
-#define RECORD_FORMAT 3 /* version of the record's shape */
+#define RECORD_FORMAT 4 /* version of the record's shape */
 
 /*
- * [format, status, begun, [[worker, born, address]...], [[gang fails, [task...]]...]]
+ * [format, status, begun, [[worker, born, address]...], [[failed runs, [task...]]...]]
  * A task is nil if nothing ever happened to it, else
- * [done, run, fails, number of its worker from 1 or 0, checkpoint].
+ * [done, run, failed runs, number of its worker from 1 or 0, checkpoint].
  * The record of an ended job stops after its status.
  */
 enum {
@@ -55,7 +55,7 @@
 	msgpack_pack_array(pk, 5);
 	msgpack_pack_int(pk, t->done);
 	msgpack_pack_uint32(pk, t->run);
-	msgpack_pack_uint32(pk, t->fails);
+	msgpack_pack_uint64(pk, t->failed_runs);
 	msgpack_pack_uint32(pk, worker_number(workers, t->worker));
 	pack_bytes(pk, t->done ? vh_slice(NULL, 0) : t->checkpoint);
 }
@@ -79,7 +79,7 @@
 		const struct step *s = &j->steps[i];
 
 		msgpack_pack_array(pk, 2);
-		msgpack_pack_uint32(pk, s->gang_fails);
+		msgpack_pack_uint64(pk, s->failed_runs);
 		msgpack_pack_array(pk, s->spec->n_tasks);
 		for (uint32_t k = 0; k < s->spec->n_tasks; k++)
 			pack_task(pk, &s->tasks[k], workers);
@@ -173,7 +173,6 @@
 	const msgpack_object *p;
 	uint64_t done;
 	uint64_t run;
-	uint64_t fails;
 	uint64_t number;
 	size_t n;
 
@@ -182,12 +181,11 @@
 	if (!get_array(o, &p, &n) || n < 5)
 		return false;
 	if (!get_uint(&p[0], 1, &done) || !get_uint(&p[1], UINT32_MAX, &run) ||
-	    !get_uint(&p[2], UINT32_MAX, &fails) ||
+	    !get_uint(&p[2], UINT64_MAX, &t->failed_runs) ||
 	    !get_uint(&p[3], workers->len, &number) ||
 	    p[4].type != MSGPACK_OBJECT_BIN)
 		return false;
 	t->run = (uint32_t)run;
-	t->fails = (uint32_t)fails;
 	if (p[4].via.bin.size) {
 		struct vh_slice c = vh_slice(p[4].via.bin.ptr,
 					     p[4].via.bin.size);
@@ -245,16 +243,14 @@
 {
 	const msgpack_object *p;
 	const msgpack_object *tasks;
-	uint64_t fails;
 	size_t n;
 	size_t n_tasks;
 
 	if (!get_array(o, &p, &n) || n < 2 ||
-	    !get_uint(&p[0], UINT32_MAX, &fails) ||
+	    !get_uint(&p[0], UINT64_MAX, &s->failed_runs) ||
 	    !get_array(&p[1], &tasks, &n_tasks) ||
 	    n_tasks != s->spec->n_tasks)
 		return false;
-	s->gang_fails = (uint32_t)fails;
 	for (size_t k = 0; k < n_tasks; k++) {
 		if (!apply_task(e, &s->tasks[k], &tasks[k], workers))
 			return false;
--- a/packages/engine/src/eng_tasks.c
+++ b/packages/engine/src/eng_tasks.c
@@ -5,6 +5,7 @@
 #define STOP_RETRY_MS 300    /* an unanswered stop is sent again after this */
 #define ROOM_AVOID_MS 300    /* a worker that had no room is left alone */
 #define REFUSED_AVOID_MS 1500 /* a worker that refused is left alone */
+#define RUN_BITS 64	     /* runs that a task's failures are told apart */
 #define BAD_PER_FAILURE 1.0  /* added to a worker's score by a failed end */
 #define BAD_DECAY 0.7	     /* factor of the score for each good end */
 
@@ -187,11 +188,14 @@
 		step_done(e, s);
 }
 
-static void end_failed(struct engine *e, struct task *t)
+static void end_failed(struct engine *e, struct task *t, uint32_t run)
 {
 	struct step *s = t->step;
-	uint32_t fails = s->spec->gang ? ++s->gang_fails : ++t->fails;
+	uint64_t *failed = s->spec->gang ? &s->failed_runs : &t->failed_runs;
+	uint32_t fails;
 
+	*failed |= UINT64_C(1) << run % RUN_BITS;
+	fails = (uint32_t)__builtin_popcountll(*failed);
 	eng_job_dirty(e, s->job);
 	if (s->spec->service || t->done || !eng_job_live(s->job))
 		return;
@@ -232,7 +236,7 @@
 		e->stats.ends_failed++;
 		if (w)
 			w->bad += BAD_PER_FAILURE;
-		end_failed(e, t);
+		end_failed(e, t, f->task.run);
 	}
 	if (!s->job->steps)
 		return;
--- a/packages/engine/tests/test_schedules.cc
+++ b/packages/engine/tests/test_schedules.cc
@@ -47,6 +47,7 @@
 	w.faults = Faults();
 	w.faults.fail_task = 0;
 	w.play(calm_ms, false);
+	w.check_failed_jobs();
 	for (auto &v : w.violations)
 		ADD_FAILURE() << "seed " << seed << " " << v;
 	size_t ended = w.count(ENG_COMPLETE) + w.count(ENG_FAILED) +
@@ -87,6 +88,17 @@
 	check(GetParam(), f, 30000);
 }
 
+// A former owner's ends are listed again if it could not acknowledge them.
+TEST_P(Schedules, FailuresBesideTakeOvers)
+{
+	Faults f;
+
+	f.takeover = 1;
+	f.store_slow = 0.5;
+	f.fail_task = 0.3;
+	check(GetParam(), f, 20000);
+}
+
 TEST_P(Schedules, TakeOvers)
 {
 	Faults f;
--- a/packages/engine/tests/world.h
+++ b/packages/engine/tests/world.h
@@ -363,6 +363,9 @@
 		w.voided.insert({ r.key, r.run });
 		if (how == ENG_END_DONE)
 			done_runs.insert(r.key);
+		if (how == ENG_END_FAILED)
+			failed_runs[r.key.job].insert(
+				{ gang(r.key) ? 0 : r.key.index + 1, r.run });
 	}
 
 	void run_workers()
@@ -715,6 +718,28 @@
 		((World *)ctx)->broken(std::string("deposed: ") + why);
 	}
 
+	bool gang(const Key &k)
+	{
+		return jobs[k.job].spec->steps[k.step].gang;
+	}
+
+	/* A job is given up only after as many failed runs as it may have. */
+	void check_failed_jobs()
+	{
+		for (auto &j : jobs) {
+			std::map<uint32_t, uint32_t> fails;
+			uint32_t most = 0;
+
+			if (eng_status(engine, j.first) != ENG_FAILED)
+				continue;
+			for (auto &f : failed_runs[j.first])
+				most = std::max(most, ++fails[f.first]);
+			if (most < j.second.spec->max_attempts)
+				broken("job failed after " +
+				       std::to_string(most) + " runs");
+		}
+	}
+
 	size_t count(enum eng_status s)
 	{
 		size_t n = 0;
@@ -746,6 +771,8 @@
 	std::map<uint64_t, Job> jobs;
 	std::map<uint64_t, std::string> job_bytes, stored;
 	std::set<Key> done_runs, acked_done;
+	std::map<uint64_t, std::set<std::pair<uint32_t, uint32_t>>>
+		failed_runs; /* by job: task (0: a gang's) and run */
 	std::vector<std::string> violations;
 	int starts = 0, holds = 0, asks = 0, lapsed = 0;
 	std::string service = "svc", team = "team", payload = "spec",
