Keep waiting advice calls with the owner, in its order

A node now gets its next call 90 ms before it is through, and three nodes in ten take short calls only; the engine asks in the order in which it places.

--- a/packages/cell/src/advisors.c
+++ b/packages/cell/src/advisors.c
@@ -2,10 +2,11 @@
 
 #include <string.h>
 
-#define LONG_CALL_MS 120.0     /* calls from here on are kept apart */
-#define SHORT_SHARE 0.35       /* of the nodes that take no long calls */
-#define BACKLOG_MOST_MS 1500.0 /* a node is given no more than this */
-#define OUT_MOST 20	       /* calls at one node; the service takes 32 */
+#define SHORT_CALL_MS 30.0  /* calls up to here have nodes of their own */
+#define SHORT_SHARE 0.3	    /* of the nodes */
+#define SHORT_SEEN_MS 10000 /* so long after the last short call */
+#define AHEAD_MS 90.0	    /* a call is given so long before its turn */
+#define OUT_MOST 16	    /* calls at one node; the service takes 32 */
 
 int advisors_joined(struct advisors *a)
 {
@@ -34,39 +35,43 @@
 	return n;
 }
 
-static double backlog(const struct advisor *x, int64_t now_ms)
+double advisors_backlog_ms(const struct advisors *a, int i, int64_t now_ms)
 {
-	double left = x->busy_until_ms - (double)now_ms;
+	const struct advisor *x = &a->items[i];
+	double left = x->owed_ms - (double)(now_ms - x->since_ms);
 
 	return x->out && left > 0 ? left : 0;
 }
 
-/* How many nodes, from the first on, take no long calls. */
-static int kept_short(int n)
+/* How many nodes, from the first on, take short calls only. */
+static int kept_short(const struct advisors *a, int64_t now_ms)
 {
+	int n = count(a);
 	int kept = (int)(n * SHORT_SHARE + 0.5);
 
-	if (n <= 1)
+	if (n <= 1 || now_ms - a->short_ms > SHORT_SEEN_MS)
 		return 0;
 	return kept < 1 ? 1 : kept;
 }
 
 int advisors_choose(struct advisors *a, double cost_ms, int64_t now_ms)
 {
-	int kept = kept_short(count(a));
-	double best = BACKLOG_MOST_MS;
+	bool is_short = cost_ms <= SHORT_CALL_MS;
+	double best = AHEAD_MS;
 	int found = -1;
 	int seen = 0;
+	int kept;
 
+	if (is_short)
+		a->short_ms = now_ms;
+	kept = kept_short(a, now_ms);
 	for (int i = 0; i < ADVISORS_MAX; i++) {
-		struct advisor *x = &a->items[i];
+		const struct advisor *x = &a->items[i];
 		double b;
 
-		if (!x->present)
+		if (!x->present || (seen++ < kept && !is_short))
 			continue;
-		if (cost_ms >= LONG_CALL_MS && seen++ < kept)
-			continue;
-		b = backlog(x, now_ms);
+		b = advisors_backlog_ms(a, i, now_ms);
 		if (x->out >= OUT_MOST || b >= best)
 			continue;
 		best = b;
@@ -74,17 +79,22 @@
 	}
 	if (found < 0)
 		return -1;
-	a->items[found].busy_until_ms = (double)now_ms + best + cost_ms;
+	if (!a->items[found].out)
+		a->items[found].since_ms = now_ms;
+	a->items[found].owed_ms += cost_ms;
 	a->items[found].out++;
 	return found;
 }
 
-void advisors_answered(struct advisors *a, int i, int64_t now_ms)
+void advisors_answered(struct advisors *a, int i, double cost_ms,
+		       int64_t now_ms)
 {
 	struct advisor *x = &a->items[i];
 
+	x->owed_ms -= cost_ms;
+	x->since_ms = now_ms;
 	if (x->out)
 		x->out--;
-	if (!x->out)
-		x->busy_until_ms = (double)now_ms;
+	if (!x->out || x->owed_ms < 0)
+		x->owed_ms = 0;
 }
--- a/packages/cell/src/advisors.h
+++ b/packages/cell/src/advisors.h
@@ -12,17 +12,31 @@
  *
  * Load that it answers: the service answers one call at a time for each
  * calling machine, in turn. Calls of half a second come among calls of ten
- * milliseconds, whose work is worth nothing a second later. So some nodes are
- * kept for short calls, and each call goes where it will be answered first.
+ * milliseconds, whose work is worth nothing a second later, and in a burst
+ * there are more calls than the service can answer. So some nodes are kept for
+ * short calls, and a node is given the next call only shortly before it is
+ * through with the last: what waits stays where it can be put in order.
+ */
+
+/**
+ * struct advisor - a node that makes calls
+ * @owed_ms: what its calls without an answer take the service
+ * @since_ms: when the service began the first of them
  */
 struct advisor {
 	bool present;
-	double busy_until_ms; /* when what it was given is answered */
-	unsigned int out;     /* calls it has not answered */
+	double owed_ms;
+	int64_t since_ms;
+	unsigned int out;
 };
 
+/**
+ * struct advisors
+ * @short_ms: when a short call was last asked for
+ */
 struct advisors {
 	struct advisor items[ADVISORS_MAX];
+	int64_t short_ms;
 };
 
 /**
@@ -33,8 +47,12 @@
  */
 int advisors_choose(struct advisors *a, double cost_ms, int64_t now_ms);
 
-/* advisors_answered - node @i answered a call, or failed to */
-void advisors_answered(struct advisors *a, int i, int64_t now_ms);
+/* advisors_answered - node @i answered a call of @cost_ms, or failed to */
+void advisors_answered(struct advisors *a, int i, double cost_ms,
+		       int64_t now_ms);
+
+/* advisors_backlog_ms - how long until node @i is through with its calls */
+double advisors_backlog_ms(const struct advisors *a, int i, int64_t now_ms);
 
 /* advisors_joined - returns the node's number, -1 if there is no place */
 int advisors_joined(struct advisors *a);
--- a/packages/cell/src/lead_asks.c
+++ b/packages/cell/src/lead_asks.c
@@ -30,8 +30,7 @@
 	struct lead *l = a->lead;
 
 	g_hash_table_remove(l->asked, &a->sequence);
-	if (a->advisor != NOBODY)
-		advisors_answered(&l->advisors, a->advisor, lead_now(l));
+	advisors_answered(&l->advisors, a->advisor, a->cost_ms, lead_now(l));
 	eng_advice_failed(l->engine, a->job, a->step, lead_now(l));
 	ask_free(a);
 	lead_poke(l);
@@ -47,7 +46,7 @@
 	for (size_t i = 0; i < a->n; i++)
 		asked[i] = vh_slice_str(a->workers[i]);
 	g_hash_table_remove(l->asked, &a->sequence);
-	advisors_answered(&l->advisors, a->advisor, now);
+	advisors_answered(&l->advisors, a->advisor, a->cost_ms, now);
 	eng_advice(l->engine, a->job, a->step, asked, a->n, good, n,
 		   now - TICKET_AGE_MS, valid_ms, now);
 	g_free(asked);
@@ -126,8 +125,8 @@
 		ids[i] = vh_slice_str(a->workers[i]);
 	a->sequence = ++l->ask_sequence;
 	a->give_up_ms = lead_now(l) + ASK_PATIENCE_MS +
-			(int64_t)(l->advisors.items[a->advisor].busy_until_ms -
-				  (double)lead_now(l));
+			(int64_t)advisors_backlog_ms(&l->advisors, a->advisor,
+						     lead_now(l));
 	g_hash_table_insert(l->asked, &a->sequence, a);
 	link = link_of(l, a->advisor);
 	if (a->advisor != l->self_advisor && link) {
@@ -143,7 +142,8 @@
 	g_free(ids);
 }
 
-static void expire(struct lead *l)
+/* Ends calls that had no answer in time. */
+void lead_asks_run(struct lead *l)
 {
 	GList *all = g_hash_table_get_values(l->asked);
 	int64_t now = lead_now(l);
@@ -157,41 +157,26 @@
 	g_list_free(all);
 }
 
-/* Gives waiting calls to nodes; a long one does not hold up a short one. */
-void lead_asks_run(struct lead *l)
-{
-	GList *next;
-
-	expire(l);
-	for (GList *i = l->asks.head; i; i = next) {
-		struct ask *a = i->data;
-
-		next = i->next;
-		a->advisor = advisors_choose(&l->advisors, a->cost_ms,
-					     lead_now(l));
-		if (a->advisor == NOBODY)
-			continue;
-		g_queue_delete_link(&l->asks, i);
-		ask_send(l, a);
-	}
-}
-
-void lead_advise(void *ctx, const struct eng_ask *q)
+bool lead_advise(void *ctx, const struct eng_ask *q)
 {
 	struct lead *l = ctx;
-	struct ask *a = g_new0(struct ask, 1);
+	int advisor = advisors_choose(&l->advisors, q->cost_ms, lead_now(l));
+	struct ask *a;
 
+	if (advisor == NOBODY)
+		return false;
+	a = g_new0(struct ask, 1);
 	a->lead = l;
 	a->job = q->job;
 	a->step = q->step;
 	a->cost_ms = q->cost_ms;
-	a->advisor = NOBODY;
+	a->advisor = advisor;
 	a->n = q->n;
 	a->workers = g_new0(char *, q->n + 1);
 	for (size_t i = 0; i < q->n; i++)
 		a->workers[i] = vh_slice_dup(q->workers[i]);
-	g_queue_push_tail(&l->asks, a);
-	lead_poke(l);
+	ask_send(l, a);
+	return true;
 }
 
 static void on_joined(void *ctx, struct hub_link *link)
@@ -242,7 +227,6 @@
 		.advice = on_advice,
 	};
 
-	g_queue_init(&l->asks);
 	l->asked = g_hash_table_new(g_int64_hash, g_int64_equal);
 	l->self_advisor = advisors_joined(&l->advisors);
 	hub_own(l->hub, l->epoch, &ops, l);
@@ -251,13 +235,10 @@
 void lead_asks_finish(struct lead *l)
 {
 	GList *all = g_hash_table_get_values(l->asked);
-	struct ask *a;
 
 	for (GList *i = all; i; i = i->next)
 		ask_free(i->data);
 	g_list_free(all);
 	g_hash_table_destroy(l->asked);
 	l->asked = NULL;
-	while ((a = g_queue_pop_head(&l->asks)))
-		ask_free(a);
 }
--- a/packages/cell/src/lead_priv.h
+++ b/packages/cell/src/lead_priv.h
@@ -16,8 +16,7 @@
  * @sequence: of the append that is out, or was last
  * @batch: the engine's batch in that append, 0: none
  * @frozen: nothing is decided until the store has taken a write
- * @asks: calls to the policy service that wait for a node
- * @asked: those that are out, by sequence
+ * @asked: calls to the policy service that are out, by sequence
  */
 struct lead {
 	struct vh_kernel *kernel;
@@ -48,7 +47,6 @@
 
 	struct advisors advisors;
 	int self_advisor;
-	GQueue asks;
 	GHashTable *asked;
 	uint64_t ask_sequence;
 };
@@ -66,6 +64,6 @@
 void lead_asks_init(struct lead *l);
 void lead_asks_finish(struct lead *l);
 void lead_asks_run(struct lead *l);
-void lead_advise(void *ctx, const struct eng_ask *ask);
+bool lead_advise(void *ctx, const struct eng_ask *ask);
 
 #endif
--- /dev/null
+++ b/packages/cell/tests/test_advisors.cc
@@ -0,0 +1,77 @@
+#include <gtest/gtest.h>
+
+extern "C" {
+#include "advisors.h"
+}
+
+namespace
+{
+
+constexpr double SHORT_MS = 10;
+constexpr double MEDIUM_MS = 66;
+constexpr double LONG_MS = 700;
+
+struct Advisors : testing::Test {
+	struct advisors a = {};
+
+	void join(int n)
+	{
+		for (int i = 0; i < n; i++)
+			ASSERT_EQ(advisors_joined(&a), i);
+	}
+};
+
+// A burst of calls of all lengths: short ones find a node that is through
+// within a tenth of a second, whatever else waits.
+TEST_F(Advisors, ShortCallsDoNotWaitBehindLongOnes)
+{
+	join(7);
+	EXPECT_GE(advisors_choose(&a, SHORT_MS, 1000), 0);
+	while (advisors_choose(&a, LONG_MS, 1000) >= 0) {
+	}
+	while (advisors_choose(&a, MEDIUM_MS, 1000) >= 0) {
+	}
+	int i = advisors_choose(&a, SHORT_MS, 1000);
+	ASSERT_GE(i, 0);
+	EXPECT_LT(advisors_backlog_ms(&a, i, 1000), 100);
+}
+
+// What waits stays with the owner, where it can be put in order.
+TEST_F(Advisors, NoNodeGetsALongQueue)
+{
+	join(3);
+	int given = 0;
+	while (advisors_choose(&a, MEDIUM_MS, 1000) >= 0)
+		given++;
+	for (int i = 0; i < 3; i++)
+		EXPECT_LT(advisors_backlog_ms(&a, i, 1000), 90 + MEDIUM_MS);
+	EXPECT_LE(given, 6);
+}
+
+TEST_F(Advisors, OneNodeMakesAllCalls)
+{
+	join(1);
+	EXPECT_EQ(advisors_choose(&a, SHORT_MS, 1000), 0);
+	advisors_answered(&a, 0, SHORT_MS, 1020);
+	EXPECT_EQ(advisors_choose(&a, LONG_MS, 1030), 0);
+}
+
+TEST_F(Advisors, ANodeThatLeftIsNotChosen)
+{
+	join(2);
+	advisors_left(&a, 0);
+	EXPECT_EQ(advisors_choose(&a, LONG_MS, 1000), 1);
+	EXPECT_EQ(advisors_joined(&a), 0);
+}
+
+TEST_F(Advisors, AnswersMakeRoom)
+{
+	join(1);
+	while (advisors_choose(&a, LONG_MS, 1000) >= 0) {
+	}
+	EXPECT_EQ(advisors_choose(&a, LONG_MS, 1000), -1);
+	advisors_answered(&a, 0, LONG_MS, 1700);
+	EXPECT_EQ(advisors_choose(&a, LONG_MS, 1700), 0);
+}
+
+} // namespace
--- /dev/null
+++ b/packages/cell/tests/test_claim.cc
@@ -0,0 +1,130 @@
+#include <gtest/gtest.h>
+
+extern "C" {
+#include "claim.h"
+}
+
+namespace
+{
+
+constexpr int64_t TICK_MS = 50;
+
+struct Claim : testing::Test {
+	struct claim c;
+	int64_t now = 10000;
+	bool peers = true, reach = true;
+
+	void SetUp() override
+	{
+		claim_init(&c, 100, now);
+	}
+
+	claim_action wait(int64_t ms)
+	{
+		for (int64_t end = now + ms; now < end; now += TICK_MS) {
+			claim_action a = claim_tick(&c, now, peers, reach);
+
+			if (a != CLAIM_NOTHING)
+				return a;
+		}
+		return CLAIM_NOTHING;
+	}
+
+	void owned_by_another()
+	{
+		claim_record(&c, 5, false, false, now);
+		claim_known(&c, now);
+	}
+
+	void own()
+	{
+		claim_record(&c, 6, true, false, now);
+	}
+};
+
+TEST_F(Claim, NothingBeforeTheStoreWasRead)
+{
+	EXPECT_EQ(wait(5000), CLAIM_NOTHING);
+}
+
+TEST_F(Claim, TakesAnEmptyCellAfterItsDelay)
+{
+	claim_known(&c, now);
+	EXPECT_EQ(wait(100), CLAIM_NOTHING);
+	EXPECT_EQ(wait(200), CLAIM_TAKE);
+}
+
+TEST_F(Claim, TakesFromAnOwnerThatRefusesAtOnce)
+{
+	owned_by_another();
+	claim_dead(&c, 5, now);
+	EXPECT_EQ(wait(300), CLAIM_TAKE);
+}
+
+// A node that is cut off from the others must not take a sound owner's cell.
+TEST_F(Claim, LooksBeforeItTakesFromASilentOwner)
+{
+	owned_by_another();
+	EXPECT_EQ(wait(3000), CLAIM_LOOK);
+	claim_looked(&c, true, false, now);
+	EXPECT_EQ(wait(300), CLAIM_NOTHING);
+	EXPECT_EQ(wait(3000), CLAIM_LOOK);
+	claim_looked(&c, false, false, now);
+	EXPECT_EQ(wait(300), CLAIM_TAKE);
+}
+
+TEST_F(Claim, ALookWithoutAnAnswerProvesNothing)
+{
+	owned_by_another();
+	EXPECT_EQ(wait(3000), CLAIM_LOOK);
+	claim_looked(&c, false, true, now);
+	EXPECT_EQ(wait(250), CLAIM_NOTHING);
+	EXPECT_EQ(wait(3000), CLAIM_LOOK);
+}
+
+TEST_F(Claim, AnOwnerThatIsHeardIsLeftAlone)
+{
+	owned_by_another();
+	for (int i = 0; i < 100; i++) {
+		claim_heard(&c, 5, now);
+		EXPECT_EQ(wait(250), CLAIM_NOTHING);
+	}
+}
+
+TEST_F(Claim, AReleasedCellIsTaken)
+{
+	owned_by_another();
+	claim_record(&c, 6, false, true, now);
+	EXPECT_EQ(wait(300), CLAIM_TAKE);
+}
+
+TEST_F(Claim, AnOlderRecordChangesNothing)
+{
+	own();
+	claim_record(&c, 4, false, false, now);
+	EXPECT_TRUE(c.mine);
+}
+
+TEST_F(Claim, AnOwnerCutOffFromTheStoreGivesUpInTime)
+{
+	own();
+	EXPECT_EQ(wait(claim_former_ms()), CLAIM_STEP_DOWN);
+}
+
+// With the store down for all nobody can claim, and what runs goes on.
+TEST_F(Claim, AnOwnerGoesOnWhileTheStoreIsDownForAll)
+{
+	own();
+	reach = false;
+	EXPECT_EQ(wait(20000), CLAIM_NOTHING);
+}
+
+TEST_F(Claim, AnOwnerThatIsAloneGivesUp)
+{
+	own();
+	peers = false;
+	reach = false;
+	EXPECT_EQ(wait(claim_former_ms()), CLAIM_STEP_DOWN);
+}
+
+} // namespace
--- a/packages/engine/include/vh/engine.h
+++ b/packages/engine/include/vh/engine.h
@@ -149,6 +149,7 @@
 
 /**
  * struct eng_ports - where orders go
+ * @advise: false if no call can be made now; asked again in the next run
  * @decided: one decision about a job, for the log; @what is constant
  */
 struct eng_ports {
@@ -156,7 +157,7 @@
 	void (*stop)(void *ctx, struct vh_slice worker,
 		     struct vh_slice address, struct eng_task_ref task);
 	void (*hold)(void *ctx, const struct eng_hold_order *o);
-	void (*advise)(void *ctx, const struct eng_ask *ask);
+	bool (*advise)(void *ctx, const struct eng_ask *ask);
 	void (*deposed)(void *ctx, const char *why);
 	void (*decided)(void *ctx, const char *what, uint64_t job,
 			struct eng_task_ref task, struct vh_slice worker);
--- a/packages/engine/src/eng_ask.c
+++ b/packages/engine/src/eng_ask.c
@@ -162,9 +162,8 @@
 		.cost_ms = terms->decide_ms + terms->each_ms * (double)n,
 	};
 
-	s->asking = true;
-	e->stats.advice_calls++;
-	e->ports.advise(e->ports.ctx, &ask);
+	s->asking = e->ports.advise(e->ports.ctx, &ask);
+	e->stats.advice_calls += s->asking;
 }
 
 void eng_ask_run(struct engine *e, struct step *s)
--- a/packages/engine/tests/world.h
+++ b/packages/engine/tests/world.h
@@ -673,9 +673,10 @@
 		});
 	}
 
-	static void advise_cb(void *ctx, const eng_ask *a)
+	static bool advise_cb(void *ctx, const eng_ask *a)
 	{
 		((World *)ctx)->on_advise(a);
+		return true;
 	}
 
 	/* A quarter of the workers may not run a step; which, never changes. */
