Keep the room of an ended job's tasks over a takeover

Ruled out: late orders, the fence, absence from a report. Its record is now applied whole while anything is placed.

--- a/packages/cell/src/lead_orders.c
+++ b/packages/cell/src/lead_orders.c
@@ -123,22 +123,26 @@
 	vh_kernel_defer(l->kernel, give_up, l);
 }
 
-static void on_decided(void *ctx, const char *what, uint64_t job,
-		       struct eng_task_ref task, struct vh_slice worker)
+static void on_decided(void *ctx, const struct eng_decision *d)
 {
-	char id[20];
-	char part[40];
+	char job[20];
+	char task[40];
 	char run[12];
-	char *name = vh_slice_dup(worker);
+	char room[48];
+	char age[24];
+	char *worker = vh_slice_dup(d->worker);
 
 	(void)ctx;
-	g_snprintf(id, sizeof(id), "%016" PRIx64, job);
-	g_snprintf(part, sizeof(part), "%u.%u.%u", task.occurrence, task.step,
-		   task.index);
-	g_snprintf(run, sizeof(run), "%u", task.run);
-	vh_log(G_LOG_LEVEL_INFO, what, "job", id, "task", part, "run", run,
-	       "worker", name, NULL);
-	g_free(name);
+	g_snprintf(job, sizeof(job), "%016" PRIx64, d->task.job);
+	g_snprintf(task, sizeof(task), "%u.%u.%u", d->task.occurrence,
+		   d->task.step, d->task.index);
+	g_snprintf(run, sizeof(run), "%u", d->task.run);
+	g_snprintf(room, sizeof(room), "%" PRId64 "/%" PRId64, d->need_cpu,
+		   d->used_cpu);
+	g_snprintf(age, sizeof(age), "%" PRId64, d->age_ms);
+	vh_log(G_LOG_LEVEL_INFO, d->what, "job", job, "task", task, "run", run,
+	       "worker", worker, "cpu", room, "age_ms", age, NULL);
+	g_free(worker);
 }
 
 struct engine *lead_engine(struct lead *l, const struct eng_settings *s)
--- a/packages/engine/include/vh/engine.h
+++ b/packages/engine/include/vh/engine.h
@@ -147,10 +147,27 @@
 	double cost_ms;
 };
 
+/**
+ * struct eng_decision - one decision about a task, for the log
+ * @what: constant text
+ * @worker: empty if there is none
+ * @need_cpu, @used_cpu: thousandths: what the task takes, and what is
+ *			 committed on the worker
+ * @age_ms: since the job was accepted
+ */
+struct eng_decision {
+	const char *what;
+	struct eng_task_ref task;
+	struct vh_slice worker;
+	int64_t need_cpu;
+	int64_t used_cpu;
+	int64_t age_ms;
+};
+
 /**
  * struct eng_ports - where orders go
  * @advise: false if no call can be made now; asked again in the next run
- * @decided: one decision about a job, for the log; @what is constant
+ * @decided: may be NULL
  */
 struct eng_ports {
 	void (*start)(void *ctx, const struct eng_start_order *o);
@@ -159,8 +176,7 @@
 	void (*hold)(void *ctx, const struct eng_hold_order *o);
 	bool (*advise)(void *ctx, const struct eng_ask *ask);
 	void (*deposed)(void *ctx, const char *why);
-	void (*decided)(void *ctx, const char *what, uint64_t job,
-			struct eng_task_ref task, struct vh_slice worker);
+	void (*decided)(void *ctx, const struct eng_decision *d);
 	void *ctx;
 };
 
--- a/packages/engine/src/eng_priv.h
+++ b/packages/engine/src/eng_priv.h
@@ -220,7 +220,8 @@
 /* eng_record.c */
 void eng_record_pack(const struct job *j, struct vh_buf *out);
 bool eng_record_apply(struct engine *e, struct job *j, struct vh_slice bytes);
-bool eng_record_status(struct vh_slice bytes, enum eng_status *status);
+bool eng_record_status(struct vh_slice bytes, enum eng_status *status,
+		       bool *placed);
 
 /* eng_place.c */
 void eng_place_run(struct engine *e);
--- a/packages/engine/src/eng_record.c
+++ b/packages/engine/src/eng_record.c
@@ -151,7 +151,8 @@
 	return true;
 }
 
-bool eng_record_status(struct vh_slice bytes, enum eng_status *status)
+bool eng_record_status(struct vh_slice bytes, enum eng_status *status,
+		       bool *placed)
 {
 	const msgpack_object *p;
 	msgpack_unpacked u;
@@ -163,6 +164,7 @@
 	ok = msgpack_unpack_next(&u, bytes.data, bytes.len, &off) ==
 		     MSGPACK_UNPACK_SUCCESS &&
 	     head(&u.data, &p, &n, status);
+	*placed = ok && n >= REC_FIELDS;
 	msgpack_unpacked_destroy(&u);
 	return ok;
 }
--- a/packages/engine/src/engine.c
+++ b/packages/engine/src/engine.c
@@ -102,9 +102,17 @@
 void eng_decided(struct engine *e, const char *what, const struct task *t,
 		 const struct worker *w)
 {
+	struct eng_decision d = {
+		.what = what,
+		.task = eng_task_ref(t),
+		.worker = eng_str(w ? w->id : ""),
+		.need_cpu = t->step->spec->need.cpu_milli,
+		.used_cpu = w ? w->used.cpu_milli : 0,
+		.age_ms = e->now_ms - t->step->job->accepted_ms,
+	};
+
 	if (e->ports.decided)
-		e->ports.decided(e->ports.ctx, what, t->step->job->id,
-				 eng_task_ref(t), eng_str(w ? w->id : ""));
+		e->ports.decided(e->ports.ctx, &d);
 }
 
 static struct team *team_get(struct engine *e, struct vh_slice name)
@@ -253,14 +261,18 @@
 {
 	struct job *j = job_get(e, id);
 	enum eng_status status;
+	bool placed;
 
 	e->now_ms = now_ms;
-	if (j->spec || !eng_record_status(record, &status))
+	if (j->spec || !eng_record_status(record, &status, &placed))
+		return;
+	/* Tasks of an ended job may still be there, and take room. */
+	if (status >= ENG_COMPLETE && !placed) {
+		j->status = status;
 		return;
+	}
 	vh_buf_clear(&j->stored);
 	vh_buf_add_slice(&j->stored, record);
-	if (status >= ENG_COMPLETE)
-		j->status = status;
 }
 
 void eng_job(struct engine *e, struct eng_job_spec *spec, int64_t now_ms,
@@ -291,6 +303,7 @@
 	if (j->cancelled)
 		eng_job_end(e, j, ENG_CANCELLED);
 	steps_check(e, j);
+	eng_job_shrink(e, j);
 }
 
 static void stop_all(struct engine *e, struct job *j)
