Let the lease of a worker out of reach run out

Ruled out: the worker's entry (unlisted after 4.5 s), advice. Nothing is granted while a worker does not answer. Test: Workers.TasksOfAWorkerThatIsGoneRunElsewhere.

--- a/packages/engine/src/eng_workers.c
+++ b/packages/engine/src/eng_workers.c
@@ -136,6 +136,9 @@
 
 	if (!w->clock_at_ms)
 		return 0;
+	/* Out of reach: what it was granted has to run out some time. */
+	if (w->hold_fails)
+		return w->until_ms;
 	until = clock_estimate(e, w) + e->settings.lease_ms;
 	grant(e, w, until);
 	return until;
