Refuse at once while the store is silent, and tell doubt early

What was not sent is now refused when an append has been out for 600 ms; a doubtful record is sent again until 0.43 of its caller's time. Ruled out: the takeover at the same time.

--- a/packages/cell/src/writer.c
+++ b/packages/cell/src/writer.c
@@ -1,7 +1,10 @@
 #include "writer.h"
 
-#define APPEND_TIMEOUT_MS 900 /* for one try */
+#define APPEND_TIMEOUT_MS 700 /* for one try */
 #define RETRY_MS 60	      /* after a try without success */
+#define SILENT_MS 600	      /* a try out for so long: the store is silent */
+#define DOUBT_SHARE 0.43      /* of a caller's time, then doubt is told */
+#define TICK_MS 20
 #define BATCH_RECORDS 200
 #define BATCH_BYTES (1024 * 1024)
 
@@ -9,6 +12,7 @@
 	struct vh_buf key;
 	struct vh_buf value;
 	int64_t deadline_ms;
+	int64_t doubt_ms; /* when a record without an answer is given up */
 	bool doubtful; /* a try had no answer */
 	void (*done)(void *ctx, enum write_outcome outcome);
 	void *ctx;
@@ -22,11 +26,13 @@
 	g_free(en);
 }
 
-static void pump(struct writer *w);
-
-static void on_retry(void *ctx)
+static void on_tick(void *ctx)
 {
-	pump(ctx);
+	struct writer *w = ctx;
+
+	writer_tick(w);
+	if (w->open || w->waiting.length)
+		vh_timer_start(&w->tick, TICK_MS);
 }
 
 void writer_init(struct writer *w, struct vh_kernel *kernel,
@@ -38,30 +44,26 @@
 	w->topic = topic;
 	g_queue_init(&w->waiting);
 	g_queue_init(&w->sent);
-	vh_timer_init(&w->retry, kernel, on_retry, w);
+	vh_timer_init(&w->tick, kernel, on_tick, w);
 }
 
 void writer_finish(struct writer *w)
 {
 	struct entry *en;
 
-	vh_timer_finish(&w->retry);
+	vh_timer_finish(&w->tick);
 	while ((en = g_queue_pop_head(&w->sent)))
 		entry_end(en, WRITE_UNKNOWN);
 	while ((en = g_queue_pop_head(&w->waiting)))
 		entry_end(en, en->doubtful ? WRITE_UNKNOWN : WRITE_REFUSED);
 }
 
-size_t writer_pending(const struct writer *w)
-{
-	return w->waiting.length + w->sent.length;
-}
+static void pump(struct writer *w);
 
 static void stored(struct writer *w)
 {
 	struct entry *en;
 
-	w->stored_ms = vh_kernel_now_ms(w->kernel);
 	while ((en = g_queue_pop_head(&w->sent)))
 		entry_end(en, WRITE_STORED);
 }
@@ -91,7 +93,20 @@
 		return;
 	}
 	not_stored(w, r->result != VH_STORE_UNKNOWN);
-	vh_timer_start(&w->retry, RETRY_MS);
+	w->pause_until_ms = vh_kernel_now_ms(w->kernel) + RETRY_MS;
+}
+
+static bool silent(const struct writer *w, int64_t now_ms)
+{
+	return w->open && now_ms - w->sent_ms >= SILENT_MS;
+}
+
+static bool given_up(const struct writer *w, const struct entry *en,
+		     int64_t now_ms)
+{
+	if (en->deadline_ms <= now_ms)
+		return true;
+	return en->doubtful ? en->doubt_ms <= now_ms : silent(w, now_ms);
 }
 
 static void expire(struct writer *w, int64_t now_ms)
@@ -102,13 +117,19 @@
 		struct entry *en = l->data;
 
 		next = l->next;
-		if (en->deadline_ms > now_ms)
+		if (!given_up(w, en, now_ms))
 			continue;
 		g_queue_delete_link(&w->waiting, l);
 		entry_end(en, en->doubtful ? WRITE_UNKNOWN : WRITE_REFUSED);
 	}
 }
 
+void writer_tick(struct writer *w)
+{
+	expire(w, vh_kernel_now_ms(w->kernel));
+	pump(w);
+}
+
 static size_t collect(struct writer *w, struct vh_record *records,
 		      int64_t *deadline_ms)
 {
@@ -124,8 +145,8 @@
 		records[n].key = vh_buf_slice(&en->key);
 		records[n].value = vh_buf_slice(&en->value);
 		bytes += en->key.len + en->value.len;
-		*deadline_ms = n ? MIN(*deadline_ms, en->deadline_ms) :
-				   en->deadline_ms;
+		*deadline_ms = n ? MIN(*deadline_ms, en->doubt_ms) :
+				   en->doubt_ms;
 		n++;
 	}
 	return n;
@@ -138,14 +159,14 @@
 	int64_t now = vh_kernel_now_ms(w->kernel);
 	int64_t deadline = 0;
 
-	if (w->open)
+	if (w->open || now < w->pause_until_ms)
 		return;
-	expire(w, now);
 	a.n = collect(w, records, &deadline);
 	if (!a.n)
 		return;
 	a.timeout_ms = CLAMP(deadline - now, 1, APPEND_TIMEOUT_MS);
 	w->open = true;
+	w->sent_ms = now;
 	w->ports->store->append(w->ports->store_self, &a, on_append, w);
 }
 
@@ -153,14 +174,23 @@
 		int64_t deadline_ms,
 		void (*done)(void *ctx, enum write_outcome outcome), void *ctx)
 {
-	struct entry *en = g_new0(struct entry, 1);
+	int64_t now = vh_kernel_now_ms(w->kernel);
+	struct entry *en;
 
+	if (silent(w, now)) {
+		done(ctx, WRITE_REFUSED);
+		return;
+	}
+	en = g_new0(struct entry, 1);
 	vh_buf_add_slice(&en->key, key);
 	vh_buf_add_slice(&en->value, value);
 	en->deadline_ms = deadline_ms;
+	en->doubt_ms =
+		now + (int64_t)((double)(deadline_ms - now) * DOUBT_SHARE);
 	en->done = done;
 	en->ctx = ctx;
 	g_queue_push_tail(&w->waiting, en);
-	if (!w->open && !vh_timer_pending(&w->retry))
-		pump(w);
+	pump(w);
+	if (!vh_timer_pending(&w->tick))
+		vh_timer_start(&w->tick, TICK_MS);
 }
--- a/packages/cell/src/writer.h
+++ b/packages/cell/src/writer.h
@@ -17,10 +17,11 @@
 /**
  * struct writer - appends records of many callers together
  *
- * Load that it answers: requests come faster than the store answers. One
- * append is out at a time and carries all that came meanwhile. Records are
- * idempotent by their keys, so one without an answer is sent again until its
- * caller's deadline.
+ * Load that it answers: requests come faster than the store answers, or it
+ * does not answer at all. One append is out at a time and carries all that
+ * came meanwhile. While one has been out for long, what has not been sent is
+ * refused, so that its caller can go elsewhere. Records are idempotent by
+ * their keys, so one without an answer is sent again, for a while.
  */
 struct writer {
 	struct vh_kernel *kernel;
@@ -29,8 +30,9 @@
 	GQueue waiting;
 	GQueue sent;
 	bool open;
-	int64_t stored_ms; /* when the store last took an append, 0: never */
-	struct vh_timer retry;
+	int64_t sent_ms; /* when the append that is out was sent */
+	int64_t pause_until_ms;
+	struct vh_timer tick;
 };
 
 void writer_init(struct writer *w, struct vh_kernel *kernel,
@@ -40,13 +42,13 @@
 /**
  * writer_add - appends a record
  * @key, @value: copied
- * @deadline_ms: monotonic; @done is called by then
+ * @deadline_ms: monotonic; @done is called by then, and may be called at once
  */
 void writer_add(struct writer *w, struct vh_slice key, struct vh_slice value,
 		int64_t deadline_ms,
 		void (*done)(void *ctx, enum write_outcome outcome), void *ctx);
 
-/* writer_pending - records whose outcome is not known yet */
-size_t writer_pending(const struct writer *w);
+/* writer_tick - ends what has waited too long; called by a timer of its own */
+void writer_tick(struct writer *w);
 
 #endif
--- /dev/null
+++ b/packages/cell/tests/test_writer.cc
@@ -0,0 +1,154 @@
+// The store does not answer: what is refused at once, what is held, for how
+// long, and what is said of it.
+
+#include <gtest/gtest.h>
+
+#include <vector>
+
+extern "C" {
+#include "writer.h"
+}
+
+namespace
+{
+
+struct Call {
+	void (*done)(void *ctx, const vh_append_reply *r);
+	void *ctx;
+	size_t n;
+	int64_t timeout_ms;
+};
+
+std::vector<Call> calls;
+
+void fake_append(void *, const vh_append *a,
+		 void (*done)(void *ctx, const vh_append_reply *r), void *ctx)
+{
+	calls.push_back({ done, ctx, a->n, a->timeout_ms });
+}
+
+struct Writer : testing::Test {
+	vh_fake_clock clock;
+	vh_kernel kernel;
+	vh_store_ops ops = { fake_append, nullptr, nullptr };
+	vh_ports ports = {};
+	writer w;
+	std::vector<write_outcome> outcomes;
+
+	void SetUp() override
+	{
+		calls.clear();
+		vh_fake_clock_init(&clock, 10000);
+		vh_kernel_init(&kernel, &clock.clock);
+		ports.store = &ops;
+		writer_init(&w, &kernel, &ports, VH_TOPIC_JOBS);
+	}
+
+	void TearDown() override
+	{
+		writer_finish(&w);
+		vh_kernel_finish(&kernel);
+	}
+
+	static void on_done(void *ctx, write_outcome o)
+	{
+		((Writer *)ctx)->outcomes.push_back(o);
+	}
+
+	void add(int64_t patience_ms)
+	{
+		struct vh_slice s = vh_slice_str("x");
+
+		writer_add(&w, s, s, vh_kernel_now_ms(&kernel) + patience_ms,
+			   on_done, this);
+	}
+
+	void answer(vh_store_result result)
+	{
+		vh_append_reply r = {};
+		Call c = calls.back();
+
+		r.result = result;
+		c.done(c.ctx, &r);
+	}
+
+	void pass(int64_t ms)
+	{
+		vh_fake_clock_advance(&clock, ms);
+		writer_tick(&w);
+	}
+};
+
+TEST_F(Writer, WhatComesMeanwhileGoesTogether)
+{
+	add(3000);
+	add(3000);
+	add(3000);
+	ASSERT_EQ(calls.size(), 1u);
+	EXPECT_EQ(calls[0].n, 1u);
+	answer(VH_STORE_OK);
+	ASSERT_EQ(calls.size(), 2u);
+	EXPECT_EQ(calls[1].n, 2u);
+	answer(VH_STORE_OK);
+	EXPECT_EQ(outcomes, (std::vector<write_outcome>(3, WRITE_STORED)));
+}
+
+// A caller that can still go elsewhere is told at once, and truly: its record
+// was never sent.
+TEST_F(Writer, RefusesAtOnceWhileTheStoreIsSilent)
+{
+	add(3000);
+	pass(700);
+	add(3000);
+	EXPECT_EQ(outcomes, (std::vector<write_outcome>{ WRITE_REFUSED }));
+	EXPECT_EQ(calls.size(), 1u);
+}
+
+TEST_F(Writer, WhatWaitsBehindASilentStoreIsRefused)
+{
+	add(3000);
+	add(3000);
+	pass(300);
+	EXPECT_TRUE(outcomes.empty());
+	pass(400);
+	EXPECT_EQ(outcomes, (std::vector<write_outcome>{ WRITE_REFUSED }));
+}
+
+// The record may be stored, so nothing is claimed; but a caller is not held
+// until its time is over when there is little hope.
+TEST_F(Writer, GivesUpADoubtfulRecordBeforeHalfItsTime)
+{
+	add(3000);
+	pass(700);
+	answer(VH_STORE_UNKNOWN);
+	pass(100);
+	ASSERT_EQ(calls.size(), 2u);
+	pass(500);
+	EXPECT_TRUE(outcomes.empty());
+	answer(VH_STORE_UNKNOWN);
+	pass(100);
+	EXPECT_EQ(outcomes, (std::vector<write_outcome>{ WRITE_UNKNOWN }));
+}
+
+TEST_F(Writer, ADoubtfulRecordIsNeverCalledRefused)
+{
+	add(3000);
+	answer(VH_STORE_UNKNOWN);
+	pass(100);
+	answer(VH_STORE_REFUSED);
+	EXPECT_TRUE(outcomes.empty());
+	pass(2000);
+	EXPECT_EQ(outcomes, (std::vector<write_outcome>{ WRITE_UNKNOWN }));
+}
+
+TEST_F(Writer, TakesRecordsAgainOnceTheStoreAnswers)
+{
+	add(3000);
+	pass(650);
+	answer(VH_STORE_OK);
+	add(3000);
+	EXPECT_EQ(calls.size(), 2u);
+	EXPECT_EQ(outcomes, (std::vector<write_outcome>{ WRITE_STORED }));
+}
+
+} // namespace
