Rank successors by strength, and keep what a new owner reads small

Cause: on the grown sites the nearest node owned the cell, with 0.12 of a core and 10 Mbit/s; a takeover read every accepted job back (7 to 10 s for 5,700 records) and, since an owner wrote nothing while it read, others claimed meanwhile. The owner now tells each node its rank (strength, then nearness), nodes claim in that order; records of jobs whose end is stored are dropped; an owner that reads back writes too.

--- a/packages/base/src/log.c
+++ b/packages/base/src/log.c
@@ -100,6 +100,19 @@
 		left_out++;
 }
 
+/* Once a second at most. */
+static bool left_out_due(void)
+{
+	static time_t last;
+	struct timespec now;
+
+	clock_gettime(CLOCK_MONOTONIC, &now);
+	if (now.tv_sec == last || !writable())
+		return false;
+	last = now.tv_sec;
+	return true;
+}
+
 static void say_left_out(void)
 {
 	struct vh_buf line;
@@ -121,7 +134,7 @@
 		return;
 	}
 	allowance -= 1;
-	if (left_out && writable())
+	if (left_out && left_out_due())
 		say_left_out();
 	write_out(line);
 }
--- a/packages/cell/include/vh/cell.h
+++ b/packages/cell/include/vh/cell.h
@@ -7,6 +7,7 @@
  * struct vh_cell_settings
  * @name: of this node, unique
  * @peer_address: IP:PORT at which other nodes reach it
+ * @strength: share of a processor that this node has, in thousandths
  * @key_proof_ms: a node that has not known the newest configuration for so
  *		  long refuses, since a key may have been withdrawn
  * @engine: fence and former_ms are the cell's own
@@ -14,6 +15,7 @@
 struct vh_cell_settings {
 	struct vh_slice name;
 	struct vh_slice peer_address;
+	uint64_t strength;
 	int64_t key_proof_ms;
 	struct eng_settings engine;
 };
--- a/packages/cell/src/cell.c
+++ b/packages/cell/src/cell.c
@@ -62,6 +62,7 @@
 	c->name = vh_slice_dup(settings->name);
 	c->peer_address = vh_slice_dup(settings->peer_address);
 	c->key_proof_ms = settings->key_proof_ms;
+	c->strength = settings->strength;
 	c->lead_settings.engine = settings->engine;
 	c->incarnation = (uint64_t)g_random_int() << 32 | g_random_int();
 	c->objects.kernel = kernel;
--- a/packages/cell/src/cell_priv.h
+++ b/packages/cell/src/cell_priv.h
@@ -10,7 +10,6 @@
 /**
  * struct vh_cell
  * @incarnation: random, new for each start of the process
- * @fastest_ms: the shortest time that the store took to answer
  * @look_end: where the owner's topic ended at the first look
  */
 struct vh_cell {
@@ -20,6 +19,7 @@
 	char *name;
 	char *peer_address;
 	int64_t key_proof_ms;
+	uint64_t strength;
 	struct lead_settings lead_settings;
 	uint64_t incarnation;
 
@@ -32,7 +32,6 @@
 	struct vh_timer tick;
 	struct vh_timer look;
 	uint64_t look_end;
-	int64_t fastest_ms;
 	bool leaving;
 
 	struct hub hub;
--- a/packages/cell/src/hub.c
+++ b/packages/cell/src/hub.c
@@ -29,9 +29,10 @@
 {
 	struct wire_out o;
 
-	wire_begin(&o, WIRE_PING, 2);
+	wire_begin(&o, WIRE_PING, 3);
 	msgpack_pack_uint64(&o.pk, l->hub->epoch);
 	msgpack_pack_uint64(&o.pk, l->hub->incarnation);
+	msgpack_pack_uint64(&o.pk, l->rank);
 	wire_send(&o, l->bev);
 }
 
@@ -72,6 +73,8 @@
 	if (l->ready)
 		return;
 	l->name = vh_slice_dup(wire_bytes(f, 0));
+	l->strength = wire_u64(f, 2);
+	l->store_ms = wire_u64(f, 3);
 	l->ready = true;
 	send_ping(l);
 	if (h->epoch)
@@ -141,12 +144,33 @@
 	bufferevent_enable(l->bev, EV_READ | EV_WRITE);
 }
 
+/* The stronger first, then the nearer to the store. */
+static bool goes_before(const struct hub_link *a, const struct hub_link *b)
+{
+	if (a->strength != b->strength)
+		return a->strength > b->strength;
+	if (a->store_ms != b->store_ms)
+		return a->store_ms < b->store_ms;
+	return strcmp(a->name, b->name) < 0;
+}
+
+static void rank_links(struct hub *h)
+{
+	for (struct hub_link *l = h->links; l; l = l->next) {
+		l->rank = 0;
+		for (struct hub_link *o = h->links; l->ready && o; o = o->next)
+			l->rank += o->ready && o != l && goes_before(o, l);
+	}
+}
+
 static void on_ping(void *ctx)
 {
 	struct hub *h = ctx;
 	int64_t now = vh_kernel_now_ms(h->kernel);
 	struct hub_link *next;
 
+	if (h->epoch)
+		rank_links(h);
 	for (struct hub_link *l = h->links; l; l = next) {
 		next = l->next;
 		if (now - l->heard_ms > SILENT_MS)
--- a/packages/cell/src/hub.h
+++ b/packages/cell/src/hub.h
@@ -22,6 +22,9 @@
 
 /**
  * struct hub_link - a node that is connected
+ * @strength: share of a processor, in thousandths
+ * @store_ms: how long the store takes to answer it
+ * @rank: its place among those that would take over, 0 first
  * @advisor: number of it among those that ask the policy service, or -1
  * @store_age_ms: how long ago it reached the store, when it said so
  */
@@ -30,6 +33,9 @@
 	struct bufferevent *bev;
 	char *name;
 	bool ready;
+	uint64_t strength;
+	uint64_t store_ms;
+	uint64_t rank;
 	int advisor;
 	int64_t store_age_ms;
 	int64_t heard_ms;
--- a/packages/cell/src/lead.c
+++ b/packages/cell/src/lead.c
@@ -97,7 +97,7 @@
 		out[i].value = vh_buf_slice(&l->records[i].bytes);
 	}
 	a.n = l->n_records;
-	if (!a.n && l->phase == LEAD_ACTING) {
+	if (!a.n && l->phase != LEAD_FENCING) {
 		out[0].key = vh_slice_str(VH_KEY_PULSE);
 		out[0].value = vh_slice_str("1");
 		a.n = 1;
@@ -118,9 +118,11 @@
 /* Stores what has changed, or that this owner is still there. */
 static void flush(struct lead *l)
 {
-	if (l->append_open || l->phase != LEAD_ACTING)
+	if (l->append_open || l->phase == LEAD_ENDED)
 		return;
-	l->batch = eng_flush(l->engine, &l->records, &l->n_records);
+	/* Others see by these writes that the cell has an owner. */
+	if (l->phase == LEAD_ACTING)
+		l->batch = eng_flush(l->engine, &l->records, &l->n_records);
 	if (!l->batch && lead_now(l) - l->wrote_ms < PULSE_MS && !l->frozen)
 		return;
 	l->append_open = true;
@@ -273,6 +275,7 @@
 	vh_timer_init(&l->run, kernel, on_run, l);
 	vh_timer_init(&l->retry, kernel, on_retry, l);
 	lead_asks_init(l);
+	lead_drop_init(l);
 	l->append_open = true;
 	append_send(l);
 	vh_timer_start(&l->run, TICK_MS);
@@ -323,6 +326,7 @@
 	if (l->jobs.timer.ev)
 		follow_stop(&l->jobs);
 	vh_timer_stop(&l->retry);
+	lead_drop_finish(l);
 	lead_asks_finish(l);
 	l->run.fn = reap;
 	vh_timer_start(&l->run, TICK_MS);
--- a/packages/cell/src/lead_priv.h
+++ b/packages/cell/src/lead_priv.h
@@ -3,6 +3,8 @@
 
 #include "lead.h"
 
+#define LEAD_DROP_MOST 256 /* ended jobs whose records go with one append */
+
 enum lead_phase {
 	LEAD_FENCING,
 	LEAD_LOADING,
@@ -45,6 +47,11 @@
 	int64_t wrote_ms;
 	int64_t ran_ms;
 
+	bool drop_open;
+	struct vh_timer drop;
+	uint64_t dropping[LEAD_DROP_MOST]; /* jobs whose records are going */
+	size_t n_dropping;
+
 	struct advisors advisors;
 	int self_advisor;
 	GHashTable *asked;
@@ -60,6 +67,10 @@
 /* lead_orders.c: the engine's orders to workers */
 struct engine *lead_engine(struct lead *l, const struct eng_settings *s);
 
+/* lead_drop.c: drops the records of accepted jobs that have ended */
+void lead_drop_init(struct lead *l);
+void lead_drop_finish(struct lead *l);
+
 /* lead_asks.c: calls to the policy service, by all nodes */
 void lead_asks_init(struct lead *l);
 void lead_asks_finish(struct lead *l);
--- a/packages/cell/src/owner.c
+++ b/packages/cell/src/owner.c
@@ -12,6 +12,11 @@
 #define DELAY_PER_MS 6	     /* of waiting, for each that the store is away */
 #define DELAY_MOST_MS 900
 #define DELAY_SPREAD_MS 80   /* so that nodes alike do not claim at once */
+#define DELAY_PER_RANK_MS 70 /* of waiting, for each node that goes before */
+#define STRONG 400	     /* thousandths of a processor */
+#define WEAK 200
+#define DELAY_FAIR_MS 150  /* for a node that is not strong */
+#define DELAY_WEAK_MS 1500 /* for one that could hardly carry the cell */
 
 /* Who owns the cell, as its record says. */
 struct owner_record {
@@ -130,6 +135,13 @@
 	msgpack_unpacked_destroy(&u);
 }
 
+static int64_t weakness_ms(uint64_t strength)
+{
+	if (strength >= STRONG)
+		return 0;
+	return strength >= WEAK ? DELAY_FAIR_MS : DELAY_WEAK_MS;
+}
+
 static void on_owner_fresh(void *ctx, int64_t as_of_ms)
 {
 	struct vh_cell *c = ctx;
@@ -137,10 +149,11 @@
 	uint64_t spread = vh_slice_hash(vh_slice_str(c->name), 0);
 
 	if (!c->claim.known) {
-		c->fastest_ms = now - as_of_ms;
+		c->spoke.store_ms = (uint64_t)(now - as_of_ms);
 		c->claim.delay_ms =
-			MIN(c->fastest_ms * DELAY_PER_MS, DELAY_MOST_MS) +
-			(int64_t)(spread % DELAY_SPREAD_MS);
+			MIN((now - as_of_ms) * DELAY_PER_MS, DELAY_MOST_MS) +
+			(int64_t)(spread % DELAY_SPREAD_MS) +
+			weakness_ms(c->spoke.strength);
 	}
 	claim_known(&c->claim, now);
 	/* No newer owner is recorded: that proves this one, recovery included. */
@@ -264,10 +277,12 @@
 	own_advice(ctx, f);
 }
 
-static void on_heard(void *ctx, uint64_t epoch)
+static void on_heard(void *ctx, uint64_t epoch, uint64_t rank)
 {
 	struct vh_cell *c = ctx;
 
+	c->claim.delay_ms = (int64_t)rank * DELAY_PER_RANK_MS;
+
 	claim_heard(&c->claim, epoch, vh_kernel_now_ms(c->kernel));
 }
 
@@ -304,6 +319,7 @@
 		       c->incarnation, err))
 		return false;
 	spoke_init(&c->spoke, c->kernel, c->name, c->incarnation);
+	c->spoke.strength = c->strength;
 	c->spoke.ask = on_ask;
 	c->spoke.heard = on_heard;
 	c->spoke.dead = on_dead;
--- a/packages/cell/src/spoke.c
+++ b/packages/cell/src/spoke.c
@@ -71,7 +71,7 @@
 	}
 	s->ready = true;
 	send_pong(s);
-	s->heard(s->ctx, epoch);
+	s->heard(s->ctx, epoch, wire_u64(f, 2));
 	return true;
 }
 
@@ -121,9 +121,11 @@
 {
 	struct wire_out o;
 
-	wire_begin(&o, WIRE_HELLO, 2);
+	wire_begin(&o, WIRE_HELLO, 4);
 	vh_frame_pack_bytes(&o.pk, vh_slice_str(s->name));
 	msgpack_pack_uint64(&o.pk, s->own_incarnation);
+	msgpack_pack_uint64(&o.pk, s->strength);
+	msgpack_pack_uint64(&o.pk, s->store_ms);
 	wire_send(&o, s->bev);
 }
 
--- a/packages/cell/src/spoke.h
+++ b/packages/cell/src/spoke.h
@@ -7,7 +7,8 @@
  * struct spoke - this node's connection to the owner
  * @epoch, @incarnation, @address: the owner's, from its record
  * @ask: the owner wants the policy service called; see WIRE_ASK
- * @heard: the owner of an epoch was heard
+ * @strength, @store_ms: this node's, for its rank among successors
+ * @heard: the owner of an epoch was heard; @rank: this node's
  * @dead: nobody, or another process, is at the owner's address
  * @store_age_ms: how long ago this node reached the store
  */
@@ -15,8 +16,10 @@
 	struct vh_kernel *kernel;
 	char *name;
 	uint64_t own_incarnation;
+	uint64_t strength;
+	uint64_t store_ms;
 	void (*ask)(void *ctx, const struct vh_frame *f);
-	void (*heard)(void *ctx, uint64_t epoch);
+	void (*heard)(void *ctx, uint64_t epoch, uint64_t rank);
 	void (*dead)(void *ctx, uint64_t epoch);
 	int64_t (*store_age_ms)(void *ctx);
 	void *ctx;
--- a/packages/engine/include/vh/engine.h
+++ b/packages/engine/include/vh/engine.h
@@ -291,6 +291,14 @@
 /* eng_stored - batch @batch and all before it last */
 void eng_stored(struct engine *e, uint64_t batch, int64_t now_ms);
 
+/**
+ * eng_ended - jobs whose end is stored, so that what was accepted can go
+ * @ids: room for @most
+ *
+ * Each is given once.
+ */
+size_t eng_ended(struct engine *e, uint64_t *ids, size_t most);
+
 /* eng_status - a job's state as callers may know it */
 enum eng_status eng_status(const struct engine *e, uint64_t id);
 
--- a/packages/engine/src/eng_priv.h
+++ b/packages/engine/src/eng_priv.h
@@ -178,6 +178,7 @@
 	GPtrArray *open_steps;	 /* steps with tasks to place */
 	GPtrArray *dirty;	 /* jobs to be stored */
 	GQueue storing;		 /* tasks that wait for their record */
+	GArray *ended;		 /* ids of jobs that need no record but the last */
 	uint64_t batch;		 /* number of the batch being collected */
 	uint64_t stored;	 /* number of the last stored batch */
 	uint64_t report_serial;
--- a/packages/engine/src/engine.c
+++ b/packages/engine/src/engine.c
@@ -80,6 +80,7 @@
 					  queue_free);
 	e->open_steps = g_ptr_array_new();
 	e->dirty = g_ptr_array_new();
+	e->ended = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	g_queue_init(&e->storing);
 	return e;
 }
@@ -90,6 +91,7 @@
 		return;
 	g_queue_clear(&e->storing);
 	g_ptr_array_free(e->dirty, TRUE);
+	g_array_free(e->ended, TRUE);
 	g_ptr_array_free(e->open_steps, TRUE);
 	g_hash_table_destroy(e->jobs);
 	g_ptr_array_free(e->worker_list, TRUE);
@@ -282,6 +284,8 @@
 	int64_t age = CLAMP(wall_ms - spec->received_ms, 0, 60000);
 
 	e->now_ms = now_ms;
+	if (!j->spec && j->status >= ENG_COMPLETE)
+		g_array_append_val(e->ended, j->id);
 	if (j->spec || j->status >= ENG_COMPLETE) {
 		eng_job_free(spec);
 		return;
@@ -335,7 +339,6 @@
 /* Frees what an ended job no longer needs, once nothing of it is placed. */
 void eng_job_shrink(struct engine *e, struct job *j)
 {
-	(void)e;
 	if (j->status < ENG_COMPLETE || !j->steps)
 		return;
 	for (size_t i = 0; i < j->spec->n_steps; i++) {
@@ -347,6 +350,25 @@
 	job_drop_steps(j);
 	eng_job_free(j->spec);
 	j->spec = NULL;
+	g_array_append_val(e->ended, j->id);
+}
+
+size_t eng_ended(struct engine *e, uint64_t *ids, size_t most)
+{
+	size_t n = 0;
+	guint i = 0;
+
+	while (i < e->ended->len && n < most) {
+		uint64_t id = g_array_index(e->ended, uint64_t, i);
+
+		if (job_find(e, id)->status_gate > e->stored) {
+			i++;
+			continue;
+		}
+		ids[n++] = id;
+		g_array_remove_index_fast(e->ended, i);
+	}
+	return n;
 }
 
 void eng_cancel(struct engine *e, uint64_t id, int64_t now_ms)
