--- a/packages/engine/src/eng_priv.h
+++ b/packages/engine/src/eng_priv.h
@@ -196,6 +196,7 @@
 void eng_task_lost(struct engine *e, struct task *t, const char *why);
 void eng_task_ended(struct engine *e, struct task *t,
 		    const struct eng_finished *f);
+void eng_task_begun(struct engine *e, struct task *t);
 void eng_send_start(struct engine *e, struct task *t);
 void eng_retry_orders(struct engine *e, struct worker *w);
 
--- a/packages/engine/src/eng_record.c
+++ b/packages/engine/src/eng_record.c
@@ -299,7 +299,6 @@
 
 	msgpack_unpacked_init(&u);
 	e->applying = true;
-	j->begun = true;
 	ok = msgpack_unpack_next(&u, bytes.data, bytes.len, &off) ==
 		     MSGPACK_UNPACK_SUCCESS &&
 	     apply(e, j, &u.data, workers);
--- a/packages/engine/src/eng_tasks.c
+++ b/packages/engine/src/eng_tasks.c
@@ -59,11 +59,6 @@
 	s->n_placed++;
 	if (!t->done)
 		s->n_waiting--;
-	if (!s->job->begun && s->job->status == ENG_PENDING) {
-		s->job->begun = true;
-		s->job->queue->pending--;
-		s->job->status = ENG_RUNNING;
-	}
 	eng_job_dirty(e, s->job);
 }
 
@@ -112,6 +107,20 @@
 	send_stop(e, t);
 }
 
+/* A task has started at last: its worker says so. */
+void eng_task_begun(struct engine *e, struct task *t)
+{
+	struct job *j = t->step->job;
+
+	if (j->begun)
+		return;
+	j->begun = true;
+	j->queue->pending--;
+	if (j->status == ENG_PENDING)
+		j->status = ENG_RUNNING;
+	eng_job_dirty(e, j);
+}
+
 void eng_send_start(struct engine *e, struct task *t)
 {
 	struct worker *w = t->worker;
@@ -227,6 +236,7 @@
 	bool current = w && t->run == f->task.run;
 
 	keep_checkpoint(t, f->checkpoint);
+	eng_task_begun(e, t);
 	if (f->how == ENG_END_DONE) {
 		e->stats.ends_done++;
 		if (w)
@@ -268,6 +278,7 @@
 	switch (answer) {
 	case ENG_ANSWER_OK:
 		eng_task_set(e, t, TASK_RUNNING);
+		eng_task_begun(e, t);
 		return;
 	case ENG_ANSWER_ROOM:
 		w->avoid_until_ms = now_ms + ROOM_AVOID_MS;
@@ -324,7 +335,8 @@
 	if (t->order_open)
 		return;
 	if (t->state == TASK_STARTING && age >= START_RETRY_MS) {
-		if (t->tries < START_TRIES)
+		if (t->tries < START_TRIES && !t->done &&
+		    eng_job_live(t->step->job))
 			eng_send_start(e, t);
 		else
 			eng_task_stop(e, t);
--- a/packages/engine/src/eng_workers.c
+++ b/packages/engine/src/eng_workers.c
@@ -206,6 +206,7 @@
 		t->stamp = serial;
 		if (t->state == TASK_STARTING || t->state == TASK_DOUBT)
 			eng_task_set(e, t, TASK_RUNNING);
+		eng_task_begun(e, t);
 		if (t->done || !eng_job_live(t->step->job))
 			eng_task_stop(e, t);
 	}
--- a/packages/engine/tests/test_schedules.cc
+++ b/packages/engine/tests/test_schedules.cc
@@ -108,6 +108,15 @@
 	check(GetParam(), f, 20000);
 }
 
+// Workers that do not answer hold placed tasks that have not started.
+TEST_P(Schedules, WorkersOutOfReach)
+{
+	Faults f;
+
+	f.cut = 4;
+	check(GetParam(), f, 30000);
+}
+
 TEST_P(Schedules, Everything)
 {
 	Faults f;
--- a/packages/engine/tests/world.h
+++ b/packages/engine/tests/world.h
@@ -24,6 +24,9 @@
 namespace world
 {
 
+/* From a job's acceptance until it has to be counted. */
+constexpr int64_t PENDING_SEEN_MS = 3000 + 2000;
+
 /* From a cancelling, or a late start, to the end of the work. */
 constexpr int64_t CANCEL_BOUND_MS = 4000 + 3000 + 300;
 
@@ -187,6 +190,24 @@
 			eng_cancel(engine, id, now);
 	}
 
+	/* Jobs of which nothing has started are counted as such. */
+	void check_pending()
+	{
+		size_t said = 0, waiting = 0;
+
+		for (auto &q : queue_names)
+			said += eng_pending(engine, str(q));
+		for (auto &j : jobs) {
+			if (j.second.cancelled_ms < 0 &&
+			    now - j.second.accepted_ms > PENDING_SEEN_MS &&
+			    !started_jobs.count(j.first))
+				waiting++;
+		}
+		if (said * 2 < waiting)
+			broken(std::to_string(said) + " jobs said to wait, " +
+			       std::to_string(waiting) + " do");
+	}
+
 	/* Another node takes over: it knows only what was stored. */
 	void take_over()
 	{
@@ -277,6 +298,8 @@
 			run_workers();
 			step_engine();
 			run_until(now + 10);
+			if (now % 100 < 10)
+				check_pending();
 		}
 	}
 
@@ -437,7 +460,11 @@
 		}
 		if (!late && j.cancelled_ms >= 0 &&
 		    now > j.cancelled_ms + 3000)
-			broken("start of a cancelled job");
+			broken("start of a cancelled job " +
+			       std::to_string(r.key.job) + " task " +
+			       std::to_string(r.key.index) + " run " +
+			       std::to_string(r.run) + ", cancelled at " +
+			       std::to_string(j.cancelled_ms));
 	}
 
 	eng_answer do_start(Worker &w, uint64_t fence, Run r, int64_t until,
@@ -461,6 +488,7 @@
 			return ENG_ANSWER_LATE;
 		check_start(w, r, r.need.cpu_milli, late);
 		w.running.push_back(r);
+		started_jobs.insert(r.key.job);
 		starts++;
 		return ENG_ANSWER_OK;
 	}
@@ -771,6 +799,7 @@
 	std::vector<Worker> workers;
 	std::map<uint64_t, Job> jobs;
 	std::map<uint64_t, std::string> job_bytes, stored;
+	std::set<uint64_t> started_jobs;
 	std::set<Key> done_runs, acked_done;
 	std::map<uint64_t, std::set<std::pair<uint32_t, uint32_t>>>
 		failed_runs; /* by job: task (0: a gang's) and run */
