Let the owner store callers' records, and keep tries of appends whole

Cause: every node appended jobs itself: one append at a time on the topic, so with the store slow (0.18 s an append) six nodes queued behind each other, and the owner read each record back. Nodes now send records to the owner, which stores them together and takes them in at once; without one they still append. Writer.GivesUpADoubtfulRecordBeforeHalfItsTime is stricter: the caller is told at that moment, not at the end of the try.

--- a/packages/cell/src/cell.c
+++ b/packages/cell/src/cell.c
@@ -9,6 +9,7 @@
 #define OBJECTS_WAIT_MS 900   /* longest that a reading of the objects waits */
 #define READY_AGE_MS 2600     /* of the configuration, to be called ready */
 #define ANSWER_SLACK_MS 120   /* an answer is on its way for so long */
+#define OWNER_SHARE 0.6	      /* of a caller's time, for the owner to answer */
 
 static void on_object(void *ctx, const struct vh_record *r)
 {
@@ -129,6 +130,10 @@
 
 /* A record of a caller that is being stored. */
 struct write {
+	struct vh_cell *cell;
+	struct vh_buf key;
+	struct vh_buf value;
+	int64_t deadline_ms;
 	void (*done)(void *ctx, enum vh_err err, const char *why);
 	void *ctx;
 };
@@ -143,23 +148,51 @@
 	struct write *w = ctx;
 
 	w->done(w->ctx, errs[outcome], "");
+	vh_buf_finish(&w->key);
+	vh_buf_finish(&w->value);
 	g_free(w);
 }
 
+/* The owner did not answer: it may be gone, and the record may be stored. */
+static void on_submitted(void *ctx, bool known, uint64_t outcome)
+{
+	struct write *w = ctx;
+
+	if (known && outcome <= WRITE_UNKNOWN)
+		on_written(w, (enum write_outcome)outcome);
+	else
+		writer_add(&w->cell->writer, vh_buf_slice(&w->key),
+			   vh_buf_slice(&w->value), w->deadline_ms, true,
+			   on_written, w);
+}
+
 static void store(struct vh_cell *c, char kind, uint64_t id,
 		  struct vh_slice value, int64_t timeout_ms,
 		  void (*done)(void *ctx, enum vh_err err, const char *why),
 		  void *ctx)
 {
 	struct write *w = g_new0(struct write, 1);
+	int64_t patience = timeout_ms - ANSWER_SLACK_MS;
 	char key[VH_KEY_BYTES];
+	struct vh_slice k;
 
+	w->cell = c;
+	w->deadline_ms = vh_kernel_now_ms(c->kernel) + patience;
 	w->done = done;
 	w->ctx = ctx;
 	vh_key_format(key, kind, id);
-	writer_add(&c->writer, vh_slice_str(key), value,
-		   vh_kernel_now_ms(c->kernel) + timeout_ms - ANSWER_SLACK_MS,
-		   on_written, w);
+	k = vh_slice_str(key);
+	vh_buf_add_slice(&w->key, k);
+	vh_buf_add_slice(&w->value, value);
+	if (c->lead && lead_takes(c->lead))
+		lead_submit(c->lead, k, value, patience, on_written, w);
+	else if (!c->lead && spoke_usable(&c->spoke))
+		spoke_submit(&c->spoke, k, value,
+			     (int64_t)((double)patience * OWNER_SHARE),
+			     on_submitted, w);
+	else
+		writer_add(&c->writer, k, value, w->deadline_ms, false,
+			   on_written, w);
 }
 
 void vh_cell_submit(struct vh_cell *c, const struct vh_cell_route *route,
--- a/packages/cell/src/hub.c
+++ b/packages/cell/src/hub.c
@@ -100,6 +100,10 @@
 	case WIRE_COUNT:
 		on_count(l, f);
 		return true;
+	case WIRE_SUBMIT:
+		if (h->epoch)
+			h->ops.submit(h->ctx, l, f);
+		return true;
 	case WIRE_ADVICE:
 		if (h->epoch)
 			h->ops.advice(h->ctx, l, f);
@@ -132,6 +136,7 @@
 	(void)from;
 	(void)len;
 	l->hub = h;
+	l->number = ++h->n_accepted;
 	l->advisor = -1;
 	l->store_age_ms = INT64_MAX;
 	l->heard_ms = vh_kernel_now_ms(h->kernel);
@@ -246,6 +251,20 @@
 	}
 }
 
+void hub_stored(struct hub *h, uint64_t link, uint64_t sequence,
+		uint64_t outcome)
+{
+	struct hub_link *l = h->links;
+	struct wire_out o;
+
+	while (l && l->number != link)
+		l = l->next;
+	wire_begin(&o, WIRE_STORED, 2);
+	msgpack_pack_uint64(&o.pk, sequence);
+	msgpack_pack_uint64(&o.pk, outcome);
+	wire_send(&o, l ? l->bev : NULL);
+}
+
 void hub_ask(struct hub_link *l, uint64_t sequence, uint64_t job,
 	     uint32_t step, const struct vh_slice *workers, size_t n)
 {
--- a/packages/cell/src/hub.h
+++ b/packages/cell/src/hub.h
@@ -11,6 +11,7 @@
  * struct hub_ops - what an owner does for the nodes connected to it
  * @joined, @left: a node's connection is up, or down
  * @advice: a node's answer to an ask; see WIRE_ADVICE
+ * @submit: a record to be stored; answered by hub_stored()
  */
 struct hub_ops {
 	enum eng_status (*status)(void *ctx, uint64_t job);
@@ -18,10 +19,12 @@
 	void (*joined)(void *ctx, struct hub_link *l);
 	void (*left)(void *ctx, struct hub_link *l);
 	void (*advice)(void *ctx, struct hub_link *l, const struct vh_frame *f);
+	void (*submit)(void *ctx, struct hub_link *l, const struct vh_frame *f);
 };
 
 /**
  * struct hub_link - a node that is connected
+ * @number: unique, never used again
  * @strength: share of a processor, in thousandths
  * @store_ms: how long the store takes to answer it
  * @rank: its place among those that would take over, 0 first
@@ -31,6 +34,7 @@
 struct hub_link {
 	struct hub *hub;
 	struct bufferevent *bev;
+	uint64_t number;
 	char *name;
 	bool ready;
 	uint64_t strength;
@@ -54,6 +58,7 @@
 	struct hub_ops ops;
 	void *ctx;
 	struct hub_link *links;
+	uint64_t n_accepted;
 	struct vh_timer ping;
 };
 
@@ -69,6 +74,10 @@
  * reached the store lately */
 void hub_peers(const struct hub *h, int64_t now_ms, bool *heard, bool *reach);
 
+/* hub_stored - answers a submit; nothing happens if the link is down */
+void hub_stored(struct hub *h, uint64_t link, uint64_t sequence,
+		uint64_t outcome);
+
 /* hub_ask - has a node call the policy service */
 void hub_ask(struct hub_link *l, uint64_t sequence, uint64_t job,
 	     uint32_t step, const struct vh_slice *workers, size_t n);
--- a/packages/cell/src/lead.c
+++ b/packages/cell/src/lead.c
@@ -7,8 +7,7 @@
 #define RUN_SOON_MS 4	       /* after an event, so that several share a run */
 #define TICK_MS 40	       /* between runs without events */
 #define FLEET_PAUSE_MS 400     /* between two readings of the fleet's list */
-#define JOBS_WAIT_MS 1000      /* longest that a reading of jobs waits */
-#define JOBS_PAUSE_MS 8	       /* so that jobs come several at a time */
+#define JOBS_PAUSE_MS 250      /* for jobs that other nodes stored themselves */
 #define PULSE_MS 500	       /* an owner writes at least this often */
 #define APPEND_TIMEOUT_MS 900
 #define APPEND_RETRY_MS 60
@@ -207,27 +206,36 @@
 	follow_start(&l->jobs);
 }
 
-static void on_job_record(void *ctx, const struct vh_record *r)
+void lead_take(struct lead *l, struct vh_slice key, struct vh_slice value)
 {
-	struct lead *l = ctx;
 	struct eng_job_spec *spec;
 	uint64_t id;
 
-	l->n_loaded++;
-	if (vh_key_parse(r->key, VH_KEY_CANCEL, &id)) {
+	if (vh_key_parse(key, VH_KEY_CANCEL, &id) && value.len) {
 		eng_cancel(l->engine, id, lead_now(l));
-	} else if (vh_key_parse(r->key, VH_KEY_JOB, &id) && r->value.len) {
-		spec = eng_job_unpack(r->value);
-		if (spec && spec->id == id)
+	} else if (vh_key_parse(key, VH_KEY_JOB, &id) && value.len &&
+		   !eng_known(l->engine, id)) {
+		spec = eng_job_unpack(value);
+		if (spec && spec->id == id) {
 			eng_job(l->engine, spec, lead_now(l),
 				vh_clock_wall_ms(l->kernel->clock));
-		else
+		} else {
+			eng_job_free(spec);
 			vh_log(G_LOG_LEVEL_WARNING, "unreadable job record",
 			       NULL);
+		}
 	}
 	lead_poke(l);
 }
 
+static void on_job_record(void *ctx, const struct vh_record *r)
+{
+	struct lead *l = ctx;
+
+	l->n_loaded++;
+	lead_take(l, r->key, r->value);
+}
+
 static void on_job_fresh(void *ctx, int64_t as_of_ms)
 {
 	(void)as_of_ms;
@@ -270,12 +278,12 @@
 	follow_setup(l, &l->state, VH_TOPIC_STATE, on_state_record,
 		     on_state_fresh);
 	follow_setup(l, &l->jobs, VH_TOPIC_JOBS, on_job_record, on_job_fresh);
-	l->jobs.wait_ms = JOBS_WAIT_MS;
 	l->jobs.pause_ms = JOBS_PAUSE_MS;
 	vh_timer_init(&l->run, kernel, on_run, l);
 	vh_timer_init(&l->retry, kernel, on_retry, l);
 	lead_asks_init(l);
 	lead_drop_init(l);
+	lead_submit_init(l);
 	l->append_open = true;
 	append_send(l);
 	vh_timer_start(&l->run, TICK_MS);
@@ -285,7 +293,8 @@
 
 static bool idle(const struct lead *l)
 {
-	return !l->calls && follow_idle(&l->fleet) && follow_idle(&l->jobs) &&
+	return !l->calls && writer_idle(&l->writer) &&
+	       follow_idle(&l->fleet) && follow_idle(&l->jobs) &&
 	       follow_idle(&l->state);
 }
 
@@ -327,6 +336,7 @@
 		follow_stop(&l->jobs);
 	vh_timer_stop(&l->retry);
 	lead_drop_finish(l);
+	writer_finish(&l->writer);
 	lead_asks_finish(l);
 	l->run.fn = reap;
 	vh_timer_start(&l->run, TICK_MS);
--- a/packages/cell/src/lead.h
+++ b/packages/cell/src/lead.h
@@ -4,6 +4,7 @@
 #include "advisors.h"
 #include "follow.h"
 #include "hub.h"
+#include "writer.h"
 
 /**
  * struct lead_settings
@@ -39,6 +40,18 @@
 /* lead_end - stops deciding; frees itself when its last call is back */
 void lead_end(struct lead *l);
 
+/**
+ * lead_submit - stores a record of a caller, and takes it in at once
+ * @patience_ms: @done is called by then
+ */
+void lead_submit(struct lead *l, struct vh_slice key, struct vh_slice value,
+		 int64_t patience_ms,
+		 void (*done)(void *ctx, enum write_outcome outcome),
+		 void *ctx);
+
+/* lead_takes - whether lead_submit() may be called */
+bool lead_takes(const struct lead *l);
+
 /* lead_config - teams of the configuration in force */
 void lead_config(struct lead *l, const struct vh_config_view *view);
 
--- a/packages/cell/src/lead_asks.c
+++ b/packages/cell/src/lead_asks.c
@@ -225,6 +225,7 @@
 		.joined = on_joined,
 		.left = on_left,
 		.advice = on_advice,
+		.submit = lead_on_submit,
 	};
 
 	l->asked = g_hash_table_new(g_int64_hash, g_int64_equal);
--- a/packages/cell/src/lead_priv.h
+++ b/packages/cell/src/lead_priv.h
@@ -47,6 +47,8 @@
 	int64_t wrote_ms;
 	int64_t ran_ms;
 
+	struct writer writer; /* of callers' records */
+
 	bool drop_open;
 	struct vh_timer drop;
 	uint64_t dropping[LEAD_DROP_MOST]; /* jobs whose records are going */
@@ -67,6 +69,14 @@
 /* lead_orders.c: the engine's orders to workers */
 struct engine *lead_engine(struct lead *l, const struct eng_settings *s);
 
+/* lead_take - a caller's record that is stored; may be given twice */
+void lead_take(struct lead *l, struct vh_slice key, struct vh_slice value);
+
+/* lead_submit.c: records of callers, its own and other nodes' */
+void lead_submit_init(struct lead *l);
+void lead_on_submit(void *ctx, struct hub_link *link,
+		    const struct vh_frame *f);
+
 /* lead_drop.c: drops the records of accepted jobs that have ended */
 void lead_drop_init(struct lead *l);
 void lead_drop_finish(struct lead *l);
--- a/packages/cell/src/spoke.c
+++ b/packages/cell/src/spoke.c
@@ -79,15 +79,20 @@
 {
 	uint64_t sequence = wire_u64(f, 0);
 	struct spoke_call *c = g_hash_table_lookup(s->calls, &sequence);
-	bool counted = (int)f->type == WIRE_COUNTED;
 
 	if (!c)
 		return true;
-	if (counted)
+	switch ((int)f->type) {
+	case WIRE_COUNTED:
 		call_end(s, c, wire_u64(f, 1), wire_u64(f, 2));
-	else
+		return true;
+	case WIRE_STATUS:
 		call_end(s, c, wire_u64(f, 1) <= ENG_UNKNOWN, wire_u64(f, 1));
-	return true;
+		return true;
+	default:
+		call_end(s, c, true, wire_u64(f, 1));
+		return true;
+	}
 }
 
 static bool on_frame(void *ctx, const struct vh_frame *f)
@@ -100,6 +105,7 @@
 		return on_ping(s, f);
 	case WIRE_STATUS:
 	case WIRE_COUNTED:
+	case WIRE_STORED:
 		return on_answer(s, f);
 	case WIRE_ASK:
 		s->ask(s->ctx, f);
@@ -261,6 +267,22 @@
 	call(s, &o, sequence, timeout_ms, done, ctx);
 }
 
+void spoke_submit(struct spoke *s, struct vh_slice key, struct vh_slice value,
+		  int64_t timeout_ms,
+		  void (*done)(void *ctx, bool known, uint64_t outcome),
+		  void *ctx)
+{
+	uint64_t sequence = ++s->sequence;
+	struct wire_out o;
+
+	wire_begin(&o, WIRE_SUBMIT, 4);
+	msgpack_pack_uint64(&o.pk, sequence);
+	vh_frame_pack_bytes(&o.pk, key);
+	vh_frame_pack_bytes(&o.pk, value);
+	msgpack_pack_uint64(&o.pk, (uint64_t)timeout_ms);
+	call(s, &o, sequence, timeout_ms, done, ctx);
+}
+
 void spoke_advice(struct spoke *s, uint64_t sequence, bool ok,
 		  int64_t valid_ms, const struct eng_good *good, size_t n)
 {
--- a/packages/cell/src/spoke.h
+++ b/packages/cell/src/spoke.h
@@ -60,6 +60,16 @@
 		 void (*done)(void *ctx, bool known, uint64_t value),
 		 void *ctx);
 
+/**
+ * spoke_submit - has the owner store a record
+ *
+ * The value is an enum write_outcome. Not known: it may be stored.
+ */
+void spoke_submit(struct spoke *s, struct vh_slice key, struct vh_slice value,
+		  int64_t timeout_ms,
+		  void (*done)(void *ctx, bool known, uint64_t outcome),
+		  void *ctx);
+
 /* spoke_advice - answers an ask */
 void spoke_advice(struct spoke *s, uint64_t sequence, bool ok,
 		  int64_t valid_ms, const struct eng_good *good, size_t n);
--- a/packages/cell/src/writer.c
+++ b/packages/cell/src/writer.c
@@ -51,6 +51,7 @@
 {
 	struct entry *en;
 
+	w->closed = true;
 	vh_timer_finish(&w->tick);
 	while ((en = g_queue_pop_head(&w->sent)))
 		entry_end(en, WRITE_UNKNOWN);
@@ -58,6 +59,11 @@
 		entry_end(en, en->doubtful ? WRITE_UNKNOWN : WRITE_REFUSED);
 }
 
+bool writer_idle(const struct writer *w)
+{
+	return !w->open;
+}
+
 static void pump(struct writer *w);
 
 static void stored(struct writer *w)
@@ -87,6 +93,8 @@
 	struct writer *w = ctx;
 
 	w->open = false;
+	if (w->closed)
+		return;
 	if (r->result == VH_STORE_OK) {
 		stored(w);
 		pump(w);
@@ -101,37 +109,44 @@
 	return w->open && now_ms - w->sent_ms >= SILENT_MS;
 }
 
+/* What has been sent may be stored, whether its try has ended or not. */
 static bool given_up(const struct writer *w, const struct entry *en,
-		     int64_t now_ms)
+		     bool sent, int64_t now_ms)
 {
 	if (en->deadline_ms <= now_ms)
 		return true;
-	return en->doubtful ? en->doubt_ms <= now_ms : silent(w, now_ms);
+	if (sent || en->doubtful)
+		return en->doubt_ms <= now_ms;
+	return silent(w, now_ms);
 }
 
-static void expire(struct writer *w, int64_t now_ms)
+static void expire(struct writer *w, GQueue *queue, int64_t now_ms)
 {
+	bool sent = queue == &w->sent;
 	GList *next;
 
-	for (GList *l = w->waiting.head; l; l = next) {
+	for (GList *l = queue->head; l; l = next) {
 		struct entry *en = l->data;
 
 		next = l->next;
-		if (!given_up(w, en, now_ms))
+		if (!given_up(w, en, sent, now_ms))
 			continue;
-		g_queue_delete_link(&w->waiting, l);
-		entry_end(en, en->doubtful ? WRITE_UNKNOWN : WRITE_REFUSED);
+		g_queue_delete_link(queue, l);
+		entry_end(en, sent || en->doubtful ? WRITE_UNKNOWN :
+						     WRITE_REFUSED);
 	}
 }
 
 void writer_tick(struct writer *w)
 {
-	expire(w, vh_kernel_now_ms(w->kernel));
+	int64_t now = vh_kernel_now_ms(w->kernel);
+
+	expire(w, &w->waiting, now);
+	expire(w, &w->sent, now);
 	pump(w);
 }
 
-static size_t collect(struct writer *w, struct vh_record *records,
-		      int64_t *deadline_ms)
+static size_t collect(struct writer *w, struct vh_record *records)
 {
 	size_t bytes = 0;
 	size_t n = 0;
@@ -145,8 +160,6 @@
 		records[n].key = vh_buf_slice(&en->key);
 		records[n].value = vh_buf_slice(&en->value);
 		bytes += en->key.len + en->value.len;
-		*deadline_ms = n ? MIN(*deadline_ms, en->doubt_ms) :
-				   en->doubt_ms;
 		n++;
 	}
 	return n;
@@ -155,30 +168,32 @@
 static void pump(struct writer *w)
 {
 	struct vh_record records[BATCH_RECORDS] = { 0 };
-	struct vh_append a = { .topic = w->topic, .records = records };
+	struct vh_append a = { .topic = w->topic,
+			       .records = records,
+			       .timeout_ms = APPEND_TIMEOUT_MS };
 	int64_t now = vh_kernel_now_ms(w->kernel);
-	int64_t deadline = 0;
 
 	if (w->open || now < w->pause_until_ms)
 		return;
-	a.n = collect(w, records, &deadline);
+	if (now - w->first_ms < w->linger_ms)
+		return;
+	a.n = collect(w, records);
 	if (!a.n)
 		return;
-	a.timeout_ms = CLAMP(deadline - now, 1, APPEND_TIMEOUT_MS);
 	w->open = true;
 	w->sent_ms = now;
 	w->ports->store->append(w->ports->store_self, &a, on_append, w);
 }
 
 void writer_add(struct writer *w, struct vh_slice key, struct vh_slice value,
-		int64_t deadline_ms,
+		int64_t deadline_ms, bool doubtful,
 		void (*done)(void *ctx, enum write_outcome outcome), void *ctx)
 {
 	int64_t now = vh_kernel_now_ms(w->kernel);
 	struct entry *en;
 
 	if (silent(w, now)) {
-		done(ctx, WRITE_REFUSED);
+		done(ctx, doubtful ? WRITE_UNKNOWN : WRITE_REFUSED);
 		return;
 	}
 	en = g_new0(struct entry, 1);
@@ -187,10 +202,14 @@
 	en->deadline_ms = deadline_ms;
 	en->doubt_ms =
 		now + (int64_t)((double)(deadline_ms - now) * DOUBT_SHARE);
+	en->doubtful = doubtful;
 	en->done = done;
 	en->ctx = ctx;
+	if (!w->waiting.length)
+		w->first_ms = now;
 	g_queue_push_tail(&w->waiting, en);
 	pump(w);
 	if (!vh_timer_pending(&w->tick))
-		vh_timer_start(&w->tick, TICK_MS);
+		vh_timer_start(&w->tick,
+			       w->linger_ms ? w->linger_ms : TICK_MS);
 }
--- a/packages/cell/src/writer.h
+++ b/packages/cell/src/writer.h
@@ -30,6 +30,9 @@
 	GQueue waiting;
 	GQueue sent;
 	bool open;
+	bool closed;
+	int64_t linger_ms; /* how long a record waits for company; 0: not */
+	int64_t first_ms;  /* when the first that waits came */
 	int64_t sent_ms; /* when the append that is out was sent */
 	int64_t pause_until_ms;
 	struct vh_timer tick;
@@ -37,15 +40,19 @@
 
 void writer_init(struct writer *w, struct vh_kernel *kernel,
 		 const struct vh_ports *ports, enum vh_topic topic);
+
+/* writer_finish - ends all that waits; @w must live until writer_idle() */
 void writer_finish(struct writer *w);
+bool writer_idle(const struct writer *w);
 
 /**
  * writer_add - appends a record
  * @key, @value: copied
  * @deadline_ms: monotonic; @done is called by then, and may be called at once
+ * @doubtful: it may be stored already, by another way
  */
 void writer_add(struct writer *w, struct vh_slice key, struct vh_slice value,
-		int64_t deadline_ms,
+		int64_t deadline_ms, bool doubtful,
 		void (*done)(void *ctx, enum write_outcome outcome), void *ctx);
 
 /* writer_tick - ends what has waited too long; called by a timer of its own */
--- a/packages/cell/tests/test_writer.cc
+++ b/packages/cell/tests/test_writer.cc
@@ -60,7 +60,7 @@
 		struct vh_slice s = vh_slice_str("x");
 
 		writer_add(&w, s, s, vh_kernel_now_ms(&kernel) + patience_ms,
-			   on_done, this);
+			   false, on_done, this);
 	}
 
 	void answer(vh_store_result result)
@@ -123,9 +123,8 @@
 	answer(VH_STORE_UNKNOWN);
 	pass(100);
 	ASSERT_EQ(calls.size(), 2u);
-	pass(500);
+	pass(400);
 	EXPECT_TRUE(outcomes.empty());
-	answer(VH_STORE_UNKNOWN);
 	pass(100);
 	EXPECT_EQ(outcomes, (std::vector<write_outcome>{ WRITE_UNKNOWN }));
 }
@@ -141,6 +140,29 @@
 	EXPECT_EQ(outcomes, (std::vector<write_outcome>{ WRITE_UNKNOWN }));
 }
 
+// Load: a burst while the store is slow. A record whose time is nearly over
+// goes with fresh ones; it must not cut short the try that carries them.
+TEST_F(Writer, ARecordNearItsEndDoesNotCutShortTheTry)
+{
+	add(3000);
+	pass(700);
+	answer(VH_STORE_UNKNOWN);
+	pass(500);
+	ASSERT_EQ(calls.size(), 2u);
+	answer(VH_STORE_UNKNOWN);
+	pass(30);
+	add(3000);
+	pass(40);
+	ASSERT_EQ(calls.size(), 3u);
+	EXPECT_EQ(calls[2].n, 2u);
+	EXPECT_EQ(calls[2].timeout_ms, calls[0].timeout_ms);
+	pass(100);
+	EXPECT_EQ(outcomes, (std::vector<write_outcome>{ WRITE_UNKNOWN }));
+	answer(VH_STORE_OK);
+	EXPECT_EQ(outcomes, (std::vector<write_outcome>{ WRITE_UNKNOWN,
+							 WRITE_STORED }));
+}
+
 TEST_F(Writer, TakesRecordsAgainOnceTheStoreAnswers)
 {
 	add(3000);
--- a/packages/engine/include/vh/engine.h
+++ b/packages/engine/include/vh/engine.h
@@ -299,6 +299,9 @@
  */
 size_t eng_ended(struct engine *e, uint64_t *ids, size_t most);
 
+/* eng_known - whether a job was given, or has ended */
+bool eng_known(const struct engine *e, uint64_t id);
+
 /* eng_status - a job's state as callers may know it */
 enum eng_status eng_status(const struct engine *e, uint64_t id);
 
--- a/packages/engine/src/eng_record.c
+++ b/packages/engine/src/eng_record.c
@@ -275,6 +275,7 @@
 	if (!head(o, &p, &n, &status))
 		return false;
 	j->status = status;
+	j->begun = status >= ENG_COMPLETE;
 	if (n < REC_FIELDS)
 		return true;
 	if (!get_uint(&p[REC_BEGUN], 1, &begun) ||
--- a/packages/engine/src/engine.c
+++ b/packages/engine/src/engine.c
@@ -258,6 +258,23 @@
 	       j->spec->target_ms;
 }
 
+/* Puts a job into the state that a former owner stored. */
+static void apply_stored(struct engine *e, struct job *j)
+{
+	bool counted = !j->begun;
+
+	if (j->stored.len)
+		eng_record_apply(e, j, vh_buf_slice(&j->stored));
+	vh_buf_finish(&j->stored);
+	vh_buf_init(&j->stored);
+	if (counted && j->begun)
+		j->queue->pending--;
+	if (j->cancelled)
+		eng_job_end(e, j, ENG_CANCELLED);
+	steps_check(e, j);
+	eng_job_shrink(e, j);
+}
+
 void eng_recover(struct engine *e, uint64_t id, struct vh_slice record,
 		 int64_t now_ms)
 {
@@ -266,15 +283,19 @@
 	bool placed;
 
 	e->now_ms = now_ms;
-	if (j->spec || !eng_record_status(record, &status, &placed))
+	if (e->ready || j->status >= ENG_COMPLETE ||
+	    !eng_record_status(record, &status, &placed))
 		return;
 	/* Tasks of an ended job may still be there, and take room. */
-	if (status >= ENG_COMPLETE && !placed) {
+	if (status >= ENG_COMPLETE && !placed && !j->spec) {
 		j->status = status;
+		g_array_append_val(e->ended, j->id);
 		return;
 	}
 	vh_buf_clear(&j->stored);
 	vh_buf_add_slice(&j->stored, record);
+	if (j->spec)
+		apply_stored(e, j);
 }
 
 void eng_job(struct engine *e, struct eng_job_spec *spec, int64_t now_ms,
@@ -284,8 +305,6 @@
 	int64_t age = CLAMP(wall_ms - spec->received_ms, 0, 60000);
 
 	e->now_ms = now_ms;
-	if (!j->spec && j->status >= ENG_COMPLETE)
-		g_array_append_val(e->ended, j->id);
 	if (j->spec || j->status >= ENG_COMPLETE) {
 		eng_job_free(spec);
 		return;
@@ -293,21 +312,13 @@
 	j->spec = spec;
 	j->team = team_get(e, spec->team);
 	j->queue = queue_get(e, spec->queue);
+	j->queue->pending++;
 	job_begin_steps(j);
 	j->accepted_ms = now_ms - age;
 	j->due_ms = j->accepted_ms + job_objective_ms(j);
 	j->late_ms = j->accepted_ms + LATE_FACTOR * job_objective_ms(j);
 	e->stats.jobs++;
-	if (j->stored.len)
-		eng_record_apply(e, j, vh_buf_slice(&j->stored));
-	vh_buf_finish(&j->stored);
-	vh_buf_init(&j->stored);
-	if (!j->begun)
-		j->queue->pending++;
-	if (j->cancelled)
-		eng_job_end(e, j, ENG_CANCELLED);
-	steps_check(e, j);
-	eng_job_shrink(e, j);
+	apply_stored(e, j);
 }
 
 static void stop_all(struct engine *e, struct job *j)
@@ -383,6 +394,13 @@
 		eng_job_end(e, j, ENG_CANCELLED);
 }
 
+bool eng_known(const struct engine *e, uint64_t id)
+{
+	const struct job *j = job_find(e, id);
+
+	return j && (j->spec || j->status >= ENG_COMPLETE);
+}
+
 enum eng_status eng_status(const struct engine *e, uint64_t id)
 {
 	const struct job *j = job_find(e, id);
--- a/packages/engine/tests/test_takeover.cc
+++ b/packages/engine/tests/test_takeover.cc
@@ -38,6 +38,25 @@
 	EXPECT_EQ(eng_status(w.engine, 2), ENG_COMPLETE);
 }
 
+// Load: a caller sends a job again while a new owner reads back; the job comes
+// before its state.
+TEST(TakeOver, AJobThatComesBeforeItsStateIsNotRunAnew)
+{
+	World w(1, Faults(), 2);
+
+	w.faults.fail_task = 0;
+	w.take_over();
+	w.submit(1, { world::step(2, 1000, 200) });
+	w.play(2000, false);
+	ASSERT_EQ(eng_status(w.engine, 1), ENG_COMPLETE);
+	w.jobs_first = true;
+	w.take_over();
+	w.play(2000, false);
+	expect_kept(w);
+	EXPECT_EQ(eng_status(w.engine, 1), ENG_COMPLETE);
+	EXPECT_EQ(w.starts, 2);
+}
+
 TEST(TakeOver, RunningTasksAreAdopted)
 {
 	World w(1, Faults(), 4);
--- a/packages/engine/tests/world.h
+++ b/packages/engine/tests/world.h
@@ -233,6 +233,10 @@
 		batch_open = false;
 		for (auto &w : workers)
 			list(w);
+		if (jobs_first) {
+			for (auto &j : jobs)
+				give_job(j.first);
+		}
 		for (auto &r : stored)
 			eng_recover(engine, r.first, str(r.second), now);
 		for (auto &j : jobs) {
@@ -793,6 +797,7 @@
 	Faults faults;
 	int64_t now = 1000;
 	uint64_t order = 0, epoch = 0;
+	bool jobs_first = false; /* a new owner hears of jobs before states */
 	bool ready = false, batch_open = false;
 	struct engine *engine = nullptr;
 	std::priority_queue<Event> events;
