--- a/packages/cell/src/cell.c
+++ b/packages/cell/src/cell.c
@@ -6,10 +6,10 @@
 #include "routes.h"
 #include "vh/log.h"
 
-#define OBJECTS_WAIT_MS 900   /* longest that a reading of the objects waits */
-#define READY_AGE_MS 2600     /* of the configuration, to be called ready */
-#define ANSWER_SLACK_MS 120   /* an answer is on its way for so long */
-#define OWNER_SHARE 0.6	      /* of a caller's time, for the owner to answer */
+#define OBJECTS_WAIT_MS 900 /* longest that a reading of the objects waits */
+#define READY_AGE_MS 2600   /* of the configuration, to be called ready */
+#define ANSWER_SLACK_MS 120 /* an answer is on its way for so long */
+#define OWNER_SHARE 0.6	    /* of a caller's time, for the owner to answer */
 
 static void on_object(void *ctx, const struct vh_record *r)
 {
--- a/packages/cell/src/claim.c
+++ b/packages/cell/src/claim.c
@@ -2,12 +2,12 @@
 
 #include <string.h>
 
-#define SILENT_MS 900	      /* an owner not heard for so long is looked for */
-#define LOOK_PAUSE_MS 400     /* after a look that saw it write */
-#define LOOK_FAILED_MS 300    /* after a look that the store did not answer */
-#define REFUSED_PAUSE_MS 300  /* after a claim that came second */
-#define UNPROVED_MS 2500      /* an owner acts so long without the store */
-#define FORMER_SLACK_MS 800   /* an order on its way, a late timer */
+#define SILENT_MS 900	     /* an owner not heard for so long is looked for */
+#define LOOK_PAUSE_MS 400    /* after a look that saw it write */
+#define LOOK_FAILED_MS 300   /* after a look that the store did not answer */
+#define REFUSED_PAUSE_MS 300 /* after a claim that came second */
+#define UNPROVED_MS 2500     /* an owner acts so long without the store */
+#define FORMER_SLACK_MS 800  /* an order on its way, a late timer */
 
 void claim_init(struct claim *c, int64_t delay_ms, int64_t now_ms)
 {
--- a/packages/cell/src/hub.c
+++ b/packages/cell/src/hub.c
@@ -3,28 +3,31 @@
 #include <arpa/inet.h>
 #include <string.h>
 
-#define PING_MS 250	    /* between two heartbeats of an owner */
-#define HEARD_MS 1200	    /* a node heard so lately is there */
+#define PING_MS 250	     /* between two heartbeats of an owner */
+#define HEARD_MS 1200	     /* a node heard so lately is there */
 #define STORE_LATELY_MS 1500 /* a node that reached the store so lately can */
-#define SILENT_MS 5000	    /* a connection without a word for so long ends */
+#define SILENT_MS 5000	     /* a connection without a word for so long ends */
 
-static void link_drop(struct hub_link *l)
+static void link_free(struct hub_link *l)
 {
-	struct hub *h = l->hub;
-
-	for (struct hub_link **p = &h->links; *p; p = &(*p)->next) {
-		if (*p != l)
-			continue;
-		*p = l->next;
-		break;
-	}
-	if (l->ready && h->epoch)
-		h->ops.left(h->ctx, l);
+	if (l->ready && l->hub->epoch)
+		l->hub->ops.left(l->hub->ctx, l);
 	bufferevent_free(l->bev);
 	g_free(l->name);
 	g_free(l);
 }
 
+static void link_drop(struct hub_link *l)
+{
+	struct hub_link **p = &l->hub->links;
+
+	while (*p && *p != l)
+		p = &(*p)->next;
+	if (*p)
+		*p = l->next;
+	link_free(l);
+}
+
 static void send_ping(struct hub_link *l)
 {
 	struct wire_out o;
@@ -186,8 +189,8 @@
 	vh_timer_start(&h->ping, PING_MS);
 }
 
-bool hub_start(struct hub *h, struct vh_kernel *kernel,
-	       struct vh_slice address, uint64_t incarnation, GError **err)
+bool hub_start(struct hub *h, struct vh_kernel *kernel, struct vh_slice address,
+	       uint64_t incarnation, GError **err)
 {
 	char *text = vh_slice_dup(address);
 	struct sockaddr_storage at;
@@ -215,8 +218,12 @@
 
 void hub_stop(struct hub *h)
 {
-	while (h->links)
-		link_drop(h->links);
+	struct hub_link *l;
+
+	while ((l = h->links)) {
+		h->links = l->next;
+		link_free(l);
+	}
 	if (h->listener)
 		evconnlistener_free(h->listener);
 	vh_timer_finish(&h->ping);
@@ -265,8 +272,8 @@
 	wire_send(&o, l ? l->bev : NULL);
 }
 
-void hub_ask(struct hub_link *l, uint64_t sequence, uint64_t job,
-	     uint32_t step, const struct vh_slice *workers, size_t n)
+void hub_ask(struct hub_link *l, uint64_t sequence, uint64_t job, uint32_t step,
+	     const struct vh_slice *workers, size_t n)
 {
 	struct wire_out o;
 
--- a/packages/cell/src/hub.h
+++ b/packages/cell/src/hub.h
@@ -62,8 +62,8 @@
 	struct vh_timer ping;
 };
 
-bool hub_start(struct hub *h, struct vh_kernel *kernel,
-	       struct vh_slice address, uint64_t incarnation, GError **err);
+bool hub_start(struct hub *h, struct vh_kernel *kernel, struct vh_slice address,
+	       uint64_t incarnation, GError **err);
 void hub_stop(struct hub *h);
 
 /* hub_own - this node owns the cell now, as @epoch; 0: no longer */
@@ -79,7 +79,7 @@
 		uint64_t outcome);
 
 /* hub_ask - has a node call the policy service */
-void hub_ask(struct hub_link *l, uint64_t sequence, uint64_t job,
-	     uint32_t step, const struct vh_slice *workers, size_t n);
+void hub_ask(struct hub_link *l, uint64_t sequence, uint64_t job, uint32_t step,
+	     const struct vh_slice *workers, size_t n);
 
 #endif
--- a/packages/cell/src/lead.c
+++ b/packages/cell/src/lead.c
@@ -4,15 +4,15 @@
 #include "lead_priv.h"
 #include "vh/log.h"
 
-#define RUN_SOON_MS 4	       /* after an event, so that several share a run */
-#define TICK_MS 40	       /* between runs without events */
-#define FLEET_PAUSE_MS 400     /* between two readings of the fleet's list */
-#define JOBS_PAUSE_MS 250      /* for jobs that other nodes stored themselves */
-#define PULSE_MS 500	       /* an owner writes at least this often */
+#define RUN_SOON_MS 4	   /* after an event, so that several share a run */
+#define TICK_MS 40	   /* between runs without events */
+#define FLEET_PAUSE_MS 400 /* between two readings of the fleet's list */
+#define JOBS_PAUSE_MS 250  /* for jobs that other nodes stored themselves */
+#define PULSE_MS 500	   /* an owner writes at least this often */
 #define APPEND_TIMEOUT_MS 900
 #define APPEND_RETRY_MS 60
-#define FROZEN_MS 900	       /* a loop that stood still so long */
-#define JOBS_AGE_MOST_MS 1500  /* older: a job may exist that is not known */
+#define FROZEN_MS 900	      /* a loop that stood still so long */
+#define JOBS_AGE_MOST_MS 1500 /* older: a job may exist that is not known */
 
 void lead_poke(struct lead *l)
 {
@@ -87,8 +87,8 @@
 			       .sequence = l->sequence,
 			       .timeout_ms = APPEND_TIMEOUT_MS };
 	struct vh_record *out = g_new0(struct vh_record, l->n_records + 1);
-	char(*keys)[VH_KEY_BYTES] = g_malloc0((l->n_records + 1) *
-					      VH_KEY_BYTES);
+	char(*keys)[VH_KEY_BYTES] =
+		g_malloc0((l->n_records + 1) * VH_KEY_BYTES);
 
 	for (size_t i = 0; i < l->n_records; i++) {
 		vh_key_format(keys[i], VH_KEY_STATE, l->records[i].job);
@@ -293,9 +293,8 @@
 
 static bool idle(const struct lead *l)
 {
-	return !l->calls && writer_idle(&l->writer) &&
-	       follow_idle(&l->fleet) && follow_idle(&l->jobs) &&
-	       follow_idle(&l->state);
+	return !l->calls && writer_idle(&l->writer) && follow_idle(&l->fleet) &&
+	       follow_idle(&l->jobs) && follow_idle(&l->state);
 }
 
 static void reap(void *ctx)
--- a/packages/cell/src/lead_asks.c
+++ b/packages/cell/src/lead_asks.c
@@ -136,8 +136,8 @@
 		c->lead = l;
 		c->sequence = a->sequence;
 		l->calls++;
-		l->ports->policy->advise(l->ports->policy_self, a->job,
-					 a->step, ids, a->n, on_own, c);
+		l->ports->policy->advise(l->ports->policy_self, a->job, a->step,
+					 ids, a->n, on_own, c);
 	}
 	g_free(ids);
 }
--- a/packages/cell/src/lead_drop.c
+++ b/packages/cell/src/lead_drop.c
@@ -41,8 +41,8 @@
 	if (l->phase != LEAD_ACTING || l->drop_open || l->frozen)
 		return;
 	if (!l->n_dropping)
-		l->n_dropping = eng_ended(l->engine, l->dropping,
-					  LEAD_DROP_MOST);
+		l->n_dropping =
+			eng_ended(l->engine, l->dropping, LEAD_DROP_MOST);
 	for (size_t i = 0; i < l->n_dropping; i++)
 		a.n += add_keys(&records[a.n], &keys[a.n], l->dropping[i]);
 	if (!a.n)
--- a/packages/cell/src/lead_orders.c
+++ b/packages/cell/src/lead_orders.c
@@ -34,8 +34,8 @@
 
 	l->calls--;
 	if (!lead_gone(l)) {
-		eng_started(l->engine, vh_slice_str(o->worker), o->task,
-			    answer, lead_now(l));
+		eng_started(l->engine, vh_slice_str(o->worker), o->task, answer,
+			    lead_now(l));
 		lead_poke(l);
 	}
 	order_free(o);
@@ -48,8 +48,8 @@
 
 	l->calls--;
 	if (!lead_gone(l)) {
-		eng_stopped(l->engine, vh_slice_str(o->worker), o->task,
-			    answer, lead_now(l));
+		eng_stopped(l->engine, vh_slice_str(o->worker), o->task, answer,
+			    lead_now(l));
 		lead_poke(l);
 	}
 	order_free(o);
@@ -67,8 +67,7 @@
 		if (answer == ENG_ANSWER_OK)
 			eng_report(l->engine, worker, report, lead_now(l));
 		else
-			eng_hold_failed(l->engine, worker, answer,
-					lead_now(l));
+			eng_hold_failed(l->engine, worker, answer, lead_now(l));
 		lead_poke(l);
 	}
 	order_free(o);
@@ -100,8 +99,8 @@
 	struct lead *l = ctx;
 	struct order *o = order_new(l, h->worker);
 
-	l->ports->workers->hold(l->ports->workers_self, h->address, l->epoch,
-				h, on_hold, o);
+	l->ports->workers->hold(l->ports->workers_self, h->address, l->epoch, h,
+				on_hold, o);
 }
 
 static void give_up(void *ctx)
--- a/packages/cell/src/lead_priv.h
+++ b/packages/cell/src/lead_priv.h
@@ -74,8 +74,7 @@
 
 /* lead_submit.c: records of callers, its own and other nodes' */
 void lead_submit_init(struct lead *l);
-void lead_on_submit(void *ctx, struct hub_link *link,
-		    const struct vh_frame *f);
+void lead_on_submit(void *ctx, struct hub_link *link, const struct vh_frame *f);
 
 /* lead_drop.c: drops the records of accepted jobs that have ended */
 void lead_drop_init(struct lead *l);
--- a/packages/cell/src/lead_submit.c
+++ b/packages/cell/src/lead_submit.c
@@ -62,8 +62,7 @@
 	struct submission *s;
 
 	if (!lead_takes(l)) {
-		hub_stored(l->hub, link->number, wire_u64(f, 0),
-			   WRITE_REFUSED);
+		hub_stored(l->hub, link->number, wire_u64(f, 0), WRITE_REFUSED);
 		return;
 	}
 	s = g_new0(struct submission, 1);
--- a/packages/cell/src/own_advice.c
+++ b/packages/cell/src/own_advice.c
@@ -13,8 +13,7 @@
 	struct spoke *s = &x->cell->spoke;
 
 	if (spoke_usable(s) && s->epoch == x->epoch)
-		spoke_advice(s, x->sequence, r->ok, r->valid_ms, r->good,
-			     r->n);
+		spoke_advice(s, x->sequence, r->ok, r->valid_ms, r->good, r->n);
 	g_free(x);
 }
 
--- a/packages/cell/src/owner.c
+++ b/packages/cell/src/owner.c
@@ -216,8 +216,8 @@
 {
 	struct vh_cell *c = ctx;
 
-	claim_looked(&c->claim, r->end != c->look_end,
-		     r->result != VH_STORE_OK, vh_kernel_now_ms(c->kernel));
+	claim_looked(&c->claim, r->end != c->look_end, r->result != VH_STORE_OK,
+		     vh_kernel_now_ms(c->kernel));
 	if (r->result == VH_STORE_OK && r->end == c->look_end)
 		log_epoch("owner does not write", c->claim.epoch, "looked");
 }
@@ -252,8 +252,8 @@
 	bool reach;
 
 	hub_peers(&c->hub, now, &peers, &reach);
-	switch (c->leaving ? CLAIM_NOTHING :
-			     claim_tick(&c->claim, now, peers, reach)) {
+	switch (c->leaving ? CLAIM_NOTHING
+			   : claim_tick(&c->claim, now, peers, reach)) {
 	case CLAIM_NOTHING:
 		break;
 	case CLAIM_LOOK:
--- a/packages/cell/src/routes.c
+++ b/packages/cell/src/routes.c
@@ -24,8 +24,7 @@
 
 static bool host_eq(struct vh_slice a, struct vh_slice b)
 {
-	return a.len == b.len &&
-	       !g_ascii_strncasecmp(a.data, b.data, a.len);
+	return a.len == b.len && !g_ascii_strncasecmp(a.data, b.data, a.len);
 }
 
 static bool matches(const struct vh_queue_terms *q, struct vh_slice host,
--- a/packages/cell/src/spoke.c
+++ b/packages/cell/src/spoke.c
@@ -232,9 +232,8 @@
 	struct spoke_call *c = g_new0(struct spoke_call, 1);
 
 	c->sequence = sequence;
-	c->deadline_ms = spoke_usable(s) ?
-				 vh_kernel_now_ms(s->kernel) + timeout_ms :
-				 0;
+	c->deadline_ms =
+		spoke_usable(s) ? vh_kernel_now_ms(s->kernel) + timeout_ms : 0;
 	c->done = done;
 	c->ctx = ctx;
 	g_hash_table_insert(s->calls, &c->sequence, c);
@@ -255,8 +254,7 @@
 }
 
 void spoke_count(struct spoke *s, struct vh_slice queue, int64_t timeout_ms,
-		 void (*done)(void *ctx, bool known, uint64_t value),
-		 void *ctx)
+		 void (*done)(void *ctx, bool known, uint64_t value), void *ctx)
 {
 	uint64_t sequence = ++s->sequence;
 	struct wire_out o;
@@ -283,8 +281,8 @@
 	call(s, &o, sequence, timeout_ms, done, ctx);
 }
 
-void spoke_advice(struct spoke *s, uint64_t sequence, bool ok,
-		  int64_t valid_ms, const struct eng_good *good, size_t n)
+void spoke_advice(struct spoke *s, uint64_t sequence, bool ok, int64_t valid_ms,
+		  const struct eng_good *good, size_t n)
 {
 	struct wire_out o;
 
--- a/packages/cell/src/spoke.h
+++ b/packages/cell/src/spoke.h
@@ -71,7 +71,7 @@
 		  void *ctx);
 
 /* spoke_advice - answers an ask */
-void spoke_advice(struct spoke *s, uint64_t sequence, bool ok,
-		  int64_t valid_ms, const struct eng_good *good, size_t n);
+void spoke_advice(struct spoke *s, uint64_t sequence, bool ok, int64_t valid_ms,
+		  const struct eng_good *good, size_t n);
 
 #endif
--- a/packages/cell/src/wire.c
+++ b/packages/cell/src/wire.c
@@ -30,8 +30,7 @@
 	struct vh_frame f;
 	bool ok = false;
 
-	evbuffer_drain(bufferevent_get_input(bev),
-		       VH_FRAME_HEADER + bytes.len);
+	evbuffer_drain(bufferevent_get_input(bev), VH_FRAME_HEADER + bytes.len);
 	if (vh_frame_decode(&f, vh_slice(copy, bytes.len)) == VH_OK) {
 		ok = frame(ctx, &f);
 		vh_frame_finish(&f);
--- a/packages/cell/src/wire.h
+++ b/packages/cell/src/wire.h
@@ -13,17 +13,18 @@
  * owner; nothing else is connected.
  */
 enum wire_type {
-	WIRE_HELLO = 1, /* name, incarnation, strength, milliseconds to the store */
-	WIRE_PONG,	/* epoch known, milliseconds since the store answered */
-	WIRE_QUERY,	/* sequence, job */
-	WIRE_COUNT,	/* sequence, queue */
-	WIRE_SUBMIT,	/* sequence, key, value, patience in milliseconds */
-	WIRE_ADVICE,	/* sequence, ok, valid_ms, [worker, ticket, ...] */
-	WIRE_PING,	/* epoch, incarnation of the owner, the node's rank */
-	WIRE_STATUS,	/* sequence, status */
-	WIRE_COUNTED,	/* sequence, known, jobs */
-	WIRE_ASK,	/* sequence, job, step, [worker, ...] */
-	WIRE_STORED	/* sequence, outcome */
+	WIRE_HELLO =
+		1,  /* name, incarnation, strength, milliseconds to the store */
+	WIRE_PONG,  /* epoch known, milliseconds since the store answered */
+	WIRE_QUERY, /* sequence, job */
+	WIRE_COUNT, /* sequence, queue */
+	WIRE_SUBMIT,  /* sequence, key, value, patience in milliseconds */
+	WIRE_ADVICE,  /* sequence, ok, valid_ms, [worker, ticket, ...] */
+	WIRE_PING,    /* epoch, incarnation of the owner, the node's rank */
+	WIRE_STATUS,  /* sequence, status */
+	WIRE_COUNTED, /* sequence, known, jobs */
+	WIRE_ASK,     /* sequence, job, step, [worker, ...] */
+	WIRE_STORED   /* sequence, outcome */
 };
 
 /* A frame being made: WIRE_BEGIN, pack into .pk, wire_send(). */
--- a/packages/cell/src/writer.c
+++ b/packages/cell/src/writer.c
@@ -13,7 +13,7 @@
 	struct vh_buf value;
 	int64_t deadline_ms;
 	int64_t doubt_ms; /* when a record without an answer is given up */
-	bool doubtful; /* a try had no answer */
+	bool doubtful;	  /* a try had no answer */
 	void (*done)(void *ctx, enum write_outcome outcome);
 	void *ctx;
 };
@@ -110,8 +110,8 @@
 }
 
 /* What has been sent may be stored, whether its try has ended or not. */
-static bool given_up(const struct writer *w, const struct entry *en,
-		     bool sent, int64_t now_ms)
+static bool given_up(const struct writer *w, const struct entry *en, bool sent,
+		     int64_t now_ms)
 {
 	if (en->deadline_ms <= now_ms)
 		return true;
@@ -132,8 +132,8 @@
 		if (!given_up(w, en, sent, now_ms))
 			continue;
 		g_queue_delete_link(queue, l);
-		entry_end(en, sent || en->doubtful ? WRITE_UNKNOWN :
-						     WRITE_REFUSED);
+		entry_end(en,
+			  sent || en->doubtful ? WRITE_UNKNOWN : WRITE_REFUSED);
 	}
 }
 
@@ -210,6 +210,5 @@
 	g_queue_push_tail(&w->waiting, en);
 	pump(w);
 	if (!vh_timer_pending(&w->tick))
-		vh_timer_start(&w->tick,
-			       w->linger_ms ? w->linger_ms : TICK_MS);
+		vh_timer_start(&w->tick, w->linger_ms ? w->linger_ms : TICK_MS);
 }
--- a/packages/cell/src/writer.h
+++ b/packages/cell/src/writer.h
@@ -33,7 +33,7 @@
 	bool closed;
 	int64_t linger_ms; /* how long a record waits for company; 0: not */
 	int64_t first_ms;  /* when the first that waits came */
-	int64_t sent_ms; /* when the append that is out was sent */
+	int64_t sent_ms;   /* when the append that is out was sent */
 	int64_t pause_until_ms;
 	struct vh_timer tick;
 };
--- a/packages/engine/include/vh/engine.h
+++ b/packages/engine/include/vh/engine.h
@@ -171,8 +171,8 @@
  */
 struct eng_ports {
 	void (*start)(void *ctx, const struct eng_start_order *o);
-	void (*stop)(void *ctx, struct vh_slice worker,
-		     struct vh_slice address, struct eng_task_ref task);
+	void (*stop)(void *ctx, struct vh_slice worker, struct vh_slice address,
+		     struct eng_task_ref task);
 	void (*hold)(void *ctx, const struct eng_hold_order *o);
 	bool (*advise)(void *ctx, const struct eng_ask *ask);
 	void (*deposed)(void *ctx, const char *why);
--- a/packages/engine/src/eng_ask.c
+++ b/packages/engine/src/eng_ask.c
@@ -241,9 +241,9 @@
 	}
 	q = s->job->queue;
 	if (n_asked)
-		q->good_share += GOOD_SHARE_STEP *
-				 ((double)n_good / (double)n_asked -
-				  q->good_share);
+		q->good_share +=
+			GOOD_SHARE_STEP *
+			((double)n_good / (double)n_asked - q->good_share);
 	q->good_share = CLAMP(q->good_share, 0.05, 1.0);
 	eng_job_shrink(e, s->job);
 }
--- a/packages/engine/src/eng_job.c
+++ b/packages/engine/src/eng_job.c
@@ -2,10 +2,11 @@
 
 #include <glib.h>
 
-#define JOB_FORMAT 1		  /* version of the record's shape */
-#define JOB_FIELDS 19		  /* elements of a job's array */
-#define STEP_FIELDS 12		  /* elements of a step's array */
-#define ADVICE_WORKERS_COUNTED 30 /* named in the one call that a chain counts */
+#define JOB_FORMAT 1   /* version of the record's shape */
+#define JOB_FIELDS 19  /* elements of a job's array */
+#define STEP_FIELDS 12 /* elements of a step's array */
+#define ADVICE_WORKERS_COUNTED \
+	30 /* named in the one call that a chain counts */
 #define ID_DIGITS 16
 
 enum step_flag {
@@ -56,6 +57,8 @@
 		return "a job needs at least one step";
 	if (spec->n_steps > ENG_STEPS_MAX)
 		return "too many steps";
+	if (spec->occurrences)
+		return "jobs that run at set times are not served";
 	if (spec->payload.len > ENG_SPEC_BYTES_MAX)
 		return "spec is too long";
 	for (size_t i = 0; i < spec->n_steps; i++) {
@@ -292,8 +295,7 @@
 	j->occurrences = (uint32_t)read_int(&r, 0, UINT32_MAX);
 	j->first_ms = read_int(&r, INT64_MIN, INT64_MAX);
 	j->interval_ms = read_int(&r, INT64_MIN, INT64_MAX);
-	return unpack_steps(&r, j) && !r.bad && !list->bad &&
-	       !eng_job_check(j);
+	return unpack_steps(&r, j) && !r.bad && !list->bad && !eng_job_check(j);
 }
 
 struct eng_job_spec *eng_job_unpack(struct vh_slice bytes)
--- a/packages/engine/src/eng_place.c
+++ b/packages/engine/src/eng_place.c
@@ -12,7 +12,7 @@
 #define BAD_LIMIT 2.5	   /* score from which a worker is set aside */
 #define BAD_AFTER 1.5	   /* score that it has when it is tried again */
 #define BAD_AVOID_MS 3000  /* how long it is set aside */
-#define WHOLE_CORE 1000    /* thousandths of a processor */
+#define WHOLE_CORE 1000	   /* thousandths of a processor */
 
 enum tier {
 	TIER_IN_TIME,
@@ -22,8 +22,8 @@
 
 static enum tier step_tier(const struct engine *e, const struct step *s)
 {
-	int64_t end = e->now_ms +
-		      (int64_t)(CHAIN_OPTIMISM * (double)s->chain_ms);
+	int64_t end =
+		e->now_ms + (int64_t)(CHAIN_OPTIMISM * (double)s->chain_ms);
 
 	if (end <= s->job->due_ms)
 		return TIER_IN_TIME;
--- a/packages/engine/src/eng_priv.h
+++ b/packages/engine/src/eng_priv.h
@@ -169,18 +169,18 @@
 	struct eng_ports ports;
 	bool ready;
 	bool deposed;
-	bool applying; /* a stored state is being read back */
-	GHashTable *jobs;	 /* id to struct job */
-	GHashTable *workers;	 /* id to struct worker */
-	GPtrArray *worker_list;	 /* the same */
-	GHashTable *teams;	 /* name to struct team */
-	GHashTable *queues;	 /* name to struct queue */
-	GPtrArray *open_steps;	 /* steps with tasks to place */
-	GPtrArray *dirty;	 /* jobs to be stored */
-	GQueue storing;		 /* tasks that wait for their record */
-	GArray *ended;		 /* ids of jobs that need no record but the last */
-	uint64_t batch;		 /* number of the batch being collected */
-	uint64_t stored;	 /* number of the last stored batch */
+	bool applying;		/* a stored state is being read back */
+	GHashTable *jobs;	/* id to struct job */
+	GHashTable *workers;	/* id to struct worker */
+	GPtrArray *worker_list; /* the same */
+	GHashTable *teams;	/* name to struct team */
+	GHashTable *queues;	/* name to struct queue */
+	GPtrArray *open_steps;	/* steps with tasks to place */
+	GPtrArray *dirty;	/* jobs to be stored */
+	GQueue storing;		/* tasks that wait for their record */
+	GArray *ended;	 /* ids of jobs that need no record but the last */
+	uint64_t batch;	 /* number of the batch being collected */
+	uint64_t stored; /* number of the last stored batch */
 	uint64_t report_serial;
 	int64_t now_ms;
 	struct eng_stats stats;
--- a/packages/engine/src/eng_record.c
+++ b/packages/engine/src/eng_record.c
@@ -98,8 +98,8 @@
 
 void eng_record_pack(const struct job *j, struct vh_buf *out)
 {
-	bool whole = j->steps &&
-		     (j->status < ENG_COMPLETE || anything_placed(j));
+	bool whole =
+		j->steps && (j->status < ENG_COMPLETE || anything_placed(j));
 	msgpack_sbuffer sb;
 	msgpack_packer pk;
 
@@ -189,8 +189,8 @@
 		return false;
 	t->run = (uint32_t)run;
 	if (p[4].via.bin.size) {
-		struct vh_slice c = vh_slice(p[4].via.bin.ptr,
-					     p[4].via.bin.size);
+		struct vh_slice c =
+			vh_slice(p[4].via.bin.ptr, p[4].via.bin.size);
 
 		t->checkpoint = vh_slice(vh_slice_dup(c), c.len);
 	}
@@ -229,13 +229,11 @@
 		w = eng_worker_get(e, vh_slice(row[0].via.bin.ptr,
 					       row[0].via.bin.size));
 		if (!*w->address)
-			eng_worker_address(w,
-					   vh_slice(row[2].via.bin.ptr,
-						    row[2].via.bin.size));
+			eng_worker_address(w, vh_slice(row[2].via.bin.ptr,
+						       row[2].via.bin.size));
 		if (!w->born_ms)
 			w->born_ms = (int64_t)born;
-		g_ptr_array_add(workers,
-				w->born_ms > (int64_t)born ? NULL : w);
+		g_ptr_array_add(workers, w->born_ms > (int64_t)born ? NULL : w);
 	}
 	return true;
 }
@@ -250,8 +248,7 @@
 
 	if (!get_array(o, &p, &n) || n < 2 ||
 	    !get_uint(&p[0], UINT64_MAX, &s->failed_runs) ||
-	    !get_array(&p[1], &tasks, &n_tasks) ||
-	    n_tasks != s->spec->n_tasks)
+	    !get_array(&p[1], &tasks, &n_tasks) || n_tasks != s->spec->n_tasks)
 		return false;
 	for (size_t k = 0; k < n_tasks; k++) {
 		if (!apply_task(e, &s->tasks[k], &tasks[k], workers))
--- a/packages/engine/src/eng_tasks.c
+++ b/packages/engine/src/eng_tasks.c
@@ -1,13 +1,13 @@
 #include "eng_priv.h"
 
-#define START_RETRY_MS 250   /* an unanswered start is sent again after this */
-#define START_TRIES 4	     /* then the run is stopped instead */
-#define STOP_RETRY_MS 300    /* an unanswered stop is sent again after this */
-#define ROOM_AVOID_MS 300    /* a worker that had no room is left alone */
+#define START_RETRY_MS 250    /* an unanswered start is sent again after this */
+#define START_TRIES 4	      /* then the run is stopped instead */
+#define STOP_RETRY_MS 300     /* an unanswered stop is sent again after this */
+#define ROOM_AVOID_MS 300     /* a worker that had no room is left alone */
 #define REFUSED_AVOID_MS 1500 /* a worker that refused is left alone */
-#define RUN_BITS 64	     /* runs that a task's failures are told apart */
-#define BAD_PER_FAILURE 1.0  /* added to a worker's score by a failed end */
-#define BAD_DECAY 0.7	     /* factor of the score for each good end */
+#define RUN_BITS 64	      /* runs that a task's failures are told apart */
+#define BAD_PER_FAILURE 1.0   /* added to a worker's score by a failed end */
+#define BAD_DECAY 0.7	      /* factor of the score for each good end */
 
 struct eng_task_ref eng_task_ref(const struct task *t)
 {
@@ -241,7 +241,8 @@
 		e->stats.ends_done++;
 		if (w)
 			w->bad *= BAD_DECAY;
-		end_done(e, t);
+		if (!s->spec->service)
+			end_done(e, t);
 	} else if (f->how == ENG_END_FAILED) {
 		e->stats.ends_failed++;
 		if (w)
--- a/packages/engine/src/eng_workers.c
+++ b/packages/engine/src/eng_workers.c
@@ -1,12 +1,12 @@
 #include "eng_priv.h"
 
-#define CLOCK_SLOWEST 0.97	/* slowest clock of a worker, against ours */
-#define HOLD_WAIT_MS 2000	/* longest that a hold may wait for an end */
-#define HOLD_GAP_MS 40		/* between an answer and the next hold */
-#define HOLD_RETRY_MS 150	/* after the first hold without an answer */
-#define HOLD_RETRY_MAX_MS 1200	/* after many */
-#define LAPSE_MARGIN_MS 150	/* after a lease's last moment */
-#define RENEW_BEFORE 0.55	/* share of the lease that a hold may wait */
+#define CLOCK_SLOWEST 0.97     /* slowest clock of a worker, against ours */
+#define HOLD_WAIT_MS 2000      /* longest that a hold may wait for an end */
+#define HOLD_GAP_MS 40	       /* between an answer and the next hold */
+#define HOLD_RETRY_MS 150      /* after the first hold without an answer */
+#define HOLD_RETRY_MAX_MS 1200 /* after many */
+#define LAPSE_MARGIN_MS 150    /* after a lease's last moment */
+#define RENEW_BEFORE 0.55      /* share of the lease that a hold may wait */
 
 struct worker *eng_worker_find(struct engine *e, struct vh_slice id)
 {
@@ -33,10 +33,10 @@
 	w->zone = g_strdup("");
 	w->labels = g_new0(char *, 1);
 	w->tasks = g_ptr_array_new();
-	w->lapse_ms = e->now_ms + e->settings.former_ms +
-		      (int64_t)((double)e->settings.lease_max_ms /
-				CLOCK_SLOWEST) +
-		      e->settings.stop_ms + LAPSE_MARGIN_MS;
+	w->lapse_ms =
+		e->now_ms + e->settings.former_ms +
+		(int64_t)((double)e->settings.lease_max_ms / CLOCK_SLOWEST) +
+		e->settings.stop_ms + LAPSE_MARGIN_MS;
 	g_hash_table_insert(e->workers, w->id, w);
 	g_ptr_array_add(e->worker_list, w);
 	return w;
@@ -186,8 +186,8 @@
 		       struct eng_task_ref ref)
 {
 	if (e->ready)
-		e->ports.stop(e->ports.ctx, eng_str(w->id),
-			      eng_str(w->address), ref);
+		e->ports.stop(e->ports.ctx, eng_str(w->id), eng_str(w->address),
+			      ref);
 }
 
 static void take_running(struct engine *e, struct worker *w,
@@ -317,12 +317,11 @@
 
 	if (w->fenced && w->tasks->len) {
 		o.until_ms = eng_worker_until(e, w);
-		o.wait_ms = MIN(HOLD_WAIT_MS,
-				(int64_t)((double)e->settings.lease_ms *
-					  RENEW_BEFORE));
+		o.wait_ms = MIN(
+			HOLD_WAIT_MS,
+			(int64_t)((double)e->settings.lease_ms * RENEW_BEFORE));
 	}
-	if (w->hold_now || w->hold_fails ||
-	    w->acknowledged < w->processed)
+	if (w->hold_now || w->hold_fails || w->acknowledged < w->processed)
 		o.wait_ms = 0;
 	w->hold_now = false;
 	w->hold_open = true;
--- a/packages/engine/src/engine.c
+++ b/packages/engine/src/engine.c
@@ -2,7 +2,7 @@
 
 #include <math.h>
 
-#define LATE_FACTOR 3		/* objectives after which nothing is earned */
+#define LATE_FACTOR 3 /* objectives after which nothing is earned */
 #define GOOD_SHARE_FIRST_GUESS 0.5 /* of asked workers */
 
 static void team_free(gpointer p)
@@ -74,8 +74,8 @@
 	e->workers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					   worker_free);
 	e->worker_list = g_ptr_array_new();
-	e->teams = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
-					 team_free);
+	e->teams =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, team_free);
 	e->queues = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					  queue_free);
 	e->open_steps = g_ptr_array_new();
@@ -237,9 +237,8 @@
 		s->chain_ms = chains[i];
 		s->n_waiting = s->spec->n_tasks;
 		s->tasks = g_new0(struct task, s->spec->n_tasks);
-		s->verdicts = g_hash_table_new_full(g_direct_hash,
-						    g_direct_equal, NULL,
-						    eng_verdict_free);
+		s->verdicts = g_hash_table_new_full(
+			g_direct_hash, g_direct_equal, NULL, eng_verdict_free);
 		for (uint32_t k = 0; k < s->spec->n_tasks; k++) {
 			s->tasks[k].step = s;
 			s->tasks[k].index = k;
--- a/packages/engine/tests/test_workers.cc
+++ b/packages/engine/tests/test_workers.cc
@@ -40,4 +40,24 @@
 	EXPECT_EQ(eng_status(w.engine, 2), ENG_COMPLETE);
 }
 
+// A service's task runs until its job is cancelled, however it ends.
+TEST(Workers, AServiceIsStartedAgain)
+{
+	World w(1, Faults(), 2);
+	eng_step_spec s = world::step(2, 1000, 300);
+
+	w.faults.fail_task = 0.5;
+	s.service = true;
+	w.take_over();
+	w.submit(1, { s });
+	w.play(6000, false);
+	expect_kept(w);
+	EXPECT_EQ(eng_status(w.engine, 1), ENG_RUNNING);
+	EXPECT_GT(w.starts, 6);
+	w.cancel(1);
+	w.play(3000, false);
+	EXPECT_EQ(eng_status(w.engine, 1), ENG_CANCELLED);
+	EXPECT_TRUE(w.workers[0].running.empty());
+}
+
 } // namespace
