--- a/packages/engine/tests/world.h
+++ b/packages/engine/tests/world.h
@@ -326,12 +326,12 @@
 		eng_records_free(records, n);
 		batch_open = true;
 		uint64_t e = epoch;
-		in(chance(faults.store_slow) ? 400 : 8, [=, this] {
+		in(chance(faults.store_slow) ? 400 : 8, [=] {
 			if (e != epoch)
 				return;
 			for (auto &r : copy)
 				stored[r.first] = r.second;
-			in(5, [=, this] {
+			in(5, [=] {
 				if (e != epoch)
 					return;
 				batch_open = false;
@@ -524,7 +524,7 @@
 		r.key = { ref.job, ref.step, ref.index };
 		r.run = ref.run;
 		r.need = s.need;
-		in(late ? 2000 + (int64_t)(rnd() * 10000) : 15, [=, this, &w] {
+		in(late ? 2000 + (int64_t)(rnd() * 10000) : 15, [=, &w] {
 			eng_answer a = ENG_ANSWER_NONE;
 			Run x = r;
 
@@ -540,7 +540,7 @@
 				a = do_start(w, e, x, until, late);
 			if (lost)
 				a = ENG_ANSWER_NONE;
-			in(a == ENG_ANSWER_NONE ? 700 : 15, [=, this] {
+			in(a == ENG_ANSWER_NONE ? 700 : 15, [=] {
 				if (e == epoch)
 					eng_started(engine, str(id), ref, a,
 						    now);
@@ -564,7 +564,7 @@
 		int64_t born = w.born;
 		bool lost = chance(faults.lose_order);
 
-		in(15, [=, this, &w] {
+		in(15, [=, &w] {
 			eng_answer a = ENG_ANSWER_NONE;
 
 			if (w.up && w.born == born && w.reachable) {
@@ -572,7 +572,7 @@
 				if (lost)
 					a = ENG_ANSWER_NONE;
 			}
-			in(a == ENG_ANSWER_NONE ? 700 : 15, [=, this] {
+			in(a == ENG_ANSWER_NONE ? 700 : 15, [=] {
 				if (e == epoch)
 					eng_stopped(engine, str(id), ref, a,
 						    now);
@@ -612,7 +612,7 @@
 		std::string id = w.id;
 
 		holds++;
-		in(15, [=, this, &w] {
+		in(15, [=, &w] {
 			hold_arrives(w, id, e, h, sent, born, now + h.wait_ms);
 		});
 	}
@@ -622,7 +622,7 @@
 			  int64_t wait_until)
 	{
 		if (!w.up || !w.reachable) {
-			in(700, [=, this] {
+			in(700, [=] {
 				if (e == epoch)
 					eng_hold_failed(engine, str(id),
 							ENG_ANSWER_NONE, now);
@@ -630,7 +630,7 @@
 			return;
 		}
 		if (e < w.fence) {
-			in(15, [=, this] {
+			in(15, [=] {
 				if (e == epoch)
 					eng_hold_failed(engine, str(id),
 							ENG_ANSWER_FENCE, now);
@@ -645,7 +645,7 @@
 			acknowledge(w, h.acknowledged);
 		h.until_ms = 0;
 		if (w.ends.empty() && now < wait_until) {
-			in(20, [=, this, &w] {
+			in(20, [=, &w] {
 				hold_arrives(w, id, e, h, sent, born,
 					     wait_until);
 			});
@@ -686,7 +686,7 @@
 			x.how = n.how;
 			fin.push_back(x);
 		}
-		in(15, [=, this] {
+		in(15, [=] {
 			struct eng_report r = {};
 
 			if (e != epoch)
@@ -726,7 +726,7 @@
 		asks++;
 		for (size_t i = 0; i < a->n; i++)
 			ids.emplace_back(a->workers[i].data, a->workers[i].len);
-		in((int64_t)a->cost_ms + 40, [=, this] {
+		in((int64_t)a->cost_ms + 40, [=] {
 			std::vector<struct vh_slice> asked;
 			std::vector<eng_good> ok;
 
