--- a/packages/cell/src/advisors.c
+++ b/packages/cell/src/advisors.c
@@ -54,17 +54,13 @@
 	return kept < 1 ? 1 : kept;
 }
 
-int advisors_choose(struct advisors *a, double cost_ms, int64_t now_ms)
+static int least_busy(const struct advisors *a, bool is_short, int64_t now_ms)
 {
-	bool is_short = cost_ms <= SHORT_CALL_MS;
+	int kept = kept_short(a, now_ms);
 	double best = AHEAD_MS;
 	int found = -1;
 	int seen = 0;
-	int kept;
 
-	if (is_short)
-		a->short_ms = now_ms;
-	kept = kept_short(a, now_ms);
 	for (int i = 0; i < ADVISORS_MAX; i++) {
 		const struct advisor *x = &a->items[i];
 		double b;
@@ -77,6 +73,22 @@
 		best = b;
 		found = i;
 	}
+	return found;
+}
+
+bool advisors_free(const struct advisors *a, double cost_ms, int64_t now_ms)
+{
+	return least_busy(a, cost_ms <= SHORT_CALL_MS, now_ms) >= 0;
+}
+
+int advisors_choose(struct advisors *a, double cost_ms, int64_t now_ms)
+{
+	bool is_short = cost_ms <= SHORT_CALL_MS;
+	int found;
+
+	if (is_short)
+		a->short_ms = now_ms;
+	found = least_busy(a, is_short, now_ms);
 	if (found < 0)
 		return -1;
 	if (!a->items[found].out)
--- a/packages/cell/src/advisors.h
+++ b/packages/cell/src/advisors.h
@@ -47,6 +47,9 @@
  */
 int advisors_choose(struct advisors *a, double cost_ms, int64_t now_ms);
 
+/* advisors_free - whether advisors_choose() would find a node */
+bool advisors_free(const struct advisors *a, double cost_ms, int64_t now_ms);
+
 /* advisors_answered - node @i answered a call of @cost_ms, or failed to */
 void advisors_answered(struct advisors *a, int i, double cost_ms,
 		       int64_t now_ms);
--- a/packages/cell/src/lead.c
+++ b/packages/cell/src/lead.c
@@ -5,6 +5,7 @@
 #include "vh/log.h"
 
 #define RUN_SOON_MS 4	   /* after an event, so that several share a run */
+#define RUN_REST 3	   /* times a run's length until the next one */
 #define TICK_MS 40	   /* between runs without events */
 #define FLEET_PAUSE_MS 400 /* between two readings of the fleet's list */
 #define JOBS_PAUSE_MS 250  /* for jobs that other nodes stored themselves */
@@ -17,7 +18,8 @@
 void lead_poke(struct lead *l)
 {
 	if (!vh_timer_pending(&l->run) && l->phase != LEAD_ENDED)
-		vh_timer_start(&l->run, RUN_SOON_MS);
+		vh_timer_start(&l->run,
+			       MAX(RUN_SOON_MS, RUN_REST * l->run_cost_ms));
 }
 
 int64_t lead_now(const struct lead *l)
@@ -145,6 +147,7 @@
 		if (l->phase == LEAD_ENDED)
 			return;
 		lead_asks_run(l);
+		l->run_cost_ms = lead_now(l) - now;
 	}
 	flush(l);
 	vh_timer_start(&l->run, TICK_MS);
--- a/packages/cell/src/lead_asks.c
+++ b/packages/cell/src/lead_asks.c
@@ -157,6 +157,13 @@
 	g_list_free(all);
 }
 
+bool lead_advice_free(void *ctx, double cost_ms)
+{
+	struct lead *l = ctx;
+
+	return advisors_free(&l->advisors, cost_ms, lead_now(l));
+}
+
 bool lead_advise(void *ctx, const struct eng_ask *q)
 {
 	struct lead *l = ctx;
--- a/packages/cell/src/lead_orders.c
+++ b/packages/cell/src/lead_orders.c
@@ -151,6 +151,7 @@
 		.stop = send_stop,
 		.hold = send_hold,
 		.advise = lead_advise,
+		.advice_free = lead_advice_free,
 		.deposed = on_deposed,
 		.decided = on_decided,
 		.ctx = l,
--- a/packages/cell/src/lead_priv.h
+++ b/packages/cell/src/lead_priv.h
@@ -46,6 +46,7 @@
 	int64_t append_ms;
 	int64_t wrote_ms;
 	int64_t ran_ms;
+	int64_t run_cost_ms; /* how long the last run took */
 
 	struct writer writer; /* of callers' records */
 
@@ -84,6 +85,7 @@
 void lead_asks_init(struct lead *l);
 void lead_asks_finish(struct lead *l);
 void lead_asks_run(struct lead *l);
+bool lead_advice_free(void *ctx, double cost_ms);
 bool lead_advise(void *ctx, const struct eng_ask *ask);
 
 #endif
--- a/packages/engine/include/vh/engine.h
+++ b/packages/engine/include/vh/engine.h
@@ -167,6 +167,7 @@
 /**
  * struct eng_ports - where orders go
  * @advise: false if no call can be made now; asked again in the next run
+ * @advice_free: whether a call could be made now; NULL: always
  * @decided: may be NULL
  */
 struct eng_ports {
@@ -175,6 +176,7 @@
 		     struct eng_task_ref task);
 	void (*hold)(void *ctx, const struct eng_hold_order *o);
 	bool (*advise)(void *ctx, const struct eng_ask *ask);
+	bool (*advice_free)(void *ctx, double cost_ms);
 	void (*deposed)(void *ctx, const char *why);
 	void (*decided)(void *ctx, const struct eng_decision *d);
 	void *ctx;
--- a/packages/engine/src/eng_ask.c
+++ b/packages/engine/src/eng_ask.c
@@ -85,7 +85,7 @@
 	return n > 0 ? (uint32_t)n : 0;
 }
 
-static bool ticket_valid(const struct engine *e, const struct verdict *v)
+bool eng_ticket_valid(const struct engine *e, const struct verdict *v)
 {
 	return v->good && v->expires_ms > e->now_ms + TICKET_MARGIN_MS;
 }
@@ -121,7 +121,7 @@
 		if (v && !v->good)
 			continue;
 		slots = eng_slots(e, s, w);
-		if (v && ticket_valid(e, v)) {
+		if (v && eng_ticket_valid(e, v)) {
 			*have += slots;
 			continue;
 		}
@@ -178,6 +178,10 @@
 
 	if (!terms->needed || s->asking || s->ask_after_ms > e->now_ms)
 		return;
+	/* With thousands of steps waiting, looking at workers is what costs. */
+	if (e->ports.advice_free &&
+	    !e->ports.advice_free(e->ports.ctx, terms->decide_ms))
+		return;
 	c = g_new(struct candidate, e->worker_list->len + 1);
 	n = candidates(e, s, everyone, c, &have);
 	if (have < s->n_waiting && n) {
--- a/packages/engine/src/eng_place.c
+++ b/packages/engine/src/eng_place.c
@@ -54,7 +54,7 @@
 	if (!s->job->spec->advice.needed)
 		return true;
 	v = eng_verdict(s, w);
-	return v && v->good && v->expires_ms > e->now_ms;
+	return v && eng_ticket_valid(e, v);
 }
 
 static void set_aside(struct engine *e)
@@ -103,24 +103,44 @@
 	return c;
 }
 
-static struct worker *best_worker(struct engine *e, struct step *s)
+/* The best worker so far, when many are looked at. */
+struct choice {
+	struct worker *w;
+	double cost;
+};
+
+static void consider(struct engine *e, struct step *s, struct worker *w,
+		     struct choice *best)
 {
-	struct worker *best = NULL;
-	double best_cost = 0;
+	double c;
 
-	for (guint i = 0; i < e->worker_list->len; i++) {
-		struct worker *w = e->worker_list->pdata[i];
-		double c;
+	if (!eng_slots(e, s, w))
+		return;
+	c = cost(s, w);
+	if (best->w && c >= best->cost)
+		return;
+	best->w = w;
+	best->cost = c;
+}
 
-		if (!may(s, e, w) || !eng_slots(e, s, w))
-			continue;
-		c = cost(s, w);
-		if (best && c >= best_cost)
-			continue;
-		best = w;
-		best_cost = c;
+static struct worker *best_worker(struct engine *e, struct step *s)
+{
+	struct choice best = { NULL, 0 };
+	GHashTableIter it;
+	gpointer w;
+	gpointer v;
+
+	if (!s->job->spec->advice.needed) {
+		for (guint i = 0; i < e->worker_list->len; i++)
+			consider(e, s, e->worker_list->pdata[i], &best);
+		return best.w;
+	}
+	g_hash_table_iter_init(&it, s->verdicts);
+	while (g_hash_table_iter_next(&it, &w, &v)) {
+		if (eng_ticket_valid(e, v))
+			consider(e, s, w, &best);
 	}
-	return best;
+	return best.w;
 }
 
 static void place_task(struct engine *e, struct task *t, struct worker *w,
--- a/packages/engine/src/eng_priv.h
+++ b/packages/engine/src/eng_priv.h
@@ -231,6 +231,8 @@
 /* eng_ask.c */
 void eng_ask_run(struct engine *e, struct step *s);
 void eng_verdict_free(gpointer verdict);
+/* eng_ticket_valid - good, and for long enough that a start can arrive */
+bool eng_ticket_valid(const struct engine *e, const struct verdict *v);
 struct verdict *eng_verdict(const struct step *s, const struct worker *w);
 uint32_t eng_slots(const struct engine *e, const struct step *s,
 		   const struct worker *w);
