--- a/packages/cell/src/claim.c
+++ b/packages/cell/src/claim.c
@@ -7,6 +7,9 @@
 #define LOOK_FAILED_MS 300   /* after a look that the store did not answer */
 #define REFUSED_PAUSE_MS 300 /* after a claim that came second */
 #define UNPROVED_MS 2500     /* an owner acts so long without the store */
+#define YIELD_KNOWN_MS 2000  /* a node connected so long will stay */
+#define YIELD_NEARER_MS 25   /* nearer to the store by so much */
+#define YIELD_STRONGER 2     /* times as strong */
 #define FORMER_SLACK_MS 800  /* an order on its way, a late timer */
 
 void claim_init(struct claim *c, int64_t delay_ms, int64_t now_ms)
@@ -107,6 +110,17 @@
 	return CLAIM_LOOK;
 }
 
+bool claim_yields(struct claim_place own, struct claim_place other,
+		  int64_t known_ms)
+{
+	if (known_ms < YIELD_KNOWN_MS)
+		return false;
+	if (other.strength >= own.strength * YIELD_STRONGER)
+		return true;
+	return other.strength >= own.strength &&
+	       other.store_ms + YIELD_NEARER_MS <= own.store_ms;
+}
+
 int64_t claim_former_ms(void)
 {
 	return UNPROVED_MS + FORMER_SLACK_MS;
--- a/packages/cell/src/claim.h
+++ b/packages/cell/src/claim.h
@@ -83,6 +83,26 @@
 /* claim_gave_up - this owner stopped acting; another is to be looked for */
 void claim_gave_up(struct claim *c, int64_t now_ms);
 
+/**
+ * struct claim_place - how well placed a node is to own the cell
+ * @strength: share of a processor, in thousandths
+ * @store_ms: how long the store takes to answer it
+ */
+struct claim_place {
+	uint64_t strength;
+	uint64_t store_ms;
+};
+
+/**
+ * claim_yields - whether an owner should hand over to another node
+ * @known_ms: how long the other has been connected
+ *
+ * Load that it answers: after a kill the cell is owned from another region, and
+ * each placement and each end crosses it twice, until somebody ends that.
+ */
+bool claim_yields(struct claim_place own, struct claim_place other,
+		  int64_t known_ms);
+
 /* claim_former_ms - how long after a claim a former owner may still act */
 int64_t claim_former_ms(void);
 
--- a/packages/cell/src/hub.c
+++ b/packages/cell/src/hub.c
@@ -79,6 +79,7 @@
 	l->strength = wire_u64(f, 2);
 	l->store_ms = wire_u64(f, 3);
 	l->ready = true;
+	l->since_ms = vh_kernel_now_ms(h->kernel);
 	send_ping(l);
 	if (h->epoch)
 		h->ops.joined(h->ctx, l);
--- a/packages/cell/src/hub.h
+++ b/packages/cell/src/hub.h
@@ -27,6 +27,7 @@
  * @number: unique, never used again
  * @strength: share of a processor, in thousandths
  * @store_ms: how long the store takes to answer it
+ * @since_ms: when it said hello
  * @rank: its place among those that would take over, 0 first
  * @advisor: number of it among those that ask the policy service, or -1
  * @store_age_ms: how long ago it reached the store, when it said so
@@ -40,6 +41,7 @@
 	uint64_t strength;
 	uint64_t store_ms;
 	uint64_t rank;
+	int64_t since_ms;
 	int advisor;
 	int64_t store_age_ms;
 	int64_t heard_ms;
--- a/packages/cell/src/owner.c
+++ b/packages/cell/src/owner.c
@@ -13,6 +13,7 @@
 #define DELAY_MOST_MS 900
 #define DELAY_SPREAD_MS 80   /* so that nodes alike do not claim at once */
 #define DELAY_PER_RANK_MS 70 /* of waiting, for each node that goes before */
+#define YIELD_PROVED_MS 1500 /* the store has to be well for a hand-over */
 #define STRONG 400	     /* thousandths of a processor */
 #define WEAK 200
 #define DELAY_FAIR_MS 150  /* for a node that is not strong */
@@ -244,6 +245,40 @@
 	vh_timer_start(&c->look, LOOK_MS);
 }
 
+static void on_released(void *ctx, const struct vh_append_reply *r)
+{
+	(void)ctx;
+	if (r->result != VH_STORE_OK)
+		vh_log(G_LOG_LEVEL_WARNING, "ownership not released", NULL);
+}
+
+static bool better_placed(struct vh_cell *c, int64_t now)
+{
+	struct claim_place own = { c->strength, c->spoke.store_ms };
+
+	for (const struct hub_link *l = c->hub.links; l; l = l->next) {
+		struct claim_place other = { l->strength, l->store_ms };
+
+		if (l->ready && claim_yields(own, other, now - l->since_ms))
+			return true;
+	}
+	return false;
+}
+
+/* Hands the cell over: the best placed node claims it first. */
+static void maybe_yield(struct vh_cell *c, int64_t now)
+{
+	struct eng_stats stats;
+
+	if (!c->lead || !lead_stats(c->lead, &stats) ||
+	    now - c->claim.proved_ms > YIELD_PROVED_MS ||
+	    !better_placed(c, now))
+		return;
+	stop_lead(c, "another node is better placed");
+	claim_gave_up(&c->claim, now);
+	write_record(c, true, on_released);
+}
+
 static void on_tick(void *ctx)
 {
 	struct vh_cell *c = ctx;
@@ -255,6 +290,7 @@
 	switch (c->leaving ? CLAIM_NOTHING
 			   : claim_tick(&c->claim, now, peers, reach)) {
 	case CLAIM_NOTHING:
+		maybe_yield(c, now);
 		break;
 	case CLAIM_LOOK:
 		c->ports->store->newest(c->ports->store_self, VH_TOPIC_STATE,
@@ -343,13 +379,6 @@
 	hub_stop(&c->hub);
 }
 
-static void on_released(void *ctx, const struct vh_append_reply *r)
-{
-	(void)ctx;
-	if (r->result != VH_STORE_OK)
-		vh_log(G_LOG_LEVEL_WARNING, "ownership not released", NULL);
-}
-
 void vh_cell_leave(struct vh_cell *c)
 {
 	bool owned = c->lead;
--- a/packages/cell/tests/test_claim.cc
+++ b/packages/cell/tests/test_claim.cc
@@ -127,4 +127,23 @@
 	EXPECT_EQ(wait(claim_former_ms()), CLAIM_STEP_DOWN);
 }
 
+TEST(ClaimYields, ToANearerNodeThatStays)
+{
+	EXPECT_TRUE(claim_yields({ 250, 64 }, { 250, 5 }, 3000));
+	EXPECT_FALSE(claim_yields({ 250, 64 }, { 250, 5 }, 500));
+	EXPECT_FALSE(claim_yields({ 250, 64 }, { 250, 60 }, 3000));
+	EXPECT_FALSE(claim_yields({ 500, 64 }, { 120, 5 }, 3000));
+	EXPECT_TRUE(claim_yields({ 120, 5 }, { 500, 64 }, 3000));
+}
+
+// Two nodes never hand the cell to and fro.
+TEST(ClaimYields, NotBack)
+{
+	struct claim_place a = { 250, 64 }, b = { 250, 5 }, c = { 500, 64 };
+
+	EXPECT_FALSE(claim_yields(b, a, 9000));
+	EXPECT_FALSE(claim_yields(c, b, 9000));
+	EXPECT_FALSE(claim_yields(a, a, 9000));
+}
+
 } // namespace
