Send calls for advice where they are answered first

Cause: nodes in other regions add a tenth of a second to a call of ten milliseconds, and were chosen as readily as the owner itself. What a node adds is learned from calls that found it idle.

--- a/packages/cell/src/advisors.c
+++ b/packages/cell/src/advisors.c
@@ -6,15 +6,17 @@
 #define SHORT_SHARE 0.3	    /* of the nodes */
 #define SHORT_SEEN_MS 10000 /* so long after the last short call */
 #define AHEAD_MS 90.0	    /* a call is given so long before its turn */
+#define EXTRA_STEP 0.2	    /* weight of a new call in what is learned */
 #define OUT_MOST 16	    /* calls at one node; the service takes 32 */
 
-int advisors_joined(struct advisors *a)
+int advisors_joined(struct advisors *a, double extra_ms)
 {
 	for (int i = 0; i < ADVISORS_MAX; i++) {
 		if (a->items[i].present)
 			continue;
 		memset(&a->items[i], 0, sizeof(a->items[i]));
 		a->items[i].present = true;
+		a->items[i].extra_ms = extra_ms;
 		return i;
 	}
 	return -1;
@@ -57,7 +59,7 @@
 static int least_busy(const struct advisors *a, bool is_short, int64_t now_ms)
 {
 	int kept = kept_short(a, now_ms);
-	double best = AHEAD_MS;
+	double best = 0;
 	int found = -1;
 	int seen = 0;
 
@@ -68,7 +70,10 @@
 		if (!x->present || (seen++ < kept && !is_short))
 			continue;
 		b = advisors_backlog_ms(a, i, now_ms);
-		if (x->out >= OUT_MOST || b >= best)
+		if (x->out >= OUT_MOST || b >= AHEAD_MS)
+			continue;
+		b += x->extra_ms;
+		if (found >= 0 && b >= best)
 			continue;
 		best = b;
 		found = i;
@@ -98,6 +103,14 @@
 	return found;
 }
 
+void advisors_took(struct advisors *a, int i, double cost_ms, double took_ms)
+{
+	struct advisor *x = &a->items[i];
+	double extra = took_ms > cost_ms ? took_ms - cost_ms : 0;
+
+	x->extra_ms += EXTRA_STEP * (extra - x->extra_ms);
+}
+
 void advisors_answered(struct advisors *a, int i, double cost_ms,
 		       int64_t now_ms)
 {
--- a/packages/cell/src/advisors.h
+++ b/packages/cell/src/advisors.h
@@ -22,11 +22,13 @@
  * struct advisor - a node that makes calls
  * @owed_ms: what its calls without an answer take the service
  * @since_ms: when the service began the first of them
+ * @extra_ms: what a call through this node takes beyond the service's time
  */
 struct advisor {
 	bool present;
 	double owed_ms;
 	int64_t since_ms;
+	double extra_ms;
 	unsigned int out;
 };
 
@@ -54,11 +56,15 @@
 void advisors_answered(struct advisors *a, int i, double cost_ms,
 		       int64_t now_ms);
 
+/* advisors_took - a call that found node @i idle took @took_ms in all */
+void advisors_took(struct advisors *a, int i, double cost_ms, double took_ms);
+
 /* advisors_backlog_ms - how long until node @i is through with its calls */
 double advisors_backlog_ms(const struct advisors *a, int i, int64_t now_ms);
 
-/* advisors_joined - returns the node's number, -1 if there is no place */
-int advisors_joined(struct advisors *a);
+/* advisors_joined - returns the node's number, -1 if there is no place;
+ * @extra_ms: a first guess */
+int advisors_joined(struct advisors *a, double extra_ms);
 void advisors_left(struct advisors *a, int i);
 
 #endif
--- a/packages/cell/src/lead_asks.c
+++ b/packages/cell/src/lead_asks.c
@@ -4,6 +4,8 @@
 
 #define ASK_PATIENCE_MS 2500 /* beyond what the service itself takes */
 #define TICKET_AGE_MS 100    /* a ticket's age when its answer arrives */
+#define FAR_EXTRA_MS 60.0    /* first guess of what a node's call adds */
+#define OWN_EXTRA_MS 5.0
 #define NOBODY (-1)
 
 /* A call to the policy service, waiting or out. */
@@ -15,6 +17,8 @@
 	double cost_ms;
 	int64_t give_up_ms;
 	int advisor;
+	bool alone; /* the node had no other call */
+	int64_t sent_ms;
 	char **workers;
 	size_t n;
 };
@@ -46,6 +50,9 @@
 	for (size_t i = 0; i < a->n; i++)
 		asked[i] = vh_slice_str(a->workers[i]);
 	g_hash_table_remove(l->asked, &a->sequence);
+	if (a->alone)
+		advisors_took(&l->advisors, a->advisor, a->cost_ms,
+			      (double)(now - a->sent_ms));
 	advisors_answered(&l->advisors, a->advisor, a->cost_ms, now);
 	eng_advice(l->engine, a->job, a->step, asked, a->n, good, n,
 		   now - TICKET_AGE_MS, valid_ms, now);
@@ -178,6 +185,8 @@
 	a->step = q->step;
 	a->cost_ms = q->cost_ms;
 	a->advisor = advisor;
+	a->alone = l->advisors.items[advisor].out == 1;
+	a->sent_ms = lead_now(l);
 	a->n = q->n;
 	a->workers = g_new0(char *, q->n + 1);
 	for (size_t i = 0; i < q->n; i++)
@@ -190,7 +199,7 @@
 {
 	struct lead *l = ctx;
 
-	link->advisor = advisors_joined(&l->advisors);
+	link->advisor = advisors_joined(&l->advisors, FAR_EXTRA_MS);
 	vh_log(G_LOG_LEVEL_INFO, "node joined", "peer", link->name, NULL);
 	lead_poke(l);
 }
@@ -236,7 +245,7 @@
 	};
 
 	l->asked = g_hash_table_new(g_int64_hash, g_int64_equal);
-	l->self_advisor = advisors_joined(&l->advisors);
+	l->self_advisor = advisors_joined(&l->advisors, OWN_EXTRA_MS);
 	hub_own(l->hub, l->epoch, &ops, l);
 }
 
--- a/packages/cell/tests/test_advisors.cc
+++ b/packages/cell/tests/test_advisors.cc
@@ -17,7 +17,7 @@
 	void join(int n)
 	{
 		for (int i = 0; i < n; i++)
-			ASSERT_EQ(advisors_joined(&a), i);
+			ASSERT_EQ(advisors_joined(&a, 0), i);
 	}
 };
 
@@ -61,7 +61,7 @@
 	join(2);
 	advisors_left(&a, 0);
 	EXPECT_EQ(advisors_choose(&a, LONG_MS, 1000), 1);
-	EXPECT_EQ(advisors_joined(&a), 0);
+	EXPECT_EQ(advisors_joined(&a, 0), 0);
 }
 
 TEST_F(Advisors, AnswersMakeRoom)
@@ -74,4 +74,17 @@
 	EXPECT_EQ(advisors_choose(&a, LONG_MS, 1700), 0);
 }
 
+// Nodes in another region add a tenth of a second to a call of 10 ms.
+TEST_F(Advisors, ShortCallsGoToNearNodesFirst)
+{
+	ASSERT_EQ(advisors_joined(&a, 120), 0);
+	ASSERT_EQ(advisors_joined(&a, 120), 1);
+	ASSERT_EQ(advisors_joined(&a, 2), 2);
+	EXPECT_EQ(advisors_choose(&a, SHORT_MS, 1000), 2);
+	EXPECT_EQ(advisors_choose(&a, SHORT_MS, 1000), 2);
+	for (int i = 0; i < 50; i++)
+		advisors_took(&a, 0, SHORT_MS, SHORT_MS + 1);
+	EXPECT_EQ(advisors_choose(&a, SHORT_MS, 1000), 0);
+}
+
 } // namespace
