--- a/packages/cell/src/follow.c
+++ b/packages/cell/src/follow.c
@@ -37,18 +37,26 @@
 		f->fresh(f->ctx, f->sent_ms);
 }
 
-static void on_newest(void *ctx, const struct vh_read_reply *r)
+/* Whether an answer is to be used. */
+static bool answered(struct follow *f, const struct vh_read_reply *r)
 {
-	struct follow *f = ctx;
-
 	f->open = false;
 	if (f->stopped)
-		return;
+		return false;
 	if (r->result != VH_STORE_OK) {
 		failed(f, r->result);
-		return;
+		return false;
 	}
 	f->failures = 0;
+	return true;
+}
+
+static void on_newest(void *ctx, const struct vh_read_reply *r)
+{
+	struct follow *f = ctx;
+
+	if (!answered(f, r))
+		return;
 	/* Pages are no snapshot: the tail starts where the first one ended. */
 	if (!f->after)
 		f->next = r->end;
@@ -71,14 +79,8 @@
 {
 	struct follow *f = ctx;
 
-	f->open = false;
-	if (f->stopped)
+	if (!answered(f, r))
 		return;
-	if (r->result != VH_STORE_OK) {
-		failed(f, r->result);
-		return;
-	}
-	f->failures = 0;
 	give(f, r);
 	if (f->stopped)
 		return;
--- a/packages/engine/src/eng_tasks.c
+++ b/packages/engine/src/eng_tasks.c
@@ -258,9 +258,10 @@
 		eng_task_stop(e, t);
 }
 
-void eng_started(struct engine *e, struct vh_slice worker,
-		 struct eng_task_ref ref, enum eng_answer answer,
-		 int64_t now_ms)
+/* The run that an order was about, if it is still there; the order is over. */
+static struct task *order_over(struct engine *e, struct vh_slice worker,
+			       struct eng_task_ref ref, enum eng_answer answer,
+			       int64_t now_ms)
 {
 	struct task *t = eng_find_task(e, ref);
 	struct worker *w = eng_worker_find(e, worker);
@@ -269,12 +270,22 @@
 	if (answer == ENG_ANSWER_FENCE) {
 		e->deposed = true;
 		e->ports.deposed(e->ports.ctx, "a worker knows a newer fence");
-		return;
+		return NULL;
 	}
-	if (!t || t->worker != w || t->run != ref.run)
-		return;
+	if (!t || !w || t->worker != w || t->run != ref.run)
+		return NULL;
 	t->order_open = false;
-	if (t->state != TASK_STARTING)
+	return t;
+}
+
+void eng_started(struct engine *e, struct vh_slice worker,
+		 struct eng_task_ref ref, enum eng_answer answer,
+		 int64_t now_ms)
+{
+	struct task *t = order_over(e, worker, ref, answer, now_ms);
+	struct worker *w = t ? t->worker : NULL;
+
+	if (!t || t->state != TASK_STARTING)
 		return;
 	switch (answer) {
 	case ENG_ANSWER_OK:
@@ -311,21 +322,11 @@
 		 struct eng_task_ref ref, enum eng_answer answer,
 		 int64_t now_ms)
 {
-	struct task *t = eng_find_task(e, ref);
-	struct worker *w = eng_worker_find(e, worker);
+	struct task *t = order_over(e, worker, ref, answer, now_ms);
 
-	e->now_ms = now_ms;
-	if (answer == ENG_ANSWER_FENCE) {
-		e->deposed = true;
-		e->ports.deposed(e->ports.ctx, "a worker knows a newer fence");
-		return;
-	}
-	if (!t || t->worker != w || t->run != ref.run)
-		return;
-	t->order_open = false;
-	if (t->state == TASK_STOPPING && answer == ENG_ANSWER_OK) {
+	if (t && t->state == TASK_STOPPING && answer == ENG_ANSWER_OK) {
 		t->stop_acked_ms = now_ms;
-		w->hold_now = true;
+		t->worker->hold_now = true;
 	}
 }
 
