Do not wait for a silent owner with callers' records

A connection without a heartbeat for 0.65 s is not asked, and after 0.9 s it ends and what waits on it is stored directly.

--- a/packages/cell/src/spoke.c
+++ b/packages/cell/src/spoke.c
@@ -5,7 +5,8 @@
 #define TICK_MS 50
 #define RECONNECT_MS 150 /* after a connection that failed */
 #define CONNECT_MS 1500	 /* a connection that is not up by then is given up */
-#define SILENT_MS 1500	 /* an owner's connection without a word ends */
+#define SILENT_MS 900	 /* an owner's connection without a word ends */
+#define QUIET_MS 650	 /* such a one is not asked any more */
 
 struct spoke_call {
 	uint64_t sequence;
@@ -222,7 +223,8 @@
 
 bool spoke_usable(const struct spoke *s)
 {
-	return s->bev && s->ready;
+	return s->bev && s->ready &&
+	       vh_kernel_now_ms(s->kernel) - s->last_ms < QUIET_MS;
 }
 
 static void call(struct spoke *s, struct wire_out *o, uint64_t sequence,
