--- a/packages/engine/src/engine.c
+++ b/packages/engine/src/engine.c
@@ -350,7 +350,7 @@
 /* Frees what an ended job no longer needs, once nothing of it is placed. */
 void eng_job_shrink(struct engine *e, struct job *j)
 {
-	if (j->status < ENG_COMPLETE || !j->steps)
+	if (j->status < ENG_COMPLETE || !j->steps || !j->spec)
 		return;
 	for (size_t i = 0; i < j->spec->n_steps; i++) {
 		if (j->steps[i].n_placed || j->steps[i].asking)
