--- a/packages/cell/src/follow.c
+++ b/packages/cell/src/follow.c
@@ -1,5 +1,7 @@
 #include "follow.h"
 
+#include "vh/log.h"
+
 #define RETRY_FIRST_MS 100 /* after a read that failed */
 #define RETRY_LAST_MS 800  /* after many that failed */
 #define AGE_NEVER INT64_MAX
@@ -11,11 +13,23 @@
 	vh_timer_start(&f->timer, delay_ms);
 }
 
+static void say(const struct follow *f, GLogLevelFlags level, const char *what)
+{
+	static const char *const names[VH_TOPIC_COUNT] = {
+		[VH_TOPIC_OBJECTS] = "objects", [VH_TOPIC_FLEET] = "fleet",
+		[VH_TOPIC_OWNER] = "owner",	[VH_TOPIC_JOBS] = "jobs",
+		[VH_TOPIC_STATE] = "state",	[VH_TOPIC_DUTY] = "duty",
+	};
+
+	vh_log(level, what, "topic", names[f->topic], NULL);
+}
+
 static void failed(struct follow *f, enum vh_store_result result)
 {
 	int64_t wait = (int64_t)RETRY_FIRST_MS << MIN(f->failures, 3u);
 
-	f->failures++;
+	if (!f->failures++)
+		say(f, G_LOG_LEVEL_WARNING, "topic cannot be read");
 	if (result == VH_STORE_GONE) {
 		f->loaded = false;
 		f->next = 0;
@@ -47,6 +61,8 @@
 		failed(f, r->result);
 		return false;
 	}
+	if (f->failures)
+		say(f, G_LOG_LEVEL_INFO, "topic is read again");
 	f->failures = 0;
 	return true;
 }
--- a/packages/cell/src/lead.c
+++ b/packages/cell/src/lead.c
@@ -38,6 +38,9 @@
 
 static void append_done(struct lead *l)
 {
+	if (l->failures)
+		vh_log(G_LOG_LEVEL_INFO, "state is stored again", NULL);
+	l->failures = 0;
 	l->append_open = false;
 	l->wrote_ms = lead_now(l);
 	l->ops.proved(l->ctx, l->append_ms);
@@ -77,6 +80,9 @@
 		gave_up(l, "the store knows a newer owner");
 		return;
 	default:
+		if (!l->failures++)
+			vh_log(G_LOG_LEVEL_WARNING, "state cannot be stored",
+			       NULL);
 		vh_timer_start(&l->retry, APPEND_RETRY_MS);
 	}
 }
--- a/packages/cell/src/lead_orders.c
+++ b/packages/cell/src/lead_orders.c
@@ -144,6 +144,17 @@
 	g_free(worker);
 }
 
+static void on_reached(void *ctx, struct vh_slice worker, bool reached)
+{
+	char *id = vh_slice_dup(worker);
+
+	(void)ctx;
+	vh_log(reached ? G_LOG_LEVEL_INFO : G_LOG_LEVEL_WARNING,
+	       reached ? "worker answers again" : "worker does not answer",
+	       "worker", id, NULL);
+	g_free(id);
+}
+
 struct engine *lead_engine(struct lead *l, const struct eng_settings *s)
 {
 	struct eng_ports ports = {
@@ -153,6 +164,7 @@
 		.advise = lead_advise,
 		.advice_free = lead_advice_free,
 		.deposed = on_deposed,
+		.reached = on_reached,
 		.decided = on_decided,
 		.ctx = l,
 	};
--- a/packages/cell/src/lead_priv.h
+++ b/packages/cell/src/lead_priv.h
@@ -38,6 +38,7 @@
 	unsigned int n_loaded;
 
 	bool append_open;
+	unsigned int failures; /* tries of the append that is out */
 	bool frozen;
 	uint64_t sequence;
 	uint64_t batch;
--- a/packages/engine/include/vh/engine.h
+++ b/packages/engine/include/vh/engine.h
@@ -168,6 +168,7 @@
  * struct eng_ports - where orders go
  * @advise: false if no call can be made now; asked again in the next run
  * @advice_free: whether a call could be made now; NULL: always
+ * @reached: a worker stopped answering, or answers again; may be NULL
  * @decided: may be NULL
  */
 struct eng_ports {
@@ -178,6 +179,7 @@
 	bool (*advise)(void *ctx, const struct eng_ask *ask);
 	bool (*advice_free)(void *ctx, double cost_ms);
 	void (*deposed)(void *ctx, const char *why);
+	void (*reached)(void *ctx, struct vh_slice worker, bool reached);
 	void (*decided)(void *ctx, const struct eng_decision *d);
 	void *ctx;
 };
--- a/packages/engine/src/eng_workers.c
+++ b/packages/engine/src/eng_workers.c
@@ -159,6 +159,12 @@
 			      e->settings.stop_ms + LAPSE_MARGIN_MS;
 }
 
+static void reached(struct engine *e, const struct worker *w, bool yes)
+{
+	if (e->ports.reached)
+		e->ports.reached(e->ports.ctx, eng_str(w->id), yes);
+}
+
 static void take_ends(struct engine *e, struct worker *w,
 		      const struct eng_report *r)
 {
@@ -255,6 +261,8 @@
 	if (!w)
 		return;
 	w->hold_open = false;
+	if (w->hold_fails)
+		reached(e, w, true);
 	w->hold_fails = 0;
 	w->next_hold_ms = now_ms + HOLD_GAP_MS;
 	if (r->born_ms && w->born_ms && r->born_ms != w->born_ms) {
@@ -286,6 +294,8 @@
 		e->ports.deposed(e->ports.ctx, "a worker knows a newer fence");
 		return;
 	}
+	if (!w->hold_fails)
+		reached(e, w, false);
 	wait = MIN((int64_t)HOLD_RETRY_MS << MIN(w->hold_fails, 4u),
 		   HOLD_RETRY_MAX_MS);
 	w->hold_fails++;
