Write grave log lines whatever the rate, and look for them where they are

Cause: logs moved to standard output, bounded in rate; a violated invariant could be left out, and the soak still looked for it on standard error. Tests: test_log (a reader that stopped, the bound, grave lines).

--- a/packages/base/src/log.c
+++ b/packages/base/src/log.c
@@ -126,10 +126,11 @@
 	vh_buf_finish(&line);
 }
 
-static void write_line(const struct vh_buf *line)
+/* Violations and the like are written whatever the rate. */
+static void write_line(const struct vh_buf *line, bool grave)
 {
 	refill();
-	if (allowance < 1) {
+	if (allowance < 1 && !grave) {
 		left_out++;
 		return;
 	}
@@ -163,7 +164,7 @@
 		add_json_string(&line, fields[i].value);
 	}
 	vh_buf_add_str(&line, "}\n");
-	write_line(&line);
+	write_line(&line, level & (G_LOG_LEVEL_ERROR | G_LOG_LEVEL_CRITICAL));
 	vh_buf_finish(&line);
 	return G_LOG_WRITER_HANDLED;
 }
--- /dev/null
+++ b/packages/base/tests/test_log.cc
@@ -0,0 +1,84 @@
+// Lines are bounded in rate, never block, and grave ones are always written.
+
+#include <fcntl.h>
+#include <gtest/gtest.h>
+#include <string>
+#include <unistd.h>
+
+extern "C" {
+#include "vh/log.h"
+}
+
+namespace
+{
+
+constexpr int BURST = 2000;
+
+struct Log : testing::Test {
+	int saved, ends[2];
+
+	void SetUp() override
+	{
+		fflush(stdout);
+		ASSERT_EQ(pipe(ends), 0);
+		fcntl(ends[0], F_SETFL, O_NONBLOCK);
+		saved = dup(STDOUT_FILENO);
+		dup2(ends[1], STDOUT_FILENO);
+		vh_log_init("n", G_LOG_LEVEL_INFO);
+	}
+
+	void TearDown() override
+	{
+		dup2(saved, STDOUT_FILENO);
+		close(saved);
+		close(ends[0]);
+		close(ends[1]);
+	}
+
+	std::string drain()
+	{
+		std::string all;
+		char buf[65536];
+		ssize_t n;
+
+		while ((n = read(ends[0], buf, sizeof(buf))) > 0)
+			all.append(buf, (size_t)n);
+		return all;
+	}
+
+	static size_t count(const std::string &s, const std::string &what)
+	{
+		size_t n = 0;
+
+		for (size_t at = 0; (at = s.find(what, at)) != s.npos; at++)
+			n++;
+		return n;
+	}
+};
+
+// A reader that has stopped reading costs lines, not time: this returns.
+TEST_F(Log, DoesNotBlockOnAReaderThatStopped)
+{
+	for (int i = 0; i < 3 * BURST; i++)
+		vh_log(G_LOG_LEVEL_INFO, "line", "k", "v", NULL);
+	std::string all = drain();
+	EXPECT_GT(count(all, "\n"), 10u);
+	EXPECT_LT(count(all, "\n"), 3u * BURST);
+	EXPECT_EQ(all.back(), '\n');
+}
+
+TEST_F(Log, IsBoundedButForGraveLines)
+{
+	std::string all;
+
+	for (int i = 0; i < 100; i++) {
+		for (int k = 0; k < BURST / 10; k++)
+			vh_log(G_LOG_LEVEL_INFO, "line", "k", "v", NULL);
+		vh_log(G_LOG_LEVEL_CRITICAL, "grave", NULL);
+		all += drain();
+	}
+	EXPECT_EQ(count(all, "grave"), 100u);
+	EXPECT_LT(count(all, "\"line\""), 10u * BURST);
+}
+
+} // namespace
--- a/tools/soak.sh
+++ b/tools/soak.sh
@@ -130,7 +130,7 @@
 		[ -e "$dir/down-$i" ] && continue
 		kill -0 "$(cat "$dir/node-$i.pid")" 2>/dev/null && continue
 		touch "$dir/down-$i"
-		fail "node $i has ended by itself: $(tail -n 3 "$dir/node-$i.err")"
+		fail "node $i has ended by itself: $(tail -n 3 "$dir/node-$i.out" "$dir/node-$i.err")"
 	done
 }
 
@@ -158,7 +158,7 @@
 	fi
 	echo "nodes' checks      $(counts checked)"
 	echo "nodes' violations  $(counts violated)"
-	if grep -h 'invariant I' "$dir"/node-*.err | grep violated \
+	if grep -h 'invariant I' "$dir"/node-*.out "$dir"/node-*.err | grep violated \
 		>"$dir/asserted"; then
 		fail "asserted: $(head -n 5 "$dir/asserted")"
 	fi
