--- a/packages/base/tests/test_log.cc
+++ b/packages/base/tests/test_log.cc
@@ -17,6 +17,12 @@
 struct Log : testing::Test {
 	int saved, ends[2];
 
+	/* GLib takes a writer once in a process. */
+	static void SetUpTestSuite()
+	{
+		vh_log_init("n", G_LOG_LEVEL_INFO);
+	}
+
 	void SetUp() override
 	{
 		fflush(stdout);
@@ -24,7 +30,6 @@
 		fcntl(ends[0], F_SETFL, O_NONBLOCK);
 		saved = dup(STDOUT_FILENO);
 		dup2(ends[1], STDOUT_FILENO);
-		vh_log_init("n", G_LOG_LEVEL_INFO);
 	}
 
 	void TearDown() override
