--- a/packages/base/include/vh/error.h
+++ b/packages/base/include/vh/error.h
@@ -33,12 +33,13 @@
 	VH_ERR_NOT_READY,      /* starting, or no fresh configuration */
 	VH_ERR_DRAINING,
 	VH_ERR_LOG_UNAVAILABLE, /* needs a record and the log takes none */
-	VH_ERR_OFFSET_GONE,	/* retention removed the offset */
-	VH_ERR_CORRUPT,		/* checksum or shape of a record or frame */
-	VH_ERR_NOT_OWNER,	/* asked a node that does not own the unit */
-	VH_ERR_STALE_EPOCH,	/* fenced: a newer owner exists */
-	VH_ERR_UNREACHABLE,	/* no connection; nothing was sent */
-	VH_ERR_UPSTREAM,	/* upstream failed after the request was sent */
+	VH_ERR_STORE_SILENT, /* the store does not answer; nothing was sent */
+	VH_ERR_OFFSET_GONE,  /* retention removed the offset */
+	VH_ERR_CORRUPT,	     /* checksum or shape of a record or frame */
+	VH_ERR_NOT_OWNER,    /* asked a node that does not own the unit */
+	VH_ERR_STALE_EPOCH,  /* fenced: a newer owner exists */
+	VH_ERR_UNREACHABLE,  /* no connection; nothing was sent */
+	VH_ERR_UPSTREAM,     /* upstream failed after the request was sent */
 	VH_ERR_UNKNOWN_OUTCOME, /* may or may not have run */
 	VH_ERR_CANCELLED,
 	VH_ERR_INTERNAL,
--- a/packages/cell/include/vh/cell.h
+++ b/packages/cell/include/vh/cell.h
@@ -67,7 +67,7 @@
  * vh_cell_submit - accepts a job
  * @spec: as the caller gave it; the queue's terms are filled in
  * @timeout_ms: @done is called by then
- * @done: VH_OK: stored; VH_ERR_LOG_UNAVAILABLE: surely not, and will not run;
+ * @done: VH_OK: stored; VH_ERR_STORE_SILENT: surely not, and will not run;
  *	  VH_ERR_TIMEOUT: not known; VH_ERR_BAD_REQUEST: @why says why
  */
 void vh_cell_submit(struct vh_cell *c, const struct vh_cell_route *route,
--- a/packages/cell/src/cell.c
+++ b/packages/cell/src/cell.c
@@ -142,7 +142,7 @@
 {
 	static const enum vh_err errs[] = {
 		[WRITE_STORED] = VH_OK,
-		[WRITE_REFUSED] = VH_ERR_LOG_UNAVAILABLE,
+		[WRITE_REFUSED] = VH_ERR_STORE_SILENT,
 		[WRITE_UNKNOWN] = VH_ERR_TIMEOUT,
 	};
 	struct write *w = ctx;
