Hand the cell over when the store turns its owner away

Ruled out: the restart after the loss of all nodes (claim 0.33 s after the first node is back). The owner now asks the nodes after 0.25 s of refusals, or 0.9 s without any answer, and stops when one of them has just reached the store; it says so, and they claim by rank. With none of them reaching it, all goes on as before.

--- a/packages/cell/src/claim.c
+++ b/packages/cell/src/claim.c
@@ -1,5 +1,6 @@
 #include "claim.h"
 
+#include <glib.h>
 #include <string.h>
 
 #define SILENT_MS 900	     /* an owner not heard for so long is looked for */
@@ -7,6 +8,9 @@
 #define LOOK_FAILED_MS 300   /* after a look that the store did not answer */
 #define REFUSED_PAUSE_MS 300 /* after a claim that came second */
 #define UNPROVED_MS 2500     /* an owner acts so long without the store */
+#define TURNED_AWAY_MS 250   /* the store served nothing, but answered */
+#define UNANSWERED_MS 900    /* the store did not answer at all */
+#define ASK_PAUSE_MS 300     /* between two questions to the nodes */
 #define YIELD_KNOWN_MS 2000  /* a node connected so long will stay */
 #define YIELD_NEARER_MS 25   /* nearer to the store by so much */
 #define YIELD_STRONGER 2     /* times as strong */
@@ -78,24 +82,41 @@
 		c->vacant_ms = now_ms + REFUSED_PAUSE_MS;
 }
 
-static enum claim_action owner_tick(const struct claim *c, int64_t now_ms,
-				    bool peers, bool peers_reach)
+void claim_reached(struct claim *c, int64_t now_ms)
 {
-	bool proved = now_ms - c->proved_ms < UNPROVED_MS;
+	c->reached_ms = now_ms;
+}
+
+void claim_vacant(struct claim *c, uint64_t epoch, int64_t now_ms)
+{
+	if (epoch == c->epoch && !c->mine && !c->vacant_ms)
+		c->vacant_ms = now_ms;
+}
+
+static enum claim_action owner_tick(struct claim *c, int64_t now_ms,
+				    const struct claim_view *v)
+{
+	int64_t away_ms = now_ms - MAX(v->answered_ms, c->proved_ms);
 
-	if (proved)
+	if (away_ms < (v->refused ? TURNED_AWAY_MS : UNANSWERED_MS))
 		return CLAIM_NOTHING;
+	if (now_ms - c->reached_ms < ASK_PAUSE_MS)
+		return CLAIM_STEP_DOWN;
+	if (now_ms - c->proved_ms >= UNPROVED_MS &&
+	    (!v->peers || v->peers_reach))
+		return CLAIM_STEP_DOWN;
 	/* Down for all: nobody can claim, and what runs goes on. */
-	if (peers && !peers_reach)
+	if (!v->peers || now_ms < c->ask_after_ms)
 		return CLAIM_NOTHING;
-	return CLAIM_STEP_DOWN;
+	c->ask_after_ms = now_ms + ASK_PAUSE_MS;
+	return CLAIM_ASK;
 }
 
-enum claim_action claim_tick(struct claim *c, int64_t now_ms, bool peers,
-			     bool peers_reach)
+enum claim_action claim_tick(struct claim *c, int64_t now_ms,
+			     const struct claim_view *view)
 {
 	if (c->mine)
-		return owner_tick(c, now_ms, peers, peers_reach);
+		return owner_tick(c, now_ms, view);
 	if (!c->known || c->busy)
 		return CLAIM_NOTHING;
 	if (c->vacant_ms) {
--- a/packages/cell/src/claim.h
+++ b/packages/cell/src/claim.h
@@ -16,7 +16,9 @@
  * all, or for some; all nodes start at the same moment.
  *
  * A node that no longer hears the owner looks first whether the owner still
- * writes to the store. Nodes wait for different times before they claim, the
+ * writes to the store. An owner that the store turns away, or does not answer,
+ * asks the others: when one of them reaches the store, the owner stops and lets
+ * them claim; when none does, all goes on as it is. Nodes wait for different times before they claim, the
  * best placed the shortest, and a claim fails when another came first.
  */
 
@@ -24,7 +26,8 @@
 	CLAIM_NOTHING,
 	CLAIM_LOOK, /* see whether the owner still writes; claim_looked() */
 	CLAIM_TAKE, /* write a claim; claim_refused() or a new record follows */
-	CLAIM_STEP_DOWN
+	CLAIM_ASK, /* ask the nodes whether they reach the store; claim_reached() */
+	CLAIM_STEP_DOWN /* stop acting, and tell the nodes: claim_vacant() */
 };
 
 /**
@@ -38,6 +41,8 @@
  * @delay_ms: how long this node waits before it claims
  * @known: the newest record has been read from the store
  * @proved_ms: when this owner last had an answer from the store
+ * @ask_after_ms: when the nodes may be asked again
+ * @reached_ms: when a node last said that it had just reached the store
  */
 struct claim {
 	uint64_t epoch;
@@ -51,6 +56,8 @@
 	int64_t look_after_ms;
 	int64_t delay_ms;
 	int64_t proved_ms;
+	int64_t ask_after_ms;
+	int64_t reached_ms;
 };
 
 void claim_init(struct claim *c, int64_t delay_ms, int64_t now_ms);
@@ -72,13 +79,29 @@
 void claim_looked(struct claim *c, bool writes, bool failed, int64_t now_ms);
 void claim_refused(struct claim *c, int64_t now_ms);
 
+/* claim_reached - a node answered an owner that it has just reached the store */
+void claim_reached(struct claim *c, int64_t now_ms);
+
+/* claim_vacant - the owner of @epoch says that it has stopped acting */
+void claim_vacant(struct claim *c, uint64_t epoch, int64_t now_ms);
+
 /**
- * claim_tick - what to do now; call every 50 ms or so
- * @peers: other nodes heard lately, for an owner
+ * struct claim_view - what an owner sees of the store and of the others
+ * @peers: other nodes were heard lately
  * @peers_reach: some of them reached the store lately
+ * @refused: the store turned the owner's last write away
+ * @answered_ms: when the newest call that the store served was sent
  */
-enum claim_action claim_tick(struct claim *c, int64_t now_ms, bool peers,
-			     bool peers_reach);
+struct claim_view {
+	bool peers;
+	bool peers_reach;
+	bool refused;
+	int64_t answered_ms;
+};
+
+/* claim_tick - what to do now; call every 50 ms or so */
+enum claim_action claim_tick(struct claim *c, int64_t now_ms,
+			     const struct claim_view *view);
 
 /* claim_gave_up - this owner stopped acting; another is to be looked for */
 void claim_gave_up(struct claim *c, int64_t now_ms);
--- a/packages/cell/src/hub.c
+++ b/packages/cell/src/hub.c
@@ -108,6 +108,10 @@
 		if (h->epoch)
 			h->ops.submit(h->ctx, l, f);
 		return true;
+	case WIRE_REACHED:
+		if (h->epoch && wire_u64(f, 0) == h->epoch)
+			h->ops.reached(h->ctx);
+		return true;
 	case WIRE_ADVICE:
 		if (h->epoch)
 			h->ops.advice(h->ctx, l, f);
@@ -246,6 +250,19 @@
 	}
 }
 
+void hub_tell(struct hub *h, enum wire_type type, uint64_t epoch)
+{
+	struct wire_out o;
+
+	for (struct hub_link *l = h->links; l; l = l->next) {
+		if (!l->ready)
+			continue;
+		wire_begin(&o, type, 1);
+		msgpack_pack_uint64(&o.pk, epoch);
+		wire_send(&o, l->bev);
+	}
+}
+
 void hub_peers(const struct hub *h, int64_t now_ms, bool *heard, bool *reach)
 {
 	*heard = false;
--- a/packages/cell/src/hub.h
+++ b/packages/cell/src/hub.h
@@ -12,6 +12,7 @@
  * @joined, @left: a node's connection is up, or down
  * @advice: a node's answer to an ask; see WIRE_ADVICE
  * @submit: a record to be stored; answered by hub_stored()
+ * @reached: a node answered hub_tell(WIRE_REACH) that it reaches the store
  */
 struct hub_ops {
 	enum eng_status (*status)(void *ctx, uint64_t job);
@@ -20,6 +21,7 @@
 	void (*left)(void *ctx, struct hub_link *l);
 	void (*advice)(void *ctx, struct hub_link *l, const struct vh_frame *f);
 	void (*submit)(void *ctx, struct hub_link *l, const struct vh_frame *f);
+	void (*reached)(void *ctx);
 };
 
 /**
@@ -72,6 +74,9 @@
 void hub_own(struct hub *h, uint64_t epoch, const struct hub_ops *ops,
 	     void *ctx);
 
+/* hub_tell - a frame with nothing but the epoch, to every node */
+void hub_tell(struct hub *h, enum wire_type type, uint64_t epoch);
+
 /* hub_peers - whether nodes were heard lately, and whether one of them
  * reached the store lately */
 void hub_peers(const struct hub *h, int64_t now_ms, bool *heard, bool *reach);
--- a/packages/cell/src/lead.c
+++ b/packages/cell/src/lead.c
@@ -12,6 +12,7 @@
 #define PULSE_MS 500	   /* an owner writes at least this often */
 #define APPEND_TIMEOUT_MS 900
 #define APPEND_RETRY_MS 60
+#define APPEND_REFUSED_MS 450 /* one that failed sooner was turned away */
 #define FROZEN_MS 900	      /* a loop that stood still so long */
 #define JOBS_AGE_MOST_MS 1500 /* older: a job may exist that is not known */
 
@@ -41,6 +42,7 @@
 	if (l->failures)
 		vh_log(G_LOG_LEVEL_INFO, "state is stored again", NULL);
 	l->failures = 0;
+	l->refused = false;
 	l->append_open = false;
 	l->wrote_ms = lead_now(l);
 	l->ops.proved(l->ctx, l->append_ms);
@@ -80,6 +82,7 @@
 		gave_up(l, "the store knows a newer owner");
 		return;
 	default:
+		l->refused = lead_now(l) - l->append_ms < APPEND_REFUSED_MS;
 		if (!l->failures++)
 			vh_log(G_LOG_LEVEL_WARNING, "state cannot be stored",
 			       NULL);
@@ -381,6 +384,12 @@
 	return l->phase == LEAD_ACTING;
 }
 
+int64_t lead_store(const struct lead *l, bool *refused)
+{
+	*refused = l->refused;
+	return MAX(MAX(l->fleet.fresh_ms, l->jobs.fresh_ms), l->wrote_ms);
+}
+
 uint64_t lead_epoch(const struct lead *l)
 {
 	return l->epoch;
--- a/packages/cell/src/lead.h
+++ b/packages/cell/src/lead.h
@@ -18,10 +18,12 @@
  * struct lead_ops - what an owner tells its node
  * @proved: the store took a write of this owner that was sent at @sent_ms
  * @gave_up: the ownership has been lost; the lead has stopped
+ * @reached: a node that was asked says that it reaches the store
  */
 struct lead_ops {
 	void (*proved)(void *ctx, int64_t sent_ms);
 	void (*gave_up)(void *ctx, const char *why);
+	void (*reached)(void *ctx);
 };
 
 struct lead;
@@ -62,6 +64,14 @@
 
 /* lead_stats - false while it is not deciding */
 bool lead_stats(const struct lead *l, struct eng_stats *out);
+
+/**
+ * lead_store - how the store has been serving this owner
+ * @refused: its last write was turned away
+ *
+ * Returns when the newest call that was served had been sent, 0: none was.
+ */
+int64_t lead_store(const struct lead *l, bool *refused);
 uint64_t lead_epoch(const struct lead *l);
 
 #endif
--- a/packages/cell/src/lead_asks.c
+++ b/packages/cell/src/lead_asks.c
@@ -233,6 +233,13 @@
 	return lead_count(ctx, queue, jobs);
 }
 
+static void on_reached(void *ctx)
+{
+	struct lead *l = ctx;
+
+	l->ops.reached(l->ctx);
+}
+
 void lead_asks_init(struct lead *l)
 {
 	static const struct hub_ops ops = {
@@ -242,6 +249,7 @@
 		.left = on_left,
 		.advice = on_advice,
 		.submit = lead_on_submit,
+		.reached = on_reached,
 	};
 
 	l->asked = g_hash_table_new(g_int64_hash, g_int64_equal);
--- a/packages/cell/src/lead_priv.h
+++ b/packages/cell/src/lead_priv.h
@@ -39,6 +39,7 @@
 
 	bool append_open;
 	unsigned int failures; /* tries of the append that is out */
+	bool refused;	       /* the store turned the last one away */
 	bool frozen;
 	uint64_t sequence;
 	uint64_t batch;
--- a/packages/cell/src/owner.c
+++ b/packages/cell/src/owner.c
@@ -59,9 +59,17 @@
 	claim_gave_up(&c->claim, vh_kernel_now_ms(c->kernel));
 }
 
+static void on_node_reaches(void *ctx)
+{
+	struct vh_cell *c = ctx;
+
+	claim_reached(&c->claim, vh_kernel_now_ms(c->kernel));
+}
+
 static void start_lead(struct vh_cell *c, uint64_t epoch)
 {
-	static const struct lead_ops ops = { on_proved, on_gave_up };
+	static const struct lead_ops ops = { on_proved, on_gave_up,
+					     on_node_reaches };
 
 	stop_lead(c, "claimed anew");
 	spoke_follow(&c->spoke, epoch, c->incarnation, vh_slice(NULL, 0));
@@ -283,12 +291,13 @@
 {
 	struct vh_cell *c = ctx;
 	int64_t now = vh_kernel_now_ms(c->kernel);
-	bool peers;
-	bool reach;
+	struct claim_view view = { 0 };
 
-	hub_peers(&c->hub, now, &peers, &reach);
+	hub_peers(&c->hub, now, &view.peers, &view.peers_reach);
+	if (c->lead)
+		view.answered_ms = lead_store(c->lead, &view.refused);
 	switch (c->leaving ? CLAIM_NOTHING
-			   : claim_tick(&c->claim, now, peers, reach)) {
+			   : claim_tick(&c->claim, now, &view)) {
 	case CLAIM_NOTHING:
 		maybe_yield(c, now);
 		break;
@@ -300,8 +309,14 @@
 	case CLAIM_TAKE:
 		write_record(c, false, on_claimed);
 		break;
+	case CLAIM_ASK:
+		log_epoch("nodes asked whether they reach the store",
+			  c->claim.epoch, view.refused ? "refused" : "silent");
+		hub_tell(&c->hub, WIRE_REACH, c->claim.epoch);
+		break;
 	case CLAIM_STEP_DOWN:
-		stop_lead(c, "the store has not answered");
+		stop_lead(c, "the store does not serve this node");
+		hub_tell(&c->hub, WIRE_VACANT, c->claim.epoch);
 		claim_gave_up(&c->claim, now);
 		break;
 	}
@@ -331,6 +346,31 @@
 	claim_dead(&c->claim, epoch, vh_kernel_now_ms(c->kernel));
 }
 
+static void on_tried(void *ctx, const struct vh_read_reply *r)
+{
+	struct vh_cell *c = ctx;
+
+	if (r->result == VH_STORE_OK)
+		spoke_reached(&c->spoke, c->spoke.epoch);
+}
+
+static void on_reach(void *ctx, uint64_t epoch)
+{
+	struct vh_cell *c = ctx;
+
+	if (epoch == c->spoke.epoch)
+		c->ports->store->read(c->ports->store_self, VH_TOPIC_OWNER,
+				      c->owner.next, 0, on_tried, c);
+}
+
+static void on_vacant(void *ctx, uint64_t epoch)
+{
+	struct vh_cell *c = ctx;
+
+	log_epoch("owner has stopped", epoch, "said so");
+	claim_vacant(&c->claim, epoch, vh_kernel_now_ms(c->kernel));
+}
+
 static int64_t store_age_ms(void *ctx)
 {
 	struct vh_cell *c = ctx;
@@ -360,6 +400,8 @@
 	c->spoke.heard = on_heard;
 	c->spoke.dead = on_dead;
 	c->spoke.store_age_ms = store_age_ms;
+	c->spoke.reach = on_reach;
+	c->spoke.vacant = on_vacant;
 	c->spoke.ctx = c;
 	claim_init(&c->claim, DELAY_MOST_MS, vh_kernel_now_ms(c->kernel));
 	vh_timer_init(&c->tick, c->kernel, on_tick, c);
--- a/packages/cell/src/spoke.c
+++ b/packages/cell/src/spoke.c
@@ -111,6 +111,13 @@
 	case WIRE_ASK:
 		s->ask(s->ctx, f);
 		return true;
+	case WIRE_REACH:
+		s->reach(s->ctx, wire_u64(f, 0));
+		return true;
+	case WIRE_VACANT:
+		s->ready = false;
+		s->vacant(s->ctx, wire_u64(f, 0));
+		return true;
 	default:
 		return false;
 	}
@@ -283,6 +290,15 @@
 	call(s, &o, sequence, timeout_ms, done, ctx);
 }
 
+void spoke_reached(struct spoke *s, uint64_t epoch)
+{
+	struct wire_out o;
+
+	wire_begin(&o, WIRE_REACHED, 1);
+	msgpack_pack_uint64(&o.pk, epoch);
+	wire_send(&o, s->bev);
+}
+
 void spoke_advice(struct spoke *s, uint64_t sequence, bool ok, int64_t valid_ms,
 		  const struct eng_good *good, size_t n)
 {
--- a/packages/cell/src/spoke.h
+++ b/packages/cell/src/spoke.h
@@ -11,6 +11,8 @@
  * @heard: the owner of an epoch was heard; @rank: this node's
  * @dead: nobody, or another process, is at the owner's address
  * @store_age_ms: how long ago this node reached the store
+ * @reach: the owner asks whether this node reaches the store; spoke_reached()
+ * @vacant: the owner of an epoch has stopped acting
  */
 struct spoke {
 	struct vh_kernel *kernel;
@@ -22,6 +24,8 @@
 	void (*heard)(void *ctx, uint64_t epoch, uint64_t rank);
 	void (*dead)(void *ctx, uint64_t epoch);
 	int64_t (*store_age_ms)(void *ctx);
+	void (*reach)(void *ctx, uint64_t epoch);
+	void (*vacant)(void *ctx, uint64_t epoch);
 	void *ctx;
 
 	uint64_t epoch;
@@ -70,6 +74,9 @@
 		  void (*done)(void *ctx, bool known, uint64_t outcome),
 		  void *ctx);
 
+/* spoke_reached - answers @reach: this node reaches the store */
+void spoke_reached(struct spoke *s, uint64_t epoch);
+
 /* spoke_advice - answers an ask */
 void spoke_advice(struct spoke *s, uint64_t sequence, bool ok, int64_t valid_ms,
 		  const struct eng_good *good, size_t n);
--- a/packages/cell/src/wire.h
+++ b/packages/cell/src/wire.h
@@ -24,7 +24,10 @@
 	WIRE_STATUS,  /* sequence, status */
 	WIRE_COUNTED, /* sequence, known, jobs */
 	WIRE_ASK,     /* sequence, job, step, [worker, ...] */
-	WIRE_STORED   /* sequence, outcome */
+	WIRE_STORED,  /* sequence, outcome */
+	WIRE_REACH,   /* epoch: does this node reach the store? */
+	WIRE_REACHED, /* epoch: it does */
+	WIRE_VACANT   /* epoch: its owner has stopped acting */
 };
 
 /* A frame being made: WIRE_BEGIN, pack into .pk, wire_send(). */
--- a/packages/cell/tests/test_claim.cc
+++ b/packages/cell/tests/test_claim.cc
@@ -13,6 +13,10 @@
 	struct claim c;
 	int64_t now = 10000;
 	bool peers = true, reach = true;
+	bool refused = false;	   // the store turns the owner away
+	bool node_reaches = false; // a node that is asked reaches the store
+	int64_t answered = 0;	   // 0: the store serves no call of the owner
+	int asked = 0;
 
 	void SetUp() override
 	{
@@ -22,8 +26,16 @@
 	claim_action wait(int64_t ms)
 	{
 		for (int64_t end = now + ms; now < end; now += TICK_MS) {
-			claim_action a = claim_tick(&c, now, peers, reach);
-
+			struct claim_view v = { peers, reach, refused,
+						answered };
+			claim_action a = claim_tick(&c, now, &v);
+
+			if (a == CLAIM_ASK) {
+				asked++;
+				if (node_reaches)
+					claim_reached(&c, now);
+				continue;
+			}
 			if (a != CLAIM_NOTHING)
 				return a;
 		}
@@ -119,6 +131,55 @@
 	EXPECT_EQ(wait(20000), CLAIM_NOTHING);
 }
 
+// The store answers some machines and turns the owner's away, for seconds.
+TEST_F(Claim, AnOwnerThatIsTurnedAwayHandsOverAtOnce)
+{
+	own();
+	refused = true;
+	node_reaches = true;
+	EXPECT_EQ(wait(600), CLAIM_STEP_DOWN);
+	EXPECT_EQ(asked, 1);
+}
+
+TEST_F(Claim, AnOwnerWithoutAnyAnswerHandsOverInASecond)
+{
+	own();
+	node_reaches = true;
+	EXPECT_EQ(wait(800), CLAIM_NOTHING);
+	EXPECT_EQ(wait(400), CLAIM_STEP_DOWN);
+}
+
+// One lost answer, while others come: nothing is wrong with the path.
+TEST_F(Claim, AnOwnerThatIsServedOtherwiseDoesNotAsk)
+{
+	own();
+	refused = true;
+	for (int i = 0; i < 100; i++) {
+		answered = now;
+		EXPECT_EQ(wait(200), CLAIM_NOTHING);
+	}
+	EXPECT_EQ(asked, 0);
+}
+
+TEST_F(Claim, TheNodesAreNotAskedAllTheTime)
+{
+	own();
+	refused = true;
+	reach = false;
+	EXPECT_EQ(wait(6000), CLAIM_NOTHING);
+	EXPECT_GT(asked, 5);
+	EXPECT_LE(asked, 20);
+}
+
+TEST_F(Claim, AnOwnerThatSaysSoLeavesTheCellVacant)
+{
+	owned_by_another();
+	claim_vacant(&c, 4, now);
+	EXPECT_EQ(wait(300), CLAIM_NOTHING);
+	claim_vacant(&c, 5, now);
+	EXPECT_EQ(wait(300), CLAIM_TAKE);
+}
+
 TEST_F(Claim, AnOwnerThatIsAloneGivesUp)
 {
 	own();
