Look for a silent owner after 0.35 s

Cause: an owner that went dark was looked for only after 0.9 s of silence, and the look takes 0.65 s: 1.55 s to the claim, against an aim of 1 s. The look starts after 0.35 s now; a claim still needs 0.9 s without a word and no write between the two looks. Test: Claim.ADarkOwnerIsClaimedSoon (1.65 s before).

--- a/packages/cell/src/claim.c
+++ b/packages/cell/src/claim.c
@@ -3,7 +3,8 @@
 #include <glib.h>
 #include <string.h>
 
-#define SILENT_MS 900	     /* an owner not heard for so long is looked for */
+#define LOOK_AFTER_MS 350    /* an owner not heard for so long is looked for */
+#define SILENT_MS 900	     /* without a word and a write for so long: gone */
 #define LOOK_PAUSE_MS 400    /* after a look that saw it write */
 #define LOOK_FAILED_MS 300   /* after a look that the store did not answer */
 #define REFUSED_PAUSE_MS 300 /* after a claim that came second */
@@ -125,7 +126,7 @@
 		c->busy = true;
 		return CLAIM_TAKE;
 	}
-	if (now_ms - c->heard_ms < SILENT_MS || now_ms < c->look_after_ms)
+	if (now_ms - c->heard_ms < LOOK_AFTER_MS || now_ms < c->look_after_ms)
 		return CLAIM_NOTHING;
 	c->busy = true;
 	return CLAIM_LOOK;
--- a/packages/cell/tests/test_claim.cc
+++ b/packages/cell/tests/test_claim.cc
@@ -8,6 +8,7 @@
 {
 
 constexpr int64_t TICK_MS = 50;
+constexpr int64_t LOOK_MS = 650; // a look takes so long
 
 struct Claim : testing::Test {
 	struct claim c;
@@ -78,13 +79,29 @@
 {
 	owned_by_another();
 	EXPECT_EQ(wait(3000), CLAIM_LOOK);
+	now += LOOK_MS;
 	claim_looked(&c, true, false, now);
 	EXPECT_EQ(wait(300), CLAIM_NOTHING);
 	EXPECT_EQ(wait(3000), CLAIM_LOOK);
+	now += LOOK_MS;
 	claim_looked(&c, false, false, now);
 	EXPECT_EQ(wait(300), CLAIM_TAKE);
 }
 
+// An owner that loses its power is missed from its last heartbeat on.
+TEST_F(Claim, ADarkOwnerIsClaimedSoon)
+{
+	constexpr int64_t AIM_MS = 1200;
+	int64_t dark = now;
+
+	owned_by_another();
+	EXPECT_EQ(wait(AIM_MS), CLAIM_LOOK);
+	now += LOOK_MS;
+	claim_looked(&c, false, false, now);
+	EXPECT_EQ(wait(AIM_MS), CLAIM_TAKE);
+	EXPECT_LE(now - dark, AIM_MS);
+}
+
 TEST_F(Claim, ALookWithoutAnAnswerProvesNothing)
 {
 	owned_by_another();
