Do not take a slow store for a silent one

Cause: with the store 50 times slower an append takes 0.35 to 0.45 s, 0.15 s more behind another writer's; tries were given up after 0.7 s, refused after 0.6 s, and sent again 60 ms later, while the store still carried out the abandoned ones. A writer now waits three times what appends have been taking (0.6 to 1.3 s), and from the third try without an answer on pauses longer, up to 0.48 s.

--- a/packages/cell/src/writer.c
+++ b/packages/cell/src/writer.c
@@ -1,9 +1,14 @@
 #include "writer.h"
 
-#define APPEND_TIMEOUT_MS 700 /* for one try */
-#define RETRY_MS 60	      /* after a try without success */
-#define SILENT_MS 600	      /* a try out for so long: the store is silent */
-#define DOUBT_SHARE 0.43      /* of a caller's time, then doubt is told */
+#define RETRY_MS 60	     /* after a try without success */
+#define RETRY_MOST_MS 480    /* after many */
+#define RETRIES_CLOSE 2u     /* tries without an answer before it grows */
+#define SILENT_MS 600	     /* a try out for so long: the store is silent */
+#define SILENT_MOST_MS 1300  /* the same for a store that is slow */
+#define SILENT_TIMES 3	     /* against how long an append took lately */
+#define TIMEOUT_EXTRA_MS 100 /* a try is given up so long after that */
+#define TOOK_KEPT 0.8	     /* of a longer append before, in took_ms */
+#define DOUBT_SHARE 0.43     /* of a caller's time, then doubt is told */
 #define TICK_MS 20
 #define BATCH_RECORDS 200
 #define BATCH_BYTES (1024 * 1024)
@@ -88,25 +93,53 @@
 	}
 }
 
+static void note_took(struct writer *w, int64_t took_ms)
+{
+	int64_t kept = (int64_t)((double)w->took_ms * TOOK_KEPT);
+
+	w->took_ms = MAX(took_ms, kept);
+	w->unanswered = 0;
+}
+
+/* The first tries follow each other closely: most answers that are lost are
+ * lost alone. */
+static int64_t retry_ms(const struct writer *w)
+{
+	unsigned int more = MAX(w->unanswered, RETRIES_CLOSE) - RETRIES_CLOSE;
+
+	return MIN((int64_t)RETRY_MS << MIN(more, 8u), RETRY_MOST_MS);
+}
+
 static void on_append(void *ctx, const struct vh_append_reply *r)
 {
 	struct writer *w = ctx;
+	int64_t now = vh_kernel_now_ms(w->kernel);
 
 	w->open = false;
 	if (w->closed)
 		return;
 	if (r->result == VH_STORE_OK) {
+		note_took(w, now - w->sent_ms);
 		stored(w);
 		pump(w);
 		return;
 	}
+	w->unanswered = r->result == VH_STORE_UNKNOWN ? w->unanswered + 1 : 0;
 	not_stored(w, r->result != VH_STORE_UNKNOWN);
-	w->pause_until_ms = vh_kernel_now_ms(w->kernel) + RETRY_MS;
+	w->pause_until_ms = now + retry_ms(w);
+}
+
+static int64_t silent_ms(const struct writer *w)
+{
+	return CLAMP(SILENT_TIMES * w->took_ms, SILENT_MS, SILENT_MOST_MS);
 }
 
 static bool silent(const struct writer *w, int64_t now_ms)
 {
-	return w->open && now_ms - w->sent_ms >= SILENT_MS;
+	if (!w->open)
+		return w->unanswered > RETRIES_CLOSE &&
+		       now_ms < w->pause_until_ms;
+	return now_ms - w->sent_ms >= silent_ms(w);
 }
 
 /* What has been sent may be stored, whether its try has ended or not. */
@@ -170,7 +203,7 @@
 	struct vh_record records[BATCH_RECORDS] = { 0 };
 	struct vh_append a = { .topic = w->topic,
 			       .records = records,
-			       .timeout_ms = APPEND_TIMEOUT_MS };
+			       .timeout_ms = silent_ms(w) + TIMEOUT_EXTRA_MS };
 	int64_t now = vh_kernel_now_ms(w->kernel);
 
 	if (w->open || now < w->pause_until_ms)
--- a/packages/cell/src/writer.h
+++ b/packages/cell/src/writer.h
@@ -20,7 +20,9 @@
  * Load that it answers: requests come faster than the store answers, or it
  * does not answer at all. One append is out at a time and carries all that
  * came meanwhile. While one has been out for long, what has not been sent is
- * refused, so that its caller can go elsewhere. Records are idempotent by
+ * refused, so that its caller can go elsewhere. How long that is follows from
+ * how long the store has been taking: a slow one is not a silent one, and tries
+ * given up too early only add to what it has to do. Records are idempotent by
  * their keys, so one without an answer is sent again, for a while.
  */
 struct writer {
@@ -34,6 +36,8 @@
 	int64_t linger_ms; /* how long a record waits for company; 0: not */
 	int64_t first_ms;  /* when the first that waits came */
 	int64_t sent_ms;   /* when the append that is out was sent */
+	int64_t took_ms;   /* how long stored appends take, the newest most */
+	unsigned int unanswered; /* tries in a row without an answer */
 	int64_t pause_until_ms;
 	struct vh_timer tick;
 };
--- a/packages/cell/tests/test_writer.cc
+++ b/packages/cell/tests/test_writer.cc
@@ -163,6 +163,38 @@
 		  (std::vector<write_outcome>{ WRITE_UNKNOWN, WRITE_STORED }));
 }
 
+// Load: the store takes 0.4 s an append, and other writers' come between.
+TEST_F(Writer, ASlowStoreIsNotTakenForASilentOne)
+{
+	add(3000);
+	pass(400);
+	answer(VH_STORE_OK);
+	add(3000);
+	add(3000);
+	pass(1000);
+	EXPECT_EQ(outcomes, (std::vector<write_outcome>{ WRITE_STORED }));
+	EXPECT_GE(calls[1].timeout_ms, 1000);
+	pass(250);
+	EXPECT_EQ(outcomes,
+		  (std::vector<write_outcome>{ WRITE_STORED, WRITE_REFUSED }));
+}
+
+// Tries that were given up are still being carried out by a slow store; more
+// of them would keep it busy for good.
+TEST_F(Writer, TriesAgainLessAndLessOften)
+{
+	add(30000);
+	for (int i = 0; i < 100; i++) {
+		size_t n = calls.size();
+
+		pass(50);
+		if (calls.size() > n || !i)
+			answer(VH_STORE_UNKNOWN);
+	}
+	EXPECT_GE(calls.size(), 8u);
+	EXPECT_LE(calls.size(), 20u);
+}
+
 TEST_F(Writer, TakesRecordsAgainOnceTheStoreAnswers)
 {
 	add(3000);
