Keep room for gangs that do not fit yet

Ruled out: failed runs (first places were late), advice (known within seconds). A gang now chooses the advised workers that will probably be free soonest, and what goes after it in the order leaves its share of them alone; half of the cell at most, and not when it would come too late to earn.

--- a/packages/engine/src/eng_ask.c
+++ b/packages/engine/src/eng_ask.c
@@ -40,7 +40,7 @@
 	return false;
 }
 
-static bool suits(const struct step *s, const struct worker *w)
+bool eng_suits(const struct step *s, const struct worker *w)
 {
 	if (!vh_slice_eq_str(s->job->spec->service, w->service))
 		return false;
@@ -65,20 +65,38 @@
 	return need > 0 ? MIN(most, MAX(free, 0) / need) : most;
 }
 
+struct eng_room eng_free_room(const struct worker *w)
+{
+	struct eng_room r = {
+		.cpu_milli = w->capacity.cpu_milli - w->used.cpu_milli -
+			     w->held.cpu_milli,
+		.mem_mb = w->capacity.mem_mb - w->used.mem_mb - w->held.mem_mb,
+		.gpu = w->capacity.gpu - w->used.gpu - w->held.gpu,
+	};
+
+	return r;
+}
+
+uint32_t eng_fits(const struct step *s, struct eng_room room)
+{
+	const struct eng_room *need = &s->spec->need;
+	int64_t n = s->spec->n_tasks;
+
+	if (!s->spec->filler)
+		n = fit(room.cpu_milli, need->cpu_milli, n);
+	n = fit(room.mem_mb, need->mem_mb, n);
+	return (uint32_t)fit(room.gpu, need->gpu, n);
+}
+
 /* How many tasks of a step a worker has room for now. */
 uint32_t eng_slots(const struct engine *e, const struct step *s,
 		   const struct worker *w)
 {
-	const struct eng_room *need = &s->spec->need;
-	int64_t n = s->spec->n_tasks;
+	int64_t n;
 
-	if (!eng_worker_usable(e, w) || !suits(s, w))
+	if (!eng_worker_usable(e, w) || !eng_suits(s, w))
 		return 0;
-	if (!s->spec->filler)
-		n = fit(w->capacity.cpu_milli - w->used.cpu_milli,
-			need->cpu_milli, n);
-	n = fit(w->capacity.mem_mb - w->used.mem_mb, need->mem_mb, n);
-	n = fit(w->capacity.gpu - w->used.gpu, need->gpu, n);
+	n = eng_fits(s, eng_free_room(w));
 	if (n > 0 && s->spec->max_per_worker)
 		n = MIN(n, (int64_t)s->spec->max_per_worker -
 				   (int64_t)on_worker(s, w));
@@ -125,7 +143,7 @@
 			*have += slots;
 			continue;
 		}
-		if (!slots && !(everyone && !v && w->listed && suits(s, w)))
+		if (!slots && !(everyone && !v && w->listed && eng_suits(s, w)))
 			continue;
 		out[n].w = w;
 		out[n].known = v;
--- a/packages/engine/src/eng_place.c
+++ b/packages/engine/src/eng_place.c
@@ -13,6 +13,8 @@
 #define BAD_AFTER 1.5	   /* score that it has when it is tried again */
 #define BAD_AVOID_MS 3000  /* how long it is set aside */
 #define WHOLE_CORE 1000	   /* thousandths of a processor */
+#define HELD_COST 500.0	   /* of a worker with room kept for a gang */
+#define HELD_LATELY_MS 500 /* in so long */
 
 enum tier {
 	TIER_IN_TIME,
@@ -87,13 +89,17 @@
 }
 
 /* Smaller is better: tight fit, sound workers, the data's rack. */
-static double cost(const struct step *s, const struct worker *w)
+static double cost(const struct engine *e, const struct step *s,
+		   const struct worker *w)
 {
 	double left = (double)(w->capacity.cpu_milli - w->used.cpu_milli -
 			       s->spec->need.cpu_milli) /
 		      WHOLE_CORE;
 	double c = left + 4 * w->bad;
 
+	/* Tasks that go first leave room alone that gangs wait for. */
+	if (w->held_ms && e->now_ms - w->held_ms < HELD_LATELY_MS)
+		c += HELD_COST;
 	if (s->spec->rack.len) {
 		for (char **l = w->labels; *l; l++) {
 			if (vh_slice_eq_str(s->spec->rack, *l))
@@ -116,7 +122,7 @@
 
 	if (!eng_slots(e, s, w))
 		return;
-	c = cost(s, w);
+	c = cost(e, s, w);
 	if (best->w && c >= best->cost)
 		return;
 	best->w = w;
@@ -227,7 +233,7 @@
 
 		if (!slots)
 			continue;
-		parts[n++] = (struct part){ w, slots, cost(s, w) };
+		parts[n++] = (struct part){ w, slots, cost(e, s, w) };
 		have += slots;
 	}
 	if (have >= s->spec->n_tasks) {
@@ -243,8 +249,11 @@
 		place_gang(e, s);
 	else
 		place_single(e, s);
-	if (s->n_waiting)
-		eng_ask_run(e, s);
+	if (!s->n_waiting)
+		return;
+	eng_ask_run(e, s);
+	if (s->spec->gang && !s->n_placed && team_allows(s, s->spec->n_tasks))
+		eng_hold_gang(e, s);
 }
 
 void eng_place_run(struct engine *e)
@@ -254,6 +263,7 @@
 	if (!e->open_steps->len)
 		return;
 	set_aside(e);
+	eng_holds_clear(e);
 	order = g_ptr_array_sized_new(e->open_steps->len);
 	for (guint i = 0; i < e->open_steps->len; i++) {
 		struct step *s = e->open_steps->pdata[i];
--- a/packages/engine/src/eng_priv.h
+++ b/packages/engine/src/eng_priv.h
@@ -63,6 +63,10 @@
  * @verdicts: struct worker to struct verdict
  * @asking: a call to the policy service is out
  * @ask_after_ms: do not ask before
+ * @holds: of a gang that waits: struct hold, the workers it will fit on
+ * @room_known: enough advised workers are known for @holds
+ * @start_in_ms: from when @holds were chosen until all of it is probably free
+ * @plan_until_ms: when @holds are to be chosen anew
  */
 struct step {
 	struct job *job;
@@ -79,6 +83,16 @@
 	int64_t ask_after_ms;
 	GHashTable *verdicts;
 	double order;
+	GArray *holds;
+	bool room_known;
+	int64_t start_in_ms;
+	int64_t plan_until_ms;
+};
+
+/* Room for @slots tasks of a gang, kept on one worker. */
+struct hold {
+	struct worker *w;
+	uint32_t slots;
 };
 
 struct team {
@@ -91,11 +105,13 @@
 /**
  * struct queue - what is learned of one queue
  * @good_share: share of asked workers that were good
+ * @run_ratio: how long runs take, against what their callers estimate
  * @pending: jobs of which no task has started
  */
 struct queue {
 	char *name;
 	double good_share;
+	double run_ratio;
 	size_t pending;
 };
 
@@ -135,6 +151,8 @@
  * @acknowledged: number of the last end that is stored
  * @ack_gate: batch that stores the ends up to @processed
  * @avoid_until_ms: place nothing there before
+ * @held: room kept for gangs that go first, in the run that is going on
+ * @held_ms: when room was last kept there
  */
 struct worker {
 	char *id;
@@ -144,6 +162,8 @@
 	char **labels;
 	struct eng_room capacity;
 	struct eng_room used;
+	struct eng_room held;
+	int64_t held_ms;
 	int64_t born_ms;
 	bool listed;
 	bool draining;
@@ -182,6 +202,8 @@
 	uint64_t batch;	 /* number of the batch being collected */
 	uint64_t stored; /* number of the last stored batch */
 	uint64_t report_serial;
+	int64_t held_cpu;     /* kept for gangs in the run that is going on */
+	int64_t cpu_capacity; /* of all listed workers */
 	int64_t now_ms;
 	struct eng_stats stats;
 };
@@ -236,6 +258,18 @@
 struct verdict *eng_verdict(const struct step *s, const struct worker *w);
 uint32_t eng_slots(const struct engine *e, const struct step *s,
 		   const struct worker *w);
+/* eng_suits - the worker is of the step's service and has its label */
+bool eng_suits(const struct step *s, const struct worker *w);
+/* eng_free_room - what is neither used nor kept for a gang */
+struct eng_room eng_free_room(const struct worker *w);
+/* eng_fits - how many tasks of a step fit into some room */
+uint32_t eng_fits(const struct step *s, struct eng_room room);
+
+/* eng_reserve.c: room kept for gangs that do not fit yet */
+void eng_holds_clear(struct engine *e);
+void eng_hold_gang(struct engine *e, struct step *s);
+/* eng_learn_run - a task has ended done */
+void eng_learn_run(struct task *t, int64_t now_ms);
 
 static inline struct vh_slice eng_str(const char *s)
 {
--- /dev/null
+++ b/packages/engine/src/eng_reserve.c
@@ -0,0 +1,220 @@
+#include "eng_priv.h"
+
+/*
+ * Room that is kept for gangs which do not fit yet.
+ *
+ * Load that it answers: the cell is four fifths full, and a gang of twenty
+ * tasks needs a third of its advised workers at one moment. Smaller tasks that
+ * come later take each gap as it opens, so that the widest gangs, which earn
+ * most, waited until the load fell. A gang that does not fit chooses workers
+ * whose running tasks will probably be over soonest; what goes after it in the
+ * order of placement leaves its share of them alone.
+ */
+#define PLAN_MS 150	    /* a choice of workers is kept so long */
+#define HOLD_SHARE_MOST 0.5 /* of the cell's processors, for all gangs */
+#define OVERDUE_SHARE 0.25  /* of its run so far, that a late task goes on */
+#define RATIO_STEP 0.05	    /* weight of a new run in what is learned */
+#define RATIO_LEAST 0.3	    /* bounds of a run against its estimate */
+#define RATIO_MOST 4.0
+
+/* Room for one more task of the gang on a worker, from a moment on. */
+struct opening {
+	int64_t in_ms;
+	struct worker *w;
+};
+
+void eng_learn_run(struct task *t, int64_t now_ms)
+{
+	struct queue *q = t->step->job->queue;
+	int64_t estimate = t->step->spec->estimate_ms;
+	double ratio;
+
+	if (t->state != TASK_RUNNING || estimate <= 0)
+		return;
+	ratio = (double)(now_ms - t->since_ms) / (double)estimate;
+	ratio = CLAMP(ratio, RATIO_LEAST, RATIO_MOST);
+	q->run_ratio += RATIO_STEP * (ratio - q->run_ratio);
+}
+
+/* How long a task will probably take its room yet; -1: no end in sight. */
+static int64_t remaining_ms(const struct engine *e, const struct task *t)
+{
+	double whole = (double)t->step->spec->estimate_ms *
+		       t->step->job->queue->run_ratio;
+	int64_t so_far = e->now_ms - t->since_ms;
+
+	if (t->state == TASK_STOPPING)
+		return e->settings.stop_ms;
+	if (t->step->spec->service)
+		return -1;
+	if (t->state != TASK_RUNNING)
+		return (int64_t)whole;
+	return MAX((int64_t)whole - so_far,
+		   (int64_t)(OVERDUE_SHARE * (double)so_far));
+}
+
+static int by_end(gconstpointer a, gconstpointer b)
+{
+	const struct opening *x = a;
+	const struct opening *y = b;
+
+	return x->in_ms < y->in_ms ? -1 : x->in_ms > y->in_ms;
+}
+
+struct freed {
+	int64_t in_ms;
+	struct eng_room room;
+};
+
+static int by_freed(const void *a, const void *b)
+{
+	const struct freed *x = a;
+	const struct freed *y = b;
+
+	return x->in_ms < y->in_ms ? -1 : x->in_ms > y->in_ms;
+}
+
+static size_t ends_on(const struct engine *e, const struct worker *w,
+		      struct freed *out)
+{
+	size_t n = 0;
+
+	for (guint i = 0; i < w->tasks->len; i++) {
+		const struct task *t = w->tasks->pdata[i];
+		int64_t in = remaining_ms(e, t);
+
+		if (in < 0)
+			continue;
+		out[n].in_ms = in;
+		out[n].room = t->step->spec->need;
+		if (t->step->spec->filler)
+			out[n].room.cpu_milli = 0;
+		n++;
+	}
+	qsort(out, n, sizeof(*out), by_freed);
+	return n;
+}
+
+/* When a worker will have room for one, two, ... tasks of the step. */
+static void openings_on(const struct engine *e, const struct step *s,
+			struct worker *w, GArray *out)
+{
+	struct freed *ends = g_new(struct freed, w->tasks->len + 1);
+	size_t n = ends_on(e, w, ends);
+	struct eng_room free = eng_free_room(w);
+	uint32_t have = 0;
+
+	for (size_t i = 0; i <= n && have < s->spec->n_tasks; i++) {
+		struct opening o = { i ? ends[i - 1].in_ms : 0, w };
+		uint32_t fits;
+
+		if (i) {
+			free.cpu_milli += ends[i - 1].room.cpu_milli;
+			free.mem_mb += ends[i - 1].room.mem_mb;
+			free.gpu += ends[i - 1].room.gpu;
+		}
+		fits = eng_fits(s, free);
+		if (s->spec->max_per_worker)
+			fits = MIN(fits, s->spec->max_per_worker);
+		for (; have < fits; have++)
+			g_array_append_val(out, o);
+	}
+	g_free(ends);
+}
+
+static bool promising(const struct engine *e, const struct step *s,
+		      const struct worker *w)
+{
+	const struct verdict *v;
+
+	if (!eng_worker_usable(e, w) || !eng_suits(s, w))
+		return false;
+	if (!s->job->spec->advice.needed)
+		return true;
+	v = eng_verdict(s, w);
+	return v && v->good;
+}
+
+static struct hold *hold_of(struct step *s, struct worker *w)
+{
+	struct hold h = { w, 0 };
+
+	for (guint i = 0; i < s->holds->len; i++) {
+		struct hold *old = &g_array_index(s->holds, struct hold, i);
+
+		if (old->w == w)
+			return old;
+	}
+	g_array_append_val(s->holds, h);
+	return &g_array_index(s->holds, struct hold, s->holds->len - 1);
+}
+
+/* Chooses the workers on which the gang will fit soonest. */
+static void plan(struct engine *e, struct step *s)
+{
+	GArray *all = g_array_new(FALSE, FALSE, sizeof(struct opening));
+	uint32_t n = s->spec->n_tasks;
+
+	s->plan_until_ms = e->now_ms + PLAN_MS;
+	if (!s->holds)
+		s->holds = g_array_new(FALSE, FALSE, sizeof(struct hold));
+	g_array_set_size(s->holds, 0);
+	for (guint i = 0; i < e->worker_list->len; i++) {
+		struct worker *w = e->worker_list->pdata[i];
+
+		if (promising(e, s, w))
+			openings_on(e, s, w, all);
+	}
+	s->room_known = all->len >= n;
+	if (s->room_known) {
+		g_array_sort(all, by_end);
+		for (uint32_t i = 0; i < n; i++)
+			hold_of(s, g_array_index(all, struct opening, i).w)
+				->slots++;
+		s->start_in_ms =
+			g_array_index(all, struct opening, n - 1).in_ms;
+	}
+	g_array_free(all, TRUE);
+}
+
+static void hold_apply(struct engine *e, const struct step *s)
+{
+	const struct eng_room *need = &s->spec->need;
+
+	for (guint i = 0; i < s->holds->len; i++) {
+		const struct hold *h = &g_array_index(s->holds, struct hold, i);
+
+		h->w->held.cpu_milli += h->slots * need->cpu_milli;
+		h->w->held.mem_mb += h->slots * need->mem_mb;
+		h->w->held.gpu += h->slots * need->gpu;
+		h->w->held_ms = e->now_ms;
+		e->held_cpu += h->slots * need->cpu_milli;
+	}
+}
+
+void eng_holds_clear(struct engine *e)
+{
+	e->held_cpu = 0;
+	e->cpu_capacity = 0;
+	for (guint i = 0; i < e->worker_list->len; i++) {
+		struct worker *w = e->worker_list->pdata[i];
+
+		memset(&w->held, 0, sizeof(w->held));
+		if (w->listed)
+			e->cpu_capacity += w->capacity.cpu_milli;
+	}
+}
+
+void eng_hold_gang(struct engine *e, struct step *s)
+{
+	int64_t whole = s->spec->n_tasks * s->spec->need.cpu_milli;
+
+	if ((double)(e->held_cpu + whole) >
+	    HOLD_SHARE_MOST * (double)e->cpu_capacity)
+		return;
+	if (s->plan_until_ms <= e->now_ms)
+		plan(e, s);
+	if (s->room_known &&
+	    e->now_ms + s->start_in_ms + s->chain_ms <= s->job->late_ms)
+		hold_apply(e, s);
+}
--- a/packages/engine/src/eng_tasks.c
+++ b/packages/engine/src/eng_tasks.c
@@ -241,6 +241,8 @@
 		e->stats.ends_done++;
 		if (w)
 			w->bad *= BAD_DECAY;
+		if (current)
+			eng_learn_run(t, e->now_ms);
 		if (!s->spec->service)
 			end_done(e, t);
 	} else if (f->how == ENG_END_FAILED) {
--- a/packages/engine/src/engine.c
+++ b/packages/engine/src/engine.c
@@ -45,6 +45,8 @@
 			g_free((char *)s->tasks[k].checkpoint.data);
 		g_free(s->tasks);
 		g_hash_table_destroy(s->verdicts);
+		if (s->holds)
+			g_array_free(s->holds, TRUE);
 	}
 	g_free(j->steps);
 	j->steps = NULL;
@@ -155,6 +157,7 @@
 	q = g_new0(struct queue, 1);
 	q->name = key;
 	q->good_share = GOOD_SHARE_FIRST_GUESS;
+	q->run_ratio = 1;
 	g_hash_table_insert(e->queues, q->name, q);
 	return q;
 }
