Renew a waiting gang's tickets together, and put a team's excess last

A gang now asks nothing while its room is not nearly free, then renews all tickets that would not last, and names free workers that nothing is known of. A team that sends several times its usual took the cell from the others: jobs beyond its share (weight jobs a second) go behind what the others have. Why a gang waits is logged when the reason changes.

--- a/packages/engine/include/vh/engine.h
+++ b/packages/engine/include/vh/engine.h
@@ -201,6 +201,7 @@
 
 /**
  * struct eng_team - a team's share and upper limit
+ * @weight: jobs a second that are its share; 0: no share is set
  * @cap: 0 in a field means no limit
  */
 struct eng_team {
--- a/packages/engine/src/eng_ask.c
+++ b/packages/engine/src/eng_ask.c
@@ -16,7 +16,9 @@
 #define ASK_AGAIN_MS 120       /* after a call that found no room */
 #define ASK_FAILED_MS 200      /* after a call without an answer */
 #define LONG_DECISION_MS 150.0 /* such a call is made once for all workers */
-#define GOOD_SHARE_STEP 0.1    /* weight of a new answer in the learned share */
+#define READY_SHARE 0.7	    /* of a gang's room free: its tickets are renewed */
+#define TICKET_LASTS_MS 250 /* beyond the call that would renew it */
+#define GOOD_SHARE_STEP 0.1 /* weight of a new answer in the learned share */
 
 void eng_verdict_free(gpointer p)
 {
@@ -125,6 +127,71 @@
 	return x->slots < y->slots ? 1 : x->slots > y->slots ? -1 : 0;
 }
 
+/* How many of the sorted candidates to name. */
+static size_t enough(const struct step *s, const struct candidate *c, size_t n,
+		     double have, bool everyone)
+{
+	double want = s->n_waiting * ASK_SPARE;
+	size_t take = 0;
+
+	if (everyone)
+		return MIN(n, ASK_MOST);
+	while (take < n && have < want)
+		have += c[take++].slots;
+	return MIN(MIN(take + ASK_EXTRA, n), ASK_MOST);
+}
+
+/* Whether asking about a worker may help a gang that waits. */
+static bool gang_may_use(const struct engine *e, const struct step *s,
+			 const struct worker *w, const struct verdict *v)
+{
+	if (v && !v->good)
+		return false;
+	if (s->room_known)
+		return eng_slots(e, s, w) > 0;
+	return !v && w->listed && eng_suits(s, w);
+}
+
+/*
+ * For a gang that waits: workers that nothing is known of, free or not, while
+ * those that are good are too few; then nobody, until nearly all of its room
+ * is free; then those whose tickets would not last, so that all are valid at
+ * one moment, and free ones that nothing is known of.
+ */
+static size_t gang_candidates(struct engine *e, struct step *s,
+			      struct candidate *out)
+{
+	const struct eng_advice_terms *terms = &s->job->spec->advice;
+	int64_t lasting = e->now_ms + TICKET_LASTS_MS +
+			  (int64_t)(terms->decide_ms +
+				    terms->each_ms * (double)s->spec->n_tasks);
+	double ready = 0;
+	double have = 0;
+	size_t n = 0;
+
+	for (guint i = 0; i < e->worker_list->len; i++) {
+		struct worker *w = e->worker_list->pdata[i];
+		struct verdict *v = eng_verdict(s, w);
+		double slots = eng_slots(e, s, w);
+
+		if (!gang_may_use(e, s, w, v))
+			continue;
+		ready += v ? slots : slots * s->job->queue->good_share;
+		if (v && v->expires_ms > lasting) {
+			have += slots;
+			continue;
+		}
+		out[n].w = w;
+		out[n].known = v;
+		out[n].slots = v ? slots : slots * s->job->queue->good_share;
+		n++;
+	}
+	if (s->room_known && ready < READY_SHARE * s->spec->n_tasks)
+		return 0;
+	qsort(out, n, sizeof(*out), by_use);
+	return enough(s, out, n, have, !s->room_known);
+}
+
 static size_t candidates(struct engine *e, struct step *s, bool everyone,
 			 struct candidate *out, double *have)
 {
@@ -154,20 +221,6 @@
 	return n;
 }
 
-/* How many of the sorted candidates to name. */
-static size_t enough(const struct step *s, const struct candidate *c, size_t n,
-		     double have, bool everyone)
-{
-	double want = s->n_waiting * ASK_SPARE;
-	size_t take = 0;
-
-	if (everyone)
-		return MIN(n, ASK_MOST);
-	while (take < n && have < want)
-		have += c[take++].slots;
-	return MIN(MIN(take + ASK_EXTRA, n), ASK_MOST);
-}
-
 static void send_ask(struct engine *e, struct step *s,
 		     const struct vh_slice *ids, size_t n)
 {
@@ -184,14 +237,22 @@
 	e->stats.advice_calls += s->asking;
 }
 
+static size_t single_candidates(struct engine *e, struct step *s,
+				struct candidate *out)
+{
+	bool everyone = s->job->spec->advice.decide_ms >= LONG_DECISION_MS &&
+			!g_hash_table_size(s->verdicts);
+	double have;
+	size_t n = candidates(e, s, everyone, out, &have);
+
+	return have < s->n_waiting && n ? enough(s, out, n, have, everyone) : 0;
+}
+
 void eng_ask_run(struct engine *e, struct step *s)
 {
 	const struct eng_advice_terms *terms = &s->job->spec->advice;
-	bool everyone = terms->decide_ms >= LONG_DECISION_MS &&
-			!g_hash_table_size(s->verdicts);
 	struct candidate *c;
 	struct vh_slice ids[ASK_MOST];
-	double have;
 	size_t n;
 
 	if (!terms->needed || s->asking || s->ask_after_ms > e->now_ms)
@@ -201,13 +262,12 @@
 	    !e->ports.advice_free(e->ports.ctx, terms->decide_ms))
 		return;
 	c = g_new(struct candidate, e->worker_list->len + 1);
-	n = candidates(e, s, everyone, c, &have);
-	if (have < s->n_waiting && n) {
-		n = enough(s, c, n, have, everyone);
-		for (size_t i = 0; i < n; i++)
-			ids[i] = eng_str(c[i].w->id);
+	n = s->spec->gang && s->spec->n_tasks > 1 ? gang_candidates(e, s, c)
+						  : single_candidates(e, s, c);
+	for (size_t i = 0; i < n; i++)
+		ids[i] = eng_str(c[i].w->id);
+	if (n)
 		send_ask(e, s, ids, n);
-	}
 	g_free(c);
 }
 
@@ -244,6 +304,7 @@
 		return;
 	s->asking = false;
 	s->ask_after_ms = now_ms + ASK_AGAIN_MS;
+	s->plan_until_ms = 0;
 	for (size_t i = 0; i < n_asked; i++) {
 		struct worker *w = eng_worker_find(e, asked[i]);
 
--- a/packages/engine/src/eng_place.c
+++ b/packages/engine/src/eng_place.c
@@ -5,8 +5,9 @@
  *
  * Load that it answers: the cell is four fifths full on the mean, and bursts
  * double a class. Work that can still meet its objective goes first, by its
- * queue's priority and then by when its objective passes; then what would be
- * late; last what earns nothing any more.
+ * queue's priority and then by when it has to start for that; then what would
+ * be late; then what its team handed in beyond its share; last what earns
+ * nothing any more.
  */
 #define CHAIN_OPTIMISM 0.8 /* share of the declared chain that is believed */
 #define BAD_LIMIT 2.5	   /* score from which a worker is set aside */
@@ -19,6 +20,7 @@
 enum tier {
 	TIER_IN_TIME,
 	TIER_LATE,
+	TIER_OVER_SHARE, /* of its team, but in time */
 	TIER_HOPELESS
 };
 
@@ -27,6 +29,8 @@
 	int64_t end =
 		e->now_ms + (int64_t)(CHAIN_OPTIMISM * (double)s->chain_ms);
 
+	if (s->job->over_share)
+		return end <= s->job->due_ms ? TIER_OVER_SHARE : TIER_HOPELESS;
 	if (end <= s->job->due_ms)
 		return TIER_IN_TIME;
 	return end <= s->job->late_ms ? TIER_LATE : TIER_HOPELESS;
@@ -43,8 +47,8 @@
 		return x->order < y->order ? -1 : 1;
 	if (p->priority != q->priority)
 		return p->priority < q->priority ? -1 : 1;
-	if (x->job->due_ms != y->job->due_ms)
-		return x->job->due_ms < y->job->due_ms ? -1 : 1;
+	if (x->start_by_ms != y->start_by_ms)
+		return x->start_by_ms < y->start_by_ms ? -1 : 1;
 	return p->id < q->id ? -1 : p->id > q->id;
 }
 
@@ -71,23 +75,6 @@
 	}
 }
 
-static bool under(int64_t used, int64_t need, int64_t n, int64_t cap)
-{
-	return cap <= 0 || used + need * n <= cap;
-}
-
-static bool team_allows(const struct step *s, int64_t n)
-{
-	const struct team *t = s->job->team;
-	const struct eng_room *need = &s->spec->need;
-
-	if (!s->spec->filler &&
-	    !under(t->used.cpu_milli, need->cpu_milli, n, t->cap.cpu_milli))
-		return false;
-	return under(t->used.mem_mb, need->mem_mb, n, t->cap.mem_mb) &&
-	       under(t->used.gpu, need->gpu, n, t->cap.gpu);
-}
-
 /* Smaller is better: tight fit, sound workers, the data's rack. */
 static double cost(const struct engine *e, const struct step *s,
 		   const struct worker *w)
@@ -168,7 +155,7 @@
 
 		if (t->worker || t->done)
 			continue;
-		if (!team_allows(s, 1))
+		if (!eng_team_allows(s, 1))
 			return;
 		w = best_worker(e, s);
 		if (!w)
@@ -224,7 +211,7 @@
 	uint64_t have = 0;
 	size_t n = 0;
 
-	if (s->n_placed || !team_allows(s, s->spec->n_tasks))
+	if (s->n_placed || !eng_team_allows(s, s->spec->n_tasks))
 		return;
 	parts = g_new(struct part, e->worker_list->len + 1);
 	for (guint i = 0; i < e->worker_list->len; i++) {
@@ -243,6 +230,28 @@
 	g_free(parts);
 }
 
+/* Says once why a step waits, and again when the reason is another. */
+static void say_waits(struct engine *e, struct step *s, const char *why)
+{
+	if (s->waits == why)
+		return;
+	s->waits = why;
+	eng_decided(e, why, &s->tasks[0], NULL);
+}
+
+static void gang_waits(struct engine *e, struct step *s)
+{
+	const char *why = eng_plan_gang(e, s);
+
+	if (!eng_team_allows(s, s->spec->n_tasks)) {
+		s->holding = false;
+		why = "gang waits for its team's limit";
+	}
+	say_waits(e, s, why);
+	eng_ask_run(e, s);
+	eng_hold_gang(e, s);
+}
+
 static void place_step(struct engine *e, struct step *s)
 {
 	if (s->spec->gang)
@@ -251,9 +260,10 @@
 		place_single(e, s);
 	if (!s->n_waiting)
 		return;
-	eng_ask_run(e, s);
-	if (s->spec->gang && !s->n_placed && team_allows(s, s->spec->n_tasks))
-		eng_hold_gang(e, s);
+	if (s->spec->gang && !s->n_placed)
+		gang_waits(e, s);
+	else
+		eng_ask_run(e, s);
 }
 
 void eng_place_run(struct engine *e)
@@ -269,6 +279,7 @@
 		struct step *s = e->open_steps->pdata[i];
 
 		s->order = step_tier(e, s);
+		s->start_by_ms = s->job->due_ms - s->chain_ms;
 		g_ptr_array_add(order, s);
 	}
 	g_ptr_array_sort(order, by_order);
--- a/packages/engine/src/eng_priv.h
+++ b/packages/engine/src/eng_priv.h
@@ -63,7 +63,9 @@
  * @verdicts: struct worker to struct verdict
  * @asking: a call to the policy service is out
  * @ask_after_ms: do not ask before
+ * @waits: why its tasks wait, constant text; NULL: not said yet
  * @holds: of a gang that waits: struct hold, the workers it will fit on
+ * @holding: the room of @holds is kept
  * @room_known: enough advised workers are known for @holds
  * @start_in_ms: from when @holds were chosen until all of it is probably free
  * @plan_until_ms: when @holds are to be chosen anew
@@ -83,7 +85,10 @@
 	int64_t ask_after_ms;
 	GHashTable *verdicts;
 	double order;
+	int64_t start_by_ms;
+	const char *waits;
 	GArray *holds;
+	bool holding;
 	bool room_known;
 	int64_t start_in_ms;
 	int64_t plan_until_ms;
@@ -95,11 +100,18 @@
 	uint32_t slots;
 };
 
+/**
+ * struct team
+ * @weight: its share: jobs a second that it may hand in; 0: any number
+ * @share_left: jobs that it could hand in at @share_ms
+ */
 struct team {
 	char *name;
 	double weight;
 	struct eng_room cap;
 	struct eng_room used;
+	double share_left;
+	int64_t share_ms;
 };
 
 /**
@@ -120,6 +132,7 @@
  * @spec: NULL once the job has ended and nothing of it is left
  * @stored: state as a former owner stored it, until @spec is known
  * @status_gate: batch from which on callers may see an ended status
+ * @over_share: its team had handed in more than its share
  * @due_ms: when its objective passes
  */
 struct job {
@@ -135,6 +148,7 @@
 	bool cancelled;
 	bool begun;
 	bool dirty;
+	bool over_share;
 	int64_t accepted_ms;
 	int64_t due_ms;
 	int64_t late_ms;
@@ -232,6 +246,14 @@
 void eng_decided(struct engine *e, const char *what, const struct task *t,
 		 const struct worker *w);
 
+/* eng_team.c */
+struct team *eng_team_get(struct engine *e, struct vh_slice name);
+void eng_team_free(gpointer team);
+/* eng_team_allows - its limit has room for @n more tasks of a step */
+bool eng_team_allows(const struct step *s, int64_t n);
+/* eng_team_take_share - a job is handed in; false: beyond the team's share */
+bool eng_team_take_share(struct team *t, int64_t now_ms);
+
 /* eng_workers.c */
 struct worker *eng_worker_get(struct engine *e, struct vh_slice id);
 struct worker *eng_worker_find(struct engine *e, struct vh_slice id);
@@ -267,7 +289,14 @@
 
 /* eng_reserve.c: room kept for gangs that do not fit yet */
 void eng_holds_clear(struct engine *e);
-void eng_hold_gang(struct engine *e, struct step *s);
+/**
+ * eng_plan_gang - chooses the workers that a gang will fit on
+ *
+ * Returns why it waits, constant text.
+ */
+const char *eng_plan_gang(struct engine *e, struct step *s);
+/* eng_hold_gang - keeps the chosen room, if eng_plan_gang() says so */
+void eng_hold_gang(struct engine *e, const struct step *s);
 /* eng_learn_run - a task has ended done */
 void eng_learn_run(struct task *t, int64_t now_ms);
 
--- a/packages/engine/src/eng_reserve.c
+++ b/packages/engine/src/eng_reserve.c
@@ -10,11 +10,11 @@
  * whose running tasks will probably be over soonest; what goes after it in the
  * order of placement leaves its share of them alone.
  */
-#define PLAN_MS 150	    /* a choice of workers is kept so long */
-#define HOLD_SHARE_MOST 0.5 /* of the cell's processors, for all gangs */
-#define OVERDUE_SHARE 0.25  /* of its run so far, that a late task goes on */
-#define RATIO_STEP 0.05	    /* weight of a new run in what is learned */
-#define RATIO_LEAST 0.3	    /* bounds of a run against its estimate */
+#define PLAN_MS 150	     /* a choice of workers is kept so long */
+#define HOLD_SHARE_MOST 0.35 /* of the cell's processors, for all gangs */
+#define OVERDUE_SHARE 0.25   /* of its run so far, that a late task goes on */
+#define RATIO_STEP 0.05	     /* weight of a new run in what is learned */
+#define RATIO_LEAST 0.3	     /* bounds of a run against its estimate */
 #define RATIO_MOST 4.0
 
 /* Room for one more task of the gang on a worker, from a moment on. */
@@ -177,21 +177,6 @@
 	g_array_free(all, TRUE);
 }
 
-static void hold_apply(struct engine *e, const struct step *s)
-{
-	const struct eng_room *need = &s->spec->need;
-
-	for (guint i = 0; i < s->holds->len; i++) {
-		const struct hold *h = &g_array_index(s->holds, struct hold, i);
-
-		h->w->held.cpu_milli += h->slots * need->cpu_milli;
-		h->w->held.mem_mb += h->slots * need->mem_mb;
-		h->w->held.gpu += h->slots * need->gpu;
-		h->w->held_ms = e->now_ms;
-		e->held_cpu += h->slots * need->cpu_milli;
-	}
-}
-
 void eng_holds_clear(struct engine *e)
 {
 	e->held_cpu = 0;
@@ -205,16 +190,35 @@
 	}
 }
 
-void eng_hold_gang(struct engine *e, struct step *s)
+const char *eng_plan_gang(struct engine *e, struct step *s)
 {
 	int64_t whole = s->spec->n_tasks * s->spec->need.cpu_milli;
 
-	if ((double)(e->held_cpu + whole) >
-	    HOLD_SHARE_MOST * (double)e->cpu_capacity)
-		return;
+	s->holding = false;
 	if (s->plan_until_ms <= e->now_ms)
 		plan(e, s);
-	if (s->room_known &&
-	    e->now_ms + s->start_in_ms + s->chain_ms <= s->job->late_ms)
-		hold_apply(e, s);
+	if (!s->room_known)
+		return "gang waits for advice";
+	if (e->held_cpu && (double)(e->held_cpu + whole) >
+				   HOLD_SHARE_MOST * (double)e->cpu_capacity)
+		return "gang waits behind others";
+	if (e->now_ms + s->start_in_ms + s->chain_ms > s->job->late_ms)
+		return "gang waits, too late to earn";
+	s->holding = true;
+	return "gang waits for its room";
+}
+
+void eng_hold_gang(struct engine *e, const struct step *s)
+{
+	const struct eng_room *need = &s->spec->need;
+
+	for (guint i = 0; s->holding && i < s->holds->len; i++) {
+		const struct hold *h = &g_array_index(s->holds, struct hold, i);
+
+		h->w->held.cpu_milli += h->slots * need->cpu_milli;
+		h->w->held.mem_mb += h->slots * need->mem_mb;
+		h->w->held.gpu += h->slots * need->gpu;
+		h->w->held_ms = e->now_ms;
+		e->held_cpu += h->slots * need->cpu_milli;
+	}
 }
--- /dev/null
+++ b/packages/engine/src/eng_team.c
@@ -0,0 +1,79 @@
+#include "eng_priv.h"
+
+/*
+ * Teams: what they have running, their limits and their shares.
+ *
+ * Load that a share answers: one team sends several times its usual, and its
+ * jobs would take the cell from all others. What a team hands in beyond its
+ * share goes behind the work of the teams that keep to theirs, for as long as
+ * there is any of it that can still be of use.
+ */
+#define SHARE_BURST_S 2.0 /* a team may save up its share for so long */
+
+void eng_team_free(gpointer p)
+{
+	struct team *t = p;
+
+	g_free(t->name);
+	g_free(t);
+}
+
+struct team *eng_team_get(struct engine *e, struct vh_slice name)
+{
+	char *key = vh_slice_dup(name);
+	struct team *t = g_hash_table_lookup(e->teams, key);
+
+	if (t) {
+		g_free(key);
+		return t;
+	}
+	t = g_new0(struct team, 1);
+	t->name = key;
+	g_hash_table_insert(e->teams, t->name, t);
+	return t;
+}
+
+void eng_teams(struct engine *e, const struct eng_team *teams, size_t n)
+{
+	for (size_t i = 0; i < n; i++) {
+		struct team *t = eng_team_get(e, teams[i].name);
+
+		t->weight = teams[i].weight;
+		t->cap = teams[i].cap;
+	}
+}
+
+bool eng_team_take_share(struct team *t, int64_t now_ms)
+{
+	double most = t->weight * SHARE_BURST_S;
+	double passed_s = (double)(now_ms - t->share_ms) / 1000;
+
+	if (t->weight <= 0)
+		return true;
+	if (!t->share_ms)
+		t->share_left = most;
+	else
+		t->share_left = MIN(t->share_left + t->weight * passed_s, most);
+	t->share_ms = now_ms;
+	if (t->share_left < 1)
+		return false;
+	t->share_left--;
+	return true;
+}
+
+static bool under(int64_t used, int64_t need, int64_t n, int64_t cap)
+{
+	return cap <= 0 || used + need * n <= cap;
+}
+
+bool eng_team_allows(const struct step *s, int64_t n)
+{
+	const struct team *t = s->job->team;
+	const struct eng_room *need = &s->spec->need;
+
+	if (!s->spec->filler &&
+	    !under(t->used.cpu_milli, need->cpu_milli, n, t->cap.cpu_milli))
+		return false;
+	return under(t->used.mem_mb, need->mem_mb, n, t->cap.mem_mb) &&
+	       under(t->used.gpu, need->gpu, n, t->cap.gpu);
+}
--- a/packages/engine/src/engine.c
+++ b/packages/engine/src/engine.c
@@ -5,14 +5,6 @@
 #define LATE_FACTOR 3 /* objectives after which nothing is earned */
 #define GOOD_SHARE_FIRST_GUESS 0.5 /* of asked workers */
 
-static void team_free(gpointer p)
-{
-	struct team *t = p;
-
-	g_free(t->name);
-	g_free(t);
-}
-
 static void queue_free(gpointer p)
 {
 	struct queue *q = p;
@@ -76,8 +68,8 @@
 	e->workers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					   worker_free);
 	e->worker_list = g_ptr_array_new();
-	e->teams =
-		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, team_free);
+	e->teams = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					 eng_team_free);
 	e->queues = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					  queue_free);
 	e->open_steps = g_ptr_array_new();
@@ -119,32 +111,6 @@
 		e->ports.decided(e->ports.ctx, &d);
 }
 
-static struct team *team_get(struct engine *e, struct vh_slice name)
-{
-	char *key = vh_slice_dup(name);
-	struct team *t = g_hash_table_lookup(e->teams, key);
-
-	if (t) {
-		g_free(key);
-		return t;
-	}
-	t = g_new0(struct team, 1);
-	t->name = key;
-	t->weight = 1;
-	g_hash_table_insert(e->teams, t->name, t);
-	return t;
-}
-
-void eng_teams(struct engine *e, const struct eng_team *teams, size_t n)
-{
-	for (size_t i = 0; i < n; i++) {
-		struct team *t = team_get(e, teams[i].name);
-
-		t->weight = teams[i].weight;
-		t->cap = teams[i].cap;
-	}
-}
-
 static struct queue *queue_get(struct engine *e, struct vh_slice name)
 {
 	char *key = vh_slice_dup(name);
@@ -313,7 +279,7 @@
 		return;
 	}
 	j->spec = spec;
-	j->team = team_get(e, spec->team);
+	j->team = eng_team_get(e, spec->team);
 	j->queue = queue_get(e, spec->queue);
 	j->queue->pending++;
 	job_begin_steps(j);
@@ -321,6 +287,8 @@
 	j->due_ms = j->accepted_ms + job_objective_ms(j);
 	j->late_ms = j->accepted_ms + LATE_FACTOR * job_objective_ms(j);
 	e->stats.jobs++;
+	/* What is read back has been through this before. */
+	j->over_share = e->ready && !eng_team_take_share(j->team, now_ms);
 	apply_stored(e, j);
 }
 
--- a/packages/engine/tests/test_load.cc
+++ b/packages/engine/tests/test_load.cc
@@ -93,6 +93,60 @@
 	expect_kept();
 }
 
+// The workers that are known to be good are busy for long; others come, of
+// which nothing is known yet.
+TEST_P(Load, AWaitingGangAsksAboutWorkersThatAreFree)
+{
+	constexpr int64_t LONG_MS = 60000;
+
+	for (size_t i = 4; i < w.workers.size(); i++) {
+		w.workers[i].listed = false;
+		eng_worker_unlisted(w.engine, w.str(w.workers[i].id), w.now);
+	}
+	eng_step_spec s = world::step(8, 8000, LONG_MS);
+	s.service = true;
+	w.submit(FIRST_SMALL, { s });
+	w.play(500, false);
+	gang(6, 8000, true);
+	w.play(2000, false);
+	for (size_t i = 4; i < w.workers.size(); i++) {
+		w.workers[i].listed = true;
+		w.list(w.workers[i]);
+	}
+	w.play(2500, false);
+	EXPECT_TRUE(w.started_jobs.count(GANG));
+	expect_kept();
+}
+
+// One team sends far more than its share: the others are served as before.
+TEST_P(Load, ATeamBeyondItsShareWaitsBehindTheOthers)
+{
+	eng_team teams[2] = {};
+	size_t in_time = 0, calm = 0;
+
+	teams[0].name = vh_slice_str("hot");
+	teams[0].weight = 5;
+	teams[1].name = vh_slice_str("calm");
+	teams[1].weight = 10;
+	eng_teams(w.engine, teams, 2);
+	for (int i = 0; i < 100; i++) {
+		w.team = "hot";
+		for (int k = 0; k < 3; k++)
+			w.submit(next++, { world::step(6, 2000, 1500) }, 1);
+		if (i % 4 == 0) {
+			w.team = "calm";
+			w.submit(50000 + (uint64_t)calm++,
+				 { world::step(6, 2000, 1500) }, 1);
+		}
+		w.play(50, false);
+	}
+	w.play(1500, false);
+	for (uint64_t i = 0; i < calm; i++)
+		in_time += eng_status(w.engine, 50000 + i) == ENG_COMPLETE;
+	EXPECT_GE(in_time * 10, calm * 9);
+	expect_kept();
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, Load, testing::Range(1, 9));
 
 } // namespace
