--- a/packages/base/src/log.c
+++ b/packages/base/src/log.c
@@ -12,7 +12,7 @@
 
 #define LOG_MAX_FIELDS 16
 #define FIELD_PREFIX "VH_"
-#define LINES_PER_S 400.0  /* written at most, on the mean */
+#define LINES_PER_S 400.0     /* written at most, on the mean */
 #define LINES_BURST 2000.0    /* and so many at once */
 #define LINE_BYTES_MOST 4000u /* a pipe that takes any takes so many */
 
--- a/packages/engine/src/eng_ask.c
+++ b/packages/engine/src/eng_ask.c
@@ -115,6 +115,7 @@
 	struct worker *w;
 	double slots; /* tasks, times the chance that it is good */
 	bool known;
+	bool held; /* a gang waits for its room */
 };
 
 static int by_use(const void *a, const void *b)
@@ -122,6 +123,8 @@
 	const struct candidate *x = a;
 	const struct candidate *y = b;
 
+	if (x->held != y->held)
+		return x->held ? 1 : -1;
 	if (x->known != y->known)
 		return x->known ? -1 : 1;
 	return x->slots < y->slots ? 1 : x->slots > y->slots ? -1 : 0;
@@ -142,13 +145,13 @@
 }
 
 /* Whether asking about a worker may help a gang that waits. */
-static bool gang_may_use(const struct engine *e, const struct step *s,
-			 const struct worker *w, const struct verdict *v)
+static bool gang_may_use(const struct step *s, const struct worker *w,
+			 const struct verdict *v, double slots)
 {
 	if (v && !v->good)
 		return false;
 	if (s->room_known)
-		return eng_slots(e, s, w) > 0;
+		return slots > 0;
 	return !v && w->listed && eng_suits(s, w);
 }
 
@@ -165,6 +168,7 @@
 	int64_t lasting = e->now_ms + TICKET_LASTS_MS +
 			  (int64_t)(terms->decide_ms +
 				    terms->each_ms * (double)s->spec->n_tasks);
+	bool soon = s->start_in_ms <= e->settings.stop_ms;
 	double ready = 0;
 	double have = 0;
 	size_t n = 0;
@@ -174,7 +178,9 @@
 		struct verdict *v = eng_verdict(s, w);
 		double slots = eng_slots(e, s, w);
 
-		if (!gang_may_use(e, s, w, v))
+		if (soon)
+			slots = MAX(slots, (double)eng_gang_slots(s, w));
+		if (!gang_may_use(s, w, v, slots))
 			continue;
 		ready += v ? slots : slots * s->job->queue->good_share;
 		if (v && v->expires_ms > lasting) {
@@ -183,6 +189,7 @@
 		}
 		out[n].w = w;
 		out[n].known = v;
+		out[n].held = false;
 		out[n].slots = v ? slots : slots * s->job->queue->good_share;
 		n++;
 	}
@@ -214,6 +221,7 @@
 			continue;
 		out[n].w = w;
 		out[n].known = v;
+		out[n].held = eng_held_lately(e, w);
 		out[n].slots = v ? slots : slots * s->job->queue->good_share;
 		n++;
 	}
--- a/packages/engine/src/eng_place.c
+++ b/packages/engine/src/eng_place.c
@@ -14,8 +14,7 @@
 #define BAD_AFTER 1.5	   /* score that it has when it is tried again */
 #define BAD_AVOID_MS 3000  /* how long it is set aside */
 #define WHOLE_CORE 1000	   /* thousandths of a processor */
-#define HELD_COST 500.0	   /* of a worker with room kept for a gang */
-#define HELD_LATELY_MS 500 /* in so long */
+#define HELD_COST 500.0	   /* of a worker that a gang waits for */
 
 enum tier {
 	TIER_IN_TIME,
@@ -85,7 +84,7 @@
 	double c = left + 4 * w->bad;
 
 	/* Tasks that go first leave room alone that gangs wait for. */
-	if (w->held_ms && e->now_ms - w->held_ms < HELD_LATELY_MS)
+	if (eng_held_lately(e, w))
 		c += HELD_COST;
 	if (s->spec->rack.len) {
 		for (char **l = w->labels; *l; l++) {
@@ -249,6 +248,7 @@
 	}
 	say_waits(e, s, why);
 	eng_ask_run(e, s);
+	eng_gang_make_room(e, s);
 	eng_hold_gang(e, s);
 }
 
--- a/packages/engine/src/eng_priv.h
+++ b/packages/engine/src/eng_priv.h
@@ -30,6 +30,7 @@
  * @order_open: a start or a stop is on its way
  * @stop_acked_ms: when its worker accepted a stop, 0: it did not
  * @gate: batch that stores the placement
+ * @yielded: how often it was stopped for a gang
  * @since_ms: when @state was entered
  * @stamp: number of the last report that listed it as running
  */
@@ -42,6 +43,7 @@
 	bool done;
 	bool order_open;
 	unsigned int tries;
+	unsigned int yielded;
 	int64_t since_ms;
 	int64_t stop_acked_ms;
 	uint64_t gate;
@@ -68,6 +70,7 @@
  * @holding: the room of @holds is kept
  * @room_known: enough advised workers are known for @holds
  * @start_in_ms: from when @holds were chosen until all of it is probably free
+ * @yield_after_ms: when tasks may be stopped for it again
  * @plan_until_ms: when @holds are to be chosen anew
  */
 struct step {
@@ -92,6 +95,7 @@
 	bool room_known;
 	int64_t start_in_ms;
 	int64_t plan_until_ms;
+	int64_t yield_after_ms;
 };
 
 /* Room for @slots tasks of a gang, kept on one worker. */
@@ -225,6 +229,7 @@
 /* eng_tasks.c: what happens to a task */
 struct task *eng_find_task(struct engine *e, struct eng_task_ref ref);
 struct eng_task_ref eng_task_ref(const struct task *t);
+void eng_room_add(struct eng_room *to, const struct eng_step_spec *s, int sign);
 void eng_task_set(struct engine *e, struct task *t, enum task_state s);
 void eng_task_commit(struct engine *e, struct task *t, struct worker *w);
 void eng_task_release(struct engine *e, struct task *t);
@@ -297,6 +302,12 @@
 const char *eng_plan_gang(struct engine *e, struct step *s);
 /* eng_hold_gang - keeps the chosen room, if eng_plan_gang() says so */
 void eng_hold_gang(struct engine *e, const struct step *s);
+/* eng_gang_make_room - stops what yields to it, once that will be enough */
+void eng_gang_make_room(struct engine *e, struct step *s);
+/* eng_gang_slots - tasks of a waiting gang that a worker was chosen for */
+uint32_t eng_gang_slots(const struct step *s, const struct worker *w);
+/* eng_held_lately - work that goes first should be placed elsewhere */
+bool eng_held_lately(const struct engine *e, const struct worker *w);
 /* eng_learn_run - a task has ended done */
 void eng_learn_run(struct task *t, int64_t now_ms);
 
--- a/packages/engine/src/eng_reserve.c
+++ b/packages/engine/src/eng_reserve.c
@@ -12,6 +12,10 @@
  */
 #define PLAN_MS 150	     /* a choice of workers is kept so long */
 #define HOLD_SHARE_MOST 0.35 /* of the cell's processors, for all gangs */
+#define HELD_LATELY_MS 300   /* a gang waited for a worker so lately */
+#define YIELDS_MOST 2	     /* times that one task is stopped for gangs */
+#define YIELD_SPARE_MS 2500  /* that its job has, beyond its longest chain */
+#define YIELD_AGAIN_MS 1200  /* between two rounds of stops for a gang */
 #define OVERDUE_SHARE 0.25   /* of its run so far, that a late task goes on */
 #define RATIO_STEP 0.05	     /* weight of a new run in what is learned */
 #define RATIO_LEAST 0.3	     /* bounds of a run against its estimate */
@@ -23,6 +27,11 @@
 	struct worker *w;
 };
 
+bool eng_held_lately(const struct engine *e, const struct worker *w)
+{
+	return w->held_ms && e->now_ms - w->held_ms < HELD_LATELY_MS;
+}
+
 void eng_learn_run(struct task *t, int64_t now_ms)
 {
 	struct queue *q = t->step->job->queue;
@@ -36,6 +45,26 @@
 	q->run_ratio += RATIO_STEP * (ratio - q->run_ratio);
 }
 
+/*
+ * Whether a task may be stopped for a gang: it loses nothing, since it saves
+ * its progress, and its job has time to spare or no chance.
+ */
+static bool yields(const struct engine *e, const struct step *gang,
+		   const struct task *t)
+{
+	const struct step *s = t->step;
+	int64_t spare = s->job->due_ms - e->now_ms - s->chain_ms;
+
+	if (t->state != TASK_RUNNING || t->done || t->order_open)
+		return false;
+	if (s->spec->gang || s->spec->service || !s->spec->checkpoints)
+		return false;
+	if (s->job->spec->priority <= gang->job->spec->priority)
+		return false;
+	return t->yielded < YIELDS_MOST &&
+	       (spare >= YIELD_SPARE_MS || e->now_ms > s->job->due_ms);
+}
+
 /* How long a task will probably take its room yet; -1: no end in sight. */
 static int64_t remaining_ms(const struct engine *e, const struct task *t)
 {
@@ -44,7 +73,7 @@
 	int64_t so_far = e->now_ms - t->since_ms;
 
 	if (t->state == TASK_STOPPING)
-		return e->settings.stop_ms;
+		return MAX(e->settings.stop_ms - so_far, 0);
 	if (t->step->spec->service)
 		return -1;
 	if (t->state != TASK_RUNNING)
@@ -58,7 +87,12 @@
 	const struct opening *x = a;
 	const struct opening *y = b;
 
-	return x->in_ms < y->in_ms ? -1 : x->in_ms > y->in_ms;
+	if (x->in_ms != y->in_ms)
+		return x->in_ms < y->in_ms ? -1 : 1;
+	/* Where room was kept before, so that a choice stays. */
+	return x->w->held_ms > y->w->held_ms   ? -1
+	       : x->w->held_ms < y->w->held_ms ? 1
+					       : strcmp(x->w->id, y->w->id);
 }
 
 struct freed {
@@ -74,8 +108,8 @@
 	return x->in_ms < y->in_ms ? -1 : x->in_ms > y->in_ms;
 }
 
-static size_t ends_on(const struct engine *e, const struct worker *w,
-		      struct freed *out)
+static size_t ends_on(const struct engine *e, const struct step *s,
+		      const struct worker *w, struct freed *out)
 {
 	size_t n = 0;
 
@@ -83,6 +117,8 @@
 		const struct task *t = w->tasks->pdata[i];
 		int64_t in = remaining_ms(e, t);
 
+		if (yields(e, s, t))
+			in = MIN(in, e->settings.stop_ms);
 		if (in < 0)
 			continue;
 		out[n].in_ms = in;
@@ -100,7 +136,7 @@
 			struct worker *w, GArray *out)
 {
 	struct freed *ends = g_new(struct freed, w->tasks->len + 1);
-	size_t n = ends_on(e, w, ends);
+	size_t n = ends_on(e, s, w, ends);
 	struct eng_room free = eng_free_room(w);
 	uint32_t have = 0;
 
@@ -222,3 +258,49 @@
 		e->held_cpu += h->slots * need->cpu_milli;
 	}
 }
+
+/* Stops tasks on a worker until the gang's share of it will be free. */
+static void make_room(struct engine *e, struct step *s, const struct hold *h)
+{
+	struct eng_room free = eng_free_room(h->w);
+
+	for (guint i = 0; i < h->w->tasks->len; i++) {
+		struct task *t = h->w->tasks->pdata[i];
+
+		if (t->state == TASK_STOPPING)
+			eng_room_add(&free, t->step->spec, 1);
+	}
+	for (guint i = 0; i < h->w->tasks->len; i++) {
+		struct task *t = h->w->tasks->pdata[i];
+
+		if (eng_fits(s, free) >= h->slots)
+			return;
+		if (!yields(e, s, t))
+			continue;
+		eng_room_add(&free, t->step->spec, 1);
+		t->yielded++;
+		eng_decided(e, "yields to a gang", t, h->w);
+		eng_task_stop(e, t);
+	}
+}
+
+void eng_gang_make_room(struct engine *e, struct step *s)
+{
+	if (!s->holding || s->start_in_ms > e->settings.stop_ms ||
+	    e->now_ms < s->yield_after_ms)
+		return;
+	s->yield_after_ms = e->now_ms + YIELD_AGAIN_MS;
+	for (guint i = 0; i < s->holds->len; i++)
+		make_room(e, s, &g_array_index(s->holds, struct hold, i));
+}
+
+uint32_t eng_gang_slots(const struct step *s, const struct worker *w)
+{
+	for (guint i = 0; s->holding && i < s->holds->len; i++) {
+		const struct hold *h = &g_array_index(s->holds, struct hold, i);
+
+		if (h->w == w)
+			return h->slots;
+	}
+	return 0;
+}
--- a/packages/engine/src/eng_tasks.c
+++ b/packages/engine/src/eng_tasks.c
@@ -36,8 +36,8 @@
 	t->since_ms = e->now_ms;
 }
 
-static void room_add(struct eng_room *to, const struct eng_step_spec *s,
-		     int sign)
+/* Adds what a task takes, or takes it off with @sign -1. */
+void eng_room_add(struct eng_room *to, const struct eng_step_spec *s, int sign)
 {
 	if (!s->filler)
 		to->cpu_milli += sign * s->need.cpu_milli;
@@ -53,8 +53,8 @@
 	t->worker = w;
 	t->tries = 0;
 	t->stop_acked_ms = 0;
-	room_add(&w->used, s->spec, 1);
-	room_add(&s->job->team->used, s->spec, 1);
+	eng_room_add(&w->used, s->spec, 1);
+	eng_room_add(&s->job->team->used, s->spec, 1);
 	g_ptr_array_add(w->tasks, t);
 	s->n_placed++;
 	if (!t->done)
@@ -71,8 +71,8 @@
 		return;
 	if (t->state == TASK_STORING)
 		g_queue_remove(&e->storing, t);
-	room_add(&w->used, s->spec, -1);
-	room_add(&s->job->team->used, s->spec, -1);
+	eng_room_add(&w->used, s->spec, -1);
+	eng_room_add(&s->job->team->used, s->spec, -1);
 	g_ptr_array_remove_fast(w->tasks, t);
 	t->worker = NULL;
 	s->n_placed--;
--- a/packages/engine/tests/test_load.cc
+++ b/packages/engine/tests/test_load.cc
@@ -118,6 +118,41 @@
 	expect_kept();
 }
 
+// The cell is full of long work that can be stopped and loses nothing by it.
+TEST_P(Load, WorkThatSavesItsProgressYieldsToAGang)
+{
+	for (int i = 0; i < 12; i++) {
+		eng_step_spec s = world::step(8, 2000, 60000);
+		s.checkpoints = true;
+		w.submit(next++, { s }, 2);
+	}
+	w.play(1000, false);
+	ASSERT_GT(cpu_running(), 12 * 16000 * 9 / 10);
+	gang(24, 4000, false);
+	w.play(2500, false);
+	EXPECT_TRUE(w.started_jobs.count(GANG));
+	expect_kept();
+}
+
+// What cannot save its progress, or is more urgent, is left alone.
+TEST_P(Load, OtherWorkDoesNotYieldToAGang)
+{
+	for (int i = 0; i < 12; i++) {
+		eng_step_spec s = world::step(8, 2000, 60000);
+		s.checkpoints = i % 2;
+		w.submit(next++, { s }, i % 2 ? 0 : 2);
+	}
+	w.play(1000, false);
+	gang(24, 4000, false);
+	for (int i = 0; i < 25; i++) {
+		w.play(100, false);
+		for (auto &x : w.workers)
+			for (auto &r : x.running)
+				EXPECT_FALSE(r.stopping);
+	}
+	expect_kept();
+}
+
 // One team sends far more than its share: the others are served as before.
 TEST_P(Load, ATeamBeyondItsShareWaitsBehindTheOthers)
 {
