Test nodes together: the way of a job, and what becomes of it without its owner

packages/cell/tests: three nodes on loopback with a store, workers and a policy service in memory. A cell can be freed now: calls to the store are counted, and what comes back after the stop changes nothing.

--- a/packages/cell/include/vh/cell.h
+++ b/packages/cell/include/vh/cell.h
@@ -30,6 +30,11 @@
 struct vh_cell *vh_cell_new(const struct vh_cell_settings *settings,
 			    const struct vh_ports *ports,
 			    struct vh_kernel *kernel);
+
+/* vh_cell_idle - after its service has stopped: no call is out any more */
+bool vh_cell_idle(const struct vh_cell *c);
+
+/* vh_cell_free - only when it is idle */
 void vh_cell_free(struct vh_cell *c);
 struct vh_service *vh_cell_service(struct vh_cell *c);
 
--- a/packages/cell/src/cell.c
+++ b/packages/cell/src/cell.c
@@ -81,8 +81,16 @@
 	return c;
 }
 
+bool vh_cell_idle(const struct vh_cell *c)
+{
+	return writer_idle(&c->writer) && owner_idle(c) &&
+	       follow_idle(&c->objects);
+}
+
 void vh_cell_free(struct vh_cell *c)
 {
+	owner_finish(c);
+	follow_finish(&c->objects);
 	vh_config_view_free(c->view);
 	g_free(c->name);
 	g_free(c->peer_address);
--- a/packages/cell/src/cell_priv.h
+++ b/packages/cell/src/cell_priv.h
@@ -33,6 +33,9 @@
 	struct vh_timer look;
 	uint64_t look_end;
 	bool leaving;
+	bool stopped;
+	unsigned int calls; /* to the store, that are out */
+	unsigned int leads; /* that have not freed themselves yet */
 
 	struct hub hub;
 	struct spoke spoke;
@@ -44,6 +47,10 @@
 bool owner_start(struct vh_cell *c, GError **err);
 void owner_stop(struct vh_cell *c);
 
+/* owner_idle - after owner_stop(): no call is out any more */
+bool owner_idle(const struct vh_cell *c);
+void owner_finish(struct vh_cell *c);
+
 /* own_advice.c: calls to the policy service for the owner */
 void own_advice(struct vh_cell *c, const struct vh_frame *f);
 
--- a/packages/cell/src/lead.c
+++ b/packages/cell/src/lead.c
@@ -330,6 +330,7 @@
 		follow_finish(&l->jobs);
 	eng_free(l->engine);
 	eng_records_free(l->records, l->n_records);
+	l->ops.freed(l->ctx);
 	g_free(l);
 }
 
--- a/packages/cell/src/lead.h
+++ b/packages/cell/src/lead.h
@@ -18,12 +18,14 @@
  * struct lead_ops - what an owner tells its node
  * @proved: the store took a write of this owner that was sent at @sent_ms
  * @gave_up: the ownership has been lost; the lead has stopped
+ * @freed: the lead's last call is back, and its memory goes
  * @reached: a node that was asked says that it reaches the store
  */
 struct lead_ops {
 	void (*proved)(void *ctx, int64_t sent_ms);
 	void (*gave_up)(void *ctx, const char *why);
 	void (*reached)(void *ctx);
+	void (*freed)(void *ctx);
 };
 
 struct lead;
--- a/packages/cell/src/own_advice.c
+++ b/packages/cell/src/own_advice.c
@@ -12,7 +12,8 @@
 	struct errand *x = ctx;
 	struct spoke *s = &x->cell->spoke;
 
-	if (spoke_usable(s) && s->epoch == x->epoch)
+	x->cell->calls--;
+	if (!x->cell->stopped && spoke_usable(s) && s->epoch == x->epoch)
 		spoke_advice(s, x->sequence, r->ok, r->valid_ms, r->good, r->n);
 	g_free(x);
 }
@@ -32,6 +33,7 @@
 		vh_frame_bytes(&rows->via.array.ptr[i], ENG_NAME_MAX, &ids[i]);
 	x = g_new0(struct errand, 1);
 	x->cell = c;
+	c->calls++;
 	x->sequence = wire_u64(f, 0);
 	x->epoch = c->spoke.epoch;
 	c->ports->policy->advise(c->ports->policy_self, wire_u64(f, 1),
--- a/packages/cell/src/owner.c
+++ b/packages/cell/src/owner.c
@@ -35,6 +35,13 @@
 	vh_log(G_LOG_LEVEL_INFO, what, "epoch", text, "why", why, NULL);
 }
 
+/* A call to the store has come back; false: nothing is to be done with it. */
+static bool call_over(struct vh_cell *c)
+{
+	c->calls--;
+	return !c->stopped;
+}
+
 static void stop_lead(struct vh_cell *c, const char *why)
 {
 	if (!c->lead)
@@ -66,14 +73,26 @@
 	claim_reached(&c->claim, vh_kernel_now_ms(c->kernel));
 }
 
+static void on_lead_freed(void *ctx)
+{
+	struct vh_cell *c = ctx;
+
+	c->leads--;
+}
+
 static void start_lead(struct vh_cell *c, uint64_t epoch)
 {
-	static const struct lead_ops ops = { on_proved, on_gave_up,
-					     on_node_reaches };
+	static const struct lead_ops ops = {
+		.proved = on_proved,
+		.gave_up = on_gave_up,
+		.reached = on_node_reaches,
+		.freed = on_lead_freed,
+	};
 
 	stop_lead(c, "claimed anew");
 	spoke_follow(&c->spoke, epoch, c->incarnation, vh_slice(NULL, 0));
 	log_epoch("ownership begins", epoch, "claim stored");
+	c->leads++;
 	c->lead = lead_new(c->kernel, c->ports, &c->hub, &c->lead_settings,
 			   epoch, claim_former_ms(), &ops, c);
 	if (c->view)
@@ -202,6 +221,7 @@
 	vh_buf_init(&bytes);
 	pack_record(c, released, &bytes);
 	rec.value = vh_buf_slice(&bytes);
+	c->calls++;
 	c->ports->store->append(c->ports->store_self, &a, done, c);
 	vh_buf_finish(&bytes);
 }
@@ -211,6 +231,8 @@
 	struct vh_cell *c = ctx;
 	int64_t now = vh_kernel_now_ms(c->kernel);
 
+	if (!call_over(c))
+		return;
 	if (r->result != VH_STORE_OK) {
 		claim_refused(&c->claim, now);
 		return;
@@ -225,6 +247,8 @@
 {
 	struct vh_cell *c = ctx;
 
+	if (!call_over(c))
+		return;
 	claim_looked(&c->claim, r->end != c->look_end, r->result != VH_STORE_OK,
 		     vh_kernel_now_ms(c->kernel));
 	if (r->result == VH_STORE_OK && r->end == c->look_end)
@@ -235,6 +259,7 @@
 {
 	struct vh_cell *c = ctx;
 
+	c->calls++;
 	c->ports->store->newest(c->ports->store_self, VH_TOPIC_STATE,
 				vh_slice_str(VH_KEY_BEFORE_PULSE),
 				on_looked_again, c);
@@ -244,6 +269,8 @@
 {
 	struct vh_cell *c = ctx;
 
+	if (!call_over(c))
+		return;
 	if (r->result != VH_STORE_OK) {
 		claim_looked(&c->claim, false, true,
 			     vh_kernel_now_ms(c->kernel));
@@ -255,7 +282,8 @@
 
 static void on_released(void *ctx, const struct vh_append_reply *r)
 {
-	(void)ctx;
+	if (!call_over(ctx))
+		return;
 	if (r->result != VH_STORE_OK)
 		vh_log(G_LOG_LEVEL_WARNING, "ownership not released", NULL);
 }
@@ -302,6 +330,7 @@
 		maybe_yield(c, now);
 		break;
 	case CLAIM_LOOK:
+		c->calls++;
 		c->ports->store->newest(c->ports->store_self, VH_TOPIC_STATE,
 					vh_slice_str(VH_KEY_BEFORE_PULSE),
 					on_looked, c);
@@ -350,6 +379,8 @@
 {
 	struct vh_cell *c = ctx;
 
+	if (!call_over(c))
+		return;
 	if (r->result == VH_STORE_OK)
 		spoke_reached(&c->spoke, c->spoke.epoch);
 }
@@ -358,9 +389,11 @@
 {
 	struct vh_cell *c = ctx;
 
-	if (epoch == c->spoke.epoch)
-		c->ports->store->read(c->ports->store_self, VH_TOPIC_OWNER,
-				      c->owner.next, 0, on_tried, c);
+	if (epoch != c->spoke.epoch)
+		return;
+	c->calls++;
+	c->ports->store->read(c->ports->store_self, VH_TOPIC_OWNER,
+			      c->owner.next, 0, on_tried, c);
 }
 
 static void on_vacant(void *ctx, uint64_t epoch)
@@ -413,6 +446,7 @@
 
 void owner_stop(struct vh_cell *c)
 {
+	c->stopped = true;
 	stop_lead(c, "the process stops");
 	follow_stop(&c->owner);
 	vh_timer_stop(&c->tick);
@@ -421,6 +455,18 @@
 	hub_stop(&c->hub);
 }
 
+bool owner_idle(const struct vh_cell *c)
+{
+	return !c->calls && !c->leads && follow_idle(&c->owner);
+}
+
+void owner_finish(struct vh_cell *c)
+{
+	vh_timer_finish(&c->tick);
+	vh_timer_finish(&c->look);
+	follow_finish(&c->owner);
+}
+
 void vh_cell_leave(struct vh_cell *c)
 {
 	bool owned = c->lead;
--- /dev/null
+++ b/packages/cell/tests/town.h
@@ -0,0 +1,582 @@
+#ifndef CELL_TESTS_TOWN_H
+#define CELL_TESTS_TOWN_H
+
+/*
+ * What surrounds a few nodes that run in one process: a store, workers and a
+ * policy service in memory, behind the ports. Nodes talk to each other over
+ * loopback. Every answer comes later, from the loop; a node's path to the store
+ * can be turned away or fall silent.
+ */
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+extern "C" {
+#include "cell_priv.h"
+#include "vh/log.h"
+}
+
+namespace town
+{
+
+inline std::string text(struct vh_slice s)
+{
+	return std::string(s.data ? s.data : "", s.len);
+}
+
+inline struct vh_slice slice(const std::string &s)
+{
+	return { s.data(), s.size() };
+}
+
+struct Topic {
+	std::vector<std::pair<std::string, std::string>> records;
+	uint64_t epoch = 0, sequence = 0;
+};
+
+struct Run {
+	std::string task;
+	eng_task_ref ref;
+	int64_t ends_ms;
+};
+
+struct Ended {
+	int64_t number;
+	eng_task_ref ref;
+};
+
+struct Worker {
+	uint64_t fence = 0;
+	int64_t next_end = 1;
+	std::vector<Run> running;
+	std::vector<Ended> ended;
+};
+
+class Town
+{
+      public:
+	enum Path {
+		WELL,
+		REFUSES,
+		SILENT
+	};
+
+	Town()
+	{
+		vh_kernel_init(&kernel, vh_clock_system());
+	}
+
+	~Town()
+	{
+		vh_kernel_finish(&kernel);
+	}
+
+	int64_t now()
+	{
+		return vh_kernel_now_ms(&kernel);
+	}
+
+	/* Calls back from the loop. */
+	void in(int64_t ms, std::function<void()> fn)
+	{
+		timeval t = { ms / 1000, (ms % 1000) * 1000 };
+		auto *f = new std::function<void()>([this, fn] {
+			open--;
+			fn();
+		});
+
+		open++;
+		event_base_once(
+			kernel.base, -1, EV_TIMEOUT,
+			[](evutil_socket_t, short, void *ctx) {
+				auto *g = (std::function<void()> *)ctx;
+				(*g)();
+				delete g;
+			},
+			f, &t);
+	}
+
+	/* Turns the loop until something holds, or patience ends. */
+	bool until(std::function<bool()> holds, int64_t patience_ms = 20000)
+	{
+		int64_t end = now() + patience_ms;
+
+		while (!holds() && now() < end)
+			turn(5);
+		return holds();
+	}
+
+	void turn(int64_t ms)
+	{
+		timeval t = { ms / 1000, (ms % 1000) * 1000 };
+
+		event_base_loopexit(kernel.base, &t);
+		event_base_dispatch(kernel.base);
+	}
+
+	void broken(const std::string &what)
+	{
+		violations.push_back(what);
+	}
+
+	void start_run(Worker &w, const eng_start_order *o)
+	{
+		std::string name = task_name(o->task);
+
+		for (auto &x : workers)
+			for (auto &r : x.second.running)
+				if (r.task == name && r.ref.run != o->task.run)
+					broken("two runs of " + name);
+		if (done.count(name))
+			broken("a start of " + name + ", which is done");
+		starts[name]++;
+		w.running.push_back({ name, o->task, now() + run_ms });
+	}
+
+	static std::string task_name(const eng_task_ref &t)
+	{
+		return std::to_string(t.job) + "." + std::to_string(t.step) +
+		       "." + std::to_string(t.index);
+	}
+
+	void end_runs(Worker &w)
+	{
+		for (size_t i = w.running.size(); i-- > 0;) {
+			Run r = w.running[i];
+
+			if (r.ends_ms > now())
+				continue;
+			w.ended.push_back({ w.next_end++, r.ref });
+			w.running.erase(w.running.begin() + (long)i);
+		}
+	}
+
+	struct vh_kernel kernel;
+	std::map<int, Topic> topics;
+	std::map<std::string, Worker> workers; /* by address, which is the id */
+	std::map<std::string, int> starts;
+	std::set<std::string> done;
+	std::vector<std::string> violations;
+	int64_t run_ms = 150;
+	int open = 0; /* callbacks to come */
+};
+
+/* One node's way to the town. */
+struct Gate {
+	Town *town;
+	Town::Path path = Town::WELL;
+	bool up =
+		true; /* the process is there; nothing comes back to a dead one */
+
+	static Gate *of(void *self)
+	{
+		return (Gate *)self;
+	}
+
+	static void append(void *self, const vh_append *a,
+			   void (*done)(void *, const vh_append_reply *),
+			   void *ctx)
+	{
+		Gate *g = of(self);
+		vh_append_reply r = {};
+
+		if (g->path == Town::WELL)
+			r = g->append_now(a);
+		else
+			r.result = g->path == Town::REFUSES ? VH_STORE_REFUSED
+							    : VH_STORE_UNKNOWN;
+		g->town->in(g->path == Town::SILENT ? a->timeout_ms : 4,
+			    [=] { done(ctx, &r); });
+	}
+
+	vh_append_reply append_now(const vh_append *a)
+	{
+		Topic &t = town->topics[a->topic];
+		vh_append_reply r = {};
+
+		r.end = t.records.size();
+		r.result = VH_STORE_MOVED;
+		if (a->if_end && a->end != r.end)
+			return r;
+		r.result = VH_STORE_FENCED;
+		if (a->epoch && a->epoch < t.epoch)
+			return r;
+		r.result = VH_STORE_SEQUENCE;
+		r.expected = t.sequence + 1;
+		if (a->epoch && a->epoch == t.epoch && a->n &&
+		    a->sequence != r.expected)
+			return r;
+		if (a->epoch) {
+			t.epoch = a->epoch;
+			t.sequence = a->sequence;
+		}
+		r.result = VH_STORE_OK;
+		r.offset = r.end;
+		for (size_t i = 0; i < a->n; i++)
+			t.records.emplace_back(text(a->records[i].key),
+					       text(a->records[i].value));
+		r.end = t.records.size();
+		return r;
+	}
+
+	using ReadDone = void (*)(void *, const vh_read_reply *);
+
+	void
+	give(ReadDone done, void *ctx, uint64_t end,
+	     std::vector<
+		     std::pair<uint64_t, std::pair<std::string, std::string>>>
+		     found)
+	{
+		std::vector<vh_record> out;
+		vh_read_reply r = {};
+
+		for (auto &f : found)
+			out.push_back({ slice(f.second.first),
+					slice(f.second.second), f.first });
+		r.records = out.data();
+		r.n = out.size();
+		r.end = end;
+		done(ctx, &r);
+	}
+
+	bool turned_away(ReadDone done, void *ctx, int64_t silent_ms)
+	{
+		vh_read_reply r = {};
+
+		if (path == Town::WELL)
+			return false;
+		r.result = path == Town::REFUSES ? VH_STORE_REFUSED
+						 : VH_STORE_UNKNOWN;
+		town->in(path == Town::SILENT ? silent_ms : 4,
+			 [=] { done(ctx, &r); });
+		return true;
+	}
+
+	static void read(void *self, vh_topic topic, uint64_t from,
+			 int64_t wait_ms, ReadDone done, void *ctx)
+	{
+		Gate *g = of(self);
+		Topic &t = g->town->topics[topic];
+
+		if (g->turned_away(done, ctx, wait_ms + 900))
+			return;
+		if (from >= t.records.size() && wait_ms > 0) {
+			g->town->in(10, [=] {
+				read(self, topic, from, wait_ms - 10, done,
+				     ctx);
+			});
+			return;
+		}
+		g->town->in(4, [=, &t] {
+			std::vector<std::pair<
+				uint64_t, std::pair<std::string, std::string>>>
+				found;
+
+			for (uint64_t i = from; i < t.records.size(); i++)
+				found.emplace_back(i, t.records[i]);
+			g->give(done, ctx, t.records.size(), found);
+		});
+	}
+
+	static void newest(void *self, vh_topic topic, struct vh_slice after,
+			   ReadDone done, void *ctx)
+	{
+		Gate *g = of(self);
+		Topic &t = g->town->topics[topic];
+		std::string behind = text(after);
+
+		if (g->turned_away(done, ctx, 1500))
+			return;
+		g->town->in(4, [=, &t] {
+			std::map<std::string, uint64_t> last;
+			std::vector<std::pair<
+				uint64_t, std::pair<std::string, std::string>>>
+				found;
+
+			for (uint64_t i = 0; i < t.records.size(); i++)
+				last[t.records[i].first] = i;
+			for (auto &l : last) {
+				if (l.first > behind &&
+				    !t.records[l.second].second.empty())
+					found.emplace_back(l.second,
+							   t.records[l.second]);
+			}
+			g->give(done, ctx, t.records.size(), found);
+		});
+	}
+
+	using OrderDone = void (*)(void *, eng_answer);
+
+	static void start(void *self, struct vh_slice address, uint64_t fence,
+			  const eng_start_order *o, OrderDone done, void *ctx)
+	{
+		Gate *g = of(self);
+		Worker &w = g->town->workers[text(address)];
+		eng_answer a = ENG_ANSWER_OK;
+
+		if (fence < w.fence) {
+			a = ENG_ANSWER_FENCE;
+		} else {
+			w.fence = fence;
+			g->town->start_run(w, o);
+		}
+		g->town->in(4, [=] { done(ctx, a); });
+	}
+
+	static void stop(void *self, struct vh_slice address, struct vh_slice,
+			 uint64_t fence, eng_task_ref task, OrderDone done,
+			 void *ctx)
+	{
+		Gate *g = of(self);
+		Worker &w = g->town->workers[text(address)];
+
+		w.fence = std::max(w.fence, fence);
+		for (auto &r : w.running)
+			if (r.task == Town::task_name(task))
+				r.ends_ms = 0;
+		g->town->in(4, [=] { done(ctx, ENG_ANSWER_OK); });
+	}
+
+	using HoldDone = void (*)(void *, eng_answer,
+				  const struct eng_report *);
+
+	static void hold(void *self, struct vh_slice address, uint64_t fence,
+			 const eng_hold_order *o, HoldDone done, void *ctx)
+	{
+		Gate *g = of(self);
+		Worker &w = g->town->workers[text(address)];
+
+		if (fence < w.fence) {
+			g->town->in(4, [=] {
+				done(ctx, ENG_ANSWER_FENCE, nullptr);
+			});
+			return;
+		}
+		w.fence = fence;
+		while (!w.ended.empty() &&
+		       w.ended[0].number <= o->acknowledged) {
+			g->town->done.insert(Town::task_name(w.ended[0].ref));
+			w.ended.erase(w.ended.begin());
+		}
+		g->look(&w, g->town->now(), g->town->now() + o->wait_ms, done,
+			ctx);
+	}
+
+	void look(Worker *w, int64_t sent, int64_t until, HoldDone done,
+		  void *ctx)
+	{
+		town->end_runs(*w);
+		if (w->ended.empty() && town->now() < until) {
+			town->in(10, [=] { look(w, sent, until, done, ctx); });
+			return;
+		}
+		town->in(4, [=] { report(w, sent, done, ctx); });
+	}
+
+	void report(Worker *w, int64_t sent, HoldDone done, void *ctx)
+	{
+		std::vector<eng_running> running;
+		std::vector<eng_finished> ended;
+		struct eng_report r = {};
+
+		for (auto &x : w->running)
+			running.push_back({ x.ref, {} });
+		for (auto &x : w->ended)
+			ended.push_back({ x.number, x.ref, ENG_END_DONE, {} });
+		r.sent_ms = sent;
+		r.clock_ms = town->now();
+		r.born_ms = 1;
+		r.running = running.data();
+		r.n_running = running.size();
+		r.finished = ended.data();
+		r.n_finished = ended.size();
+		done(ctx, ENG_ANSWER_OK, &r);
+	}
+
+	static void advise(void *self, uint64_t, uint32_t,
+			   const struct vh_slice *ids, size_t n,
+			   void (*done)(void *, const vh_policy_reply *),
+			   void *ctx)
+	{
+		std::vector<std::string> names;
+
+		for (size_t i = 0; i < n; i++)
+			names.push_back(text(ids[i]));
+		of(self)->town->in(10, [=] {
+			std::vector<eng_good> good;
+			vh_policy_reply r = {};
+
+			for (auto &x : names)
+				good.push_back({ slice(x), slice(x) });
+			r.ok = true;
+			r.good = good.data();
+			r.n = good.size();
+			r.valid_ms = 1500;
+			done(ctx, &r);
+		});
+	}
+};
+
+/* The configuration: one queue at "/q/", open to all, and its service. */
+inline vh_config_view *decode_config(struct vh_slice, struct vh_slice)
+{
+	vh_config_view *v = g_new0(struct vh_config_view, 1);
+
+	v->arena = g_string_chunk_new(64);
+	v->version = 1;
+	v->queues = g_new0(struct vh_queue_terms, 1);
+	v->n_queues = 1;
+	v->queues[0].name = vh_slice_str("q");
+	v->queues[0].prefix = vh_slice_str("/q/");
+	v->queues[0].service = vh_slice_str("svc");
+	v->queues[0].max_attempts = 3;
+	v->queues[0].stretch = 2;
+	v->queues[0].target_ms = 1000;
+	v->queues[0].open_to_all = true;
+	v->queues[0].advice = { true, 10, 1, 1500 };
+	return v;
+}
+
+inline bool decode_worker(struct vh_slice key, struct vh_slice value,
+			  eng_worker_info *out, GStringChunk *)
+{
+	if (!value.len)
+		return false;
+	*out = {};
+	out->id = key;
+	out->address = key;
+	out->service = vh_slice_str("svc");
+	out->zone = vh_slice_str("z");
+	out->capacity = { 16000, 64000, 0 };
+	out->born_ms = 1;
+	return true;
+}
+
+class Node
+{
+      public:
+	Node(Town &town, const std::string &name, uint16_t port)
+	    : town(town), name(name),
+	      address("127.0.0.1:" + std::to_string(port))
+	{
+		static const vh_store_ops store = { Gate::append, Gate::read,
+						    Gate::newest };
+		static const vh_worker_ops workers = { Gate::start, Gate::stop,
+						       Gate::hold, nullptr };
+		static const vh_policy_ops policy = { Gate::advise };
+		static const vh_decode_ops decode = { decode_config,
+						      decode_worker };
+		vh_cell_settings s = {};
+
+		gate.town = &town;
+		ports = { &store,  &gate, &workers, &gate,
+			  &policy, &gate, &decode };
+		s.name = slice(this->name);
+		s.peer_address = slice(address);
+		s.strength = 500;
+		s.key_proof_ms = 4000;
+		s.engine.lease_ms = 5000;
+		s.engine.lease_max_ms = 6000;
+		s.engine.stop_ms = 300;
+		s.engine.gang_ms = 3000;
+		cell = vh_cell_new(&s, &ports, &town.kernel);
+		vh_service *service = vh_cell_service(cell);
+		started = service->start(service->self, &town.kernel, nullptr);
+	}
+
+	/* The process ends without a word. */
+	~Node()
+	{
+		vh_service *service = vh_cell_service(cell);
+
+		service->stop(service->self);
+		town.until([this] { return vh_cell_idle(cell); });
+		vh_cell_free(cell);
+	}
+
+	bool owner()
+	{
+		struct eng_stats s;
+
+		return cell->lead && lead_stats(cell->lead, &s);
+	}
+
+	/* Hands a job of one step in; the outcome is noted. */
+	void submit(uint64_t id, uint32_t tasks)
+	{
+		eng_step_spec step = {};
+		eng_job_spec spec = {};
+		struct vh_cell_route route;
+
+		if (vh_cell_route(cell, vh_slice_str("h"), vh_slice_str("/q/x"),
+				  {}, &route) != VH_OK) {
+			outcomes[id] = VH_ERR_NOT_READY;
+			return;
+		}
+		step.n_tasks = tasks;
+		step.need = { 1000, 100, 0 };
+		step.estimate_ms = 200;
+		spec.id = id;
+		spec.steps = &step;
+		spec.n_steps = 1;
+		struct Ctx {
+			Node *node;
+			uint64_t id;
+		};
+		vh_cell_submit(
+			cell, &route, &spec, 3000,
+			[](void *ctx, enum vh_err err, const char *) {
+				Ctx *c = (Ctx *)ctx;
+				c->node->outcomes[c->id] = err;
+				delete c;
+			},
+			new Ctx{ this, id });
+	}
+
+	/* Asks for a job's state; status stays as it is without an answer. */
+	void look(uint64_t id)
+	{
+		struct Ctx {
+			Node *node;
+			uint64_t id;
+		};
+		vh_cell_status(
+			cell, id, 500,
+			[](void *ctx, enum vh_err err, uint64_t status) {
+				Ctx *c = (Ctx *)ctx;
+				if (err == VH_OK)
+					c->node->status[c->id] = status;
+				delete c;
+			},
+			new Ctx{ this, id });
+	}
+
+	bool complete(uint64_t id, int64_t patience_ms = 20000)
+	{
+		return town.until(
+			[this, id] {
+				look(id);
+				town.turn(30);
+				return status.count(id) &&
+				       status[id] == ENG_COMPLETE;
+			},
+			patience_ms);
+	}
+
+	Town &town;
+	std::string name, address;
+	Gate gate;
+	vh_ports ports;
+	struct vh_cell *cell;
+	bool started;
+	std::map<uint64_t, enum vh_err> outcomes;
+	std::map<uint64_t, uint64_t> status;
+};
+
+} // namespace town
+
+#endif
