Let a node store what the store turned away at the owner

Cause: for the quarter of a second until an owner that the store turns away hands over, the records of all callers were refused, although the other nodes reach the store. A node now tries itself when the owner says that its record was turned away (a new outcome beside refused: never sent).

--- a/packages/cell/src/cell.c
+++ b/packages/cell/src/cell.c
@@ -152,6 +152,7 @@
 		[WRITE_STORED] = VH_OK,
 		[WRITE_REFUSED] = VH_ERR_STORE_SILENT,
 		[WRITE_UNKNOWN] = VH_ERR_TIMEOUT,
+		[WRITE_TURNED_AWAY] = VH_ERR_STORE_SILENT,
 	};
 	struct write *w = ctx;
 
@@ -161,17 +162,22 @@
 	g_free(w);
 }
 
-/* The owner did not answer: it may be gone, and the record may be stored. */
+/*
+ * Without an answer the owner may be gone, and the record may be stored. An
+ * owner that the store turns away has surely not stored it; this node's own way
+ * to the store may be sound.
+ */
 static void on_submitted(void *ctx, bool known, uint64_t outcome)
 {
 	struct write *w = ctx;
+	bool turned_away = known && outcome == WRITE_TURNED_AWAY;
 
-	if (known && outcome <= WRITE_UNKNOWN)
+	if (known && outcome < WRITE_TURNED_AWAY)
 		on_written(w, (enum write_outcome)outcome);
 	else
 		writer_add(&w->cell->writer, vh_buf_slice(&w->key),
-			   vh_buf_slice(&w->value), w->deadline_ms, true,
-			   on_written, w);
+			   vh_buf_slice(&w->value), w->deadline_ms,
+			   !turned_away, on_written, w);
 }
 
 static void store(struct vh_cell *c, char kind, uint64_t id,
--- a/packages/cell/src/writer.c
+++ b/packages/cell/src/writer.c
@@ -85,7 +85,7 @@
 
 	while ((en = g_queue_pop_tail(&w->sent))) {
 		if (refused && !en->doubtful) {
-			entry_end(en, WRITE_REFUSED);
+			entry_end(en, WRITE_TURNED_AWAY);
 			continue;
 		}
 		en->doubtful = true;
--- a/packages/cell/src/writer.h
+++ b/packages/cell/src/writer.h
@@ -5,13 +5,15 @@
 
 /*
  * WRITE_STORED	  it lasts
- * WRITE_REFUSED  surely not stored, and never will be
+ * WRITE_REFUSED  never sent, since the store is silent: surely not stored
  * WRITE_UNKNOWN  the time ran out; it may be stored
+ * WRITE_TURNED_AWAY  the store refused it: surely not stored; it may serve others
  */
 enum write_outcome {
 	WRITE_STORED,
 	WRITE_REFUSED,
-	WRITE_UNKNOWN
+	WRITE_UNKNOWN,
+	WRITE_TURNED_AWAY
 };
 
 /**
--- a/packages/cell/tests/test_cell.cc
+++ b/packages/cell/tests/test_cell.cc
@@ -174,6 +174,17 @@
 	ASSERT_TRUE(town.until([this] { return settled(); }));
 }
 
+// Until it has handed over, the others store what callers bring themselves.
+TEST_F(Cell, ANodeStoresWhatTheOwnerCannot)
+{
+	Node &n = other();
+
+	owner()->gate.path = Town::REFUSES;
+	accept(n, 1, 4);
+	ASSERT_TRUE(town.until([this] { return owner(); }));
+	expect_complete(n, 1, 4);
+}
+
 TEST_F(Cell, AnOwnerThatTheStoreDoesNotAnswerHandsOver)
 {
 	Node *first = owner();
