Test and fuzz what others write

The decoders of platform/ had no test: jobs of callers, the configuration, workers' entries, task names.

--- a/tools/fuzz.sh
+++ b/tools/fuzz.sh
@@ -13,10 +13,11 @@
 	exit 1
 }
 failed=0
-for source in packages/*/fuzz/fuzz_*.c; do
+for source in packages/*/fuzz/fuzz_*.c platform/fuzz/fuzz_*.c; do
 	folder=$(dirname "$source")
 	name=$(basename "$source" .c)
 	package=$(basename "$(dirname "$folder")")
+	[ "$package" = platform ] && package=users_platform
 	work="$build/corpus/${package}_$name"
 	seeds="$folder/corpus_${name#fuzz_}"
 	mkdir -p "$work"
