Count how long jobs wait and take by team and queue, and what the store takes

Unused parts of the ports go: forget, the duty topic. Test: Cell.AJobHandedInAtAnyNodeIsRunOnce looks at the metrics.

--- a/packages/cell/include/vh/ports.h
+++ b/packages/cell/include/vh/ports.h
@@ -17,7 +17,6 @@
  * @VH_TOPIC_OWNER: who owns the cell
  * @VH_TOPIC_JOBS: accepted jobs and cancellings, from every node
  * @VH_TOPIC_STATE: states of jobs, from the owner
- * @VH_TOPIC_DUTY: what the operators read of work that they asked for
  */
 enum vh_topic {
 	VH_TOPIC_OBJECTS,
@@ -25,7 +24,6 @@
 	VH_TOPIC_OWNER,
 	VH_TOPIC_JOBS,
 	VH_TOPIC_STATE,
-	VH_TOPIC_DUTY,
 	VH_TOPIC_COUNT
 };
 
@@ -130,8 +128,6 @@
 		     void (*done)(void *ctx, enum eng_answer answer,
 				  const struct eng_report *report),
 		     void *ctx);
-	/* forget - closes what is kept open to an address */
-	void (*forget)(void *self, struct vh_slice address);
 };
 
 /**
--- a/packages/cell/src/follow.c
+++ b/packages/cell/src/follow.c
@@ -18,7 +18,7 @@
 	static const char *const names[VH_TOPIC_COUNT] = {
 		[VH_TOPIC_OBJECTS] = "objects", [VH_TOPIC_FLEET] = "fleet",
 		[VH_TOPIC_OWNER] = "owner",	[VH_TOPIC_JOBS] = "jobs",
-		[VH_TOPIC_STATE] = "state",	[VH_TOPIC_DUTY] = "duty",
+		[VH_TOPIC_STATE] = "state",
 	};
 
 	vh_log(level, what, "topic", names[f->topic], NULL);
--- a/packages/cell/src/lead.c
+++ b/packages/cell/src/lead.c
@@ -45,6 +45,7 @@
 	l->refused = false;
 	l->append_open = false;
 	l->wrote_ms = lead_now(l);
+	lead_count_append(l, l->wrote_ms - l->append_ms);
 	l->ops.proved(l->ctx, l->append_ms);
 	l->frozen = false;
 	if (l->phase == LEAD_FENCING) {
--- a/packages/cell/src/lead_orders.c
+++ b/packages/cell/src/lead_orders.c
@@ -4,6 +4,8 @@
 
 #include "vh/log.h"
 
+#define VH_US_PER_MS 1000
+
 /* A call to a worker that is out. */
 struct order {
 	struct lead *lead;
@@ -155,6 +157,32 @@
 	g_free(id);
 }
 
+static void on_milestone(void *ctx, const struct eng_milestone *m)
+{
+	static const char *const names[] = {
+		[ENG_RUNNING] = "vh_job_wait_seconds",
+		[ENG_COMPLETE] = "vh_job_complete_seconds",
+		[ENG_FAILED] = "vh_job_failed_seconds",
+		[ENG_CANCELLED] = "vh_job_cancelled_seconds",
+	};
+	struct lead *l = ctx;
+	char labels[2 * ENG_NAME_MAX + 32];
+
+	g_snprintf(labels, sizeof(labels), "team=\"%.*s\",queue=\"%.*s\"",
+		   VH_FMT(m->team), VH_FMT(m->queue));
+	vh_histogram_add(vh_metrics_histogram(&l->kernel->metrics,
+					      names[m->status], labels),
+			 (uint64_t)MAX(m->took_ms, 0) * VH_US_PER_MS);
+}
+
+void lead_count_append(struct lead *l, int64_t took_ms)
+{
+	vh_histogram_add(vh_metrics_histogram(&l->kernel->metrics,
+					      "vh_store_append_seconds",
+					      "topic=\"state\""),
+			 (uint64_t)MAX(took_ms, 0) * VH_US_PER_MS);
+}
+
 struct engine *lead_engine(struct lead *l, const struct eng_settings *s)
 {
 	struct eng_ports ports = {
@@ -166,6 +194,7 @@
 		.deposed = on_deposed,
 		.reached = on_reached,
 		.decided = on_decided,
+		.milestone = on_milestone,
 		.ctx = l,
 	};
 
--- a/packages/cell/src/lead_priv.h
+++ b/packages/cell/src/lead_priv.h
@@ -72,6 +72,9 @@
 /* lead_orders.c: the engine's orders to workers */
 struct engine *lead_engine(struct lead *l, const struct eng_settings *s);
 
+/* lead_count_append - the store took a write of states, after so long */
+void lead_count_append(struct lead *l, int64_t took_ms);
+
 /* lead_take - a caller's record that is stored; may be given twice */
 void lead_take(struct lead *l, struct vh_slice key, struct vh_slice value);
 
--- a/packages/cell/tests/test_cell.cc
+++ b/packages/cell/tests/test_cell.cc
@@ -134,6 +134,13 @@
 	for (auto &s : town.starts)
 		EXPECT_EQ(s.second, 1) << s.first;
 	EXPECT_EQ(town.starts.size(), 20u);
+	std::string metrics = town.metrics();
+	for (auto line :
+	     { "vh_job_wait_seconds_count{team=\"\",queue=\"q\"} 10",
+	       "vh_job_complete_seconds_count{team=\"\",queue=\"q\"}"
+	       " 10",
+	       "vh_store_append_seconds_count{topic=\"state\"}" })
+		EXPECT_NE(metrics.find(line), std::string::npos) << metrics;
 }
 
 TEST_F(Cell, AnotherNodeGoesOnWhenTheOwnerDies)
--- a/packages/cell/tests/town.h
+++ b/packages/cell/tests/town.h
@@ -118,6 +118,16 @@
 		event_base_dispatch(kernel.base);
 	}
 
+	std::string metrics()
+	{
+		struct vh_buf out = {};
+
+		vh_metrics_render(&kernel.metrics, &out);
+		std::string s(out.data, out.len);
+		vh_buf_finish(&out);
+		return s;
+	}
+
 	void broken(const std::string &what)
 	{
 		violations.push_back(what);
@@ -466,7 +476,7 @@
 		static const vh_store_ops store = { Gate::append, Gate::read,
 						    Gate::newest };
 		static const vh_worker_ops workers = { Gate::start, Gate::stop,
-						       Gate::hold, nullptr };
+						       Gate::hold };
 		static const vh_policy_ops policy = { Gate::advise };
 		static const vh_decode_ops decode = { decode_config,
 						      decode_worker };
--- a/packages/engine/include/vh/engine.h
+++ b/packages/engine/include/vh/engine.h
@@ -164,12 +164,25 @@
 	int64_t age_ms;
 };
 
+/**
+ * struct eng_milestone - a job got so far, for the metrics
+ * @status: ENG_RUNNING when its first task started, or how it ended
+ * @took_ms: since it was accepted
+ */
+struct eng_milestone {
+	struct vh_slice queue;
+	struct vh_slice team;
+	enum eng_status status;
+	int64_t took_ms;
+};
+
 /**
  * struct eng_ports - where orders go
  * @advise: false if no call can be made now; asked again in the next run
  * @advice_free: whether a call could be made now; NULL: always
  * @reached: a worker stopped answering, or answers again; may be NULL
  * @decided: may be NULL
+ * @milestone: may be NULL
  */
 struct eng_ports {
 	void (*start)(void *ctx, const struct eng_start_order *o);
@@ -181,6 +194,7 @@
 	void (*deposed)(void *ctx, const char *why);
 	void (*reached)(void *ctx, struct vh_slice worker, bool reached);
 	void (*decided)(void *ctx, const struct eng_decision *d);
+	void (*milestone)(void *ctx, const struct eng_milestone *m);
 	void *ctx;
 };
 
--- a/packages/engine/src/eng_priv.h
+++ b/packages/engine/src/eng_priv.h
@@ -244,6 +244,9 @@
 
 /* engine.c: jobs */
 void eng_job_dirty(struct engine *e, struct job *j);
+/* eng_milestone - tells the metrics; not of what is being read back */
+void eng_milestone(struct engine *e, const struct job *j,
+		   enum eng_status status);
 void eng_job_end(struct engine *e, struct job *j, enum eng_status status);
 void eng_step_check(struct engine *e, struct step *s);
 bool eng_step_ready(const struct step *s);
--- a/packages/engine/src/eng_tasks.c
+++ b/packages/engine/src/eng_tasks.c
@@ -118,6 +118,7 @@
 	j->queue->pending--;
 	if (j->status == ENG_PENDING)
 		j->status = ENG_RUNNING;
+	eng_milestone(e, j, ENG_RUNNING);
 	eng_job_dirty(e, j);
 }
 
--- a/packages/engine/src/engine.c
+++ b/packages/engine/src/engine.c
@@ -113,6 +113,19 @@
 		e->ports.decided(e->ports.ctx, &d);
 }
 
+void eng_milestone(struct engine *e, const struct job *j,
+		   enum eng_status status)
+{
+	struct eng_milestone m = { .status = status,
+				   .took_ms = e->now_ms - j->accepted_ms };
+
+	if (!e->ports.milestone || !e->ready || !j->queue)
+		return;
+	m.queue = eng_str(j->queue->name);
+	m.team = eng_str(j->team->name);
+	e->ports.milestone(e->ports.ctx, &m);
+}
+
 static struct queue *queue_get(struct engine *e, struct vh_slice name)
 {
 	char *key = vh_slice_dup(name);
@@ -313,6 +326,7 @@
 	if (j->queue && !j->begun)
 		j->queue->pending--;
 	j->begun = true;
+	eng_milestone(e, j, status);
 	eng_job_dirty(e, j);
 	steps_check(e, j);
 	if (status != ENG_COMPLETE)
