Give short work to near workers

Cause: a start and the end of its run cross to the worker and back; between regions that is 60 ms each, and two thirds of the workers are in other regions than the owner. Stock-checks have 0.4 s to spare in all. What a worker takes to answer starts is learned; steps of up to 2.5 s ask about and take near workers first.

--- a/packages/engine/src/eng_ask.c
+++ b/packages/engine/src/eng_ask.c
@@ -16,6 +16,7 @@
 #define ASK_AGAIN_MS 120       /* after a call that found no room */
 #define ASK_FAILED_MS 200      /* after a call without an answer */
 #define LONG_DECISION_MS 150.0 /* such a call is made once for all workers */
+#define FAR_STEP_MS 25	       /* of distance, that short work feels */
 #define READY_SHARE 0.7	    /* of a gang's room free: its tickets are renewed */
 #define TICKET_LASTS_MS 250 /* beyond the call that would renew it */
 #define GOOD_SHARE_STEP 0.1 /* weight of a new answer in the learned share */
@@ -117,6 +118,7 @@
 	double slots; /* tasks, times the chance that it is good */
 	bool known;
 	bool held; /* a gang waits for its room */
+	int far;   /* distance, in steps of FAR_STEP_MS */
 };
 
 static int by_use(const void *a, const void *b)
@@ -128,6 +130,8 @@
 		return x->held ? 1 : -1;
 	if (x->known != y->known)
 		return x->known ? -1 : 1;
+	if (x->far != y->far)
+		return x->far < y->far ? -1 : 1;
 	return x->slots < y->slots ? 1 : x->slots > y->slots ? -1 : 0;
 }
 
@@ -191,6 +195,7 @@
 		out[n].w = w;
 		out[n].known = v;
 		out[n].held = false;
+		out[n].far = 0;
 		out[n].slots = v ? slots : slots * s->job->queue->good_share;
 		n++;
 	}
@@ -223,6 +228,7 @@
 		out[n].w = w;
 		out[n].known = v;
 		out[n].held = eng_held_lately(e, w);
+		out[n].far = (int)(eng_worker_far_ms(w, s) / FAR_STEP_MS);
 		out[n].slots = v ? slots : slots * s->job->queue->good_share;
 		n++;
 	}
--- a/packages/engine/src/eng_place.c
+++ b/packages/engine/src/eng_place.c
@@ -9,12 +9,13 @@
  * be late; then what its team handed in beyond its share; last what earns
  * nothing any more.
  */
-#define CHAIN_OPTIMISM 0.8 /* share of the declared chain that is believed */
-#define BAD_LIMIT 2.5	   /* score from which a worker is set aside */
-#define BAD_AFTER 1.5	   /* score that it has when it is tried again */
-#define BAD_AVOID_MS 3000  /* how long it is set aside */
-#define WHOLE_CORE 1000	   /* thousandths of a processor */
-#define HELD_COST 500.0	   /* of a worker that a gang waits for */
+#define CHAIN_OPTIMISM 0.8   /* share of the declared chain that is believed */
+#define BAD_LIMIT 2.5	     /* score from which a worker is set aside */
+#define BAD_AFTER 1.5	     /* score that it has when it is tried again */
+#define BAD_AVOID_MS 3000    /* how long it is set aside */
+#define WHOLE_CORE 1000	     /* thousandths of a processor */
+#define FAR_COST_PER_MS 0.15 /* of a worker's distance, for short work */
+#define HELD_COST 500.0	     /* of a worker that a gang waits for */
 
 enum tier {
 	TIER_IN_TIME,
@@ -81,7 +82,8 @@
 	double left = (double)(w->capacity.cpu_milli - w->used.cpu_milli -
 			       s->spec->need.cpu_milli) /
 		      WHOLE_CORE;
-	double c = left + 4 * w->bad;
+	double c =
+		left + 4 * w->bad + FAR_COST_PER_MS * eng_worker_far_ms(w, s);
 
 	/* Tasks that go first leave room alone that gangs wait for. */
 	if (eng_held_lately(e, w))
--- a/packages/engine/src/eng_priv.h
+++ b/packages/engine/src/eng_priv.h
@@ -169,6 +169,7 @@
  * @acknowledged: number of the last end that is stored
  * @ack_gate: batch that stores the ends up to @processed
  * @avoid_until_ms: place nothing there before
+ * @answer_ms: how long its answers to starts take, 0: not known
  * @held: room kept for gangs that go first, in the run that is going on
  * @held_ms: when room was last kept there
  */
@@ -198,6 +199,7 @@
 	int64_t acknowledged;
 	uint64_t ack_gate;
 	int64_t avoid_until_ms;
+	double answer_ms;
 	double bad; /* rises with failed ends, falls with good ones */
 	GPtrArray *tasks;
 };
@@ -268,6 +270,10 @@
 struct worker *eng_worker_find(struct engine *e, struct vh_slice id);
 void eng_worker_address(struct worker *w, struct vh_slice address);
 void eng_worker_reborn(struct engine *e, struct worker *w, int64_t born_ms);
+/* eng_worker_answered - a start was answered after so long */
+void eng_worker_answered(struct worker *w, int64_t took_ms);
+/* eng_worker_far_ms - what its distance costs a step, by its own measure */
+double eng_worker_far_ms(const struct worker *w, const struct step *s);
 bool eng_worker_usable(const struct engine *e, const struct worker *w);
 int64_t eng_worker_until(struct engine *e, struct worker *w);
 void eng_workers_run(struct engine *e);
--- a/packages/engine/src/eng_tasks.c
+++ b/packages/engine/src/eng_tasks.c
@@ -292,6 +292,7 @@
 		return;
 	switch (answer) {
 	case ENG_ANSWER_OK:
+		eng_worker_answered(w, now_ms - t->since_ms);
 		eng_task_set(e, t, TASK_RUNNING);
 		eng_task_begun(e, t);
 		return;
--- a/packages/engine/src/eng_workers.c
+++ b/packages/engine/src/eng_workers.c
@@ -6,6 +6,9 @@
 #define HOLD_RETRY_MS 150      /* after the first hold without an answer */
 #define HOLD_RETRY_MAX_MS 1200 /* after many */
 #define LAPSE_MARGIN_MS 150    /* after a lease's last moment */
+#define ANSWER_STEP 0.1	       /* weight of a new answer in what is learned */
+#define ANSWER_MOST_MS 300     /* longer ones say nothing of the distance */
+#define SHORT_CHAIN_MS 2500    /* steps that feel a worker's distance */
 #define RENEW_BEFORE 0.55      /* share of the lease that a hold may wait */
 
 struct worker *eng_worker_find(struct engine *e, struct vh_slice id)
@@ -108,6 +111,21 @@
 		w->listed = false;
 }
 
+void eng_worker_answered(struct worker *w, int64_t took_ms)
+{
+	double took = (double)MIN(took_ms, ANSWER_MOST_MS);
+
+	if (w->answer_ms <= 0)
+		w->answer_ms = took;
+	else
+		w->answer_ms += ANSWER_STEP * (took - w->answer_ms);
+}
+
+double eng_worker_far_ms(const struct worker *w, const struct step *s)
+{
+	return s->chain_ms <= SHORT_CHAIN_MS ? w->answer_ms : 0;
+}
+
 bool eng_worker_usable(const struct engine *e, const struct worker *w)
 {
 	return w->listed && w->fenced && !w->draining && !w->hold_fails &&
--- a/packages/engine/tests/scene.h
+++ b/packages/engine/tests/scene.h
@@ -66,6 +66,8 @@
 	std::vector<End> ends;
 	std::set<std::pair<Key, uint32_t>> voided;
 	int64_t capacity = 16000;
+	int64_t delay_ms = 15; /* one way */
+	int starts = 0;
 	bool reachable = true;
 };
 
--- a/packages/engine/tests/test_load.cc
+++ b/packages/engine/tests/test_load.cc
@@ -168,6 +168,29 @@
 	expect_kept();
 }
 
+// A third of the workers answers in 10 ms, the others, in other regions, in 60.
+TEST_P(Load, ShortWorkGoesToNearWorkers)
+{
+	int near = 0;
+
+	for (size_t i = 4; i < w.workers.size(); i++)
+		w.workers[i].delay_ms = 30;
+	for (size_t i = 0; i < 4; i++)
+		w.workers[i].delay_ms = 5;
+	press(3000, true);
+	w.play(4000, false);
+	for (auto &x : w.workers)
+		x.starts = 0;
+	for (int i = 0; i < 60; i++) {
+		w.submit(next++, { world::step(2, 1000, 300) }, 0, true);
+		w.play(50, false);
+	}
+	for (size_t i = 0; i < 4; i++)
+		near += w.workers[i].starts;
+	EXPECT_GE(near, 90);
+	expect_kept();
+}
+
 // One team sends far more than its share: the others are served as before.
 TEST_P(Load, ATeamBeyondItsShareWaitsBehindTheOthers)
 {
--- a/packages/engine/tests/world.h
+++ b/packages/engine/tests/world.h
@@ -275,6 +275,7 @@
 		w.running.push_back(r);
 		started_jobs.insert(r.key.job);
 		starts++;
+		w.starts++;
 		return ENG_ANSWER_OK;
 	}
 
@@ -302,7 +303,8 @@
 		r.need = s.need;
 		bool ticket = jobs[ref.job].spec->advice.needed;
 
-		in(late ? 2000 + (int64_t)(rnd() * 10000) : 15, [=, &w] {
+		in(late ? 2000 + (int64_t)(rnd() * 10000) : w.delay_ms, [=,
+									 &w] {
 			eng_answer a = ENG_ANSWER_NONE;
 
 			if (ticket &&
@@ -332,7 +334,7 @@
 				a = do_start(w, e, x, until, late);
 			if (lost)
 				a = ENG_ANSWER_NONE;
-			in(a == ENG_ANSWER_NONE ? 700 : 15, [=] {
+			in(a == ENG_ANSWER_NONE ? 700 : w.delay_ms, [=] {
 				if (e == epoch)
 					eng_started(engine, str(id), ref, a,
 						    now);
