--- a/packages/cell/src/claim.h
+++ b/packages/cell/src/claim.h
@@ -18,8 +18,9 @@
  * A node that no longer hears the owner looks first whether the owner still
  * writes to the store. An owner that the store turns away, or does not answer,
  * asks the others: when one of them reaches the store, the owner stops and lets
- * them claim; when none does, all goes on as it is. Nodes wait for different times before they claim, the
- * best placed the shortest, and a claim fails when another came first.
+ * them claim; when none does, all goes on as it is. Nodes wait for different
+ * times before they claim, the best placed the shortest, and a claim fails when
+ * another came first.
  */
 
 enum claim_action {
