Make the test of a waiting gang fail without what it tests

The test AWaitingGangAsksAboutWorkersThatAreFree filled the workers with services, whose end nobody expects, so that the gang asked anyway: it passed without the change too.

--- a/packages/engine/tests/test_load.cc
+++ b/packages/engine/tests/test_load.cc
@@ -97,14 +97,13 @@
 // which nothing is known yet.
 TEST_P(Load, AWaitingGangAsksAboutWorkersThatAreFree)
 {
-	constexpr int64_t LONG_MS = 60000;
+	constexpr int64_t LONG_MS = 600000;
 
 	for (size_t i = 4; i < w.workers.size(); i++) {
 		w.workers[i].listed = false;
 		eng_worker_unlisted(w.engine, w.str(w.workers[i].id), w.now);
 	}
 	eng_step_spec s = world::step(8, 8000, LONG_MS);
-	s.service = true;
 	w.submit(FIRST_SMALL, { s });
 	w.play(500, false);
 	gang(6, 8000, true);
