Keep a job's place beyond its team's share over a takeover

Cause: whether a job is beyond its team's share was decided when the job was added and kept in memory only; a new owner took all waiting jobs of a team at several times its share for jobs within it.

The state record of such a job now says so (one more element, which older versions ignore), and is stored when the job is added.

--- a/packages/engine/src/eng_record.c
+++ b/packages/engine/src/eng_record.c
@@ -6,7 +6,7 @@
 /*
  * The record of a job is a MessagePack array:
  *
- *   [format, status, started, [worker...], [step...]]
+ *   [format, status, started, [worker...], [step...], over share]
  *
  * worker: [id, boot time, address]
  * step:   [failed runs of the gang, [task...]]
@@ -14,7 +14,8 @@
  *	   checkpoint], where worker is a position in the list of workers,
  *	   counted from 1, or 0 if the task is not assigned to a worker
  *
- * The record of an ended job without placed tasks stops after its status.
+ * The record of an ended job without placed tasks stops after its status. An
+ * older version wrote no "over share" and ignores it.
  */
 enum {
 	REC_FORMAT,
@@ -22,6 +23,8 @@
 	REC_STARTED,
 	REC_WORKERS,
 	REC_STEPS,
+	REC_FIELDS_MIN,
+	REC_OVER_SHARE = REC_FIELDS_MIN,
 	REC_FIELDS
 };
 
@@ -123,6 +126,7 @@
 	if (with_steps) {
 		msgpack_pack_int(&pk, j->started);
 		pack_steps(&pk, j);
+		msgpack_pack_int(&pk, j->over_share);
 	}
 	vh_buf_add(out, sb.data, sb.size);
 	msgpack_sbuffer_destroy(&sb);
@@ -176,7 +180,7 @@
 	ok = msgpack_unpack_next(&u, bytes.data, bytes.len, &off) ==
 		     MSGPACK_UNPACK_SUCCESS &&
 	     unpack_header(&u.data, &p, &n, status);
-	*placed = ok && n >= REC_FIELDS;
+	*placed = ok && n >= REC_FIELDS_MIN;
 	msgpack_unpacked_destroy(&u);
 	return ok;
 }
@@ -279,6 +283,7 @@
 	const msgpack_object *steps;
 	enum eng_job_status status;
 	uint64_t started;
+	uint64_t over_share;
 	size_t n;
 	size_t n_steps;
 
@@ -286,8 +291,10 @@
 		return false;
 	j->status = status;
 	j->started = status >= ENG_COMPLETE;
-	if (n < REC_FIELDS)
+	if (n < REC_FIELDS_MIN)
 		return true;
+	if (n > REC_OVER_SHARE && get_uint(&p[REC_OVER_SHARE], 1, &over_share))
+		j->over_share = over_share;
 	if (!get_uint(&p[REC_STARTED], 1, &started) ||
 	    !restore_workers(e, &p[REC_WORKERS], workers) ||
 	    !get_array(&p[REC_STEPS], &steps, &n_steps) ||
--- a/packages/engine/src/engine.c
+++ b/packages/engine/src/engine.c
@@ -303,8 +303,11 @@
 	j->due_ms = j->accepted_ms + job_objective_ms(j);
 	j->cutoff_ms = j->accepted_ms + CUTOFF_FACTOR * job_objective_ms(j);
 	e->stats.jobs++;
-	/* Jobs read in recovery were charged to the share when accepted. */
+	/* Jobs read in recovery were charged to the share when accepted; the
+	 * record of one beyond the share says so. */
 	j->over_share = e->ready && !eng_team_take_token(j->team, now_ms);
+	if (j->over_share)
+		eng_job_mark_dirty(e, j);
 	job_apply_record(e, j);
 }
 
--- a/packages/engine/tests/test_load.cc
+++ b/packages/engine/tests/test_load.cc
@@ -51,6 +51,34 @@
 		return cpu;
 	}
 
+	void set_shares()
+	{
+		eng_team teams[2] = {};
+
+		teams[0].name = vh_slice_str("hot");
+		teams[0].weight = 5;
+		teams[1].name = vh_slice_str("calm");
+		teams[1].weight = 10;
+		eng_set_teams(sim.engine, teams, 2);
+	}
+
+	void submit_as(const char *team, uint64_t id)
+	{
+		sim.team = team;
+		sim.submit(id, { engine_sim::step(6, 2000, 1500) }, 1);
+	}
+
+	// Share of the jobs with these ids that are complete.
+	double complete_share(uint64_t from, uint64_t n)
+	{
+		size_t complete = 0;
+
+		for (uint64_t id = from; id < from + n; id++)
+			complete +=
+				eng_job_status(sim.engine, id) == ENG_COMPLETE;
+		return (double)complete / (double)n;
+	}
+
 	void expect_no_violations()
 	{
 		for (auto &v : sim.violations)
@@ -197,31 +225,40 @@
 // in time.
 TEST_P(Load, ATeamBeyondItsShareWaitsBehindTheOthers)
 {
-	eng_team teams[2] = {};
-	size_t completed = 0, calm = 0;
-
-	teams[0].name = vh_slice_str("hot");
-	teams[0].weight = 5;
-	teams[1].name = vh_slice_str("calm");
-	teams[1].weight = 10;
-	eng_set_teams(sim.engine, teams, 2);
+	constexpr uint64_t FIRST_CALM_ID = 50000;
+	uint64_t calm = 0;
+
+	set_shares();
 	for (int i = 0; i < 100; i++) {
-		sim.team = "hot";
 		for (int k = 0; k < 3; k++)
-			sim.submit(next++, { engine_sim::step(6, 2000, 1500) },
-				   1);
-		if (i % 4 == 0) {
-			sim.team = "calm";
-			sim.submit(50000 + (uint64_t)calm++,
-				   { engine_sim::step(6, 2000, 1500) }, 1);
-		}
+			submit_as("hot", next++);
+		if (i % 4 == 0)
+			submit_as("calm", FIRST_CALM_ID + calm++);
 		sim.run_for(50, false);
 	}
 	sim.run_for(1500, false);
-	for (uint64_t i = 0; i < calm; i++)
-		completed +=
-			eng_job_status(sim.engine, 50000 + i) == ENG_COMPLETE;
-	EXPECT_GE(completed * 10, calm * 9);
+	EXPECT_GE(complete_share(FIRST_CALM_ID, calm), 0.9);
+	expect_no_violations();
+}
+
+// The same team has exceeded its share before a new owner takes over. Its
+// waiting jobs must still wait behind those of the other team, which then start
+// as soon as running tasks have ended.
+TEST_P(Load, ATeamBeyondItsShareWaitsBehindTheOthersAfterATakeOver)
+{
+	constexpr uint64_t FIRST_CALM_ID = 50000, N_CALM = 10;
+
+	set_shares();
+	for (int i = 0; i < 200; i++) {
+		submit_as("hot", next++);
+		sim.run_for(10, false);
+	}
+	sim.take_over();
+	set_shares();
+	for (uint64_t i = 0; i < N_CALM; i++)
+		submit_as("calm", FIRST_CALM_ID + i);
+	sim.run_for(2 * 1500 + 600, false);
+	EXPECT_GE(complete_share(FIRST_CALM_ID, N_CALM), 0.9);
 	expect_no_violations();
 }
 
