--- a/packages/engine/src/eng_tasks.c
+++ b/packages/engine/src/eng_tasks.c
@@ -282,6 +282,18 @@
 	return t;
 }
 
+/*
+ * A start was not carried out. An earlier attempt without a reply may still be,
+ * seconds later, so then the run is stopped before its task starts elsewhere.
+ */
+static void start_rejected(struct engine *e, struct task *t, const char *reason)
+{
+	if (t->start_attempts > 1)
+		eng_task_stop(e, t);
+	else
+		eng_task_lost(e, t, reason);
+}
+
 void eng_start_reply(struct engine *e, struct vh_slice worker,
 		     struct eng_task_ref ref, enum eng_reply reply,
 		     int64_t now_ms)
@@ -299,20 +311,20 @@
 		return;
 	case ENG_REPLY_NO_CAPACITY:
 		w->avoid_until_ms = now_ms + NO_CAPACITY_AVOID_MS;
-		eng_task_lost(e, t, "no room");
+		start_rejected(e, t, "no room");
 		return;
 	case ENG_REPLY_TICKET_EXPIRED: {
 		struct worker_advice *a = eng_advice_find(t->step, w);
 
 		if (a)
 			a->expires_ms = 0;
-		eng_task_lost(e, t, "ticket ran out");
+		start_rejected(e, t, "ticket ran out");
 		return;
 	}
 	case ENG_REPLY_REFUSED:
 		w->avoid_until_ms = now_ms + REFUSED_AVOID_MS;
 		w->failure_score += FAILURE_SCORE_STEP;
-		eng_task_lost(e, t, "refused");
+		start_rejected(e, t, "refused");
 		return;
 	case ENG_REPLY_STALE_RUN:
 		eng_task_set_state(e, t, TASK_UNCONFIRMED);
--- a/packages/engine/tests/sim_state.h
+++ b/packages/engine/tests/sim_state.h
@@ -87,6 +87,7 @@
 	double lose_reply = 0;	  /* share of the start and stop replies */
 	double delay_request = 0; /* share of the starts: carried out seconds
 				   * late, without a reply */
+	double reject_retry = 0;  /* share of the repeated starts: refused */
 	double crash = 0;	  /* workers that crash per second */
 	double partition = 0;	  /* workers made unreachable per second */
 	double takeover = 0;	  /* changes of the owner per second */
@@ -321,6 +322,7 @@
 	std::map<uint64_t, std::string> serialized_jobs, stored_records;
 	std::set<uint64_t> started_jobs;
 	std::set<TaskKey> done_tasks, acked_done;
+	std::set<std::pair<TaskKey, uint32_t>> sent_starts; /* with the run */
 	std::map<uint64_t, std::set<std::pair<uint32_t, uint32_t>>>
 		failed_runs; /* by job: task index + 1, 0 for a gang, and run */
 	std::vector<std::string> violations;
--- a/packages/engine/tests/simulation.h
+++ b/packages/engine/tests/simulation.h
@@ -306,6 +306,15 @@
 
 		r.key = { ref.job, ref.step, ref.index };
 		r.run = ref.run;
+		if (!sent_starts.insert({ r.key, r.run }).second &&
+		    chance(faults.reject_retry)) {
+			schedule_in(2 * w.delay_ms, [=] {
+				if (e == epoch)
+					eng_start_reply(engine, str(id), ref,
+							ENG_REPLY_REFUSED, now);
+			});
+			return;
+		}
 		r.need = s.need;
 		bool ticket = jobs[ref.job].spec->advice.needed;
 
--- a/packages/engine/tests/test_workers.cc
+++ b/packages/engine/tests/test_workers.cc
@@ -40,6 +40,27 @@
 	EXPECT_EQ(eng_job_status(sim.engine, 2), ENG_COMPLETE);
 }
 
+// Some starts are carried out seconds late and have no reply, and the worker
+// rejects the retries. The task must not start elsewhere before the first start is
+// void.
+TEST(Workers, ARejectedRetryDoesNotRunATaskTwice)
+{
+	for (uint64_t seed = 1; seed <= 20; seed++) {
+		Simulation sim(seed, Faults(), 4);
+
+		sim.faults.fail_task = 0;
+		sim.faults.delay_request = 0.3;
+		sim.faults.reject_retry = 1;
+		sim.take_over();
+		for (uint64_t id = 1; id <= 10; id++) {
+			sim.submit(id, { engine_sim::step(4, 1000, 3000) });
+			sim.run_for(300, false);
+		}
+		sim.run_for(15000, false);
+		expect_no_violations(sim);
+	}
+}
+
 // Tasks of a service are restarted, however they end, until the job is
 // cancelled.
 TEST(Workers, TasksOfAServiceAreRestarted)
--- a/packages/platform/include/vh/http_pool.h
+++ b/packages/platform/include/vh/http_pool.h
@@ -14,11 +14,13 @@
 /**
  * struct vh_http_reply - an HTTP response
  * @status: HTTP status; 0 if the exchange failed
+ * @not_sent: the request waited too long for a connection and was not sent
  * @body: valid during the callback
  * @headers: valid during the callback; NULL if the exchange failed
  */
 struct vh_http_reply {
 	int status;
+	bool not_sent;
 	struct vh_slice body;
 	struct evkeyvalq *headers;
 };
@@ -28,6 +30,8 @@
  * @path: path and query; copied
  * @content_type: NULL if there is no body; a constant string, not copied
  * @body: copied
+ * @timeout_ms: bound of the exchange, without its time in the queue
+ * @max_queue_ms: bound of its time in the queue; 0: unlimited
  * @header, @header_value: one additional header; NULL: none; copied
  */
 struct vh_http_request {
@@ -36,6 +40,7 @@
 	const char *content_type;
 	struct vh_slice body;
 	int64_t timeout_ms;
+	int64_t max_queue_ms;
 	const char *header;
 	const char *header_value;
 };
--- a/packages/platform/src/http_pool.c
+++ b/packages/platform/src/http_pool.c
@@ -15,6 +15,7 @@
 	const char *content_type;
 	struct vh_buf body;
 	int64_t timeout_ms;
+	int64_t queued_until_ms; /* not sent after this time */
 	char *header;
 	char *header_value;
 	void (*done)(void *ctx, const struct vh_http_reply *reply);
@@ -181,17 +182,51 @@
 		vh_kernel_defer(pool->kernel, exchange_failed, ex);
 }
 
+static struct exchange *dequeue(struct vh_http_pool *pool)
+{
+	struct exchange *ex = pool->head;
+
+	if (!ex)
+		return NULL;
+	pool->head = ex->next;
+	if (!pool->head)
+		pool->tail = &pool->head;
+	return ex;
+}
+
+/* The deferred end of an exchange that was never started. */
+static void exchange_expired(void *ctx)
+{
+	struct vh_http_reply reply = { .not_sent = true };
+	struct exchange *ex = ctx;
+
+	ex->done(ex->ctx, &reply);
+	exchange_free(ex);
+}
+
+/* Returns NULL if no request that may still be sent is queued. */
+static struct exchange *dequeue_unexpired(struct vh_http_pool *pool)
+{
+	int64_t now = vh_kernel_now_ms(pool->kernel);
+	struct exchange *ex = dequeue(pool);
+
+	while (ex && ex->queued_until_ms < now) {
+		vh_kernel_defer(pool->kernel, exchange_expired, ex);
+		ex = dequeue(pool);
+	}
+	return ex;
+}
+
 static void start_queued(struct vh_http_pool *pool)
 {
 	for (size_t i = 0; i < pool->n_slots && pool->head; i++) {
-		struct exchange *ex = pool->head;
+		struct exchange *ex;
 
 		if (pool->slots[i].current)
 			continue;
-		pool->head = ex->next;
-		if (!pool->head)
-			pool->tail = &pool->head;
-		start_exchange(pool, &pool->slots[i], ex);
+		ex = dequeue_unexpired(pool);
+		if (ex)
+			start_exchange(pool, &pool->slots[i], ex);
 	}
 }
 
@@ -207,6 +242,10 @@
 	ex->content_type = request->content_type;
 	vh_buf_add_slice(&ex->body, request->body);
 	ex->timeout_ms = request->timeout_ms;
+	ex->queued_until_ms =
+		request->max_queue_ms
+			? vh_kernel_now_ms(pool->kernel) + request->max_queue_ms
+			: INT64_MAX;
 	ex->header = g_strdup(request->header);
 	ex->header_value = g_strdup(request->header_value);
 	ex->done = done;
