An owner keeps the cell when the store is back for all

Cause: an owner that the store refuses asks the nodes whether they reach it and steps down if one does.

It now steps down only if a write that it sent after the node's success is refused as well. A silent store is treated as before.

Test: Election.OwnerStaysIfItHasNotTriedSinceTheStoreIsBack, failed before.

--- a/packages/cell/src/election.c
+++ b/packages/cell/src/election.c
@@ -103,6 +103,17 @@
 		e->vacant_since_ms = now_ms;
 }
 
+/*
+ * Whether the store serves a probed node, which can claim, but not the owner. A
+ * store that refused all and is back serves both: only a write that the owner
+ * sent after the node's success tells.
+ */
+static bool nodes_are_served_better(const struct election *e,
+				    const struct election_view *v)
+{
+	return !v->write_refused || v->refused_sent_ms >= e->node_reached_ms;
+}
+
 static enum election_action owner_tick(struct election *e, int64_t now_ms,
 				       const struct election_view *v)
 {
@@ -111,9 +122,9 @@
 	if (unserved_ms < (v->write_refused ? PROBE_AFTER_REFUSAL_MS
 					    : PROBE_AFTER_SILENCE_MS))
 		return ELECTION_NO_ACTION;
-	/* A node that was probed reaches the store, so it can claim. */
 	if (now_ms - e->node_reached_ms < PROBE_INTERVAL_MS)
-		return ELECTION_STEP_DOWN;
+		return nodes_are_served_better(e, v) ? ELECTION_STEP_DOWN
+						     : ELECTION_NO_ACTION;
 	if (now_ms - e->confirmed_ms >= MAX_UNCONFIRMED_MS &&
 	    (!v->peers_heard || v->peers_reach_store))
 		return ELECTION_STEP_DOWN;
--- a/packages/cell/src/election.h
+++ b/packages/cell/src/election.h
@@ -115,12 +115,14 @@
  * @peers_heard: other nodes were heard recently
  * @peers_reach_store: some of them reached the store recently
  * @write_refused: the store refused the owner's last write
+ * @refused_sent_ms: when the last refused write was sent
  * @served_ms: when the newest call that the store answered was sent
  */
 struct election_view {
 	bool peers_heard;
 	bool peers_reach_store;
 	bool write_refused;
+	int64_t refused_sent_ms;
 	int64_t served_ms;
 };
 
--- a/packages/cell/src/owner.c
+++ b/packages/cell/src/owner.c
@@ -86,6 +86,8 @@
 	default:
 		o->append_refused = owner_now_ms(o) - o->append_sent_ms <
 				    APPEND_REFUSED_WITHIN_MS;
+		if (o->append_refused)
+			o->refused_sent_ms = o->append_sent_ms;
 		if (!o->append_failures++)
 			vh_log(G_LOG_LEVEL_WARNING,
 			       "job state cannot be stored", NULL);
@@ -406,9 +408,11 @@
 	return o->phase == OWNER_ACTIVE;
 }
 
-int64_t owner_store_health(const struct owner *o, bool *refused)
+int64_t owner_store_health(const struct owner *o, bool *refused,
+			   int64_t *refused_sent_ms)
 {
 	*refused = o->append_refused;
+	*refused_sent_ms = o->refused_sent_ms;
 	return MAX(MAX(o->fleet_reader.caught_up_ms,
 		       o->jobs_reader.caught_up_ms),
 		   o->last_write_ms);
--- a/packages/cell/src/owner.h
+++ b/packages/cell/src/owner.h
@@ -84,10 +84,12 @@
 /**
  * owner_store_health - how well the store serves this owner
  * @refused: set if the store refused the last write
+ * @refused_sent_ms: set to when the last refused write was sent
  *
  * Returns when the newest call that the store answered was sent; 0: none.
  */
-int64_t owner_store_health(const struct owner *o, bool *refused);
+int64_t owner_store_health(const struct owner *o, bool *refused,
+			   int64_t *refused_sent_ms);
 uint64_t owner_epoch(const struct owner *o);
 
 #endif
--- a/packages/cell/src/owner_priv.h
+++ b/packages/cell/src/owner_priv.h
@@ -25,6 +25,7 @@
  * @append_failures: failed attempts of the pending append
  * @append_refused: the last attempt failed so soon that the store is taken to
  *		    refuse writes
+ * @refused_sent_ms: when the last attempt that the store refused was sent
  * @awaiting_store: scheduling is suspended until the store accepts a write
  * @sequence: sequence number of the pending append, or else of the last one
  * @append_batch: number of the engine's batch in the pending append; 0: none
@@ -53,6 +54,7 @@
 	bool append_in_flight;
 	unsigned int append_failures;
 	bool append_refused;
+	int64_t refused_sent_ms;
 	bool awaiting_store;
 	uint64_t sequence;
 	uint64_t append_batch;
--- a/packages/cell/src/ownership.c
+++ b/packages/cell/src/ownership.c
@@ -345,8 +345,8 @@
 	peer_server_reachability(&c->peer_server, now, &view.peers_heard,
 				 &view.peers_reach_store);
 	if (c->owner)
-		view.served_ms =
-			owner_store_health(c->owner, &view.write_refused);
+		view.served_ms = owner_store_health(
+			c->owner, &view.write_refused, &view.refused_sent_ms);
 	switch (c->leaving ? ELECTION_NO_ACTION
 			   : election_tick(&c->election, now, &view)) {
 	case ELECTION_NO_ACTION:
--- a/packages/cell/tests/test_election.cc
+++ b/packages/cell/tests/test_election.cc
@@ -16,6 +16,8 @@
 	bool peers_heard = true, peers_reach_store = true;
 	bool write_refused = false;	 // the store refuses the owner's writes
 	bool node_reaches_store = false; // probed nodes reach the store
+	bool owner_retries = true;	 // its refused write, in each tick
+	int64_t refused_sent_ms = 0;
 	int64_t served_ms = 0; // 0: the store answers no call of the owner
 	int probes = 0;
 
@@ -27,9 +29,12 @@
 	election_action run_until_action(int64_t ms)
 	{
 		for (int64_t end = now + ms; now < end; now += TICK_MS) {
+			if (write_refused && owner_retries)
+				refused_sent_ms = now;
 			struct election_view v = { peers_heard,
 						   peers_reach_store,
-						   write_refused, served_ms };
+						   write_refused,
+						   refused_sent_ms, served_ms };
 			election_action a = election_tick(&e, now, &v);
 
 			if (a == ELECTION_PROBE_NODES) {
@@ -160,6 +165,24 @@
 	EXPECT_EQ(probes, 1);
 }
 
+// A node learns first that the store is back for all. The owner has not tried
+// again since, so it may be served as well.
+TEST_F(Election, OwnerStaysIfItHasNotTriedSinceTheStoreIsBack)
+{
+	become_owner();
+	write_refused = true;
+	EXPECT_EQ(run_until_action(1000), ELECTION_NO_ACTION);
+	EXPECT_GT(probes, 0);
+	owner_retries = false;
+	election_node_reached_store(&e, now);
+	EXPECT_EQ(run_until_action(250), ELECTION_NO_ACTION);
+	write_refused = false;
+	for (int i = 0; i < 20; i++) {
+		served_ms = now;
+		EXPECT_EQ(run_until_action(200), ELECTION_NO_ACTION);
+	}
+}
+
 TEST_F(Election, OwnerWithoutAnswersStepsDownWithinASecond)
 {
 	become_owner();
