--- a/packages/cell/src/owner_engine.c
+++ b/packages/cell/src/owner_engine.c
@@ -128,6 +128,14 @@
 	vh_kernel_defer(o->kernel, report_deposed, o);
 }
 
+static void count_event(struct owner *o, const char *metric, const char *what)
+{
+	char labels[80];
+
+	g_snprintf(labels, sizeof(labels), "what=\"%s\"", what);
+	++*vh_metrics_counter(&o->kernel->metrics, metric, labels);
+}
+
 static void on_decided(void *ctx, const struct eng_decision *d)
 {
 	char job[20];
@@ -135,9 +143,11 @@
 	char run[12];
 	char cpu[48];
 	char age[24];
+	char in_state[24];
+	char lost[12];
 	char *worker = vh_slice_dup(d->worker);
 
-	(void)ctx;
+	count_event(ctx, "vh_task_decisions_total", d->what);
 	g_snprintf(job, sizeof(job), "%016" PRIx64, d->task.job);
 	g_snprintf(task, sizeof(task), "%u.%u.%u", d->task.occurrence,
 		   d->task.step, d->task.index);
@@ -145,21 +155,34 @@
 	g_snprintf(cpu, sizeof(cpu), "%" PRId64 "/%" PRId64, d->need_cpu,
 		   d->used_cpu);
 	g_snprintf(age, sizeof(age), "%" PRId64, d->age_ms);
+	g_snprintf(in_state, sizeof(in_state), "%" PRId64, d->in_state_ms);
+	g_snprintf(lost, sizeof(lost), "%u", d->lost_runs);
 	vh_log(G_LOG_LEVEL_INFO, d->what, "job", job, "task", task, "run", run,
-	       "worker", worker, "cpu", cpu, "age_ms", age, NULL);
+	       "worker", worker, "cpu", cpu, "age_ms", age, "state_ms",
+	       in_state, "lost", lost, NULL);
 	g_free(worker);
 }
 
-static void on_worker_reachability(void *ctx, struct vh_slice worker,
-				   bool reached)
+static void on_worker_event(void *ctx, const struct eng_worker_event *w)
 {
-	char *id = vh_slice_dup(worker);
-
-	(void)ctx;
-	vh_log(reached ? G_LOG_LEVEL_INFO : G_LOG_LEVEL_WARNING,
-	       reached ? "worker answers again" : "worker does not answer",
-	       "worker", id, NULL);
-	g_free(id);
+	char born[24];
+	char cpu[48];
+	char tasks[24];
+	char heard[24];
+	char *worker = vh_slice_dup(w->worker);
+	char *address = vh_slice_dup(w->address);
+
+	count_event(ctx, "vh_worker_events_total", w->what);
+	g_snprintf(born, sizeof(born), "%" PRId64, w->born_ms);
+	g_snprintf(cpu, sizeof(cpu), "%" PRId64 "/%" PRId64, w->used_cpu,
+		   w->cpu);
+	g_snprintf(tasks, sizeof(tasks), "%zu", w->n_tasks);
+	g_snprintf(heard, sizeof(heard), "%" PRId64, w->heard_ms);
+	vh_log(w->problem ? G_LOG_LEVEL_WARNING : G_LOG_LEVEL_INFO, w->what,
+	       "worker", worker, "address", address, "born", born, "cpu", cpu,
+	       "tasks", tasks, "heard_ms", heard, NULL);
+	g_free(worker);
+	g_free(address);
 }
 
 static void on_milestone(void *ctx, const struct eng_milestone *m)
@@ -197,7 +220,7 @@
 		.advise = owner_advise,
 		.advice_available = owner_advice_available,
 		.deposed = on_deposed,
-		.reached = on_worker_reachability,
+		.worker_event = on_worker_event,
 		.decided = on_decided,
 		.milestone = on_milestone,
 		.ctx = o,
--- a/packages/engine/include/vh/engine.h
+++ b/packages/engine/include/vh/engine.h
@@ -160,6 +160,9 @@
  * @need_cpu: what the task needs, in thousandths of a processor
  * @used_cpu: what is allocated on the worker, in the same unit
  * @age_ms: time since the job was accepted
+ * @in_state_ms: time since the task last changed its state; for a lost run, how
+ *		 long it had been starting or running
+ * @lost_runs: how many runs of the task were lost with their worker
  */
 struct eng_decision {
 	const char *what;
@@ -168,6 +171,30 @@
 	int64_t need_cpu;
 	int64_t used_cpu;
 	int64_t age_ms;
+	int64_t in_state_ms;
+	unsigned int lost_runs;
+};
+
+/**
+ * struct eng_worker_event - a change of a worker, for the log and the metrics
+ * @what: constant text
+ * @problem: the worker can no longer be used
+ * @born_ms: when its present boot started, 0: unknown
+ * @cpu: its capacity, in thousandths of a processor
+ * @used_cpu: what is allocated of it
+ * @n_tasks: number of tasks assigned to it
+ * @heard_ms: time since its last report, -1: none yet
+ */
+struct eng_worker_event {
+	const char *what;
+	bool problem;
+	struct vh_slice worker;
+	struct vh_slice address;
+	int64_t born_ms;
+	int64_t cpu;
+	int64_t used_cpu;
+	size_t n_tasks;
+	int64_t heard_ms;
 };
 
 /**
@@ -191,8 +218,7 @@
  *	    eng_schedule() tries again
  * @advice_available: whether @advise would accept a call now; NULL: always
  * @deposed: a worker reported a newer fencing token, so ownership is lost
- * @reached: a worker stopped (false) or resumed (true) answering holds; may be
- *	     NULL
+ * @worker_event: a worker changed; not called during recovery; may be NULL
  * @decided: logs a decision; may be NULL
  * @milestone: a job started or ended; may be NULL
  */
@@ -204,7 +230,7 @@
 	bool (*advise)(void *ctx, const struct eng_advice_request *request);
 	bool (*advice_available)(void *ctx, double cost_ms);
 	void (*deposed)(void *ctx, const char *why);
-	void (*reached)(void *ctx, struct vh_slice worker, bool reached);
+	void (*worker_event)(void *ctx, const struct eng_worker_event *w);
 	void (*decided)(void *ctx, const struct eng_decision *d);
 	void (*milestone)(void *ctx, const struct eng_milestone *m);
 	void *ctx;
--- a/packages/engine/src/eng_priv.h
+++ b/packages/engine/src/eng_priv.h
@@ -35,6 +35,7 @@
  * @done: the task or its gang has finished; its resources may still be in use
  * @request_pending: a start or stop request has no reply yet
  * @preempt_count: how often it was stopped to make room for a gang
+ * @lost_runs: how many of its runs were lost with their worker
  * @since_ms: when @state was entered or a stop was last sent
  * @stop_acked_ms: when its worker accepted a stop, 0: not yet
  * @store_batch: batch that stores the placement
@@ -50,6 +51,7 @@
 	bool request_pending;
 	unsigned int start_attempts;
 	unsigned int preempt_count;
+	unsigned int lost_runs;
 	int64_t since_ms;
 	int64_t stop_acked_ms;
 	uint64_t store_batch;
--- a/packages/engine/src/eng_workers.c
+++ b/packages/engine/src/eng_workers.c
@@ -49,16 +49,40 @@
 	return w;
 }
 
+static void report_event(struct engine *e, const struct worker *w,
+			 const char *what, bool problem)
+{
+	struct eng_worker_event event = {
+		.what = what,
+		.problem = problem,
+		.worker = eng_str(w->id),
+		.address = eng_str(w->address),
+		.born_ms = w->born_ms,
+		.cpu = w->capacity.cpu_milli,
+		.used_cpu = w->used.cpu_milli,
+		.n_tasks = w->tasks->len,
+		.heard_ms = w->clock_at_ms ? e->now_ms - w->clock_at_ms : -1,
+	};
+
+	if (e->callbacks.worker_event && e->ready)
+		e->callbacks.worker_event(e->callbacks.ctx, &event);
+}
+
 static void lose_all_tasks(struct engine *e, struct worker *w,
 			   const char *reason)
 {
-	while (w->tasks->len)
-		eng_task_lost(e, w->tasks->pdata[w->tasks->len - 1], reason);
+	while (w->tasks->len) {
+		struct task *t = w->tasks->pdata[w->tasks->len - 1];
+
+		t->lost_runs++;
+		eng_task_lost(e, t, reason);
+	}
 }
 
 /* A new boot runs nothing, has no fencing token and restarts end numbers. */
 void eng_worker_restarted(struct engine *e, struct worker *w, int64_t born_ms)
 {
+	report_event(e, w, "worker started anew", true);
 	w->born_ms = born_ms;
 	w->fenced = false;
 	w->clock_at_ms = 0;
@@ -84,10 +108,14 @@
 		       int64_t now_ms)
 {
 	struct worker *w;
+	bool was_listed;
+	bool resized;
 
 	e->now_ms = now_ms;
 	w = eng_worker_get(e, info->id);
-	if (!w->listed)
+	was_listed = w->listed;
+	resized = memcmp(&w->capacity, &info->capacity, sizeof(w->capacity));
+	if (!was_listed)
 		w->next_hold_ms = 0;
 	w->listed = true;
 	w->draining = info->draining;
@@ -99,6 +127,10 @@
 	for (size_t i = 0; i < info->n_labels; i++)
 		w->labels[i] = vh_slice_dup(info->labels[i]);
 	w->capacity = info->capacity;
+	if (!was_listed)
+		report_event(e, w, "worker listed", false);
+	else if (resized)
+		report_event(e, w, "worker capacity changed", false);
 	if (!info->born_ms || info->born_ms == w->born_ms)
 		return;
 	if (w->born_ms && info->born_ms > w->born_ms)
@@ -112,8 +144,10 @@
 	struct worker *w = eng_worker_find(e, id);
 
 	e->now_ms = now_ms;
-	if (w)
-		w->listed = false;
+	if (!w || !w->listed)
+		return;
+	w->listed = false;
+	report_event(e, w, "worker unlisted", w->tasks->len > 0);
 }
 
 void eng_worker_record_latency(struct worker *w, int64_t latency_ms)
@@ -185,14 +219,6 @@
 			e->settings.stop_ms + LEASE_EXPIRY_MARGIN_MS;
 }
 
-static void notify_reachability(struct engine *e, const struct worker *w,
-				bool reachable)
-{
-	if (e->callbacks.reached)
-		e->callbacks.reached(e->callbacks.ctx, eng_str(w->id),
-				     reachable);
-}
-
 static void process_ends(struct engine *e, struct worker *w,
 			 const struct eng_worker_report *r)
 {
@@ -295,7 +321,7 @@
 		return;
 	w->hold_pending = false;
 	if (w->hold_failures)
-		notify_reachability(e, w, true);
+		report_event(e, w, "worker answers again", false);
 	w->hold_failures = 0;
 	w->next_hold_ms = now_ms + HOLD_INTERVAL_MS;
 	if (r->born_ms && w->born_ms && r->born_ms != w->born_ms) {
@@ -329,7 +355,7 @@
 		return;
 	}
 	if (!w->hold_failures)
-		notify_reachability(e, w, false);
+		report_event(e, w, "worker does not answer", true);
 	wait = MIN((int64_t)HOLD_RETRY_MS << MIN(w->hold_failures, 4u),
 		   HOLD_RETRY_MAX_MS);
 	w->hold_failures++;
--- a/packages/engine/src/engine.c
+++ b/packages/engine/src/engine.c
@@ -108,6 +108,8 @@
 		.need_cpu = t->step->spec->need.cpu_milli,
 		.used_cpu = w ? w->used.cpu_milli : 0,
 		.age_ms = e->now_ms - t->step->job->accepted_ms,
+		.in_state_ms = e->now_ms - t->since_ms,
+		.lost_runs = t->lost_runs,
 	};
 
 	if (e->callbacks.decided)
