--- a/packages/engine/tests/sim_state.h
+++ b/packages/engine/tests/sim_state.h
@@ -8,6 +8,7 @@
 
 #include <cinttypes>
 #include <cstdio>
+#include <deque>
 #include <functional>
 #include <map>
 #include <queue>
@@ -29,6 +30,12 @@
 /* Time from a cancellation, or a later start, until the task must be gone. */
 constexpr int64_t CANCEL_LIMIT_MS = 4000 + 3000 + 300;
 
+/* Once so many workers have crashed under a task ... */
+constexpr int CRASHES_MAX = 3;
+
+/* ... so many further starts of it are too many. */
+constexpr int STARTS_AFTER_CRASHES = 3;
+
 struct TaskKey {
 	uint64_t job;
 	uint32_t step, index;
@@ -76,6 +83,8 @@
 	int64_t delay_ms = 15; /* one way */
 	int starts = 0;
 	bool reachable = true;
+	int64_t crash_at_ms = -1;    /* a task crashes it then; -1: none */
+	Worker *successor = nullptr; /* its next boot, under another id */
 };
 
 struct Job {
@@ -279,14 +288,38 @@
 			add_violation("a request without an address");
 	}
 
-	/* A job fails only after max_attempts failed runs of one task. */
+	/* A task that crashed CRASHES_MAX workers is hardly started again. */
+	void check_crash_budget(const Worker &w, const Run &r)
+	{
+		if (!crash_after_ms.count(r.key) ||
+		    crashes_under[r.key] < CRASHES_MAX)
+			return;
+		if (++starts_after_crashes[r.key] >= STARTS_AFTER_CRASHES)
+			add_violation("run " + std::to_string(r.run) + " on " +
+				      w.id + " of a task under which " +
+				      std::to_string(crashes_under[r.key]) +
+				      " workers have crashed");
+	}
+
+	bool has_crashing_task(uint64_t job)
+	{
+		auto it = crash_after_ms.lower_bound({ job, 0, 0 });
+
+		return it != crash_after_ms.end() && it->first.job == job;
+	}
+
+	/*
+	 * A job fails only after max_attempts failed runs of one task, or for a
+	 * task that crashes its workers.
+	 */
 	void check_failed_jobs()
 	{
 		for (auto &j : jobs) {
 			std::map<uint32_t, uint32_t> fails;
 			uint32_t max_fails = 0;
 
-			if (eng_job_status(engine, j.first) != ENG_FAILED)
+			if (eng_job_status(engine, j.first) != ENG_FAILED ||
+			    has_crashing_task(j.first))
 				continue;
 			for (auto &f : failed_runs[j.first])
 				max_fails =
@@ -317,7 +350,7 @@
 	bool ready = false, batch_in_flight = false;
 	struct engine *engine = nullptr;
 	std::priority_queue<Event> events;
-	std::vector<Worker> workers;
+	std::deque<Worker> workers; /* references stay valid as it grows */
 	std::map<uint64_t, Job> jobs;
 	std::map<uint64_t, std::string> serialized_jobs, stored_records;
 	std::set<uint64_t> started_jobs;
@@ -325,6 +358,13 @@
 	std::set<std::pair<TaskKey, uint32_t>> sent_starts; /* with the run */
 	std::map<uint64_t, std::set<std::pair<uint32_t, uint32_t>>>
 		failed_runs; /* by job: task index + 1, 0 for a gang, and run */
+	std::map<TaskKey, int64_t>
+		crash_after_ms; /* tasks that crash their worker, so long
+				 * after they started */
+	std::map<TaskKey, int> crashes_under; /* crashed while it ran there */
+	std::map<TaskKey, int> starts_after_crashes; /* after CRASHES_MAX */
+	bool new_id_after_crash = false;
+	bool store_down = false; /* nothing is stored, no entry changes */
 	std::vector<std::string> violations;
 	std::map<std::tuple<uint64_t, uint32_t, std::string>, int64_t>
 		tickets; /* by job, step and worker: expiry */
--- a/packages/engine/tests/simulation.h
+++ b/packages/engine/tests/simulation.h
@@ -5,7 +5,8 @@
  * Discrete-event simulation of the cluster around the engine: workers that
  * follow the worker API, a store, a policy service, and faults drawn from a
  * seed. The invariants are checked on the state of the workers. Included by
- * test_load.cc, test_schedules.cc, test_takeover.cc and test_workers.cc.
+ * test_load.cc, test_losses.cc, test_schedules.cc, test_takeover.cc and
+ * test_workers.cc.
  */
 
 #include "sim_state.h"
@@ -120,7 +121,9 @@
 		i.labels = labels;
 		i.n_labels = 1;
 		i.born_ms = w.boot_ms;
-		if (w.listed)
+		if (store_down)
+			schedule_in(100, [this, &w] { list_worker(w); });
+		else if (w.listed)
 			eng_worker_listed(engine, &i, now);
 	}
 
@@ -159,17 +162,28 @@
 		eng_records_free(records, n);
 		batch_in_flight = true;
 		uint64_t e = epoch;
-		schedule_in(chance(faults.slow_store) ? 400 : 8, [=] {
+		schedule_in(chance(faults.slow_store) ? 400 : 8,
+			    [=] { store_batch(e, batch, copy); });
+	}
+
+	void store_batch(
+		uint64_t e, uint64_t batch,
+		const std::vector<std::pair<uint64_t, std::string>> &records)
+	{
+		if (e != epoch)
+			return;
+		if (store_down) {
+			schedule_in(50,
+				    [=] { store_batch(e, batch, records); });
+			return;
+		}
+		for (auto &r : records)
+			stored_records[r.first] = r.second;
+		schedule_in(5, [=] {
 			if (e != epoch)
 				return;
-			for (auto &r : copy)
-				stored_records[r.first] = r.second;
-			schedule_in(5, [=] {
-				if (e != epoch)
-					return;
-				batch_in_flight = false;
-				eng_batch_stored(engine, batch, now);
-			});
+			batch_in_flight = false;
+			eng_batch_stored(engine, batch, now);
 		});
 	}
 
@@ -197,25 +211,65 @@
 		}
 	}
 
+	void unlist_worker(Worker &w)
+	{
+		w.listed = false;
+		if (!store_down)
+			eng_worker_unlisted(engine, str(w.id), now);
+	}
+
 	void crash(Worker &w)
 	{
+		for (auto &r : w.running)
+			crashes_under[r.key]++;
 		w.up = false;
-		w.listed = false;
-		eng_worker_unlisted(engine, str(w.id), now);
+		w.crash_at_ms = -1;
+		unlist_worker(w);
 		w.running.clear();
 		w.ends.clear();
 		w.void_runs.clear();
 		schedule_in(500 + (int64_t)(random01() * 9000), [this, &w] {
-			w.up = true;
-			w.boot_ms = now;
-			w.fence = 0;
-			w.lease_until = 0;
-			w.next_end = 1;
-			w.listed = true;
-			list_worker(w);
+			if (new_id_after_crash)
+				start_successor(w);
+			else
+				restart(w);
 		});
 	}
 
+	void restart(Worker &w)
+	{
+		w.up = true;
+		w.boot_ms = now;
+		w.fence = 0;
+		w.lease_until = 0;
+		w.next_end = 1;
+		w.listed = true;
+		list_worker(w);
+	}
+
+	/* The next boot has another id, at the same address. */
+	void start_successor(Worker &w)
+	{
+		Worker next;
+
+		next.id = w.id + "+";
+		next.address = w.address;
+		next.boot_ms = now;
+		next.clock_offset = w.clock_offset;
+		next.clock_rate = w.clock_rate;
+		next.capacity = w.capacity;
+		next.delay_ms = w.delay_ms;
+		workers.push_back(next);
+		w.successor = &workers.back();
+		list_worker(workers.back());
+	}
+
+	/* The reply of what now answers at the address of a worker's boot. */
+	static eng_reply reply_of_next_boot(const Worker &w)
+	{
+		return w.successor ? ENG_REPLY_REFUSED : ENG_REPLY_NONE;
+	}
+
 	void end_run(Worker &w, size_t i, eng_end_reason how)
 	{
 		Run r = w.running[i];
@@ -234,6 +288,8 @@
 	void advance_workers()
 	{
 		for (auto &w : workers) {
+			if (w.crash_at_ms >= 0 && w.crash_at_ms <= now)
+				crash(w);
 			if (!w.up)
 				continue;
 			if (!w.running.empty() && clock(w) > w.lease_until) {
@@ -278,7 +334,10 @@
 		if (clock(w) > until)
 			return ENG_REPLY_LEASE_EXPIRED;
 		check_start(w, r, r.need.cpu_milli, delayed);
+		check_crash_budget(w, r);
 		w.running.push_back(r);
+		if (crash_after_ms.count(r.key))
+			w.crash_at_ms = now + crash_after_ms[r.key];
 		started_jobs.insert(r.key.job);
 		starts++;
 		w.starts++;
@@ -322,7 +381,7 @@
 			delayed ? 2000 + (int64_t)(random01() * 10000)
 				: w.delay_ms,
 			[=, &w] {
-				eng_reply a = ENG_REPLY_NONE;
+				eng_reply a = reply_of_next_boot(w);
 
 				if (ticket &&
 				    tickets[{ ref.job, ref.step, id }] < now) {
@@ -384,7 +443,7 @@
 		bool reply_lost = chance(faults.lose_reply);
 
 		schedule_in(15, [=, &w] {
-			eng_reply a = ENG_REPLY_NONE;
+			eng_reply a = reply_of_next_boot(w);
 
 			if (w.up && w.boot_ms == boot_ms && w.reachable) {
 				a = handle_stop(w, e, ref);
@@ -442,10 +501,12 @@
 			 int64_t reply_by_ms)
 	{
 		if (!w.up || !w.reachable) {
-			schedule_in(700, [=] {
+			eng_reply a = reply_of_next_boot(w);
+
+			schedule_in(a == ENG_REPLY_NONE ? 700 : 15, [=] {
 				if (e == epoch)
-					eng_hold_failed(engine, str(id),
-							ENG_REPLY_NONE, now);
+					eng_hold_failed(engine, str(id), a,
+							now);
 			});
 			return;
 		}
