--- a/packages/engine/src/eng_priv.h
+++ b/packages/engine/src/eng_priv.h
@@ -352,7 +352,8 @@
 		    const struct eng_finished_task *f);
 /* eng_task_started - a worker confirmed that the task has started */
 void eng_task_started(struct engine *e, struct task *t);
-void eng_send_start(struct engine *e, struct task *t);
+/* eng_task_send - starts a task whose placement is stored, if it still may */
+void eng_task_send(struct engine *e, struct task *t);
 /* eng_retry_requests - resends starts and stops that got no reply */
 void eng_retry_requests(struct engine *e, struct worker *w);
 
@@ -392,6 +393,9 @@
 /* eng_worker_latency_ms - start latency; 0 if the critical path is long */
 double eng_worker_latency_ms(const struct worker *w, const struct step *s);
 bool eng_worker_usable(const struct engine *e, const struct worker *w);
+/* eng_worker_accepts - whether a task that is assigned to it may be started:
+ * its capacity is not exceeded, and it does not drain */
+bool eng_worker_accepts(const struct worker *w);
 /**
  * eng_worker_grant_lease - extends the lease that is to be sent to a worker
  *
--- a/packages/engine/src/eng_tasks.c
+++ b/packages/engine/src/eng_tasks.c
@@ -134,7 +134,7 @@
 	eng_job_mark_dirty(e, j);
 }
 
-void eng_send_start(struct engine *e, struct task *t)
+static void send_start(struct engine *e, struct task *t)
 {
 	struct worker *w = t->worker;
 	struct worker_advice *a = eng_advice_find(t->step, w);
@@ -157,6 +157,30 @@
 	e->callbacks.start(e->callbacks.ctx, &request);
 }
 
+static bool ticket_expired(const struct engine *e, const struct task *t)
+{
+	const struct worker_advice *a = eng_advice_find(t->step, t->worker);
+
+	return t->step->job->spec->advice.needed &&
+	       (!a || a->expires_ms <= e->now_ms);
+}
+
+/*
+ * The store may have taken long, so what allowed the placement is checked once
+ * more. A task that is not sent cannot run, and is placed anew.
+ */
+void eng_task_send(struct engine *e, struct task *t)
+{
+	const struct worker *w = t->worker;
+
+	if (w->hold_failures || !eng_worker_accepts(w))
+		eng_task_lost(e, t, "not sent, worker has changed");
+	else if (ticket_expired(e, t))
+		eng_task_lost(e, t, "not sent, ticket ran out");
+	else
+		send_start(e, t);
+}
+
 void eng_task_lost(struct engine *e, struct task *t, const char *reason)
 {
 	struct step *s = t->step;
@@ -387,8 +411,9 @@
 		return;
 	if (t->state == TASK_STARTING && age >= START_RETRY_MS) {
 		if (t->start_attempts < START_ATTEMPTS_MAX && !t->done &&
-		    eng_job_active(t->step->job))
-			eng_send_start(e, t);
+		    eng_job_active(t->step->job) &&
+		    eng_worker_accepts(t->worker))
+			send_start(e, t);
 		else
 			eng_task_stop(e, t);
 	} else if (t->state == TASK_STOPPING && !t->stop_acked_ms &&
--- a/packages/engine/src/eng_workers.c
+++ b/packages/engine/src/eng_workers.c
@@ -188,6 +188,18 @@
 	       !w->hold_failures && w->avoid_until_ms <= e->now_ms;
 }
 
+static bool within_capacity(const struct worker *w)
+{
+	return w->used.cpu_milli <= w->capacity.cpu_milli &&
+	       w->used.mem_mb <= w->capacity.mem_mb &&
+	       w->used.gpu <= w->capacity.gpu;
+}
+
+bool eng_worker_accepts(const struct worker *w)
+{
+	return w->listed && !w->draining && !w->boot_over && within_capacity(w);
+}
+
 static int64_t worker_clock_now(const struct engine *e, const struct worker *w)
 {
 	return w->clock_ms + (e->now_ms - w->clock_at_ms);
--- a/packages/engine/src/engine.c
+++ b/packages/engine/src/engine.c
@@ -477,7 +477,7 @@
 			break;
 		g_queue_pop_head(&e->storing);
 		if (t->state == TASK_STORING)
-			eng_send_start(e, t);
+			eng_task_send(e, t);
 	}
 	for (guint i = 0; i < e->worker_list->len; i++) {
 		struct worker *w = e->worker_list->pdata[i];
--- a/packages/engine/tests/sim_state.h
+++ b/packages/engine/tests/sim_state.h
@@ -84,6 +84,7 @@
 	std::set<std::pair<TaskKey, uint32_t>> void_runs;
 	int64_t capacity = 16000;
 	int64_t delay_ms = 15; /* one way */
+	bool draining = false;
 	int starts = 0;
 	bool reachable = true;
 	int64_t crash_at_ms = -1;    /* a task crashes it then; -1: none */
--- a/packages/engine/tests/simulation.h
+++ b/packages/engine/tests/simulation.h
@@ -121,6 +121,7 @@
 		i.labels = labels;
 		i.n_labels = 1;
 		i.born_ms = w.boot_ms;
+		i.draining = w.draining;
 		if (store_down)
 			schedule_in(100, [this, &w] { list_worker(w); });
 		else if (w.listed)
--- a/packages/engine/tests/test_workers.cc
+++ b/packages/engine/tests/test_workers.cc
@@ -82,4 +82,28 @@
 	EXPECT_TRUE(sim.workers[0].running.empty());
 }
 
+// A placement waits for a slow store, and its worker starts to drain meanwhile.
+TEST(Workers, ADrainingWorkerGetsAStartThatWaitedForTheStore)
+{
+	Simulation sim(1, Faults(), 2);
+
+	sim.faults.fail_task = 0;
+	sim.faults.slow_store = 1;
+	sim.take_over();
+	sim.run_for(500, false);
+	sim.submit(1, { engine_sim::step(1, 1000, 600) });
+	sim.run_for(100, false);
+	for (auto &w : sim.workers)
+		w.draining = true;
+	sim.list_worker(sim.workers[0]);
+	sim.list_worker(sim.workers[1]);
+	sim.run_for(1000, false);
+	EXPECT_EQ(sim.starts, 0);
+	sim.workers[0].draining = false;
+	sim.list_worker(sim.workers[0]);
+	sim.run_for(3000, false);
+	expect_no_violations(sim);
+	EXPECT_EQ(eng_job_status(sim.engine, 1), ENG_COMPLETE);
+}
+
 } // namespace
