--- a/packages/engine/include/vh/engine.h
+++ b/packages/engine/include/vh/engine.h
@@ -27,6 +27,8 @@
  * @stop_ms: how long a worker takes to stop a task
  * @gang_ms: how long the tasks of a gang wait for each other to start
  * @former_owner_ms: how long a former owner may still renew leases
+ * @entry_age_max_ms: how old a worker's entry in the fleet's list may be when a
+ *		      task is started on it, 0: any age
  */
 struct eng_settings {
 	uint64_t fence;
@@ -35,6 +37,7 @@
 	int64_t stop_ms;
 	int64_t gang_ms;
 	int64_t former_owner_ms;
+	int64_t entry_age_max_ms;
 };
 
 enum eng_job_status {
@@ -240,6 +243,7 @@
 /**
  * struct eng_worker_info - a worker's entry in the fleet's list
  * @born_ms: when this boot of the worker started, 0: unknown
+ * @clock_ms: its own clock when it wrote the entry, 0: not given
  * @draining: it gets no new tasks
  */
 struct eng_worker_info {
@@ -251,6 +255,7 @@
 	const struct vh_slice *labels;
 	size_t n_labels;
 	int64_t born_ms;
+	int64_t clock_ms;
 	bool draining;
 };
 
--- a/packages/engine/src/eng_priv.h
+++ b/packages/engine/src/eng_priv.h
@@ -225,6 +225,8 @@
  * @reserved_at_ms: when resources of the worker were last reserved
  * @born_ms: boot time, which identifies the boot; 0: unknown
  * @listed: in the fleet's list
+ * @entry_born_ms: the boot that wrote its entry there, 0: not given
+ * @entry_clock_ms: that boot's clock then, 0: not given
  * @fenced: answered a hold with our fencing token, in this boot
  * @report_needed: the next hold asks for an immediate reply; it is sent even if
  *		   the worker has no tasks, or ends that are not stored yet
@@ -260,6 +262,8 @@
 	struct eng_resources reserved;
 	int64_t reserved_at_ms;
 	int64_t born_ms;
+	int64_t entry_born_ms;
+	int64_t entry_clock_ms;
 	bool listed;
 	bool draining;
 	bool fenced;
@@ -394,8 +398,8 @@
 double eng_worker_latency_ms(const struct worker *w, const struct step *s);
 bool eng_worker_usable(const struct engine *e, const struct worker *w);
 /* eng_worker_accepts - whether a task that is assigned to it may be started:
- * its capacity is not exceeded, and it does not drain */
-bool eng_worker_accepts(const struct worker *w);
+ * its capacity is known and not exceeded, and it does not drain */
+bool eng_worker_accepts(const struct engine *e, const struct worker *w);
 /**
  * eng_worker_grant_lease - extends the lease that is to be sent to a worker
  *
--- a/packages/engine/src/eng_tasks.c
+++ b/packages/engine/src/eng_tasks.c
@@ -173,7 +173,7 @@
 {
 	const struct worker *w = t->worker;
 
-	if (w->hold_failures || !eng_worker_accepts(w))
+	if (w->hold_failures || !eng_worker_accepts(e, w))
 		eng_task_lost(e, t, "not sent, worker has changed");
 	else if (ticket_expired(e, t))
 		eng_task_lost(e, t, "not sent, ticket ran out");
@@ -412,7 +412,7 @@
 	if (t->state == TASK_STARTING && age >= START_RETRY_MS) {
 		if (t->start_attempts < START_ATTEMPTS_MAX && !t->done &&
 		    eng_job_active(t->step->job) &&
-		    eng_worker_accepts(t->worker))
+		    eng_worker_accepts(e, t->worker))
 			send_start(e, t);
 		else
 			eng_task_stop(e, t);
--- a/packages/engine/src/eng_workers.c
+++ b/packages/engine/src/eng_workers.c
@@ -142,6 +142,8 @@
 	for (size_t i = 0; i < info->n_labels; i++)
 		w->labels[i] = vh_slice_dup(info->labels[i]);
 	w->capacity = info->capacity;
+	w->entry_born_ms = info->born_ms;
+	w->entry_clock_ms = info->clock_ms;
 	if (!was_listed) {
 		report_event(e, w, "worker listed", false);
 		look_at_former_boot(e, w);
@@ -182,10 +184,24 @@
 	return s->critical_path_ms <= SHORT_PATH_MS ? w->start_latency_ms : 0;
 }
 
-bool eng_worker_usable(const struct engine *e, const struct worker *w)
+static int64_t worker_clock_now(const struct engine *e, const struct worker *w)
 {
-	return w->listed && w->fenced && !w->draining && !w->boot_over &&
-	       !w->hold_failures && w->avoid_until_ms <= e->now_ms;
+	return w->clock_ms + (e->now_ms - w->clock_at_ms);
+}
+
+/*
+ * Whether the worker's entry tells its present capacity. It does not if a former
+ * boot wrote it, or if it is old, since capacities change and the store may have
+ * been down for the worker.
+ */
+static bool capacity_known(const struct engine *e, const struct worker *w)
+{
+	if (w->entry_born_ms && w->entry_born_ms != w->born_ms)
+		return false;
+	if (!e->settings.entry_age_max_ms || !w->entry_clock_ms)
+		return true;
+	return w->clock_at_ms && worker_clock_now(e, w) - w->entry_clock_ms <=
+					 e->settings.entry_age_max_ms;
 }
 
 static bool within_capacity(const struct worker *w)
@@ -195,14 +211,17 @@
 	       w->used.gpu <= w->capacity.gpu;
 }
 
-bool eng_worker_accepts(const struct worker *w)
+bool eng_worker_accepts(const struct engine *e, const struct worker *w)
 {
-	return w->listed && !w->draining && !w->boot_over && within_capacity(w);
+	return w->listed && !w->draining && !w->boot_over &&
+	       capacity_known(e, w) && within_capacity(w);
 }
 
-static int64_t worker_clock_now(const struct engine *e, const struct worker *w)
+bool eng_worker_usable(const struct engine *e, const struct worker *w)
 {
-	return w->clock_ms + (e->now_ms - w->clock_at_ms);
+	return w->listed && w->fenced && !w->draining && !w->boot_over &&
+	       !w->hold_failures && w->avoid_until_ms <= e->now_ms &&
+	       capacity_known(e, w);
 }
 
 static void extend_lease(struct engine *e, struct worker *w, int64_t until_ms)
