--- a/packages/gateway/src/service_api.c
+++ b/packages/gateway/src/service_api.c
@@ -11,6 +11,7 @@
  * billed, although this node's region has upstreams. */
 #define REMOTE_DELAY_MS 100
 #define MAX_ATTEMPTS 64
+#define MAX_FAILED_RUNS 3 /* upstreams that may fail under one request */
 #define BODY_HASH_SEED 1
 
 static struct vh_service_request *request_of_item(struct vh_fairq_item *item)
@@ -248,8 +249,10 @@
 {
 	struct vh_service_state *svc = sreq->service;
 
-	if (!surely_not_run)
+	if (!surely_not_run) {
 		sreq->may_have_run = true;
+		sreq->failed_runs++;
+	}
 	if (sreq->orphaned) {
 		if (surely_not_run)
 			record_outcome(sreq, 0);
@@ -263,6 +266,7 @@
 		return;
 	}
 	if (++sreq->attempts >= MAX_ATTEMPTS ||
+	    sreq->failed_runs >= MAX_FAILED_RUNS ||
 	    (err != VH_ERR_NO_CAPACITY &&
 	     !vh_route_retry_budget_take(&svc->retry_budget))) {
 		vh_service_fail(
--- a/packages/gateway/src/service_api.h
+++ b/packages/gateway/src/service_api.h
@@ -16,6 +16,7 @@
  * @idempotent: may be retried even if an attempt may have run
  * @recorded: its idempotency key was recorded by request_begin
  * @may_have_run: an attempt may have run
+ * @failed_runs: how many attempts may have run and failed
  * @orphaned: the caller has disconnected; completes when the upstream responds
  * @avoid_mask: upstreams that have failed or refused this request, see
  *		vh_upstream_avoid_bit()
@@ -39,6 +40,7 @@
 	bool may_have_run;
 	bool orphaned;
 	unsigned int attempts;
+	unsigned int failed_runs;
 	uint64_t avoid_mask;
 	int64_t deadline_ms;
 	int64_t created_ms;
--- a/packages/gateway/tests/test_service.cc
+++ b/packages/gateway/tests/test_service.cc
@@ -393,3 +393,21 @@
 	}
 	EXPECT_LE(seen, sent + sent / 10 + 10);
 }
+
+// The retry budget of a service, ten at the start, is no bound for one request.
+TEST_F(Service, RequestThatCrashesItsUpstreamsIsSentToOneAfterTheOther)
+{
+	int crashed = 0;
+
+	for (int i = 0; i < 12; i++)
+		add_upstream([&](const FakeUpstream::Request &r) {
+			crashed++;
+			r.shut_down();
+		});
+	start();
+	auto *c = send_request();
+
+	ASSERT_TRUE(wait_for_responses(c));
+	EXPECT_EQ(c->status(), 502);
+	EXPECT_LE(crashed, 3);
+}
