--- a/packages/engine/tests/test_schedules.cc
+++ b/packages/engine/tests/test_schedules.cc
@@ -136,6 +136,28 @@
 	run_schedule(GetParam(), f, 40000);
 }
 
+std::map<uint64_t, std::string> records_of(uint64_t seed)
+{
+	Faults f;
+
+	f.cancel = 0.5;
+	f.lose_reply = 0.1;
+	Simulation sim(seed, f, 8);
+
+	sim.take_over();
+	for (int i = 0; i < 10; i++) {
+		submit_jobs(sim, 6, seed * 100 + (uint64_t)i);
+		sim.run_for(300, true);
+	}
+	return sim.stored_records;
+}
+
+// Equal workers were told apart by the addresses of their structs.
+TEST_P(Schedules, TheSameSeedGivesOtherRecords)
+{
+	EXPECT_EQ(records_of(GetParam()), records_of(GetParam()));
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, Schedules, testing::Range<uint64_t>(1, 26));
 
 } // namespace
