--- a/packages/cell/src/owner.c
+++ b/packages/cell/src/owner.c
@@ -16,12 +16,15 @@
 #define STALL_MS 900	     /* a longer gap between runs is a stalled loop */
 #define MAX_JOBS_AGE_MS 1500 /* with older data, a job may be missing */
 
+int64_t owner_run_pause_ms(int64_t run_duration_ms)
+{
+	return MAX(RUN_INTERVAL_MS, RUN_REST_FACTOR * run_duration_ms);
+}
+
 void owner_schedule_run(struct owner *o)
 {
 	if (!vh_timer_pending(&o->run_timer) && o->phase != OWNER_ENDED)
-		vh_timer_start(&o->run_timer,
-			       MAX(RUN_DELAY_MS,
-				   RUN_REST_FACTOR * o->run_duration_ms));
+		vh_timer_start(&o->run_timer, RUN_DELAY_MS);
 }
 
 int64_t owner_now_ms(const struct owner *o)
@@ -172,7 +175,7 @@
 		o->run_duration_ms = owner_now_ms(o) - now;
 	}
 	flush(o);
-	vh_timer_start(&o->run_timer, RUN_INTERVAL_MS);
+	vh_timer_start(&o->run_timer, owner_run_pause_ms(o->run_duration_ms));
 }
 
 static void maybe_activate(struct owner *o)
--- a/packages/cell/src/owner_priv.h
+++ b/packages/cell/src/owner_priv.h
@@ -79,6 +79,9 @@
 };
 
 void owner_schedule_run(struct owner *o);
+/* owner_run_pause_ms - pause after an engine run, so that the runs leave time
+ * for everything else in the event loop */
+int64_t owner_run_pause_ms(int64_t run_duration_ms);
 int64_t owner_now_ms(const struct owner *o);
 
 /* owner_has_ended - whether results of calls must be ignored */
