--- a/packages/engine/src/eng_place.c
+++ b/packages/engine/src/eng_place.c
@@ -1,64 +1,9 @@
 #include "eng_priv.h"
 
-/*
- * Placement of waiting tasks on workers.
- *
- * Designed for a cluster with 80 % mean load and bursts that double the load of
- * one class of jobs. Steps are placed in tiers: first those that can still meet
- * the objective of their job; then late ones that complete before the cutoff;
- * then those in time of jobs that exceeded the share of their team; last all
- * others. Within a tier, steps are ordered by the priority of the job, then by
- * latest start time.
- */
-#define CRITICAL_PATH_FACTOR 0.8 /* of the critical path, in step_tier() */
+/* Placement of waiting tasks on workers, in the order of eng_order.c. */
 #define FAILURE_SCORE_LIMIT 2.5	 /* score at which a worker is avoided */
 #define FAILURE_SCORE_RESUME 1.5 /* score that it is reset to then */
 #define FAILURE_AVOID_MS 3000	 /* how long it is avoided */
-#define CORE_MILLI 1000		 /* thousandths of a processor */
-
-/* Terms of cost(), in the unit of one processor left free. */
-#define LATENCY_COST_PER_MS 0.15 /* of start latency, for short steps */
-#define DATA_RACK_BONUS 1000 /* for a worker in the rack of the step's data */
-#define FAILURE_COST 4	     /* per point of the failure score */
-#define RESERVED_COST 500.0  /* for a worker that a gang waits for */
-#define TRIAL_COST 500.0     /* for a worker with a task on trial */
-#define TRIAL_COST_PER_MS 5  /* of start latency, for a task on trial */
-#define AT_RISK_COST 50.0    /* per task that one on trial may take with it */
-
-enum tier {
-	TIER_IN_TIME,
-	TIER_LATE,
-	TIER_OVER_SHARE, /* in time, but beyond the share of its team */
-	TIER_LAST	 /* past the cutoff, or late and over the share */
-};
-
-static enum tier step_tier(const struct engine *e, const struct step *s)
-{
-	int64_t end = e->now_ms + (int64_t)(CRITICAL_PATH_FACTOR *
-					    (double)s->critical_path_ms);
-
-	if (s->job->over_share)
-		return end <= s->job->due_ms ? TIER_OVER_SHARE : TIER_LAST;
-	if (end <= s->job->due_ms)
-		return TIER_IN_TIME;
-	return end <= s->job->cutoff_ms ? TIER_LATE : TIER_LAST;
-}
-
-static int by_tier(gconstpointer a, gconstpointer b)
-{
-	const struct step *x = *(const struct step *const *)a;
-	const struct step *y = *(const struct step *const *)b;
-	const struct eng_job_spec *p = x->job->spec;
-	const struct eng_job_spec *q = y->job->spec;
-
-	if (x->tier != y->tier)
-		return x->tier < y->tier ? -1 : 1;
-	if (p->priority != q->priority)
-		return p->priority < q->priority ? -1 : 1;
-	if (x->latest_start_ms != y->latest_start_ms)
-		return x->latest_start_ms < y->latest_start_ms ? -1 : 1;
-	return p->id < q->id ? -1 : p->id > q->id;
-}
 
 static bool placement_allowed(const struct step *s, const struct engine *e,
 			      const struct worker *w)
@@ -83,39 +28,6 @@
 	}
 }
 
-/*
- * Cost of placing a task on a worker; lower is better. Prefers a tight fit, few
- * failures, low latency for short steps, and the rack of the step's data. Keeps
- * tasks on trial, see eng_loss.c, and other work apart.
- */
-static double cost(const struct engine *e, const struct step *s,
-		   const struct worker *w, bool on_trial)
-{
-	double left = (double)(w->capacity.cpu_milli - w->used.cpu_milli -
-			       s->spec->need.cpu_milli) /
-		      CORE_MILLI;
-	double c = left + FAILURE_COST * w->failure_score +
-		   LATENCY_COST_PER_MS * eng_worker_latency_ms(w, s);
-
-	if (eng_worker_trial_active(e, w))
-		c += TRIAL_COST;
-	/* A near one, since a reply that is faster than the crash proves that
-	 * the run had started. */
-	if (on_trial)
-		c += AT_RISK_COST * w->tasks->len +
-		     TRIAL_COST_PER_MS * w->start_latency_ms;
-	/* Keeps tasks that are placed before a waiting gang off its workers. */
-	if (eng_recently_reserved(e, w))
-		c += RESERVED_COST;
-	if (s->spec->rack.len) {
-		for (char **l = w->labels; *l; l++) {
-			if (vh_slice_eq_str(s->spec->rack, *l))
-				return c - DATA_RACK_BONUS;
-		}
-	}
-	return c;
-}
-
 /* The best worker found so far. */
 struct choice {
 	struct worker *w;
@@ -133,7 +45,7 @@
 	/* Two trials at once could not be told apart. */
 	if (on_trial && eng_worker_trial_starting(e, w))
 		return;
-	c = cost(e, t->step, w, on_trial);
+	c = eng_placement_cost(e, t->step, w, on_trial);
 	if (best->w &&
 	    (c > best->cost || (c == best->cost && w->index > best->w->index)))
 		return;
@@ -250,7 +162,9 @@
 
 		if (!slots)
 			continue;
-		parts[n++] = (struct part){ w, slots, cost(e, s, w, false) };
+		parts[n++] =
+			(struct part){ w, slots,
+				       eng_placement_cost(e, s, w, false) };
 		n_slots += slots;
 	}
 	if (n_slots >= s->spec->n_tasks) {
@@ -322,14 +236,7 @@
 	avoid_failing_workers(e);
 	eng_reservations_clear(e);
 	steps = g_ptr_array_sized_new(e->runnable_steps->len);
-	for (guint i = 0; i < e->runnable_steps->len; i++) {
-		struct step *s = e->runnable_steps->pdata[i];
-
-		s->tier = step_tier(e, s);
-		s->latest_start_ms = s->job->due_ms - s->critical_path_ms;
-		g_ptr_array_add(steps, s);
-	}
-	g_ptr_array_sort(steps, by_tier);
+	eng_order_steps(e, steps);
 	for (guint i = 0; i < steps->len; i++)
 		place_step(e, steps->pdata[i]);
 	for (guint i = 0; i < steps->len; i++)
--- a/packages/engine/src/eng_priv.h
+++ b/packages/engine/src/eng_priv.h
@@ -458,6 +458,16 @@
 /* eng_place.c */
 void eng_place_steps(struct engine *e);
 
+/* eng_order.c */
+/* eng_order_steps - appends the runnable steps in the order of placement */
+void eng_order_steps(struct engine *e, GPtrArray *out);
+
+/* eng_cost.c */
+/* eng_placement_cost - cost of placing a task of a step on a worker; lower is
+ * better */
+double eng_placement_cost(const struct engine *e, const struct step *s,
+			  const struct worker *w, bool on_trial);
+
 /* eng_advice.c */
 void eng_request_advice(struct engine *e, struct step *s);
 void eng_advice_free(gpointer advice);
