--- a/packages/cell/src/keys.c
+++ b/packages/cell/src/keys.c
@@ -16,3 +16,11 @@
 		return false;
 	return eng_job_id_parse(vh_slice(key.data + 1, key.len - 1), id);
 }
+
+bool vh_key_parse_learned(struct vh_slice key, struct vh_slice *name)
+{
+	if (key.len < 2 || key.data[0] != VH_KEY_LEARNED)
+		return false;
+	*name = vh_slice(key.data + 1, key.len - 1);
+	return true;
+}
--- a/packages/cell/src/keys.h
+++ b/packages/cell/src/keys.h
@@ -10,9 +10,10 @@
 
 /* Keys of the records that the cell writes. */
 #define VH_KEY_BYTES 20
-#define VH_KEY_JOB 'j'	  /* an accepted job */
-#define VH_KEY_CANCEL 'c' /* the cancellation of a job */
-#define VH_KEY_STATE 's'  /* the state of a job */
+#define VH_KEY_JOB 'j'	   /* an accepted job */
+#define VH_KEY_CANCEL 'c'  /* the cancellation of a job */
+#define VH_KEY_STATE 's'   /* the state of a job */
+#define VH_KEY_LEARNED 'l' /* statistics of the owner, followed by a name */
 #define VH_KEY_OWNER "owner"
 /* Sorts after all other keys of the state topic, so that the page of records
  * after VH_KEY_BEFORE_HEARTBEAT holds the heartbeat alone. */
@@ -25,4 +26,7 @@
 /* vh_key_parse - gets the job from a key; false if it is not of kind @kind */
 bool vh_key_parse(struct vh_slice key, char kind, uint64_t *id);
 
+/* vh_key_parse_learned - gets the name from the key of a learned record */
+bool vh_key_parse_learned(struct vh_slice key, struct vh_slice *name);
+
 #endif
--- a/packages/cell/src/owner.c
+++ b/packages/cell/src/owner.c
@@ -98,6 +98,18 @@
 	}
 }
 
+static struct vh_slice record_key(GStringChunk *keys,
+				  const struct eng_record *r)
+{
+	char key[VH_KEY_BYTES + ENG_NAME_MAX];
+
+	if (r->name)
+		g_snprintf(key, sizeof(key), "%c%s", VH_KEY_LEARNED, r->name);
+	else
+		vh_key_format(key, VH_KEY_STATE, r->job);
+	return vh_slice_str(g_string_chunk_insert(keys, key));
+}
+
 static void append_send(struct owner *o)
 {
 	struct vh_append a = { .topic = VH_TOPIC_STATE,
@@ -106,13 +118,13 @@
 			       .timeout_ms = APPEND_TIMEOUT_MS };
 	struct vh_record *out =
 		g_new0(struct vh_record, o->n_append_records + 1);
-	char(*keys)[VH_KEY_BYTES] =
-		g_malloc0((o->n_append_records + 1) * VH_KEY_BYTES);
+	GStringChunk *keys = g_string_chunk_new(4096);
 
 	for (size_t i = 0; i < o->n_append_records; i++) {
-		vh_key_format(keys[i], VH_KEY_STATE, o->append_records[i].job);
-		out[i].key = vh_slice_str(keys[i]);
-		out[i].value = vh_buf_slice(&o->append_records[i].bytes);
+		const struct eng_record *r = &o->append_records[i];
+
+		out[i].key = record_key(keys, r);
+		out[i].value = vh_buf_slice(&r->bytes);
 	}
 	a.n = o->n_append_records;
 	if (!a.n && o->phase != OWNER_FENCING) {
@@ -125,7 +137,7 @@
 	o->pending_calls++;
 	o->ports->store->append(o->ports->store_self, &a, on_append, o);
 	g_free(out);
-	g_free(keys);
+	g_string_chunk_free(keys);
 }
 
 static void on_append_retry_timer(void *ctx)
@@ -217,8 +229,12 @@
 static void on_state_record(void *ctx, const struct vh_record *r)
 {
 	struct owner *o = ctx;
+	struct vh_slice name;
 	uint64_t id;
 
+	if (vh_key_parse_learned(r->key, &name) &&
+	    !eng_learned_restore(o->engine, name, r->value, owner_now_ms(o)))
+		vh_log(G_LOG_LEVEL_DEBUG, "learned record ignored", NULL);
 	if (!vh_key_parse(r->key, VH_KEY_STATE, &id))
 		return;
 	o->n_records_loaded++;
--- a/packages/engine/include/vh/engine.h
+++ b/packages/engine/include/vh/engine.h
@@ -283,6 +283,18 @@
 void eng_job_restore(struct engine *e, uint64_t id, struct vh_slice record,
 		     int64_t now_ms);
 
+/**
+ * eng_learned_restore - passes a learned record, as a former owner stored it
+ * @name: as in struct eng_record
+ *
+ * Only during recovery, in any order with the jobs. Learned records hold
+ * statistics that influence the choice and the order of placements, but never
+ * their correctness. Ignored if the name or the format is not known; returns
+ * false then.
+ */
+bool eng_learned_restore(struct engine *e, struct vh_slice name,
+			 struct vh_slice record, int64_t now_ms);
+
 /* eng_job_add - a job was accepted; takes ownership of @spec; idempotent */
 void eng_job_add(struct engine *e, struct eng_job_spec *spec, int64_t now_ms,
 		 int64_t wall_ms);
@@ -344,9 +356,14 @@
 /* eng_schedule - makes all decisions due now; call soon after any event */
 void eng_schedule(struct engine *e, int64_t now_ms);
 
-/* The record of a job that changed. */
+/**
+ * struct eng_record - a record to store
+ * @job: the job whose state it holds, if @name is NULL
+ * @name: name of a learned record, NULL for the state of a job
+ */
 struct eng_record {
 	uint64_t job;
+	char *name;
 	struct vh_buf bytes;
 };
 
--- a/packages/engine/src/eng_priv.h
+++ b/packages/engine/src/eng_priv.h
@@ -310,6 +310,7 @@
  * @open_batch: number of the batch being collected
  * @stored_batch: number of the last stored batch
  * @store_latency_ms: time that a placement takes to be stored
+ * @next_learned_ms: when learned records are stored next
  * @reserved_cpu: thousandths of a processor reserved for gangs, in the current
  *		  placement pass
  * @cpu_capacity: thousandths of a processor of all listed workers
@@ -333,6 +334,7 @@
 	uint64_t stored_batch;
 	uint64_t report_serial;
 	int64_t store_latency_ms;
+	int64_t next_learned_ms;
 	int64_t reserved_cpu;
 	int64_t cpu_capacity;
 	int64_t now_ms;
@@ -458,6 +460,15 @@
 /* eng_place.c */
 void eng_place_steps(struct engine *e);
 
+/* eng_learned.c: statistics that a new owner takes over */
+/* eng_learned_due - whether eng_learned_pack() would be called now */
+bool eng_learned_due(const struct engine *e);
+/* eng_learned_pack - appends learned records (struct eng_record) that changed */
+void eng_learned_pack(struct engine *e, GArray *records);
+/* eng_learned_add - appends an empty record and returns its buffer */
+struct vh_buf *eng_learned_add(GArray *records, char prefix,
+			       struct vh_slice name);
+
 /* eng_order.c */
 /* eng_order_steps - appends the runnable steps in the order of placement */
 void eng_order_steps(struct engine *e, GPtrArray *out);
--- a/packages/engine/src/engine.c
+++ b/packages/engine/src/engine.c
@@ -434,27 +434,41 @@
 
 uint64_t eng_flush(struct engine *e, struct eng_record **records, size_t *n)
 {
-	if (!e->dirty->len)
+	GArray *out;
+
+	if (!e->dirty->len && !eng_learned_due(e))
 		return 0;
-	*n = e->dirty->len;
-	*records = g_new0(struct eng_record, *n);
-	for (size_t i = 0; i < *n; i++) {
+	out = g_array_sized_new(FALSE, TRUE, sizeof(struct eng_record),
+				e->dirty->len);
+	for (guint i = 0; i < e->dirty->len; i++) {
 		struct job *j = e->dirty->pdata[i];
+		struct eng_record r = { .job = j->id };
 
-		(*records)[i].job = j->id;
-		eng_record_pack(j, &(*records)[i].bytes);
+		eng_record_pack(j, &r.bytes);
+		g_array_append_val(out, r);
 		j->dirty = false;
 	}
-	for (size_t i = 0; i < *n; i++)
+	for (guint i = 0; i < e->dirty->len; i++)
 		eng_job_reclaim(e, e->dirty->pdata[i]);
 	g_ptr_array_set_size(e->dirty, 0);
+	if (eng_learned_due(e))
+		eng_learned_pack(e, out);
+	*n = out->len;
+	*records = (struct eng_record *)(void *)g_array_free(out, FALSE);
+	if (!*n) {
+		eng_records_free(*records, 0);
+		*records = NULL;
+		return 0;
+	}
 	return e->open_batch++;
 }
 
 void eng_records_free(struct eng_record *records, size_t n)
 {
-	for (size_t i = 0; i < n; i++)
+	for (size_t i = 0; i < n; i++) {
+		g_free(records[i].name);
 		vh_buf_finish(&records[i].bytes);
+	}
 	g_free(records);
 }
 
