Keep starts off the workers of drained zones

Cause: nothing reads the operators' drain of an availability zone, so tasks start there during the whole drain.

Change: eng_set_drained_zones() replaces the set of drained zones. Their workers are not usable and accept no starts. While a zone is drained, the placement cost prefers the least used of the other zones. Workers that are cold (cold_ms) come last for urgent steps and gangs, and fill gradually with other work.

Conclusion: the engine is ready for the cell to pass the set.

--- a/packages/engine/include/vh/engine.h
+++ b/packages/engine/include/vh/engine.h
@@ -201,6 +201,25 @@
 	int64_t heard_ms;
 };
 
+/**
+ * struct eng_zone_status - an availability zone, for the log and the metrics
+ * @drained_ms: time since its drain began, also if that has ended
+ * @n_workers: its listed workers
+ * @n_other_workers: listed workers in zones that are not drained
+ * @n_tasks: tasks that are assigned to its workers
+ * @prevented: starts that were not sent, not resent or stopped since the drain
+ *	       began
+ */
+struct eng_zone_status {
+	struct vh_slice zone;
+	bool drained;
+	int64_t drained_ms;
+	size_t n_workers;
+	size_t n_other_workers;
+	size_t n_tasks;
+	uint64_t prevented;
+};
+
 /**
  * struct eng_milestone - a job started or ended, for the metrics
  * @status: ENG_RUNNING when its first task started, or how the job ended
@@ -225,6 +244,8 @@
  * @worker_event: a worker changed; not called during recovery; may be NULL
  * @decided: logs a decision; may be NULL
  * @milestone: a job started or ended; may be NULL
+ * @zone_event: the drain of a zone began or ended, or its last task has ended;
+ *		@what is constant text; may be NULL
  */
 struct eng_callbacks {
 	void (*start)(void *ctx, const struct eng_start_request *request);
@@ -237,6 +258,8 @@
 	void (*worker_event)(void *ctx, const struct eng_worker_event *w);
 	void (*decided)(void *ctx, const struct eng_decision *d);
 	void (*milestone)(void *ctx, const struct eng_milestone *m);
+	void (*zone_event)(void *ctx, const char *what,
+			   const struct eng_zone_status *z);
 	void *ctx;
 };
 
@@ -244,6 +267,7 @@
  * struct eng_worker_info - a worker's entry in the fleet's list
  * @born_ms: when this boot of the worker started, 0: unknown
  * @clock_ms: its own clock when it wrote the entry, 0: not given
+ * @cold_ms: for how much longer its work takes longer; 0: it is warm
  * @draining: it gets no new tasks
  */
 struct eng_worker_info {
@@ -256,6 +280,7 @@
 	size_t n_labels;
 	int64_t born_ms;
 	int64_t clock_ms;
+	int64_t cold_ms;
 	bool draining;
 };
 
@@ -302,6 +327,27 @@
 /* eng_job_cancel - a job's cancellation was accepted */
 void eng_job_cancel(struct engine *e, uint64_t id, int64_t now_ms);
 
+/**
+ * eng_set_drained_zones - sets the zones on whose workers no task may start
+ *
+ * Replaces the former set. Placements there that are not sent are taken back at
+ * once, and runs whose start is not answered soon are stopped. Tasks that run
+ * there are left alone. Zones need not have workers.
+ */
+void eng_set_drained_zones(struct engine *e, const struct vh_slice *zones,
+			   size_t n, int64_t now_ms);
+
+/**
+ * eng_drained_zones_outdated - the set may have changed unnoticed
+ *
+ * No start is placed, sent or resent until eng_set_drained_zones() is called.
+ */
+void eng_drained_zones_outdated(struct engine *e, int64_t now_ms);
+
+/* eng_drained_zones - writes up to @max drained zones, returns their number */
+size_t eng_drained_zones(const struct engine *e, struct eng_zone_status *out,
+			 size_t max);
+
 void eng_set_teams(struct engine *e, const struct eng_team *teams, size_t n);
 
 /* eng_worker_listed - a worker's entry was added to the list or updated */
@@ -410,6 +456,7 @@
  * @starts: start requests sent, including repeated ones
  * @ends_lost: runs that a worker refused, or that were lost without a reported
  *	       end
+ * @zone_starts_prevented: starts prevented by drained zones
  * @cpu_used: thousandths of a processor allocated on all workers
  * @cpu_capacity: the same unit, of the listed workers
  */
@@ -423,6 +470,7 @@
 	uint64_t ends_lost;
 	uint64_t advice_calls;
 	uint64_t holds;
+	uint64_t zone_starts_prevented;
 	int64_t cpu_used;
 	int64_t cpu_capacity;
 };
--- a/packages/engine/src/eng_advice.c
+++ b/packages/engine/src/eng_advice.c
@@ -57,6 +57,12 @@
 	return !s->spec->label.len || has_label(w, s->spec->label);
 }
 
+/* Whether a call may name a worker that has no room now. */
+static bool may_have_room_later(const struct step *s, const struct worker *w)
+{
+	return w->listed && !w->zone->drained && eng_worker_matches(s, w);
+}
+
 static uint32_t tasks_on_worker(const struct step *s, const struct worker *w)
 {
 	uint32_t n = 0;
@@ -128,7 +134,7 @@
 	struct worker *w;
 	double slots;	    /* expected number, by the chance of approval */
 	bool known;	    /* approved by an earlier answer */
-	bool reserved;	    /* a gang waits for it */
+	bool reserved;	    /* a gang waits for it, or it is cold */
 	int latency_bucket; /* in units of LATENCY_BUCKET_MS */
 	uint64_t order;	    /* among equals; differs by step */
 };
@@ -227,7 +233,7 @@
 		return false;
 	if (s->enough_advised)
 		return slots > 0;
-	return !a && w->listed && eng_worker_matches(s, w);
+	return !a && may_have_room_later(s, w);
 }
 
 /*
@@ -267,7 +273,7 @@
 		}
 		out[n].w = w;
 		out[n].known = a;
-		out[n].reserved = false;
+		out[n].reserved = eng_worker_cold_for(e, s, w);
 		out[n].latency_bucket = 0;
 		out[n].order = order_for(s, w);
 		out[n].slots = a ? slots : slots * s->job->queue->approval_rate;
@@ -300,12 +306,12 @@
 			*n_slots += slots;
 			continue;
 		}
-		if (!slots && !(all_workers && !a && w->listed &&
-				eng_worker_matches(s, w)))
+		if (!slots && !(all_workers && !a && may_have_room_later(s, w)))
 			continue;
 		out[n].w = w;
 		out[n].known = a;
-		out[n].reserved = eng_recently_reserved(e, w);
+		out[n].reserved = eng_recently_reserved(e, w) ||
+				  eng_worker_cold_for(e, s, w);
 		out[n].latency_bucket =
 			(int)(eng_worker_latency_ms(w, s) / LATENCY_BUCKET_MS);
 		out[n].order = order_for(s, w);
--- a/packages/engine/src/eng_cost.c
+++ b/packages/engine/src/eng_cost.c
@@ -24,7 +24,8 @@
 			       s->spec->need.cpu_milli) /
 		      CORE_MILLI;
 	double c = left + FAILURE_COST * w->failure_score +
-		   LATENCY_COST_PER_MS * eng_worker_latency_ms(w, s);
+		   LATENCY_COST_PER_MS * eng_worker_latency_ms(w, s) +
+		   eng_zone_cost(e, s, w);
 
 	if (eng_worker_trial_active(e, w))
 		c += TRIAL_COST;
--- a/packages/engine/src/eng_place.c
+++ b/packages/engine/src/eng_place.c
@@ -82,6 +82,7 @@
 	t->store_batch = e->open_batch;
 	eng_task_set_state(e, t, TASK_STORING);
 	g_queue_push_tail(&e->storing, t);
+	w->zone->used_cpu += t->step->spec->need.cpu_milli;
 	eng_report_decision(e, "place", t, w);
 }
 
@@ -107,6 +108,7 @@
 	struct worker *w;
 	uint32_t slots;
 	double cost;
+	bool cold;
 };
 
 static int by_slots(const void *a, const void *b)
@@ -114,6 +116,8 @@
 	const struct part *x = a;
 	const struct part *y = b;
 
+	if (x->cold != y->cold)
+		return x->cold ? 1 : -1;
 	if (x->slots != y->slots)
 		return x->slots < y->slots ? 1 : -1;
 	if (x->cost != y->cost)
@@ -162,9 +166,9 @@
 
 		if (!slots)
 			continue;
-		parts[n++] =
-			(struct part){ w, slots,
-				       eng_placement_cost(e, s, w, false) };
+		parts[n++] = (struct part){ w, slots,
+					    eng_placement_cost(e, s, w, false),
+					    eng_worker_cold_for(e, s, w) };
 		n_slots += slots;
 	}
 	if (n_slots >= s->spec->n_tasks) {
--- a/packages/engine/src/eng_priv.h
+++ b/packages/engine/src/eng_priv.h
@@ -221,6 +221,26 @@
 	int64_t cutoff_ms;
 };
 
+/**
+ * struct zone - an availability zone
+ * @drained: no task may start on its workers
+ * @empty_reported: that its last task has ended was reported in this drain
+ * @drained_at_ms: when the drain began
+ * @prevented: starts prevented in this drain
+ * @n_tasks, @cpu, @used_cpu: sums of its workers, counted while some zone is
+ *			      drained
+ */
+struct zone {
+	char *name;
+	bool drained;
+	bool empty_reported;
+	int64_t drained_at_ms;
+	uint64_t prevented;
+	size_t n_tasks;
+	int64_t cpu;
+	int64_t used_cpu;
+};
+
 /**
  * struct worker
  * @index: position in the engine's list of workers
@@ -228,6 +248,7 @@
  * @reserved: resources reserved for gangs, in the current placement pass
  * @reserved_at_ms: when resources of the worker were last reserved
  * @born_ms: boot time, which identifies the boot; 0: unknown
+ * @cold_until_ms: its work takes longer until then, 0: it is warm
  * @listed: in the fleet's list
  * @entry_born_ms: the boot that wrote its entry there, 0: not given
  * @entry_clock_ms: that boot's clock then, 0: not given
@@ -260,7 +281,7 @@
 	guint index;
 	const char *service;
 	char *address;
-	char *zone;
+	struct zone *zone;
 	char **labels;
 	struct eng_resources capacity;
 	struct eng_resources used;
@@ -269,6 +290,7 @@
 	int64_t born_ms;
 	int64_t entry_born_ms;
 	int64_t entry_clock_ms;
+	int64_t cold_until_ms;
 	bool listed;
 	bool draining;
 	bool fenced;
@@ -301,6 +323,9 @@
  * @jobs: id to struct job
  * @workers: id to struct worker
  * @worker_list: the same workers, for iteration
+ * @zones: name to struct zone, of all workers and drains
+ * @n_drained_zones: number of the zones that are drained
+ * @zones_outdated: see eng_drained_zones_outdated()
  * @teams: name to struct team
  * @queues: name to struct queue
  * @runnable_steps: steps with tasks to place
@@ -321,9 +346,12 @@
 	bool ready;
 	bool deposed;
 	bool restoring;
+	bool zones_outdated;
 	GHashTable *jobs;
 	GHashTable *workers;
 	GPtrArray *worker_list;
+	GHashTable *zones;
+	size_t n_drained_zones;
 	GHashTable *teams;
 	GHashTable *queues;
 	GPtrArray *runnable_steps;
@@ -382,6 +410,8 @@
 /* eng_job_reclaim - frees an ended job's steps and spec once they are unused */
 void eng_job_reclaim(struct engine *e, struct job *j);
 bool eng_job_active(const struct job *j);
+/* eng_send_stored - sends the starts whose placement is stored */
+void eng_send_stored(struct engine *e);
 void eng_report_decision(struct engine *e, const char *what,
 			 const struct task *t, const struct worker *w);
 
@@ -419,6 +449,28 @@
 /* eng_poll_workers - sends due holds, resends requests, expires leases */
 void eng_poll_workers(struct engine *e);
 
+/* eng_zone.c: drained zones and cold workers */
+/* eng_zone_get - finds a zone or creates one */
+struct zone *eng_zone_get(struct engine *e, struct vh_slice name);
+void eng_zone_free(gpointer zone);
+/* eng_zone_clear_worker - takes back what may still start on the worker and its
+ * reservations, if its zone is drained */
+void eng_zone_clear_worker(struct engine *e, struct worker *w);
+/* eng_zone_prevented - counts a start that a drain prevents */
+void eng_zone_prevented(struct engine *e, struct task *t);
+/* eng_poll_zones - clears drained zones; called before each pass */
+void eng_poll_zones(struct engine *e);
+/* eng_worker_set_cold - ignores times that cannot be meant */
+void eng_worker_set_cold(struct engine *e, struct worker *w,
+			 int64_t remaining_ms);
+/* eng_worker_cold_for - cold, and the step is urgent or a gang */
+bool eng_worker_cold_for(const struct engine *e, const struct step *s,
+			 const struct worker *w);
+/* eng_zone_cost - part of the placement cost: avoids cold workers, and spreads
+ * the work over the other zones while one is drained */
+double eng_zone_cost(const struct engine *e, const struct step *s,
+		     const struct worker *w);
+
 /* eng_loss.c: runs that are lost with their workers */
 /* eng_task_losses - how many runs of a task were lost */
 unsigned int eng_task_losses(const struct task *t);
--- a/packages/engine/src/eng_reserve.c
+++ b/packages/engine/src/eng_reserve.c
@@ -231,7 +231,7 @@
 		struct worker *w = e->worker_list->pdata[i];
 
 		memset(&w->reserved, 0, sizeof(w->reserved));
-		if (w->listed)
+		if (w->listed && !w->zone->drained)
 			e->cpu_capacity += w->capacity.cpu_milli;
 	}
 }
--- a/packages/engine/src/eng_tasks.c
+++ b/packages/engine/src/eng_tasks.c
@@ -173,7 +173,10 @@
 {
 	const struct worker *w = t->worker;
 
-	if (w->hold_failures || !eng_worker_accepts(e, w))
+	if (w->zone->drained) {
+		eng_zone_prevented(e, t);
+		eng_task_lost(e, t, "not sent, zone drained");
+	} else if (w->hold_failures || !eng_worker_accepts(e, w))
 		eng_task_lost(e, t, "not sent, worker has changed");
 	else if (ticket_expired(e, t))
 		eng_task_lost(e, t, "not sent, ticket ran out");
@@ -409,6 +412,9 @@
 
 	if (t->request_pending)
 		return;
+	/* Neither sent again nor stopped: the zones will be known soon. */
+	if (t->state == TASK_STARTING && e->zones_outdated)
+		return;
 	if (t->state == TASK_STARTING && age >= START_RETRY_MS) {
 		if (t->start_attempts < START_ATTEMPTS_MAX && !t->done &&
 		    eng_job_active(t->step->job) &&
--- a/packages/engine/src/eng_workers.c
+++ b/packages/engine/src/eng_workers.c
@@ -38,7 +38,7 @@
 	w->index = e->worker_list->len;
 	w->service = eng_intern(vh_slice("", 0));
 	w->address = g_strdup("");
-	w->zone = g_strdup("");
+	w->zone = eng_zone_get(e, vh_slice("", 0));
 	w->labels = g_new0(char *, 1);
 	w->tasks = g_ptr_array_new();
 	w->lost_runs = g_array_new(FALSE, FALSE, sizeof(struct lost_run));
@@ -137,7 +137,7 @@
 	w->draining = info->draining;
 	w->service = eng_intern(info->service);
 	replace_str(&w->address, info->address);
-	replace_str(&w->zone, info->zone);
+	w->zone = eng_zone_get(e, info->zone);
 	g_strfreev(w->labels);
 	w->labels = g_new0(char *, info->n_labels + 1);
 	for (size_t i = 0; i < info->n_labels; i++)
@@ -145,6 +145,8 @@
 	w->capacity = info->capacity;
 	w->entry_born_ms = info->born_ms;
 	w->entry_clock_ms = info->clock_ms;
+	eng_worker_set_cold(e, w, info->cold_ms);
+	eng_zone_clear_worker(e, w);
 	if (!was_listed) {
 		report_event(e, w, "worker listed", false);
 		look_at_former_boot(e, w);
@@ -214,15 +216,15 @@
 
 bool eng_worker_accepts(const struct engine *e, const struct worker *w)
 {
-	return w->listed && !w->draining && !w->boot_over &&
-	       capacity_known(e, w) && within_capacity(w);
+	return w->listed && !w->draining && !w->zone->drained &&
+	       !w->boot_over && capacity_known(e, w) && within_capacity(w);
 }
 
 bool eng_worker_usable(const struct engine *e, const struct worker *w)
 {
-	return w->listed && w->fenced && !w->draining && !w->boot_over &&
-	       !w->hold_failures && w->avoid_until_ms <= e->now_ms &&
-	       capacity_known(e, w);
+	return w->listed && w->fenced && !w->draining && !w->zone->drained &&
+	       !w->boot_over && !w->hold_failures &&
+	       w->avoid_until_ms <= e->now_ms && capacity_known(e, w);
 }
 
 static void extend_lease(struct engine *e, struct worker *w, int64_t until_ms)
--- a/packages/engine/src/engine.c
+++ b/packages/engine/src/engine.c
@@ -22,7 +22,6 @@
 
 	g_free(w->id);
 	g_free(w->address);
-	g_free(w->zone);
 	g_strfreev(w->labels);
 	g_array_free(w->lost_runs, TRUE);
 	g_ptr_array_free(w->tasks, TRUE);
@@ -74,6 +73,8 @@
 	e->workers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					   worker_free);
 	e->worker_list = g_ptr_array_new();
+	e->zones = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					 eng_zone_free);
 	e->teams = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					 eng_team_free);
 	e->queues = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
@@ -96,6 +97,7 @@
 	g_hash_table_destroy(e->jobs);
 	g_ptr_array_free(e->worker_list, TRUE);
 	g_hash_table_destroy(e->workers);
+	g_hash_table_destroy(e->zones);
 	g_hash_table_destroy(e->teams);
 	g_hash_table_destroy(e->queues);
 	g_free(e);
@@ -485,6 +487,19 @@
 	e->store_latency_ms = MIN(MAX(latency, decayed), STORE_LATENCY_MAX_MS);
 }
 
+void eng_send_stored(struct engine *e)
+{
+	while (!e->zones_outdated && !g_queue_is_empty(&e->storing)) {
+		struct task *t = g_queue_peek_head(&e->storing);
+
+		if (t->store_batch > e->stored_batch)
+			return;
+		g_queue_pop_head(&e->storing);
+		if (t->state == TASK_STORING)
+			eng_task_send(e, t);
+	}
+}
+
 void eng_batch_stored(struct engine *e, uint64_t batch, int64_t now_ms)
 {
 	const struct task *first = g_queue_peek_head(&e->storing);
@@ -493,15 +508,7 @@
 	e->stored_batch = batch;
 	if (first && first->store_batch <= batch)
 		update_store_latency(e, first);
-	while (!g_queue_is_empty(&e->storing)) {
-		struct task *t = g_queue_peek_head(&e->storing);
-
-		if (t->store_batch > batch)
-			break;
-		g_queue_pop_head(&e->storing);
-		if (t->state == TASK_STORING)
-			eng_task_send(e, t);
-	}
+	eng_send_stored(e);
 	for (guint i = 0; i < e->worker_list->len; i++) {
 		struct worker *w = e->worker_list->pdata[i];
 
@@ -532,8 +539,9 @@
 	e->now_ms = now_ms;
 	if (e->deposed)
 		return;
+	eng_poll_zones(e);
 	eng_poll_workers(e);
-	if (e->ready)
+	if (e->ready && !e->zones_outdated)
 		eng_place_steps(e);
 }
 
