Read drained zones from the topic of objects

Cause: the records evacuate/ZONE that operators write are ignored.

Change: every node keeps the set (zones.c) and passes it to its owner at the owner's start and on each change. Zones that are missing when all newest records are read again are withdrawn. The owner places nothing before it has a recent set; after a stall or failed appends, it sends nothing until the topic is read again, if the last read is older than 3 s.

Conclusion: a drain is in force as soon as the owner's node has read it.

--- a/packages/cell/include/vh/ports.h
+++ b/packages/cell/include/vh/ports.h
@@ -208,12 +208,17 @@
 /**
  * struct vh_decode_ops - decoders for records that the cell does not write
  * @config: returns NULL if the record is not a configuration
+ * @drained_zone: returns false if the record is not about the drain of a zone;
+ *		  @zone borrows from @key and is empty if the key names none;
+ *		  @malformed: the value is not as documented
  * @worker: returns false if the record is not a usable worker; @out borrows
  *	    from @scratch, which the caller frees
  */
 struct vh_decode_ops {
 	struct vh_config_view *(*config)(struct vh_slice key,
 					 struct vh_slice value);
+	bool (*drained_zone)(struct vh_slice key, struct vh_slice value,
+			     struct vh_slice *zone, bool *malformed);
 	bool (*worker)(struct vh_slice key, struct vh_slice value,
 		       struct eng_worker_info *out, GStringChunk *scratch);
 };
--- a/packages/cell/src/cell.c
+++ b/packages/cell/src/cell.c
@@ -11,12 +11,46 @@
 #define RESPONSE_MARGIN_MS 120	     /* reserved for returning the response */
 #define OWNER_TIME_SHARE 0.6 /* share of the timeout given to the owner */
 
+void cell_pass_zones(struct vh_cell *c)
+{
+	struct vh_slice *list;
+	size_t n;
+
+	if (!c->owner || !c->zones.known)
+		return;
+	list = zones_list(&c->zones, &n);
+	owner_set_drained_zones(c->owner, list, n,
+				c->objects_reader.caught_up_ms);
+	g_free(list);
+}
+
+static void on_objects_snapshot(void *ctx, bool begins)
+{
+	struct vh_cell *c = ctx;
+
+	if (begins)
+		zones_snapshot_begin(&c->zones);
+	else
+		zones_snapshot_end(&c->zones);
+}
+
+/* The set is as of a newer time, even if it has not changed. */
+static void on_objects_caught_up(void *ctx, int64_t as_of_ms)
+{
+	(void)as_of_ms;
+	cell_pass_zones(ctx);
+}
+
 static void on_objects_record(void *ctx, const struct vh_record *r)
 {
 	struct vh_cell *c = ctx;
-	struct vh_config_view *v = c->ports->decode->config(r->key, r->value);
+	struct vh_config_view *v;
 	char version[24];
 
+	if (zones_apply(&c->zones, c->ports->decode, r))
+		cell_pass_zones(c);
+	v = c->ports->decode->config(r->key, r->value);
+
 	if (!v)
 		return;
 	if (c->config_view && v->version <= c->config_view->version) {
@@ -71,6 +105,9 @@
 	c->objects_reader.topic = VH_TOPIC_OBJECTS;
 	c->objects_reader.wait_ms = OBJECTS_POLL_MS;
 	c->objects_reader.on_record = on_objects_record;
+	c->objects_reader.on_snapshot = on_objects_snapshot;
+	c->objects_reader.on_caught_up = on_objects_caught_up;
+	zones_init(&c->zones);
 	c->objects_reader.ctx = c;
 	ownership_init(c);
 	writer_init(&c->writer, kernel, ports, VH_TOPIC_JOBS);
@@ -92,6 +129,7 @@
 	ownership_finish(c);
 	topic_reader_finish(&c->objects_reader);
 	vh_config_view_free(c->config_view);
+	zones_finish(&c->zones);
 	g_free(c->name);
 	g_free(c->peer_address);
 	g_free(c);
--- a/packages/cell/src/cell_priv.h
+++ b/packages/cell/src/cell_priv.h
@@ -12,6 +12,7 @@
 #include "owner_client.h"
 #include "vh/cell.h"
 #include "writer.h"
+#include "zones.h"
 
 /**
  * struct vh_cell - one node
@@ -37,6 +38,7 @@
 	struct topic_reader objects_reader;
 	struct topic_reader owner_reader;
 	struct vh_config_view *config_view;
+	struct zones zones;
 	struct writer writer;
 
 	struct election election;
@@ -64,6 +66,9 @@
 /* ownership_finish - frees timers and reader; see ownership_idle() */
 void ownership_finish(struct vh_cell *c);
 
+/* cell.c: passes the drained zones to the owner, if they are known */
+void cell_pass_zones(struct vh_cell *c);
+
 /* advice_proxy.c: calls the policy service on behalf of the owner */
 void advice_proxy_call(struct vh_cell *c, const struct vh_frame *f);
 
--- a/packages/cell/src/owner.c
+++ b/packages/cell/src/owner.c
@@ -13,7 +13,10 @@
 #define APPEND_TIMEOUT_MS 900
 #define APPEND_RETRY_MS 60
 #define APPEND_REFUSED_WITHIN_MS 450 /* a faster failure counts as refused */
-#define STALL_MS 900	     /* a longer gap between runs is a stalled loop */
+#define STALL_MS 900 /* a longer gap between runs is a stalled loop */
+/* A drain must be in force 5 s after its record is stored. A long poll confirms
+ * the set of zones about once a second. */
+#define MAX_ZONES_AGE_MS 3000
 #define MAX_JOBS_AGE_MS 1500 /* with older data, a job may be missing */
 
 int64_t owner_run_pause_ms(int64_t run_duration_ms)
@@ -39,10 +42,39 @@
 	o->ops.ownership_lost(o->ctx, why);
 }
 
+static bool zones_recent(const struct owner *o)
+{
+	return o->zones_as_of_ms &&
+	       owner_now_ms(o) - o->zones_as_of_ms <= MAX_ZONES_AGE_MS;
+}
+
+/*
+ * The owner could not act for a while, or the store has not answered it, so a
+ * drain may have begun unnoticed.
+ */
+static void check_zones(struct owner *o)
+{
+	if (zones_recent(o) || o->zones_outdated)
+		return;
+	vh_log(G_LOG_LEVEL_WARNING,
+	       "scheduling waits until drained zones are read", NULL);
+	o->zones_outdated = true;
+	eng_drained_zones_outdated(o->engine, owner_now_ms(o));
+	o->ops.zones_wanted(o->ctx);
+}
+
+static bool has_stalled(const struct owner *o)
+{
+	return o->phase == OWNER_ACTIVE &&
+	       owner_now_ms(o) - o->last_run_ms > STALL_MS;
+}
+
 static void append_send(struct owner *o);
 
 static void on_append_stored(struct owner *o)
 {
+	if (o->append_failures || has_stalled(o))
+		check_zones(o);
 	if (o->append_failures)
 		vh_log(G_LOG_LEVEL_INFO, "job state is stored again", NULL);
 	o->append_failures = 0;
@@ -94,6 +126,7 @@
 		if (!o->append_failures++)
 			vh_log(G_LOG_LEVEL_WARNING,
 			       "job state cannot be stored", NULL);
+		check_zones(o);
 		vh_timer_start(&o->append_retry_timer, APPEND_RETRY_MS);
 	}
 }
@@ -171,12 +204,13 @@
 	struct owner *o = ctx;
 	int64_t now = owner_now_ms(o);
 
-	if (now - o->last_run_ms > STALL_MS && o->phase == OWNER_ACTIVE) {
+	if (has_stalled(o)) {
 		/* Another node may own the cell by now. The result of the next
 		 * write to the store will show it. */
 		o->awaiting_store = true;
 		vh_log(G_LOG_LEVEL_WARNING,
 		       "owner stalled; scheduling waits for the store", NULL);
+		check_zones(o);
 	}
 	o->last_run_ms = now;
 	if (o->phase == OWNER_ACTIVE && !o->awaiting_store) {
@@ -184,6 +218,7 @@
 		if (o->phase == OWNER_ENDED)
 			return;
 		owner_advice_expire(o);
+		owner_update_zone_metrics(o);
 		o->run_duration_ms = owner_now_ms(o) - now;
 	}
 	flush(o);
@@ -197,6 +232,10 @@
 	if (o->phase != OWNER_LOADING || !o->fleet_reader.snapshot_read ||
 	    !o->jobs_reader.snapshot_read || !o->state_reader.snapshot_read)
 		return;
+	if (!zones_recent(o)) {
+		o->ops.zones_wanted(o->ctx);
+		return;
+	}
 	o->phase = OWNER_ACTIVE;
 	o->last_run_ms = owner_now_ms(o);
 	o->last_write_ms = o->last_run_ms;
@@ -382,6 +421,7 @@
 
 void owner_end(struct owner *o)
 {
+	owner_clear_zone_metrics(o);
 	o->phase = OWNER_ENDED;
 	peer_server_set_owner(o->peer_server, 0, NULL, NULL);
 	if (o->fleet_reader.timer.ev)
@@ -403,6 +443,21 @@
 	eng_set_teams(o->engine, config->teams, config->n_teams);
 }
 
+void owner_set_drained_zones(struct owner *o, const struct vh_slice *zones,
+			     size_t n, int64_t as_of_ms)
+{
+	o->zones_as_of_ms = MAX(o->zones_as_of_ms, as_of_ms);
+	/* A record may be passed before all older ones are read. */
+	if (o->zones_outdated && !zones_recent(o))
+		return;
+	if (o->zones_outdated)
+		vh_log(G_LOG_LEVEL_INFO, "drained zones are read again", NULL);
+	o->zones_outdated = false;
+	eng_set_drained_zones(o->engine, zones, n, owner_now_ms(o));
+	maybe_activate(o);
+	owner_schedule_run(o);
+}
+
 enum eng_job_status owner_job_status(struct owner *o, uint64_t job, bool *known)
 {
 	enum eng_job_status s = eng_job_status(o->engine, job);
--- a/packages/cell/src/owner.h
+++ b/packages/cell/src/owner.h
@@ -25,12 +25,15 @@
  * @confirmed: the store accepted a write that this owner sent at @sent_ms
  * @ownership_lost: another owner was found; the callee must call owner_end()
  * @store_reached: a probed node reported that it reaches the store
+ * @zones_wanted: the topic of objects must be read soon, see
+ *		  owner_set_drained_zones()
  * @freed: the last pending call has returned, and the owner is being freed
  */
 struct owner_ops {
 	void (*confirmed)(void *ctx, int64_t sent_ms);
 	void (*ownership_lost)(void *ctx, const char *why);
 	void (*store_reached)(void *ctx);
+	void (*zones_wanted)(void *ctx);
 	void (*freed)(void *ctx);
 };
 
@@ -67,6 +70,17 @@
 /* owner_set_config - applies the teams of a new configuration */
 void owner_set_config(struct owner *o, const struct vh_config_view *config);
 
+/**
+ * owner_set_drained_zones - replaces the set of drained zones
+ * @as_of_ms: all records that the store held then are included
+ *
+ * Also called if only @as_of_ms has changed. The owner places nothing before it
+ * has a set that is recent, and again after it has stalled or the store has not
+ * answered it. Otherwise the last set stays in force, however old.
+ */
+void owner_set_drained_zones(struct owner *o, const struct vh_slice *zones,
+			     size_t n, int64_t as_of_ms);
+
 /**
  * owner_job_status - looks up the status of a job
  * @known: set to false during recovery, and if the job was not found but may
--- a/packages/cell/src/owner_engine.c
+++ b/packages/cell/src/owner_engine.c
@@ -5,6 +5,9 @@
 #include "vh/log.h"
 
 #define US_PER_MS 1000
+#define MS_PER_S 1000.0
+#define ZONE_METRICS_MAX 64
+#define ZONE_METRICS_INTERVAL_MS 1000
 
 /* A pending call to a worker. */
 struct worker_call {
@@ -185,6 +188,69 @@
 	g_free(address);
 }
 
+static void set_zone_metrics(struct owner *o, const struct eng_zone_status *z)
+{
+	struct vh_metrics *m = &o->kernel->metrics;
+	char labels[ENG_NAME_MAX + 16];
+
+	g_snprintf(labels, sizeof(labels), "zone=\"%.*s\"",
+		   (int)MIN(z->zone.len, ENG_NAME_MAX), z->zone.data);
+	*vh_metrics_gauge(m, "vh_zone_drained_seconds", labels) =
+		z->drained ? (double)z->drained_ms / MS_PER_S : 0;
+	*vh_metrics_gauge(m, "vh_zone_tasks_left", labels) = (double)z->n_tasks;
+	*vh_metrics_gauge(m, "vh_zone_starts_prevented", labels) =
+		(double)z->prevented;
+}
+
+void owner_update_zone_metrics(struct owner *o)
+{
+	struct eng_zone_status zones[ZONE_METRICS_MAX];
+	int64_t now = owner_now_ms(o);
+	size_t n;
+
+	if (now - o->zone_metrics_ms < ZONE_METRICS_INTERVAL_MS)
+		return;
+	o->zone_metrics_ms = now;
+	n = eng_drained_zones(o->engine, zones, ZONE_METRICS_MAX);
+	for (size_t i = 0; i < n; i++)
+		set_zone_metrics(o, &zones[i]);
+}
+
+void owner_clear_zone_metrics(struct owner *o)
+{
+	struct eng_zone_status zones[ZONE_METRICS_MAX];
+	size_t n = eng_drained_zones(o->engine, zones, ZONE_METRICS_MAX);
+
+	for (size_t i = 0; i < n; i++) {
+		struct eng_zone_status none = { .zone = zones[i].zone };
+
+		set_zone_metrics(o, &none);
+	}
+}
+
+static void on_zone_event(void *ctx, const char *what,
+			  const struct eng_zone_status *z)
+{
+	char since[24];
+	char workers[24];
+	char others[24];
+	char tasks[24];
+	char prevented[24];
+	char *zone = vh_slice_dup(z->zone);
+
+	count_event(ctx, "vh_zone_events_total", what);
+	g_snprintf(since, sizeof(since), "%" PRId64, z->drained_ms);
+	g_snprintf(workers, sizeof(workers), "%zu", z->n_workers);
+	g_snprintf(others, sizeof(others), "%zu", z->n_other_workers);
+	g_snprintf(tasks, sizeof(tasks), "%zu", z->n_tasks);
+	g_snprintf(prevented, sizeof(prevented), "%" PRIu64, z->prevented);
+	vh_log(G_LOG_LEVEL_INFO, what, "zone", zone, "drained_ms", since,
+	       "workers", workers, "other_workers", others, "tasks", tasks,
+	       "prevented", prevented, NULL);
+	set_zone_metrics(ctx, z);
+	g_free(zone);
+}
+
 static void on_milestone(void *ctx, const struct eng_milestone *m)
 {
 	static const char *const names[] = {
@@ -223,6 +289,7 @@
 		.worker_event = on_worker_event,
 		.decided = on_decided,
 		.milestone = on_milestone,
+		.zone_event = on_zone_event,
 		.ctx = o,
 	};
 
--- a/packages/cell/src/owner_priv.h
+++ b/packages/cell/src/owner_priv.h
@@ -27,6 +27,9 @@
  *		    refuse writes
  * @refused_sent_ms: when the last attempt that the store refused was sent
  * @awaiting_store: scheduling is suspended until the store accepts a write
+ * @zones_as_of_ms: time as of which the drained zones are known; 0: never
+ * @zone_metrics_ms: when the gauges of drained zones were last set
+ * @zones_outdated: nothing is placed or started until they are read again
  * @sequence: sequence number of the pending append, or else of the last one
  * @append_batch: number of the engine's batch in the pending append; 0: none
  * @run_duration_ms: duration of the last engine run
@@ -56,6 +59,9 @@
 	bool append_refused;
 	int64_t refused_sent_ms;
 	bool awaiting_store;
+	int64_t zones_as_of_ms;
+	int64_t zone_metrics_ms;
+	bool zones_outdated;
 	uint64_t sequence;
 	uint64_t append_batch;
 	struct eng_record *append_records;
@@ -90,6 +96,11 @@
 /* owner_engine.c: connects the engine to workers, logs and metrics */
 struct engine *owner_engine_new(struct owner *o, const struct eng_settings *s);
 
+/* owner_update_zone_metrics - sets the gauges of drained zones, once a second */
+void owner_update_zone_metrics(struct owner *o);
+/* owner_clear_zone_metrics - another node is going to report them */
+void owner_clear_zone_metrics(struct owner *o);
+
 /* owner_record_append_time - adds to the metric of state append times */
 void owner_record_append_time(struct owner *o, int64_t took_ms);
 
--- a/packages/cell/src/ownership.c
+++ b/packages/cell/src/ownership.c
@@ -76,6 +76,13 @@
 	election_node_reached_store(&c->election, vh_kernel_now_ms(c->kernel));
 }
 
+static void on_zones_wanted(void *ctx)
+{
+	struct vh_cell *c = ctx;
+
+	topic_reader_hurry(&c->objects_reader);
+}
+
 static void on_owner_freed(void *ctx)
 {
 	struct vh_cell *c = ctx;
@@ -89,6 +96,7 @@
 		.confirmed = on_confirmed,
 		.ownership_lost = on_ownership_lost,
 		.store_reached = on_node_reached_store,
+		.zones_wanted = on_zones_wanted,
 		.freed = on_owner_freed,
 	};
 
@@ -102,6 +110,7 @@
 			     election_former_owner_ms(), &ops, c);
 	if (c->config_view)
 		owner_set_config(c->owner, c->config_view);
+	cell_pass_zones(c);
 }
 
 static bool owner_record_decode(struct vh_slice bytes, struct owner_record *r,
--- a/packages/cell/src/topic_reader.c
+++ b/packages/cell/src/topic_reader.c
@@ -54,6 +54,12 @@
 		t->on_caught_up(t->ctx, t->read_sent_ms);
 }
 
+static void report_snapshot(const struct topic_reader *t, bool begins)
+{
+	if (t->on_snapshot)
+		t->on_snapshot(t->ctx, begins);
+}
+
 /* Returns whether the reply holds records to be delivered. */
 static bool accept_reply(struct topic_reader *t, const struct vh_read_reply *r)
 {
@@ -78,8 +84,10 @@
 		return;
 	/* The pages are read at different times, so changes that were made
 	 * meanwhile are read again from the end of the first page on. */
-	if (!t->page_after)
+	if (!t->page_after) {
 		t->next_offset = r->end;
+		report_snapshot(t, true);
+	}
 	deliver_records(t, r);
 	if (t->stopped)
 		return;
@@ -91,6 +99,7 @@
 	}
 	g_clear_pointer(&t->page_after, g_free);
 	t->snapshot_read = true;
+	report_snapshot(t, false);
 	mark_caught_up(t);
 	schedule(t, t->poll_interval_ms);
 }
@@ -121,10 +130,11 @@
 	t->read_sent_ms = vh_kernel_now_ms(t->kernel);
 	if (t->snapshot_read)
 		ops->read(t->ports->store_self, t->topic, t->next_offset,
-			  t->wait_ms, on_read, t);
+			  t->at_once ? 0 : t->wait_ms, on_read, t);
 	else
 		ops->newest(t->ports->store_self, t->topic,
 			    vh_slice_str(t->page_after), on_newest, t);
+	t->at_once = false;
 }
 
 void topic_reader_start(struct topic_reader *t)
@@ -134,6 +144,15 @@
 	schedule(t, 0);
 }
 
+void topic_reader_hurry(struct topic_reader *t)
+{
+	if (t->stopped)
+		return;
+	t->at_once = true;
+	if (!t->in_flight)
+		schedule(t, 0);
+}
+
 void topic_reader_stop(struct topic_reader *t)
 {
 	t->stopped = true;
--- a/packages/cell/src/topic_reader.h
+++ b/packages/cell/src/topic_reader.h
@@ -14,11 +14,14 @@
  * @poll_interval_ms: pause between two reads, for topics that change constantly
  * @on_record: called for each record: first the latest of each key, then the
  *	       new records in order
+ * @on_snapshot: the newest record of each key follows, or all were delivered;
+ *		 may be NULL
  * @on_caught_up: all records that the store held at @as_of_ms were delivered
  * @in_flight: a call to the store has not returned
  * @snapshot_read: the latest record of each key has been read
  * @next_offset: offset to read from
  * @page_after: key after which the next page of the snapshot starts
+ * @at_once: the next read does not wait for new records
  * @caught_up_ms: time as of which all records are known; 0: never
  *
  * Starts over with the latest record of each key if the store no longer retains
@@ -31,6 +34,7 @@
 	int64_t wait_ms;
 	int64_t poll_interval_ms;
 	void (*on_record)(void *ctx, const struct vh_record *r);
+	void (*on_snapshot)(void *ctx, bool begins);
 	void (*on_caught_up)(void *ctx, int64_t as_of_ms);
 	void *ctx;
 
@@ -41,6 +45,7 @@
 	char *page_after;
 	int64_t read_sent_ms;
 	int64_t caught_up_ms;
+	bool at_once;
 	unsigned int failures;
 	struct vh_timer timer;
 };
@@ -54,6 +59,10 @@
  */
 void topic_reader_stop(struct topic_reader *t);
 
+/* topic_reader_hurry - reads at once, unless a read is in flight; the next read
+ * does not wait for new records */
+void topic_reader_hurry(struct topic_reader *t);
+
 /* topic_reader_idle - whether no call is pending */
 bool topic_reader_idle(const struct topic_reader *t);
 void topic_reader_finish(struct topic_reader *t);
--- a/packages/cell/tests/fake_cluster.h
+++ b/packages/cell/tests/fake_cluster.h
@@ -440,8 +440,10 @@
 };
 
 /* One queue at "/q/" that allows anonymous requests, and its service. */
-inline vh_config_view *decode_config(struct vh_slice, struct vh_slice)
+inline vh_config_view *decode_config(struct vh_slice key, struct vh_slice)
 {
+	if (!vh_slice_eq_str(key, "config"))
+		return nullptr;
 	vh_config_view *v = g_new0(struct vh_config_view, 1);
 
 	v->arena = g_string_chunk_new(64);
@@ -459,6 +461,19 @@
 	return v;
 }
 
+inline bool decode_drained_zone(struct vh_slice key, struct vh_slice value,
+				struct vh_slice *zone, bool *malformed)
+{
+	const size_t prefix = strlen("evacuate/");
+
+	if (to_str(key).compare(0, prefix, "evacuate/") != 0)
+		return false;
+	*zone = { key.data + prefix, key.len - prefix };
+	*malformed = value.len && to_str(value) != "{}";
+	return true;
+}
+
+/* The value of a worker's entry is its zone. */
 inline bool decode_worker(struct vh_slice key, struct vh_slice value,
 			  eng_worker_info *out, GStringChunk *)
 {
@@ -468,7 +483,7 @@
 	out->id = key;
 	out->address = key;
 	out->service = vh_slice_str("svc");
-	out->zone = vh_slice_str("z");
+	out->zone = value;
 	out->capacity = { 16000, 64000, 0 };
 	out->born_ms = 1;
 	return true;
@@ -489,6 +504,7 @@
 						       NodePorts::hold };
 		static const vh_policy_ops policy = { NodePorts::advise };
 		static const vh_decode_ops decode = { decode_config,
+						      decode_drained_zone,
 						      decode_worker };
 		vh_cell_settings s = {};
 
