Test zone drains in the engine's simulation

Cause: starts reach a drained zone on several paths: placements that wait for a slow store, a takeover, an owner that wakes with stored placements, and starts that a worker carries out seconds late.

--- a/packages/engine/tests/sim_state.h
+++ b/packages/engine/tests/sim_state.h
@@ -32,6 +32,9 @@
 
 constexpr int64_t FULL_CAPACITY = 16000; /* of a worker */
 
+/* From the record of a zone's drain until no task starts there. */
+constexpr int64_t DRAIN_LIMIT_MS = 1500;
+
 /* A worker updates its entry so often. */
 constexpr int64_t BEAT_MS = 1500;
 
@@ -77,7 +80,8 @@
 };
 
 struct Worker {
-	std::string id, address = "10.0.0.1:1";
+	std::string id, address = "10.0.0.1:1", zone = "r1";
+	int64_t cold_ms = 0;
 	int64_t boot_ms = 1;
 	bool up = true, listed = true;
 	uint64_t fence = 0;
@@ -268,6 +272,17 @@
 		return max;
 	}
 
+	/* A late start counts as well as one that was sent late. */
+	void check_drained_zone(const Worker &w, const Run &r)
+	{
+		auto it = drained.find(w.zone);
+
+		if (it != drained.end() && now > it->second + DRAIN_LIMIT_MS)
+			add_violation("run " + std::to_string(r.run) +
+				      " starts on " + w.id +
+				      " in a drained zone");
+	}
+
 	/*
 	 * Checks the invariants for a run that is about to start. A @delayed
 	 * start request may arrive long after a cancellation.
@@ -276,6 +291,8 @@
 	{
 		int64_t used = cpu;
 		const Job &j = jobs[r.key.job];
+
+		check_drained_zone(w, r);
 		const eng_step_spec &s = j.spec->steps[r.key.step];
 
 		for (auto &o : w.running)
@@ -405,7 +422,11 @@
 	std::map<TaskKey, int> crashes_under; /* crashed while it ran there */
 	std::map<TaskKey, int> starts_after_crashes; /* after CRASHES_MAX */
 	bool new_id_after_crash = false;
-	bool store_down = false; /* nothing is stored, no entry changes */
+	std::map<std::string, int64_t>
+		drained; /* zones, since when the record is stored */
+	std::vector<std::string> zone_events;
+	bool owner_asleep = false; /* its event loop does not run */
+	bool store_down = false;   /* nothing is stored, no entry changes */
 	std::vector<std::string> violations;
 	std::map<std::tuple<uint64_t, uint32_t, std::string>, int64_t>
 		tickets; /* by job, step and worker: expiry */
--- a/packages/engine/tests/simulation.h
+++ b/packages/engine/tests/simulation.h
@@ -5,8 +5,8 @@
  * Discrete-event simulation of the cluster around the engine: workers that
  * follow the worker API, a store, a policy service, and faults drawn from a
  * seed. The invariants are checked on the state of the workers. Included by
- * test_capacity.cc, test_load.cc, test_losses.cc, test_schedules.cc, test_takeover.cc and
- * test_workers.cc.
+ * test_capacity.cc, test_load.cc, test_losses.cc, test_schedules.cc, test_takeover.cc,
+ * test_workers.cc and test_zones.cc.
  */
 
 #include "sim_state.h"
@@ -86,6 +86,7 @@
 		callbacks.hold = hold_cb;
 		callbacks.advise = advise_cb;
 		callbacks.deposed = deposed_cb;
+		callbacks.zone_event = zone_event_cb;
 		callbacks.ctx = this;
 		engine = eng_new(&s, &callbacks, now);
 		batch_in_flight = false;
@@ -106,9 +107,49 @@
 				eng_job_cancel(engine, j.first, now);
 		}
 		ready = true;
+		pass_zones();
 		eng_recovery_done(engine, now);
 	}
 
+	/* The owner's node has read the topic with the operators' records. */
+	void pass_zones()
+	{
+		std::vector<struct vh_slice> zones;
+
+		for (auto &z : drained)
+			zones.push_back(str(z.first));
+		eng_set_drained_zones(engine, zones.data(), zones.size(), now);
+	}
+
+	void drain(const std::string &zone)
+	{
+		drained[zone] = now;
+		pass_zones();
+	}
+
+	void end_drain(const std::string &zone)
+	{
+		drained.erase(zone);
+		pass_zones();
+	}
+
+	/* As the cell does when its event loop runs again after a stall. */
+	void wake_owner()
+	{
+		owner_asleep = false;
+		eng_drained_zones_outdated(engine, now);
+		schedule_in(300, [this] { pass_zones(); });
+	}
+
+	static void zone_event_cb(void *ctx, const char *what,
+				  const eng_zone_status *z)
+	{
+		((Simulation *)ctx)
+			->zone_events.push_back(
+				std::string(z->zone.data, z->zone.len) + ": " +
+				what);
+	}
+
 	void list_worker(Worker &w)
 	{
 		eng_worker_info i = {};
@@ -117,7 +158,8 @@
 		i.id = str(w.id);
 		i.service = str(service);
 		i.address = str(w.address);
-		i.zone = str(rack);
+		i.zone = str(w.zone);
+		i.cold_ms = w.cold_ms;
 		i.capacity = { w.entry_capacity, 64000, 0 };
 		i.clock_ms = w.entry_clock;
 		i.draining = w.draining;
@@ -138,7 +180,8 @@
 				inject_faults();
 			advance_workers();
 			beat();
-			run_engine();
+			if (!owner_asleep)
+				run_engine();
 			run_until(now + 10);
 			if (now % 100 < 10)
 				check_pending_count();
@@ -181,12 +224,19 @@
 		}
 		for (auto &r : records)
 			stored_records[r.first] = r.second;
-		schedule_in(5, [=] {
-			if (e != epoch)
-				return;
-			batch_in_flight = false;
-			eng_batch_stored(engine, batch, now);
-		});
+		schedule_in(5, [=] { confirm_batch(e, batch); });
+	}
+
+	void confirm_batch(uint64_t e, uint64_t batch)
+	{
+		if (e != epoch)
+			return;
+		if (owner_asleep) {
+			schedule_in(5, [=] { confirm_batch(e, batch); });
+			return;
+		}
+		batch_in_flight = false;
+		eng_batch_stored(engine, batch, now);
 	}
 
 	void inject_faults()
