Test that the cell passes drains to its owner

Cause: a new owner, an owner that was cut off, and a topic with discarded history may miss a drain or keep one that has ended.

Change: workers of the fake cluster are in a zone each, its topic of objects can be read late and lose its history.

Conclusion: drains are in force across a takeover and a partition.

--- a/packages/cell/tests/fake_cluster.h
+++ b/packages/cell/tests/fake_cluster.h
@@ -146,6 +146,7 @@
 		if (done.count(name))
 			add_violation("a start of " + name + ", which is done");
 		starts[name]++;
+		starts_by_worker[to_str(o->worker)]++;
 		w.running.push_back({ name, o->task, now() + run_ms });
 	}
 
@@ -174,6 +175,9 @@
 	std::set<std::string> done;
 	std::vector<std::string> violations;
 	int64_t run_ms = 150;
+	std::map<std::string, int> starts_by_worker;
+	int64_t objects_from_ms = 0;	    /* that topic is not read earlier */
+	uint64_t objects_retained_from = 0; /* older offsets are gone */
 	int pending_callbacks = 0;
 };
 
@@ -279,6 +283,23 @@
 
 		if (p->fail_if_unreachable(done, ctx, wait_ms + 900))
 			return;
+		if (topic == VH_TOPIC_OBJECTS &&
+		    p->cluster->now() < p->cluster->objects_from_ms) {
+			p->cluster->call_later(20, [=] {
+				read(self, topic, from, wait_ms, done, ctx);
+			});
+			return;
+		}
+		if (topic == VH_TOPIC_OBJECTS &&
+		    from < p->cluster->objects_retained_from) {
+			p->cluster->call_later(4, [=] {
+				vh_read_reply r = {};
+
+				r.result = VH_STORE_OFFSET_GONE;
+				done(ctx, &r);
+			});
+			return;
+		}
 		if (from >= t.records.size() && wait_ms > 0) {
 			p->cluster->call_later(10, [=] {
 				read(self, topic, from, wait_ms - 10, done,
@@ -306,6 +327,15 @@
 
 		if (p->fail_if_unreachable(done, ctx, 1500))
 			return;
+		if (topic == VH_TOPIC_OBJECTS &&
+		    p->cluster->now() < p->cluster->objects_from_ms) {
+			std::string key = after_key;
+
+			p->cluster->call_later(20, [=] {
+				newest(self, topic, slice(key), done, ctx);
+			});
+			return;
+		}
 		p->cluster->call_later(4, [=, &t] {
 			std::map<std::string, uint64_t> last;
 			std::vector<std::pair<
--- a/packages/cell/tests/test_cell.cc
+++ b/packages/cell/tests/test_cell.cc
@@ -7,6 +7,7 @@
 
 using fake::Cluster;
 using fake::Node;
+using fake::Topic;
 
 namespace
 {
@@ -29,7 +30,7 @@
 								      "1");
 		for (int i = 0; i < WORKERS; i++)
 			cluster.topics[VH_TOPIC_FLEET].records.emplace_back(
-				"10.0.0." + std::to_string(i + 1) + ":1", "1");
+				worker_id(i), "z" + std::to_string(i));
 		for (int i = 0; i < 3; i++)
 			add_node();
 		ASSERT_TRUE(cluster.run_until([this] { return owner(); }));
@@ -47,6 +48,18 @@
 			ADD_FAILURE() << v;
 	}
 
+	// Each worker is in a zone of its own.
+	static std::string worker_id(int i)
+	{
+		return "10.0.0." + std::to_string(i + 1) + ":1";
+	}
+
+	void write_objects(const std::string &key, const std::string &value)
+	{
+		cluster.topics[VH_TOPIC_OBJECTS].records.emplace_back(key,
+								      value);
+	}
+
 	// Returns a port that is unused at this moment.
 	static uint16_t free_port()
 	{
@@ -258,4 +271,90 @@
 	}));
 }
 
+// From the record of a drain to its tombstone, no task starts in the zone. A
+// value that cannot be parsed counts, a key without a zone does not.
+TEST_F(Cell, NothingStartsInADrainedZone)
+{
+	write_objects("evacuate/z0", "{");
+	write_objects("evacuate/", "{}");
+	cluster.run_for(300);
+	cluster.starts_by_worker.clear();
+	submit_jobs(non_owner(), 1, 10);
+	expect_complete(non_owner(), 1, 10);
+	EXPECT_EQ(cluster.starts_by_worker[worker_id(0)], 0);
+	EXPECT_NE(cluster.metrics().find("vh_zone_drained_seconds{zone=\"z0"),
+		  std::string::npos);
+	write_objects("evacuate/z0", "");
+	write_objects("evacuate/z1", "{}");
+	write_objects("evacuate/z2", "{}");
+	cluster.run_for(300);
+	cluster.starts_by_worker.clear();
+	submit_jobs(non_owner(), 11, 13);
+	expect_complete(non_owner(), 11, 13);
+	EXPECT_EQ(cluster.starts_by_worker.size(), 1u);
+	EXPECT_GT(cluster.starts_by_worker[worker_id(0)], 0);
+}
+
+// The history with the tombstone is discarded before the nodes have read it.
+TEST_F(Cell, ADrainThatIsGoneFromTheTopicEnds)
+{
+	Topic &t = cluster.topics[VH_TOPIC_OBJECTS];
+
+	write_objects("evacuate/z0", "{}");
+	write_objects("evacuate/z1", "{}");
+	write_objects("evacuate/z2", "{}");
+	cluster.run_for(300);
+	submit_jobs(non_owner(), 1, 2);
+	cluster.run_for(500);
+	EXPECT_TRUE(cluster.starts.empty());
+	t.records.resize(1);
+	for (int i = 0; i < 20; i++)
+		write_objects("other", "1");
+	cluster.objects_retained_from = t.records.size();
+	cluster.run_for(1500);
+	cluster.objects_retained_from = 0;
+	expect_complete(non_owner(), 1, 2);
+}
+
+// New nodes may read the other topics first. A new owner must not place anything
+// before it knows the drains.
+TEST_F(Cell, ANewOwnerWaitsForTheDrainedZones)
+{
+	for (auto zone : { "evacuate/z0", "evacuate/z1", "evacuate/z2" })
+		write_objects(zone, "{}");
+	cluster.run_for(300);
+	submit_jobs(non_owner(), 1, 6);
+	while (!nodes.empty())
+		nodes.pop_back();
+	write_objects("evacuate/z1", "");
+	write_objects("evacuate/z2", "");
+	cluster.objects_from_ms = cluster.now() + 6000;
+	cluster.starts_by_worker.clear();
+	add_node();
+	cluster.run_for(5500);
+	EXPECT_EQ(owner(), nullptr);
+	EXPECT_TRUE(cluster.starts_by_worker.empty());
+	ASSERT_TRUE(cluster.run_until([this] { return owner(); }));
+	expect_complete(*owner(), 1, 6);
+	EXPECT_EQ(cluster.starts.size(), 12u);
+	EXPECT_EQ(cluster.starts_by_worker[worker_id(0)], 0);
+}
+
+// While the owner is cut off, a drain begins. Its node reads the topic later
+// than the store takes its writes again.
+TEST_F(Cell, AnOwnerThatWasCutOffReadsTheZonesFirst)
+{
+	for (auto &n : nodes)
+		n->node_ports.store_access = Cluster::REFUSING;
+	cluster.run_for(3500);
+	write_objects("evacuate/z0", "{}");
+	cluster.objects_from_ms = cluster.now() + 1500;
+	for (auto &n : nodes)
+		n->node_ports.store_access = Cluster::REACHABLE;
+	cluster.starts_by_worker.clear();
+	submit_jobs(*owner(), 1, 8);
+	expect_complete(*owner(), 1, 8);
+	EXPECT_EQ(cluster.starts_by_worker[worker_id(0)], 0);
+}
+
 } // namespace
