Keep the cost of a pass as before zone drains

Change: that field comes last; the state of a worker's zone is copied to the worker; the checks for cold workers are inline or behind one comparison.

--- a/packages/engine/src/eng_cost.c
+++ b/packages/engine/src/eng_cost.c
@@ -24,9 +24,10 @@
 			       s->spec->need.cpu_milli) /
 		      CORE_MILLI;
 	double c = left + FAILURE_COST * w->failure_score +
-		   LATENCY_COST_PER_MS * eng_worker_latency_ms(w, s) +
-		   eng_zone_cost(e, s, w);
+		   LATENCY_COST_PER_MS * eng_worker_latency_ms(w, s);
 
+	if (w->cold_until_ms || e->n_drained_zones)
+		c += eng_zone_cost(e, s, w);
 	if (eng_worker_trial_active(e, w))
 		c += TRIAL_COST;
 	/* A near one, since a reply that is faster than the crash proves that
--- a/packages/engine/src/eng_priv.h
+++ b/packages/engine/src/eng_priv.h
@@ -248,10 +248,10 @@
  * @reserved: resources reserved for gangs, in the current placement pass
  * @reserved_at_ms: when resources of the worker were last reserved
  * @born_ms: boot time, which identifies the boot; 0: unknown
- * @cold_until_ms: its work takes longer until then, 0: it is warm
  * @listed: in the fleet's list
  * @entry_born_ms: the boot that wrote its entry there, 0: not given
  * @entry_clock_ms: that boot's clock then, 0: not given
+ * @zone_drained: copy of @zone's state, read for each waiting step
  * @fenced: answered a hold with our fencing token, in this boot
  * @report_needed: the next hold asks for an immediate reply; it is sent even if
  *		   the worker has no tasks, or ends that are not stored yet
@@ -275,6 +275,10 @@
  *	       until it is known whether it has crashed
  * @lost_at_ms: when these were lost
  * @trial: a task on it whose start, or whole run, is on trial; NULL: none
+ * @cold_until_ms: its work takes longer until then, 0: it is warm
+ *
+ * Each pass reads the fields up to @avoid_until_ms for each worker and step, so
+ * rarely used ones come last: one field more before @listed cost 3 % of a pass.
  */
 struct worker {
 	char *id;
@@ -290,9 +294,9 @@
 	int64_t born_ms;
 	int64_t entry_born_ms;
 	int64_t entry_clock_ms;
-	int64_t cold_until_ms;
 	bool listed;
 	bool draining;
+	bool zone_drained;
 	bool fenced;
 	bool hold_pending;
 	bool report_needed;
@@ -314,6 +318,7 @@
 	int64_t lost_at_ms;
 	struct task *trial;
 	GPtrArray *tasks;
+	int64_t cold_until_ms;
 };
 
 /**
@@ -453,8 +458,8 @@
 /* eng_zone_get - finds a zone or creates one */
 struct zone *eng_zone_get(struct engine *e, struct vh_slice name);
 void eng_zone_free(gpointer zone);
-/* eng_zone_clear_worker - takes back what may still start on the worker and its
- * reservations, if its zone is drained */
+/* eng_zone_clear_worker - follows a change of the worker's zone or its state: if
+ * drained, takes back reservations and what may still start on the worker */
 void eng_zone_clear_worker(struct engine *e, struct worker *w);
 /* eng_zone_prevented - counts a start that a drain prevents */
 void eng_zone_prevented(struct engine *e, struct task *t);
@@ -463,9 +468,6 @@
 /* eng_worker_set_cold - ignores times that cannot be meant */
 void eng_worker_set_cold(struct engine *e, struct worker *w,
 			 int64_t remaining_ms);
-/* eng_worker_cold_for - cold, and the step is urgent or a gang */
-bool eng_worker_cold_for(const struct engine *e, const struct step *s,
-			 const struct worker *w);
 /* eng_zone_cost - part of the placement cost: avoids cold workers, and spreads
  * the work over the other zones while one is drained */
 double eng_zone_cost(const struct engine *e, const struct step *s,
@@ -567,6 +569,16 @@
 /* eng_update_run_ratio - updates its queue's run_ratio, after a success */
 void eng_update_run_ratio(struct task *t, int64_t now_ms);
 
+/* eng_worker_cold_for - cold, and the step is urgent or a gang; inline, as it is
+ * called for each candidate of each step */
+static inline bool eng_worker_cold_for(const struct engine *e,
+				       const struct step *s,
+				       const struct worker *w)
+{
+	return w->cold_until_ms > e->now_ms &&
+	       (s->spec->gang || !s->job->spec->priority);
+}
+
 static inline struct vh_slice eng_str(const char *s)
 {
 	return vh_slice_str(s);
--- a/packages/engine/src/eng_workers.c
+++ b/packages/engine/src/eng_workers.c
@@ -216,13 +216,13 @@
 
 bool eng_worker_accepts(const struct engine *e, const struct worker *w)
 {
-	return w->listed && !w->draining && !w->zone->drained &&
-	       !w->boot_over && capacity_known(e, w) && within_capacity(w);
+	return w->listed && !w->draining && !w->zone_drained && !w->boot_over &&
+	       capacity_known(e, w) && within_capacity(w);
 }
 
 bool eng_worker_usable(const struct engine *e, const struct worker *w)
 {
-	return w->listed && w->fenced && !w->draining && !w->zone->drained &&
+	return w->listed && w->fenced && !w->draining && !w->zone_drained &&
 	       !w->boot_over && !w->hold_failures &&
 	       w->avoid_until_ms <= e->now_ms && capacity_known(e, w);
 }
--- a/packages/engine/src/eng_zone.c
+++ b/packages/engine/src/eng_zone.c
@@ -115,7 +115,8 @@
 
 void eng_zone_clear_worker(struct engine *e, struct worker *w)
 {
-	if (!w->zone->drained)
+	w->zone_drained = w->zone->drained;
+	if (!w->zone_drained)
 		return;
 	w->reserved_at_ms = 0;
 	memset(&w->reserved, 0, sizeof(w->reserved));
@@ -309,13 +310,6 @@
 		w->cold_until_ms = e->now_ms + remaining_ms;
 }
 
-bool eng_worker_cold_for(const struct engine *e, const struct step *s,
-			 const struct worker *w)
-{
-	return w->cold_until_ms > e->now_ms &&
-	       (s->spec->gang || !s->job->spec->priority);
-}
-
 static double cold_cost(const struct engine *e, const struct step *s,
 			const struct worker *w)
 {
