--- a/packages/cell/tests/fake_cluster.h
+++ b/packages/cell/tests/fake_cluster.h
@@ -146,6 +146,7 @@
 		if (done.count(name))
 			add_violation("a start of " + name + ", which is done");
 		starts[name]++;
+		starts_by_worker[to_str(o->worker)]++;
 		w.running.push_back({ name, o->task, now() + run_ms });
 	}
 
@@ -174,6 +175,9 @@
 	std::set<std::string> done;
 	std::vector<std::string> violations;
 	int64_t run_ms = 150;
+	std::map<std::string, int> starts_by_worker;
+	int64_t objects_from_ms = 0;	    /* that topic is not read earlier */
+	uint64_t objects_retained_from = 0; /* older offsets are gone */
 	int pending_callbacks = 0;
 };
 
@@ -279,6 +283,23 @@
 
 		if (p->fail_if_unreachable(done, ctx, wait_ms + 900))
 			return;
+		if (topic == VH_TOPIC_OBJECTS &&
+		    p->cluster->now() < p->cluster->objects_from_ms) {
+			p->cluster->call_later(20, [=] {
+				read(self, topic, from, wait_ms, done, ctx);
+			});
+			return;
+		}
+		if (topic == VH_TOPIC_OBJECTS &&
+		    from < p->cluster->objects_retained_from) {
+			p->cluster->call_later(4, [=] {
+				vh_read_reply r = {};
+
+				r.result = VH_STORE_OFFSET_GONE;
+				done(ctx, &r);
+			});
+			return;
+		}
 		if (from >= t.records.size() && wait_ms > 0) {
 			p->cluster->call_later(10, [=] {
 				read(self, topic, from, wait_ms - 10, done,
@@ -306,6 +327,15 @@
 
 		if (p->fail_if_unreachable(done, ctx, 1500))
 			return;
+		if (topic == VH_TOPIC_OBJECTS &&
+		    p->cluster->now() < p->cluster->objects_from_ms) {
+			std::string key = after_key;
+
+			p->cluster->call_later(20, [=] {
+				newest(self, topic, slice(key), done, ctx);
+			});
+			return;
+		}
 		p->cluster->call_later(4, [=, &t] {
 			std::map<std::string, uint64_t> last;
 			std::vector<std::pair<
@@ -440,8 +470,10 @@
 };
 
 /* One queue at "/q/" that allows anonymous requests, and its service. */
-inline vh_config_view *decode_config(struct vh_slice, struct vh_slice)
+inline vh_config_view *decode_config(struct vh_slice key, struct vh_slice)
 {
+	if (!vh_slice_eq_str(key, "config"))
+		return nullptr;
 	vh_config_view *v = g_new0(struct vh_config_view, 1);
 
 	v->arena = g_string_chunk_new(64);
@@ -459,6 +491,19 @@
 	return v;
 }
 
+inline bool decode_drained_zone(struct vh_slice key, struct vh_slice value,
+				struct vh_slice *zone, bool *malformed)
+{
+	const size_t prefix = strlen("evacuate/");
+
+	if (to_str(key).compare(0, prefix, "evacuate/") != 0)
+		return false;
+	*zone = { key.data + prefix, key.len - prefix };
+	*malformed = value.len && to_str(value) != "{}";
+	return true;
+}
+
+/* The value of a worker's entry is its zone. */
 inline bool decode_worker(struct vh_slice key, struct vh_slice value,
 			  eng_worker_info *out, GStringChunk *)
 {
@@ -468,7 +513,7 @@
 	out->id = key;
 	out->address = key;
 	out->service = vh_slice_str("svc");
-	out->zone = vh_slice_str("z");
+	out->zone = value;
 	out->capacity = { 16000, 64000, 0 };
 	out->born_ms = 1;
 	return true;
@@ -489,6 +534,7 @@
 						       NodePorts::hold };
 		static const vh_policy_ops policy = { NodePorts::advise };
 		static const vh_decode_ops decode = { decode_config,
+						      decode_drained_zone,
 						      decode_worker };
 		vh_cell_settings s = {};
 
--- a/packages/engine/src/eng_cost.c
+++ b/packages/engine/src/eng_cost.c
@@ -26,6 +26,8 @@
 	double c = left + FAILURE_COST * w->failure_score +
 		   LATENCY_COST_PER_MS * eng_worker_latency_ms(w, s);
 
+	if (w->cold_until_ms || e->n_drained_zones)
+		c += eng_zone_cost(e, s, w);
 	if (eng_worker_trial_active(e, w))
 		c += TRIAL_COST;
 	/* A near one, since a reply that is faster than the crash proves that
