Decide which new jobs could not end while they still have value

Cause: at a sustained overload nothing is refused, so callers wait for work that is never served in time, and teams beyond their share fill the queues.

A job within its share has to end before its cutoff; one beyond it before its objective, since the order of steps places it last afterwards. Work without value counts as backlog while late work starves: otherwise each job that expires makes room to accept the next one that will.

--- /dev/null
+++ b/packages/cell/src/admission.c
@@ -0,0 +1,148 @@
+#include "admission.h"
+
+#define CLOCK_SKEW_MS 200 /* a view may be ahead of this node's clock by this */
+#define WAIT_FACTOR 0.9	  /* of the expected wait, in the caller's favour */
+
+/*
+ * A team or queue of which nothing was accepted for this long gets one job in,
+ * so that none is shut out. Teams are many, so their interval is longer. The
+ * minimum rate of a queue is for teams within their share: in the simulation,
+ * gangs of a team at six times its load, let in at one a second, were all of
+ * the work that never had any value.
+ */
+#define TEAM_FLOOR_MS 5000
+#define QUEUE_FLOOR_MS 1000
+#define QUEUE_FLOOR_OVER_SHARE_MS 5000
+#define FLOOR_KEYS_MAX 4096
+
+#define RETRY_BASE_MAX_S 5 /* before the spread */
+#define RETRY_SPREAD_S 4   /* the sum stays below ADMISSION_RETRY_MAX_S + 1 */
+#define RETRY_SPREAD_AGAIN_S 2 /* for a job that was refused before */
+#define REFUSED_MEMORY_MS 60000
+
+G_STATIC_ASSERT(RETRY_BASE_MAX_S + RETRY_SPREAD_S - 1 == ADMISSION_RETRY_MAX_S);
+
+bool admission_view_usable(int64_t at_ms, int64_t now_ms)
+{
+	return at_ms > 0 && at_ms <= now_ms + CLOCK_SKEW_MS &&
+	       at_ms >= now_ms - ADMISSION_VIEW_MAX_AGE_MS;
+}
+
+/*
+ * Work beyond its team's share goes last once it is late (eng_order.c), so it
+ * has to be in time; other work has value until its cutoff.
+ */
+int64_t admission_excess_ms(const struct eng_load *load,
+			    const struct admission_job *job, int64_t *wait_ms)
+{
+	const struct eng_queue_load *q = eng_load_find(load, job->queue);
+	int64_t limit_ms =
+		job->over_share ? job->size.objective_ms : job->size.cutoff_ms;
+
+	*wait_ms = 0;
+	if (!q)
+		return 0;
+	*wait_ms =
+		(int64_t)((double)eng_load_wait_ms(load, q, job->over_share) *
+			  WAIT_FACTOR);
+	/* Without work in front, the job is not late because of the load. */
+	if (*wait_ms <= 0)
+		return 0;
+	return *wait_ms + job->size.critical_path_ms - limit_ms;
+}
+
+void admission_init(struct admission *a)
+{
+	memset(a, 0, sizeof(*a));
+	a->accepted_ms =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void admission_finish(struct admission *a)
+{
+	g_hash_table_destroy(a->accepted_ms);
+}
+
+static char *floor_key(char kind, struct vh_slice name)
+{
+	return g_strdup_printf("%c%.*s", kind, VH_SLICE_ARGS(name));
+}
+
+static void note(struct admission *a, char kind, struct vh_slice name,
+		 int64_t now_ms)
+{
+	char *key = floor_key(kind, name);
+	int64_t *at = g_hash_table_lookup(a->accepted_ms, key);
+
+	if (at) {
+		*at = now_ms;
+		g_free(key);
+		return;
+	}
+	if (g_hash_table_size(a->accepted_ms) >= FLOOR_KEYS_MAX)
+		g_hash_table_remove_all(a->accepted_ms);
+	at = g_new(int64_t, 1);
+	*at = now_ms;
+	g_hash_table_insert(a->accepted_ms, key, at);
+}
+
+void admission_note_accepted(struct admission *a,
+			     const struct admission_job *job, int64_t now_ms)
+{
+	note(a, 't', job->team, now_ms);
+	note(a, 'q', job->queue, now_ms);
+}
+
+static bool below_floor(const struct admission *a, char kind,
+			struct vh_slice name, int64_t interval_ms,
+			int64_t now_ms)
+{
+	char *key = floor_key(kind, name);
+	const int64_t *at = g_hash_table_lookup(a->accepted_ms, key);
+
+	g_free(key);
+	return !at || now_ms - *at >= interval_ms;
+}
+
+void admission_suspend(struct admission *a, int64_t now_ms)
+{
+	a->suspended_until_ms =
+		MAX(a->suspended_until_ms, now_ms + ADMISSION_SUSPENDED_MS);
+}
+
+bool admission_may_refuse(const struct admission *a,
+			  const struct admission_job *job, int64_t now_ms)
+{
+	int64_t queue_ms =
+		job->over_share ? QUEUE_FLOOR_OVER_SHARE_MS : QUEUE_FLOOR_MS;
+
+	return now_ms >= a->suspended_until_ms &&
+	       !below_floor(a, 't', job->team, TEAM_FLOOR_MS, now_ms) &&
+	       !below_floor(a, 'q', job->queue, queue_ms, now_ms);
+}
+
+static uint64_t id_hash(uint64_t id)
+{
+	return vh_slice_hash(vh_slice((const char *)&id, sizeof(id)), 0);
+}
+
+int admission_refuse(struct admission *a, const struct admission_job *job,
+		     int64_t excess_ms, int64_t now_ms)
+{
+	uint64_t hash = id_hash(job->id);
+	struct admission_refused *r =
+		&a->refused[hash % ADMISSION_REFUSED_SLOTS];
+	int64_t base_s;
+
+	if (r->id != job->id || now_ms - r->at_ms > REFUSED_MEMORY_MS)
+		r->times = 0;
+	/* The backlog shrinks by one millisecond of wait each millisecond. */
+	base_s = CLAMP((excess_ms + 999) / 1000, 1, RETRY_BASE_MAX_S);
+	base_s = MAX(base_s / (1 + (int64_t)r->times), 1);
+	r->id = job->id;
+	r->at_ms = now_ms;
+	r->times++;
+	hash /= ADMISSION_REFUSED_SLOTS;
+	hash %= r->times > 1 ? RETRY_SPREAD_AGAIN_S : RETRY_SPREAD_S;
+	return (int)base_s + (int)hash;
+}
