Refuse jobs that cannot end in time, at the owner

Cause: every job was stored, however long the backlog, and its caller learnt nothing until the job was late.

Change: with the setting admission=1, the owner sends its view of the load to the nodes up to four times a second while work waits. A node that sees from a usable view that a job may be refused asks the owner in WIRE_SUBMIT_REQUEST; the owner alone refuses, before storing, and only once it has read the topic of jobs after the request arrived, so that a job which another node stored is never refused. It accepts during recovery, after a stall, when a node is lost, and when it reads a job that it has not stored itself. Accepted jobs that have not reached the engine count as backlog. Callers get 429, not_run and a Retry-After. VH_ERR_OVERLOADED gives 503, so VH_ERR_RATE_LIMITED is used. Nodes of earlier versions neither get the new frame nor a refusal.

Conclusion: a refusal is decided where the stored jobs are known; it costs no extra message, and up to a poll of the store (0.25 s) of delay.

--- a/packages/cell/include/vh/cell.h
+++ b/packages/cell/include/vh/cell.h
@@ -17,6 +17,7 @@
  * @max_config_age_ms: time since the store last confirmed that this node has
  *		       the newest configuration, after which requests are
  *		       refused, since an API key may have been revoked
+ * @admission: jobs that could not end in time are refused
  * @engine: engine settings; fence and former_owner_ms are set by the cell
  */
 struct vh_cell_settings {
@@ -24,6 +25,7 @@
 	struct vh_slice peer_address;
 	uint64_t cpu_share_milli;
 	int64_t max_config_age_ms;
+	bool admission;
 	struct eng_settings engine;
 };
 
@@ -87,11 +89,14 @@
  * @timeout_ms: @done is called within this time
  * @done: VH_OK: stored; VH_ERR_STORE_SILENT: not stored and will never run;
  *	  VH_ERR_TIMEOUT: may or may not be stored; VH_ERR_BAD_REQUEST:
- *	  rejected, with the reason in @why
+ *	  rejected, with the reason in @why; VH_ERR_RATE_LIMITED: refused by
+ *	  admission control, not stored and will never run. retry_after_s: when
+ *	  the caller may return, 0: the default of the error
  */
 void vh_cell_submit(struct vh_cell *c, const struct vh_cell_route *route,
 		    struct eng_job_spec *spec, int64_t timeout_ms,
-		    void (*done)(void *ctx, enum vh_err err, const char *why),
+		    void (*done)(void *ctx, enum vh_err err, const char *why,
+				 int retry_after_s),
 		    void *ctx);
 
 /**
@@ -101,7 +106,8 @@
  * submitted later, it is already cancelled.
  */
 void vh_cell_cancel(struct vh_cell *c, uint64_t id, int64_t timeout_ms,
-		    void (*done)(void *ctx, enum vh_err err, const char *why),
+		    void (*done)(void *ctx, enum vh_err err, const char *why,
+				 int retry_after_s),
 		    void *ctx);
 
 /**
--- a/packages/cell/src/cell.c
+++ b/packages/cell/src/cell.c
@@ -10,6 +10,7 @@
 #define READY_MAX_CONFIG_AGE_MS 2600 /* an older one makes a node not ready */
 #define RESPONSE_MARGIN_MS 120	     /* reserved for returning the response */
 #define OWNER_TIME_SHARE 0.6 /* share of the timeout given to the owner */
+#define REFUSED_WHY "the backlog is too long for the job to end in time"
 
 static void on_objects_record(void *ctx, const struct vh_record *r)
 {
@@ -65,6 +66,7 @@
 	c->max_config_age_ms = settings->max_config_age_ms;
 	c->cpu_share_milli = settings->cpu_share_milli;
 	c->owner_settings.engine = settings->engine;
+	c->owner_settings.admission = settings->admission;
 	c->incarnation = (uint64_t)g_random_int() << 32 | g_random_int();
 	c->objects_reader.kernel = kernel;
 	c->objects_reader.ports = ports;
@@ -144,10 +146,20 @@
 	struct vh_buf key;
 	struct vh_buf value;
 	int64_t deadline_ms;
-	void (*done)(void *ctx, enum vh_err err, const char *why);
+	void (*done)(void *ctx, enum vh_err err, const char *why,
+		     int retry_after_s);
 	void *ctx;
 };
 
+static void caller_write_end(struct caller_write *w, enum vh_err err,
+			     const char *why, int retry_after_s)
+{
+	w->done(w->ctx, err, why, retry_after_s);
+	vh_buf_finish(&w->key);
+	vh_buf_finish(&w->value);
+	g_free(w);
+}
+
 static void on_written(void *ctx, enum write_outcome outcome)
 {
 	static const enum vh_err errs[] = {
@@ -156,12 +168,44 @@
 		[WRITE_UNKNOWN] = VH_ERR_TIMEOUT,
 		[WRITE_REJECTED] = VH_ERR_STORE_SILENT,
 	};
-	struct caller_write *w = ctx;
 
-	w->done(w->ctx, errs[outcome], "");
-	vh_buf_finish(&w->key);
-	vh_buf_finish(&w->value);
-	g_free(w);
+	caller_write_end(ctx, errs[outcome], "", 0);
+}
+
+/* Ends the write of a record that the owner has refused. */
+static void on_refused(struct caller_write *w, uint64_t outcome)
+{
+	int retry_after_s =
+		(int)MIN(outcome - WIRE_SUBMIT_REFUSED, ADMISSION_RETRY_MAX_S);
+
+	caller_write_end(w, VH_ERR_RATE_LIMITED, REFUSED_WHY, retry_after_s);
+}
+
+static void on_written_directly(void *ctx, enum write_outcome outcome)
+{
+	struct vh_cell *c = ((struct caller_write *)ctx)->cell;
+
+	c->last_direct_ms = vh_kernel_now_ms(c->kernel);
+	on_written(ctx, outcome);
+}
+
+static void write_directly(struct caller_write *w, bool maybe_stored)
+{
+	struct vh_cell *c = w->cell;
+
+	c->last_direct_ms = vh_kernel_now_ms(c->kernel);
+	writer_add(&c->writer, vh_buf_slice(&w->key), vh_buf_slice(&w->value),
+		   w->deadline_ms, maybe_stored, on_written_directly, w);
+}
+
+/* This node is the owner. */
+static void on_submitted_here(void *ctx, bool known, uint64_t outcome)
+{
+	(void)known;
+	if (outcome > WIRE_SUBMIT_REFUSED)
+		on_refused(ctx, outcome);
+	else
+		on_written(ctx, (enum write_outcome)outcome);
 }
 
 /*
@@ -175,18 +219,19 @@
 	struct caller_write *w = ctx;
 	bool rejected = known && outcome == WRITE_REJECTED;
 
-	if (known && outcome < WRITE_REJECTED)
+	if (known && outcome > WIRE_SUBMIT_REFUSED)
+		on_refused(w, outcome);
+	else if (known && outcome < WRITE_REJECTED)
 		on_written(w, (enum write_outcome)outcome);
 	else
-		writer_add(&w->cell->writer, vh_buf_slice(&w->key),
-			   vh_buf_slice(&w->value), w->deadline_ms, !rejected,
-			   on_written, w);
+		write_directly(w, !rejected);
 }
 
 static void store_record(struct vh_cell *c, char kind, uint64_t id,
 			 struct vh_slice value, int64_t timeout_ms,
+			 bool may_refuse,
 			 void (*done)(void *ctx, enum vh_err err,
-				      const char *why),
+				      const char *why, int retry_after_s),
 			 void *ctx)
 {
 	struct caller_write *w = g_new0(struct caller_write, 1);
@@ -203,20 +248,57 @@
 	vh_buf_add_slice(&w->key, k);
 	vh_buf_add_slice(&w->value, value);
 	if (c->owner && owner_accepts_submits(c->owner))
-		owner_submit(c->owner, k, value, budget_ms, on_written, w);
+		owner_submit(c->owner, k, value, budget_ms, may_refuse,
+			     on_submitted_here, w);
 	else if (!c->owner && owner_client_usable(&c->owner_client))
 		owner_client_submit(
 			&c->owner_client, k, value,
 			(int64_t)((double)budget_ms * OWNER_TIME_SHARE),
-			on_submitted, w);
+			may_refuse, on_submitted, w);
 	else
-		writer_add(&c->writer, k, value, w->deadline_ms, false,
-			   on_written, w);
+		write_directly(w, false);
+}
+
+/* This node stores jobs without the owner, or did so lately. */
+static bool wrote_directly(const struct vh_cell *c)
+{
+	if (c->writer.waiting.length || c->writer.sent.length)
+		return true;
+	return c->last_direct_ms &&
+	       vh_kernel_now_ms(c->kernel) - c->last_direct_ms <
+		       ADMISSION_SUSPENDED_MS;
+}
+
+/*
+ * Whether the owner is asked for a decision. It alone can refuse a job, but only
+ * if this node has not stored records without it lately, and if its view, where
+ * it is not stale, shows a load at which it may want to: the team is taken to be
+ * beyond its share, which only the owner knows.
+ */
+static bool may_refuse(const struct vh_cell *c, const struct eng_job_spec *spec)
+{
+	const struct eng_load *view = &c->owner_client.load;
+	struct admission_job job = { .id = spec->id,
+				     .queue = spec->queue,
+				     .team = spec->team,
+				     .over_share = true };
+	int64_t wait_ms;
+
+	if (!c->owner_settings.admission || wrote_directly(c))
+		return false;
+	if (c->owner)
+		return true;
+	if (!admission_view_usable(view->at_ms,
+				   vh_clock_wall_ms(c->kernel->clock)))
+		return false;
+	job.size = eng_job_measure(spec);
+	return admission_excess_ms(view, &job, &wait_ms) > 0;
 }
 
 void vh_cell_submit(struct vh_cell *c, const struct vh_cell_route *route,
 		    struct eng_job_spec *spec, int64_t timeout_ms,
-		    void (*done)(void *ctx, enum vh_err err, const char *why),
+		    void (*done)(void *ctx, enum vh_err err, const char *why,
+				 int retry_after_s),
 		    void *ctx)
 {
 	const struct vh_queue_config *q = route->queue;
@@ -224,7 +306,7 @@
 	struct vh_buf bytes;
 
 	if (problem) {
-		done(ctx, VH_ERR_BAD_REQUEST, problem);
+		done(ctx, VH_ERR_BAD_REQUEST, problem, 0);
 		return;
 	}
 	spec->queue = q->name;
@@ -239,16 +321,17 @@
 	vh_buf_init(&bytes);
 	eng_job_pack(spec, &bytes);
 	store_record(c, VH_KEY_JOB, spec->id, vh_buf_slice(&bytes), timeout_ms,
-		     done, ctx);
+		     may_refuse(c, spec), done, ctx);
 	vh_buf_finish(&bytes);
 }
 
 void vh_cell_cancel(struct vh_cell *c, uint64_t id, int64_t timeout_ms,
-		    void (*done)(void *ctx, enum vh_err err, const char *why),
+		    void (*done)(void *ctx, enum vh_err err, const char *why,
+				 int retry_after_s),
 		    void *ctx)
 {
-	store_record(c, VH_KEY_CANCEL, id, vh_slice_str("1"), timeout_ms, done,
-		     ctx);
+	store_record(c, VH_KEY_CANCEL, id, vh_slice_str("1"), timeout_ms, false,
+		     done, ctx);
 }
 
 /* A pending query to the owner. */
--- a/packages/cell/src/cell_priv.h
+++ b/packages/cell/src/cell_priv.h
@@ -21,6 +21,8 @@
  *		    write
  * @pending_calls: calls to the store or the policy service without a result
  * @live_owners: owners, ended ones included, that are not freed yet
+ * @last_direct_ms: when a write of a caller's record by this node itself last
+ *		    began or ended
  * @owner: NULL unless this node owns the cell
  */
 struct vh_cell {
@@ -38,6 +40,7 @@
 	struct topic_reader owner_reader;
 	struct vh_config_view *config_view;
 	struct writer writer;
+	int64_t last_direct_ms;
 
 	struct election election;
 	struct vh_timer election_timer;
--- a/packages/cell/src/owner.c
+++ b/packages/cell/src/owner.c
@@ -280,12 +280,13 @@
 	struct owner *o = ctx;
 
 	o->n_records_loaded++;
+	owner_admission_record(o, r->key);
 	owner_apply_record(o, r->key, r->value);
 }
 
 static void on_jobs_caught_up(void *ctx, int64_t as_of_ms)
 {
-	(void)as_of_ms;
+	owner_admission_read(ctx, as_of_ms);
 	maybe_activate(ctx);
 }
 
@@ -334,6 +335,7 @@
 	owner_advice_init(o);
 	owner_gc_init(o);
 	owner_submit_init(o);
+	owner_admission_init(o, settings->admission);
 	o->append_in_flight = true;
 	append_send(o);
 	/* The job states are read only once the store has set the fence, see
@@ -369,6 +371,7 @@
 		topic_reader_finish(&o->state_reader);
 	if (o->jobs_reader.timer.ev)
 		topic_reader_finish(&o->jobs_reader);
+	owner_admission_free(o);
 	eng_free(o->engine);
 	eng_records_free(o->append_records, o->n_append_records);
 	o->ops.freed(o->ctx);
@@ -392,6 +395,7 @@
 		topic_reader_stop(&o->jobs_reader);
 	vh_timer_stop(&o->append_retry_timer);
 	owner_gc_finish(o);
+	owner_admission_finish(o);
 	writer_finish(&o->writer);
 	owner_advice_finish(o);
 	o->run_timer.fn = free_when_idle;
--- a/packages/cell/src/owner.h
+++ b/packages/cell/src/owner.h
@@ -15,8 +15,10 @@
 /**
  * struct owner_settings - settings of an owner
  * @engine: fence and former_owner_ms are set by owner_new()
+ * @admission: jobs that could not end in time are refused
  */
 struct owner_settings {
+	bool admission;
 	struct eng_settings engine;
 };
 
@@ -55,10 +57,12 @@
 /**
  * owner_submit - stores a caller's record and applies it to the engine
  * @timeout_ms: @done is called within this time
+ * @may_refuse: see owner_admission_ask()
+ * @done: the outcome is as in WIRE_SUBMIT_REPLY; known is true
  */
 void owner_submit(struct owner *o, struct vh_slice key, struct vh_slice value,
-		  int64_t timeout_ms,
-		  void (*done)(void *ctx, enum write_outcome outcome),
+		  int64_t timeout_ms, bool may_refuse,
+		  void (*done)(void *ctx, bool known, uint64_t outcome),
 		  void *ctx);
 
 /* owner_accepts_submits - whether owner_submit() may be called */
--- a/packages/cell/src/owner_advice.c
+++ b/packages/cell/src/owner_advice.c
@@ -223,6 +223,7 @@
 
 	vh_log(G_LOG_LEVEL_WARNING, "node disconnected", "peer", conn->name,
 	       NULL);
+	owner_admission_node_left(o);
 	for (GList *i = all; i; i = i->next) {
 		struct advice_call *a = i->data;
 
--- a/packages/cell/src/owner_client.c
+++ b/packages/cell/src/owner_client.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#include "vh/log.h"
+
 #define TIMER_MS 50
 #define RECONNECT_DELAY_MS 150
 #define CONNECT_TIMEOUT_MS 1500
@@ -42,6 +44,7 @@
 		bufferevent_free(c->bev);
 	c->bev = NULL;
 	c->ready = false;
+	c->load.at_ms = 0;
 	c->connection_changed_ms = vh_kernel_now_ms(c->kernel);
 	expire_requests(c, INT64_MAX);
 }
@@ -97,6 +100,14 @@
 	}
 }
 
+static void on_load(struct owner_client *c, const struct vh_frame *f)
+{
+	if (wire_u64(f, 0) < c->epoch)
+		return;
+	if (!admission_view_read(&c->load, f))
+		vh_log(G_LOG_LEVEL_WARNING, "malformed load ignored", NULL);
+}
+
 static bool on_frame(void *ctx, const struct vh_frame *f)
 {
 	struct owner_client *c = ctx;
@@ -115,8 +126,12 @@
 	case WIRE_STORE_PROBE:
 		c->store_probe(c->ctx, wire_u64(f, 0));
 		return true;
+	case WIRE_LOAD:
+		on_load(c, f);
+		return true;
 	case WIRE_OWNER_RESIGNED:
 		c->ready = false;
+		c->load.at_ms = 0;
 		c->owner_resigned(c->ctx, wire_u64(f, 0));
 		return true;
 	default:
@@ -136,11 +151,12 @@
 {
 	struct wire_msg msg;
 
-	wire_begin(&msg, WIRE_HELLO, 4);
+	wire_begin(&msg, WIRE_HELLO, 5);
 	vh_frame_pack_bytes(&msg.pk, vh_slice_str(c->name));
 	msgpack_pack_uint64(&msg.pk, c->own_incarnation);
 	msgpack_pack_uint64(&msg.pk, c->cpu_share_milli);
 	msgpack_pack_uint64(&msg.pk, c->store_latency_ms);
+	msgpack_pack_int(&msg.pk, c->wants_load);
 	wire_send(&msg, c->bev);
 }
 
@@ -205,6 +221,7 @@
 	c->name = g_strdup(name);
 	c->own_incarnation = incarnation;
 	c->requests = g_hash_table_new(g_int64_hash, g_int64_equal);
+	eng_load_init(&c->load);
 	vh_timer_init(&c->timer, kernel, on_timer, c);
 	vh_timer_start(&c->timer, TIMER_MS);
 }
@@ -214,6 +231,7 @@
 	disconnect(c);
 	vh_timer_finish(&c->timer);
 	g_hash_table_destroy(c->requests);
+	eng_load_finish(&c->load);
 	g_free(c->address);
 	g_free(c->name);
 }
@@ -284,17 +302,19 @@
 
 void owner_client_submit(struct owner_client *c, struct vh_slice key,
 			 struct vh_slice value, int64_t timeout_ms,
+			 bool may_refuse,
 			 void (*done)(void *ctx, bool known, uint64_t outcome),
 			 void *ctx)
 {
 	uint64_t sequence = ++c->sequence;
 	struct wire_msg msg;
 
-	wire_begin(&msg, WIRE_SUBMIT_REQUEST, 4);
+	wire_begin(&msg, WIRE_SUBMIT_REQUEST, 5);
 	msgpack_pack_uint64(&msg.pk, sequence);
 	vh_frame_pack_bytes(&msg.pk, key);
 	vh_frame_pack_bytes(&msg.pk, value);
 	msgpack_pack_uint64(&msg.pk, (uint64_t)timeout_ms);
+	msgpack_pack_int(&msg.pk, may_refuse);
 	send_request(c, &msg, sequence, timeout_ms, done, ctx);
 }
 
--- a/packages/cell/src/owner_client.h
+++ b/packages/cell/src/owner_client.h
@@ -7,7 +7,7 @@
  * advice_proxy.c.
  */
 
-#include "wire.h"
+#include "admission_view.h"
 
 /**
  * struct owner_client - this node's connection to the owner
@@ -22,6 +22,8 @@
  * @store_probe: the owner asks whether this node reaches the store; answered by
  *		 owner_client_report_store_reached()
  * @owner_resigned: the owner of @epoch has stopped
+ * @wants_load: the owner is to send its view of the load
+ * @load: that view, on the wall clock; its at_ms is 0 if there is none
  * @epoch, @incarnation, @address: those of the owner, from its record
  * @ready: the owner has sent a heartbeat on this connection, and neither one of
  *	   an older epoch nor WIRE_OWNER_RESIGNED since
@@ -44,6 +46,8 @@
 	void (*owner_resigned)(void *ctx, uint64_t epoch);
 	void *ctx;
 
+	bool wants_load;
+	struct eng_load load;
 	uint64_t epoch;
 	uint64_t incarnation;
 	char *address;
@@ -83,11 +87,13 @@
 
 /**
  * owner_client_submit - asks the owner to store a record
- * @done: the outcome is an enum write_outcome; if it is not known, the record
+ * @may_refuse: no earlier attempt to store it is known here
+ * @done: the outcome is as in WIRE_SUBMIT_REPLY; if it is not known, the record
  *	  may be stored
  */
 void owner_client_submit(struct owner_client *c, struct vh_slice key,
 			 struct vh_slice value, int64_t timeout_ms,
+			 bool may_refuse,
 			 void (*done)(void *ctx, bool known, uint64_t outcome),
 			 void *ctx);
 
--- a/packages/cell/src/owner_priv.h
+++ b/packages/cell/src/owner_priv.h
@@ -4,9 +4,10 @@
 /*
  * State and functions that the sources of the owner share. Internal to the
  * package; included by owner.c, owner_advice.c, owner_engine.c, owner_gc.c and
- * owner_submit.c.
+ * owner_submit.c; also by owner_admission.c.
  */
 
+#include "admission.h"
 #include "owner.h"
 
 #define OWNER_GC_MAX_JOBS 256 /* jobs whose records one append deletes */
@@ -18,6 +19,30 @@
 	OWNER_ENDED
 };
 
+/**
+ * struct owner_admission - admission control of an owner
+ * @load: on the monotonic clock
+ * @was_active: the owner was active when last looked at
+ * @storing: accepted jobs that are being stored, by id
+ * @held: jobs that are to be refused once the topic of jobs was read again
+ * @view_sent: the last view showed a wait
+ * @log_second: the second that @log_lines counts
+ * @log_skipped: refusals without a log line since the last line
+ */
+struct owner_admission {
+	bool enabled;
+	struct admission state;
+	struct eng_load load;
+	bool was_active;
+	GHashTable *storing;
+	GQueue held;
+	struct vh_timer timer;
+	bool view_sent;
+	int64_t log_second;
+	unsigned int log_lines;
+	uint64_t log_skipped;
+};
+
 /**
  * struct owner - the scheduler of a node that owns the cell
  * @pending_calls: calls to the store, workers and policy service without a
@@ -66,6 +91,7 @@
 	int64_t run_duration_ms;
 
 	struct writer writer;
+	struct owner_admission admission;
 
 	bool gc_in_flight;
 	struct vh_timer gc_timer;
@@ -103,6 +129,31 @@
 void owner_on_submit(void *ctx, struct peer_conn *conn,
 		     const struct vh_frame *f);
 
+/* owner_admission.c: refuses jobs that could not end in time */
+void owner_admission_init(struct owner *o, bool enabled);
+/* owner_admission_finish - stops; accepts the jobs that are still held */
+void owner_admission_finish(struct owner *o);
+void owner_admission_free(struct owner *o);
+/**
+ * owner_admission_ask - decides whether a record may be stored
+ * @may_refuse: the sender of the record knows of no earlier attempt to store it
+ * @done: called once, at once or within @timeout_ms; 0: store it and call
+ *	  owner_admission_written(); otherwise it is refused
+ */
+void owner_admission_ask(struct owner *o, struct vh_slice key,
+			 struct vh_slice value, int64_t timeout_ms,
+			 bool may_refuse,
+			 void (*done)(void *ctx, int retry_after_s), void *ctx);
+/* owner_admission_written - the write of an accepted record has ended */
+void owner_admission_written(struct owner *o, struct vh_slice key,
+			     enum write_outcome outcome);
+/* owner_admission_record - a record was read; before it is applied */
+void owner_admission_record(struct owner *o, struct vh_slice key);
+/* owner_admission_read - all jobs stored before @as_of_ms have been applied */
+void owner_admission_read(struct owner *o, int64_t as_of_ms);
+/* owner_admission_node_left - a node may store jobs without the owner */
+void owner_admission_node_left(struct owner *o);
+
 /* owner_gc.c: deletes the records of accepted jobs that have ended */
 void owner_gc_init(struct owner *o);
 void owner_gc_finish(struct owner *o);
--- a/packages/cell/src/owner_submit.c
+++ b/packages/cell/src/owner_submit.c
@@ -16,10 +16,23 @@
 	struct vh_buf value;
 	uint64_t conn_id;
 	uint64_t sequence;
-	void (*done)(void *ctx, enum write_outcome outcome);
+	int64_t deadline_ms;
+	void (*done)(void *ctx, bool known, uint64_t outcome);
 	void *ctx;
 };
 
+static void submission_end(struct submission *s, uint64_t outcome)
+{
+	if (s->done)
+		s->done(s->ctx, true, outcome);
+	else
+		peer_server_reply_submit(s->owner->peer_server, s->conn_id,
+					 s->sequence, outcome);
+	vh_buf_finish(&s->key);
+	vh_buf_finish(&s->value);
+	g_free(s);
+}
+
 static void on_stored(void *ctx, enum write_outcome outcome)
 {
 	struct submission *s = ctx;
@@ -29,37 +42,45 @@
 	if (outcome == WRITE_STORED && o->phase == OWNER_ACTIVE)
 		owner_apply_record(o, vh_buf_slice(&s->key),
 				   vh_buf_slice(&s->value));
-	if (s->done)
-		s->done(s->ctx, outcome);
+	owner_admission_written(o, vh_buf_slice(&s->key), outcome);
+	submission_end(s, outcome);
+}
+
+static void on_decided(void *ctx, int retry_after_s)
+{
+	struct submission *s = ctx;
+
+	if (retry_after_s)
+		submission_end(s,
+			       WIRE_SUBMIT_REFUSED + (uint64_t)retry_after_s);
 	else
-		peer_server_reply_submit(o->peer_server, s->conn_id,
-					 s->sequence, outcome);
-	vh_buf_finish(&s->key);
-	vh_buf_finish(&s->value);
-	g_free(s);
+		writer_add(&s->owner->writer, vh_buf_slice(&s->key),
+			   vh_buf_slice(&s->value), s->deadline_ms, false,
+			   on_stored, s);
 }
 
 static void store_record(struct owner *o, struct submission *s,
 			 struct vh_slice key, struct vh_slice value,
-			 int64_t timeout_ms)
+			 int64_t timeout_ms, bool may_refuse)
 {
 	s->owner = o;
+	s->deadline_ms = owner_now_ms(o) + timeout_ms;
 	vh_buf_add_slice(&s->key, key);
 	vh_buf_add_slice(&s->value, value);
-	writer_add(&o->writer, key, value, owner_now_ms(o) + timeout_ms, false,
-		   on_stored, s);
+	owner_admission_ask(o, key, value, timeout_ms, may_refuse, on_decided,
+			    s);
 }
 
 void owner_submit(struct owner *o, struct vh_slice key, struct vh_slice value,
-		  int64_t timeout_ms,
-		  void (*done)(void *ctx, enum write_outcome outcome),
+		  int64_t timeout_ms, bool may_refuse,
+		  void (*done)(void *ctx, bool known, uint64_t outcome),
 		  void *ctx)
 {
 	struct submission *s = g_new0(struct submission, 1);
 
 	s->done = done;
 	s->ctx = ctx;
-	store_record(o, s, key, value, timeout_ms);
+	store_record(o, s, key, value, timeout_ms, may_refuse);
 }
 
 void owner_on_submit(void *ctx, struct peer_conn *conn,
@@ -77,7 +98,7 @@
 	s->conn_id = conn->id;
 	s->sequence = wire_u64(f, 0);
 	store_record(o, s, wire_bytes(f, 1), wire_bytes(f, 2),
-		     (int64_t)wire_u64(f, 3));
+		     (int64_t)wire_u64(f, 3), wire_u64(f, 4));
 }
 
 bool owner_accepts_submits(const struct owner *o)
--- a/packages/cell/src/ownership.c
+++ b/packages/cell/src/ownership.c
@@ -461,6 +461,7 @@
 		return false;
 	owner_client_init(&c->owner_client, c->kernel, c->name, c->incarnation);
 	c->owner_client.cpu_share_milli = c->cpu_share_milli;
+	c->owner_client.wants_load = c->owner_settings.admission;
 	c->owner_client.advice_request = on_advice_request;
 	c->owner_client.heartbeat = on_heartbeat;
 	c->owner_client.owner_dead = on_owner_dead;
--- a/packages/cell/src/peer_server.c
+++ b/packages/cell/src/peer_server.c
@@ -79,6 +79,7 @@
 	c->name = vh_slice_dup(wire_bytes(f, 0));
 	c->cpu_share_milli = wire_u64(f, 2);
 	c->store_latency_ms = wire_u64(f, 3);
+	c->wants_load = wire_u64(f, 4);
 	c->ready = true;
 	c->connected_since_ms = vh_kernel_now_ms(s->kernel);
 	send_ping(c);
--- a/packages/cell/src/peer_server.h
+++ b/packages/cell/src/peer_server.h
@@ -40,6 +40,7 @@
  * @ready: the node has sent WIRE_HELLO
  * @cpu_share_milli: CPU share of the node, in thousandths of a processor
  * @store_latency_ms: response time of the store to the node
+ * @wants_load: the node reads WIRE_LOAD
  * @rank: position in the order in which nodes claim the cell; 0 is first
  * @connected_since_ms: when WIRE_HELLO arrived
  * @balancer_node: index of the node in the owner's advice balancer, or -1
@@ -55,6 +56,7 @@
 	bool ready;
 	uint64_t cpu_share_milli;
 	uint64_t store_latency_ms;
+	bool wants_load;
 	uint64_t rank;
 	int64_t connected_since_ms;
 	int balancer_node;
--- a/packages/cell/src/wire.h
+++ b/packages/cell/src/wire.h
@@ -15,22 +15,29 @@
 
 /**
  * enum wire_type - messages between nodes, with their elements
- * @WIRE_HELLO: name, incarnation, CPU share, store latency in ms
+ * @WIRE_HELLO: name, incarnation, CPU share, store latency in ms, whether the
+ *		node reads WIRE_LOAD
  * @WIRE_PONG: newest epoch that the node knows, time since the store last
  *	       answered it in ms
  * @WIRE_STATUS_REQUEST: sequence, job
  * @WIRE_COUNT_REQUEST: sequence, queue
- * @WIRE_SUBMIT_REQUEST: sequence, key, value, timeout in ms
+ * @WIRE_SUBMIT_REQUEST: sequence, key, value, timeout in ms, whether the owner may
+ *			 refuse it
  * @WIRE_ADVICE_REPLY: sequence, ok, valid_ms, [worker, ticket, ...]
  * @WIRE_PING: epoch, incarnation of the owner, rank of the receiving node
  * @WIRE_STATUS_REPLY: sequence, status; a value above ENG_UNKNOWN means that
  *		       the status is not known
  * @WIRE_COUNT_REPLY: sequence, known, jobs
  * @WIRE_ADVICE_REQUEST: sequence, job, step, [worker, ...]
- * @WIRE_SUBMIT_REPLY: sequence, outcome
+ * @WIRE_SUBMIT_REPLY: sequence, outcome: an enum write_outcome, or
+ *		       WIRE_SUBMIT_REFUSED plus the Retry-After in seconds
  * @WIRE_STORE_PROBE: epoch; asks whether the node reaches the store
  * @WIRE_STORE_REACHED: epoch; the node reaches the store
  * @WIRE_OWNER_RESIGNED: epoch; the owner of this epoch has stopped
+ * @WIRE_LOAD: epoch, wall-clock time in ms, [[queue, pool, priority, late, work,
+ *	       work beyond shares, work without value, rate], ...]; see
+ *	       struct eng_queue_load; only to nodes that asked for it, since
+ *	       others close the connection on an unknown type
  *
  * A frame is a four-byte length and a msgpack array, whose first element is the
  * type. Every other node keeps one connection to the owner; the nodes have no
@@ -50,9 +57,13 @@
 	WIRE_SUBMIT_REPLY,
 	WIRE_STORE_PROBE,
 	WIRE_STORE_REACHED,
-	WIRE_OWNER_RESIGNED
+	WIRE_OWNER_RESIGNED,
+	WIRE_LOAD
 };
 
+/* Outcomes above it say that the owner has refused the record. */
+#define WIRE_SUBMIT_REFUSED 256
+
 /* A frame under construction: wire_begin(), pack into .pk, wire_send(). */
 struct wire_msg {
 	msgpack_sbuffer sb;
--- a/packages/cell/tests/fake_cluster.h
+++ b/packages/cell/tests/fake_cluster.h
@@ -174,6 +174,7 @@
 	std::set<std::string> done;
 	std::vector<std::string> violations;
 	int64_t run_ms = 150;
+	bool admission = false; /* setting of the nodes */
 	int pending_callbacks = 0;
 };
 
@@ -499,6 +500,7 @@
 		s.peer_address = slice(address);
 		s.cpu_share_milli = 500;
 		s.max_config_age_ms = 4000;
+		s.admission = cluster.admission;
 		s.engine.lease_ms = 5000;
 		s.engine.lease_max_ms = 6000;
 		s.engine.stop_ms = 300;
@@ -527,7 +529,7 @@
 	}
 
 	/* Submits a job of one step and records the outcome. */
-	void submit(uint64_t id, uint32_t tasks)
+	void submit(uint64_t id, uint32_t tasks, int64_t estimate_ms = 200)
 	{
 		eng_step_spec step = {};
 		eng_job_spec spec = {};
@@ -540,7 +542,7 @@
 		}
 		step.n_tasks = tasks;
 		step.need = { 1000, 100, 0 };
-		step.estimate_ms = 200;
+		step.estimate_ms = estimate_ms;
 		spec.id = id;
 		spec.steps = &step;
 		spec.n_steps = 1;
@@ -550,9 +552,11 @@
 		};
 		vh_cell_submit(
 			cell, &route, &spec, 3000,
-			[](void *ctx, enum vh_err err, const char *) {
+			[](void *ctx, enum vh_err err, const char *,
+			   int retry_after_s) {
 				Ctx *c = (Ctx *)ctx;
 				c->node->outcomes[c->id] = err;
+				c->node->retry_after_s[c->id] = retry_after_s;
 				delete c;
 			},
 			new Ctx{ this, id });
@@ -595,6 +599,7 @@
 	struct vh_cell *cell;
 	bool started;
 	std::map<uint64_t, enum vh_err> outcomes;
+	std::map<uint64_t, int> retry_after_s;
 	std::map<uint64_t, uint64_t> status;
 };
 
--- a/packages/cell/tests/test_cell.cc
+++ b/packages/cell/tests/test_cell.cc
@@ -5,6 +5,11 @@
 
 #include "fake_cluster.h"
 
+extern "C" {
+#include "keys.h"
+#include "owner_priv.h"
+}
+
 using fake::Cluster;
 using fake::Node;
 
@@ -258,4 +263,169 @@
 	}));
 }
 
+// The cluster is full, and the job with id 1 waits for longer than other jobs
+// can wait.
+struct CellAdmission : Cell {
+	CellAdmission()
+	{
+		cluster.admission = true;
+		cluster.run_ms = 60000;
+	}
+
+	void SetUp() override
+	{
+		Cell::SetUp();
+		cluster.run_for(ADMISSION_SUSPENDED_MS + 500);
+		fill(*owner());
+	}
+
+	// Lets the workers end their runs, which would delay the nodes' end.
+	void TearDown() override
+	{
+		for (auto &w : cluster.workers)
+			w.second.running.clear();
+		Cell::TearDown();
+	}
+
+	void fill(Node &n)
+	{
+		n.submit(1, 500, 5000);
+		ASSERT_TRUE(
+			cluster.run_until([&] { return n.outcomes.count(1); }));
+		EXPECT_EQ(n.outcomes[1], VH_OK);
+		ASSERT_TRUE(cluster.run_until([this] { return views(); }));
+		close_floor(n);
+	}
+
+	// The minimum rates must not let a job in while a slow machine runs the
+	// test.
+	void close_floor(Node &n)
+	{
+		admission_job job = {};
+
+		job.queue = vh_slice_str("q");
+		admission_note_accepted(&n.cell->owner->admission.state, &job,
+					cluster.now() + 60000);
+	}
+
+	bool views()
+	{
+		for (auto &n : nodes)
+			if (!n->is_owner() &&
+			    !n->cell->owner_client.load.queues->len)
+				return false;
+		return true;
+	}
+
+	enum vh_err submit(Node &n, uint64_t id)
+	{
+		n.outcomes.erase(id);
+		n.submit(id, 1);
+		cluster.run_until([&] { return n.outcomes.count(id); });
+		return n.outcomes[id];
+	}
+
+	bool stored(uint64_t id)
+	{
+		char key[VH_KEY_BYTES];
+
+		vh_key_format(key, VH_KEY_JOB, id);
+		for (auto &r : cluster.topics[VH_TOPIC_JOBS].records)
+			if (r.first == key)
+				return true;
+		return false;
+	}
+
+	// Stores a job as a node does that the owner has not heard of.
+	void store_behind_the_owner(uint64_t id)
+	{
+		Topic &t = cluster.topics[VH_TOPIC_JOBS];
+		eng_job_spec *spec =
+			eng_job_unpack(fake::slice(t.records[0].second));
+		char key[VH_KEY_BYTES];
+		vh_buf bytes = {};
+
+		ASSERT_TRUE(spec);
+		spec->id = id;
+		spec->steps[0].n_tasks = 1;
+		spec->steps[0].estimate_ms = 200;
+		eng_job_pack(spec, &bytes);
+		vh_key_format(key, VH_KEY_JOB, id);
+		t.records.emplace_back(key, std::string(bytes.data, bytes.len));
+		vh_buf_finish(&bytes);
+		eng_job_free(spec);
+	}
+
+	using Topic = fake::Topic;
+};
+
+TEST_F(CellAdmission, AJobThatCannotEndInTimeIsRefusedBeforeItIsStored)
+{
+	Node &n = non_owner();
+
+	EXPECT_EQ(submit(n, 2), VH_ERR_RATE_LIMITED);
+	EXPECT_GE(n.retry_after_s[2], 1);
+	EXPECT_LE(n.retry_after_s[2], ADMISSION_RETRY_MAX_S);
+	EXPECT_EQ(submit(*owner(), 3), VH_ERR_RATE_LIMITED);
+	EXPECT_FALSE(stored(2));
+	EXPECT_FALSE(stored(3));
+	EXPECT_NE(cluster.metrics().find(
+			  "vh_admission_refused_total{team=\"\",queue=\"q\"}"
+			  " 2"),
+		  std::string::npos);
+}
+
+// A refusal of a job that is stored would be a lie: the job will run.
+TEST_F(CellAdmission, ARepeatedSubmissionOfAStoredJobIsNeverRefused)
+{
+	ASSERT_EQ(submit(non_owner(), 2), VH_ERR_RATE_LIMITED);
+	for (auto &n : nodes)
+		EXPECT_EQ(submit(*n, 1), VH_OK);
+	store_behind_the_owner(7);
+	EXPECT_EQ(submit(non_owner(), 7), VH_OK);
+}
+
+// The owner has read the other node's job only after the refusal was due.
+TEST_F(CellAdmission, ARefusalWaitsForTheStore)
+{
+	Node &n = non_owner();
+
+	n.submit(2, 1);
+	cluster.run_for(1);
+	store_behind_the_owner(2);
+	ASSERT_TRUE(cluster.run_until([&] { return n.outcomes.count(2); }));
+	EXPECT_EQ(n.outcomes[2], VH_OK);
+}
+
+TEST_F(CellAdmission, ANewOwnerAcceptsUntilItsKnowledgeIsComplete)
+{
+	ASSERT_EQ(submit(non_owner(), 2), VH_ERR_RATE_LIMITED);
+	kill_node(owner());
+	EXPECT_EQ(submit(*nodes[0], 3), VH_OK);
+	ASSERT_TRUE(cluster.run_until([this] { return owner(); }));
+	close_floor(*owner());
+	EXPECT_EQ(submit(*owner(), 4), VH_OK);
+}
+
+TEST_F(CellAdmission, TheOwnerAcceptsWhenANodeIsLost)
+{
+	Node *lost = &non_owner();
+
+	ASSERT_EQ(submit(*owner(), 2), VH_ERR_RATE_LIMITED);
+	kill_node(lost);
+	cluster.run_for(50);
+	EXPECT_EQ(submit(*owner(), 3), VH_OK);
+}
+
+TEST_F(CellAdmission, AStaleViewIsNotUsed)
+{
+	Node &n = non_owner();
+
+	ASSERT_EQ(submit(n, 2), VH_ERR_RATE_LIMITED);
+	n.cell->owner_client.load.at_ms -= ADMISSION_VIEW_MAX_AGE_MS;
+	n.submit(3, 1);
+	ASSERT_TRUE(cluster.run_until([&] { return n.outcomes.count(3); }));
+	EXPECT_EQ(n.outcomes[3], VH_OK);
+}
+
 } // namespace
