--- a/packages/cell/src/owner_admission.c
+++ b/packages/cell/src/owner_admission.c
@@ -266,7 +266,7 @@
 	job.team = spec->team;
 	job.size = eng_job_measure(spec);
 	check_knowledge(o, now);
-	if (o->phase == OWNER_ACTIVE)
+	if (may_refuse && o->phase == OWNER_ACTIVE)
 		refresh_load(o, now, LOAD_MAX_AGE_MS);
 	job.over_share = eng_team_over_share(o->engine, job.team, now);
 	excess_ms = admission_excess_ms(&a->load, &job, &wait_ms);
--- a/packages/engine/tests/simulation.h
+++ b/packages/engine/tests/simulation.h
@@ -5,7 +5,7 @@
  * Discrete-event simulation of the cluster around the engine: workers that
  * follow the worker API, a store, a policy service, and faults drawn from a
  * seed. The invariants are checked on the state of the workers. Included by
- * test_capacity.cc, test_load.cc, test_losses.cc, test_schedules.cc, test_takeover.cc and
+ * test_admission.cc, test_capacity.cc, test_load.cc, test_losses.cc, test_schedules.cc, test_takeover.cc and
  * test_workers.cc.
  */
 
