--- a/packages/cell/src/cell_priv.h
+++ b/packages/cell/src/cell_priv.h
@@ -22,6 +22,8 @@
  *		    write
  * @pending_calls: calls to the store or the policy service without a result
  * @live_owners: owners, ended ones included, that are not freed yet
+ * @last_direct_ms: when a write of a caller's record by this node itself last
+ *		    began or ended
  * @owner: NULL unless this node owns the cell
  */
 struct vh_cell {
@@ -40,6 +42,7 @@
 	struct vh_config_view *config_view;
 	struct zones zones;
 	struct writer writer;
+	int64_t last_direct_ms;
 
 	struct election election;
 	struct vh_timer election_timer;
--- a/packages/cell/tests/fake_cluster.h
+++ b/packages/cell/tests/fake_cluster.h
@@ -178,6 +178,7 @@
 	std::map<std::string, int> starts_by_worker;
 	int64_t objects_from_ms = 0;	    /* that topic is not read earlier */
 	uint64_t objects_retained_from = 0; /* older offsets are gone */
+	bool admission = false;		    /* setting of the nodes */
 	int pending_callbacks = 0;
 };
 
@@ -545,6 +546,7 @@
 		s.peer_address = slice(address);
 		s.cpu_share_milli = 500;
 		s.max_config_age_ms = 4000;
+		s.admission = cluster.admission;
 		s.engine.lease_ms = 5000;
 		s.engine.lease_max_ms = 6000;
 		s.engine.stop_ms = 300;
@@ -573,7 +575,7 @@
 	}
 
 	/* Submits a job of one step and records the outcome. */
-	void submit(uint64_t id, uint32_t tasks)
+	void submit(uint64_t id, uint32_t tasks, int64_t estimate_ms = 200)
 	{
 		eng_step_spec step = {};
 		eng_job_spec spec = {};
@@ -586,7 +588,7 @@
 		}
 		step.n_tasks = tasks;
 		step.need = { 1000, 100, 0 };
-		step.estimate_ms = 200;
+		step.estimate_ms = estimate_ms;
 		spec.id = id;
 		spec.steps = &step;
 		spec.n_steps = 1;
@@ -596,9 +598,11 @@
 		};
 		vh_cell_submit(
 			cell, &route, &spec, 3000,
-			[](void *ctx, enum vh_err err, const char *) {
+			[](void *ctx, enum vh_err err, const char *,
+			   int retry_after_s) {
 				Ctx *c = (Ctx *)ctx;
 				c->node->outcomes[c->id] = err;
+				c->node->retry_after_s[c->id] = retry_after_s;
 				delete c;
 			},
 			new Ctx{ this, id });
@@ -641,6 +645,7 @@
 	struct vh_cell *cell;
 	bool started;
 	std::map<uint64_t, enum vh_err> outcomes;
+	std::map<uint64_t, int> retry_after_s;
 	std::map<uint64_t, uint64_t> status;
 };
 
--- a/packages/engine/tests/simulation.h
+++ b/packages/engine/tests/simulation.h
@@ -4,9 +4,8 @@
 /*
  * Discrete-event simulation of the cluster around the engine: workers that
  * follow the worker API, a store, a policy service, and faults drawn from a
- * seed. The invariants are checked on the state of the workers. Included by
- * test_capacity.cc, test_load.cc, test_losses.cc, test_schedules.cc, test_takeover.cc,
- * test_workers.cc and test_zones.cc.
+ * seed. The invariants are checked on the state of the workers. Included by the
+ * test programs of this folder.
  */
 
 #include "sim_state.h"
