--- a/packages/engine/tests/bench_engine.c
+++ b/packages/engine/tests/bench_engine.c
@@ -1,28 +1,50 @@
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <time.h>
 
 #include "vh/engine.h"
 
 /*
- * CPU cost of scheduling under overload: 350 and 1,100 workers, 150 % of the
- * load that they can run, thousands of waiting tasks. The simulation around the engine is
+ * CPU cost of scheduling. At 350 and 1,100 workers the load grows with the
+ * workers. At 3,000 and 7,200 workers tasks run longer instead, for 1,500
+ * starts a second, in a cell that is filled first: once with few waiting tasks
+ * and once with 14,000 beyond its capacity. The simulation around the engine is
  * minimal: records are stored at the end of each tick, starts are confirmed in
  * the next tick, and a call of the policy service takes its cost and one tick.
  * Output: bench NAME value unit bound verdict.
  */
 
-#define WORKERS_MAX 1100
-#define ADVICE_NODES_MAX 100 /* each makes one call at a time */
+#define WORKERS_MAX 7200
+#define ADVICE_NODES_MAX 723 /* each makes one call at a time */
 #define LOAD_WORKERS 350     /* that the rates of job_classes are for */
 #define TICK_MS 20
-#define WARMUP_S 10
-#define MEASURE_S 20
+#define STARTS_PER_S_MAX 1500.0
+#define FILL_SHARE 0.9	 /* of the cell, before the load begins */
+#define STEADY_LOAD 0.85 /* of the load that fills the cell */
 #define REPORT_INTERVAL_MS 200
 #define RUN_MS_MAX 10.0	    /* target for the slowest pass of a hundred */
 #define CORE_SHARE_MAX 0.25 /* half of the 0.5 cores of a large entry VM */
 
+/**
+ * struct scenario - one measurement
+ * @suffix: added to the number of workers in the names of the figures
+ * @waiting: tasks submitted at the start beyond what fills the cell
+ * @load: factor of the rates of job_classes
+ * @longer_runs: rates stay at STARTS_PER_S_MAX, and tasks run longer instead
+ */
+struct scenario {
+	int n_workers;
+	int n_advice_nodes;
+	const char *suffix;
+	int warmup_s;
+	int measure_s;
+	uint32_t waiting;
+	double load;
+	bool longer_runs;
+};
+
 struct run {
 	struct eng_task_ref task;
 	int64_t ends_ms;
@@ -48,14 +70,18 @@
 	struct engine *engine;
 	int64_t now;
 	struct sim_worker workers[WORKERS_MAX];
+	struct scenario scenario;
 	int n_workers;
 	int n_advice_nodes;
+	double rate;	      /* factor of the rates of job_classes */
+	double run_scale;     /* factor of run times and estimates */
 	GArray *started;      /* struct started */
 	GArray *advice_calls; /* struct advice_call */
 	int64_t busy_until_ms[ADVICE_NODES_MAX];
 	uint64_t next_job;
 	GRand *random;
 	int64_t total_ns;
+	uint64_t starts; /* before the measurement */
 	GArray *pass_ns; /* int64_t */
 };
 
@@ -201,9 +227,12 @@
 	for (guint i = 0; i < starts->len; i++) {
 		struct started s = g_array_index(starts, struct started, i);
 		struct sim_worker *w = &sim->workers[s.worker];
-		struct run r = { s.task,
-				 sim->now + g_rand_int_range(sim->random, 200,
-							     4000) };
+		struct run r = {
+			s.task,
+			sim->now + (int64_t)(sim->run_scale *
+					     g_rand_int_range(sim->random, 200,
+							      4000))
+		};
 
 		g_array_append_val(w->running, r);
 		eng_start_reply(sim->engine, vh_slice_str(w->id), s.task,
@@ -267,7 +296,9 @@
 {
 	struct eng_step_spec step = { .n_tasks = k->n_tasks,
 				      .need = { k->cpu_milli, 4000, 0 },
-				      .estimate_ms = k->estimate_ms,
+				      .estimate_ms =
+					      (int64_t)(sim->run_scale *
+							(double)k->estimate_ms),
 				      .gang = k->gang,
 				      .checkpoints = !k->gang };
 	struct eng_job_spec spec = { .id = ++sim->next_job,
@@ -323,8 +354,8 @@
 {
 	sim->now += TICK_MS;
 	for (size_t i = 0; i < G_N_ELEMENTS(job_classes); i++) {
-		double due = job_classes[i].jobs_per_s * TICK_MS / 1000 *
-			     sim->n_workers / LOAD_WORKERS;
+		double due =
+			job_classes[i].jobs_per_s * TICK_MS / 1000 * sim->rate;
 
 		for (; due > g_rand_double(sim->random); due--)
 			submit(sim, &job_classes[i]);
@@ -364,11 +395,19 @@
 	}
 }
 
-static void print_result(int n_workers, const char *name, double value,
-			 const char *unit, double max)
+static void print_result(const struct simulation *sim, const char *name,
+			 double value, const char *unit, double max)
+{
+	printf("bench engine_%d%s_%s %.4g %s <=%.4g %s\n", sim->n_workers,
+	       sim->scenario.suffix, name, value, unit, max,
+	       value <= max ? "ok" : "FAIL");
+}
+
+static void print_figure(const struct simulation *sim, const char *name,
+			 double value, const char *unit)
 {
-	printf("bench engine_%d_%s %.4g %s <=%.4g %s\n", n_workers, name, value,
-	       unit, max, value <= max ? "ok" : "FAIL");
+	printf("bench engine_%d%s_%s %.6g %s - -\n", sim->n_workers,
+	       sim->scenario.suffix, name, value, unit);
 }
 
 static int by_duration(gconstpointer a, gconstpointer b)
@@ -386,28 +425,95 @@
 	return (double)g_array_index(sim->pass_ns, int64_t, at) / 1e6;
 }
 
+static double peak_memory_mb(void)
+{
+	struct rusage usage;
+
+	getrusage(RUSAGE_SELF, &usage);
+	return (double)usage.ru_maxrss / 1024;
+}
+
 static void print_results(struct simulation *sim)
 {
 	struct eng_stats stats;
-	int n = sim->n_workers;
+	double starts;
 
 	eng_stats(sim->engine, &stats);
+	starts = (double)(stats.starts - sim->starts);
 	g_array_sort(sim->pass_ns, by_duration);
-	printf("bench engine_%d_waiting_tasks %" G_GUINT64_FORMAT
-	       " tasks - -\n",
-	       n, stats.waiting_tasks);
-	printf("bench engine_%d_cpu_used %.3f share - -\n", n,
-	       (double)stats.cpu_used / (double)stats.cpu_capacity);
-	printf("bench engine_%d_run_p50 %.3f ms - -\n", n,
-	       quantile_ms(sim, 0.5));
-	print_result(n, "run_p99", quantile_ms(sim, 0.99), "ms", RUN_MS_MAX);
-	printf("bench engine_%d_run_worst %.3f ms - -\n", n,
-	       quantile_ms(sim, 1));
-	print_result(n, "core_share", (double)sim->total_ns / 1e9 / MEASURE_S,
+	print_figure(sim, "waiting_tasks", (double)stats.waiting_tasks,
+		     "tasks");
+	print_figure(sim, "cpu_used",
+		     (double)stats.cpu_used / (double)stats.cpu_capacity,
+		     "share");
+	print_figure(sim, "starts", starts / sim->scenario.measure_s, "per_s");
+	print_figure(sim, "time_per_start",
+		     (double)sim->total_ns / 1e3 / MAX(starts, 1), "us");
+	print_figure(sim, "run_p50", quantile_ms(sim, 0.5), "ms");
+	print_result(sim, "run_p99", quantile_ms(sim, 0.99), "ms", RUN_MS_MAX);
+	print_figure(sim, "run_worst", quantile_ms(sim, 1), "ms");
+	print_result(sim, "core_share",
+		     (double)sim->total_ns / 1e9 / sim->scenario.measure_s,
 		     "cores", CORE_SHARE_MAX);
+	/* Of the process so far: the scenarios run in the order of their size. */
+	print_figure(sim, "peak_memory", peak_memory_mb(), "MB");
+	fflush(stdout);
+}
+
+/* Processors that the tasks of a job of each class take, by its rate. */
+static int64_t class_cpu_milli(const struct job_class *k)
+{
+	return (int64_t)k->n_tasks * k->cpu_milli;
 }
 
-static void measure(int n_workers, int n_advice_nodes)
+/* Submits batch jobs for FILL_SHARE of the cell and the waiting tasks. */
+static void fill(struct simulation *sim)
+{
+	const struct job_class *k = &job_classes[G_N_ELEMENTS(job_classes) - 1];
+	int64_t cpu = (int64_t)(FILL_SHARE * 64000 * sim->n_workers);
+
+	for (; cpu > 0; cpu -= class_cpu_milli(k))
+		submit(sim, k);
+	for (uint32_t n = 0; n < sim->scenario.waiting; n += k->n_tasks)
+		submit(sim, k);
+}
+
+static void set_rates(struct simulation *sim)
+{
+	double scale = (double)sim->n_workers / LOAD_WORKERS;
+	double tasks_per_s = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(job_classes); i++)
+		tasks_per_s +=
+			job_classes[i].n_tasks * job_classes[i].jobs_per_s;
+	sim->rate = scale;
+	sim->run_scale = 1;
+	if (sim->scenario.longer_runs) {
+		sim->rate = STARTS_PER_S_MAX / tasks_per_s;
+		sim->run_scale = scale / sim->rate;
+	}
+	sim->run_scale *= sim->scenario.load;
+}
+
+static void free_simulation(struct simulation *sim)
+{
+	eng_free(sim->engine);
+	for (int i = 0; i < sim->n_workers; i++) {
+		g_array_free(sim->workers[i].running, TRUE);
+		g_array_free(sim->workers[i].finished, TRUE);
+	}
+	for (guint i = 0; i < sim->advice_calls->len; i++)
+		g_strfreev(
+			g_array_index(sim->advice_calls, struct advice_call, i)
+				.ids);
+	g_array_free(sim->advice_calls, TRUE);
+	g_array_free(sim->started, TRUE);
+	g_array_free(sim->pass_ns, TRUE);
+	g_rand_free(sim->random);
+	g_free(sim);
+}
+
+static void measure(const struct scenario *scenario)
 {
 	struct simulation *sim = g_new0(struct simulation, 1);
 	struct eng_settings s = { .fence = 1,
@@ -422,10 +528,14 @@
 					   .advice_available = advice_available,
 					   .deposed = on_deposed,
 					   .ctx = sim };
+	struct eng_stats stats;
+	int ticks = scenario->measure_s * 1000 / TICK_MS;
 
 	sim->now = 1000;
-	sim->n_workers = n_workers;
-	sim->n_advice_nodes = n_advice_nodes;
+	sim->scenario = *scenario;
+	sim->n_workers = scenario->n_workers;
+	sim->n_advice_nodes = scenario->n_advice_nodes;
+	set_rates(sim);
 	sim->random = g_rand_new_with_seed(1);
 	sim->started = g_array_new(FALSE, FALSE, sizeof(struct started));
 	sim->advice_calls =
@@ -434,14 +544,34 @@
 	sim->engine = eng_new(&s, &callbacks, sim->now);
 	add_workers(sim);
 	eng_recovery_done(sim->engine, sim->now);
-	for (int i = 0; i < (WARMUP_S + MEASURE_S) * 1000 / TICK_MS; i++)
-		run_tick(sim, i >= WARMUP_S * 1000 / TICK_MS);
+	if (scenario->longer_runs)
+		fill(sim);
+	for (int i = 0; i < scenario->warmup_s * 1000 / TICK_MS; i++)
+		run_tick(sim, false);
+	eng_stats(sim->engine, &stats);
+	sim->starts = stats.starts;
+	for (int i = 0; i < ticks; i++)
+		run_tick(sim, true);
 	print_results(sim);
+	free_simulation(sim);
 }
 
-int main(void)
+/* The argument, if any, limits the scenarios to that number of workers. */
+int main(int argc, char **argv)
 {
-	measure(LOAD_WORKERS, 30);
-	measure(WORKERS_MAX, 100);
+	static const struct scenario scenarios[] = {
+		{ 350, 30, "", 10, 20, 0, 1, false },
+		{ 1100, 100, "", 10, 20, 0, 1, false },
+		{ 3000, 301, "_steady", 10, 10, 0, STEADY_LOAD, true },
+		{ 3000, 301, "", 10, 10, 14000, 1, true },
+		{ 7200, 723, "_steady", 10, 10, 0, STEADY_LOAD, true },
+		{ 7200, 723, "", 10, 10, 14000, 1, true },
+	};
+	int only = argc > 1 ? (int)g_ascii_strtoll(argv[1], NULL, 10) : 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(scenarios); i++) {
+		if (!only || scenarios[i].n_workers == only)
+			measure(&scenarios[i]);
+	}
 	return 0;
 }
