--- a/packages/engine/include/vh/engine.h
+++ b/packages/engine/include/vh/engine.h
@@ -410,6 +410,8 @@
  * @starts: start requests sent, including repeated ones
  * @ends_lost: runs that a worker refused, or that were lost without a reported
  *	       end
+ * @workers_examined: how often a worker was examined, for a step or for itself;
+ *		      the cost of scheduling in a unit that a test can count
  * @cpu_used: thousandths of a processor allocated on all workers
  * @cpu_capacity: the same unit, of the listed workers
  */
@@ -423,6 +425,7 @@
 	uint64_t ends_lost;
 	uint64_t advice_calls;
 	uint64_t holds;
+	uint64_t workers_examined;
 	int64_t cpu_used;
 	int64_t cpu_capacity;
 };
--- a/packages/engine/src/eng_advice.c
+++ b/packages/engine/src/eng_advice.c
@@ -99,12 +99,13 @@
 	return (uint32_t)count_fitting(free.gpu, need->gpu, n);
 }
 
-uint32_t eng_free_slots(const struct engine *e, const struct step *s,
+uint32_t eng_free_slots(struct engine *e, const struct step *s,
 			const struct worker *w)
 {
 	struct eng_resources free = eng_free_resources(w);
 	int64_t n;
 
+	e->stats.workers_examined++;
 	/* Most workers of a busy cell are full, and this is quick to see. */
 	if (free.cpu_milli < s->spec->need.cpu_milli && !s->spec->filler)
 		return 0;
--- a/packages/engine/src/eng_priv.h
+++ b/packages/engine/src/eng_priv.h
@@ -487,7 +487,7 @@
 struct worker_advice *eng_advice_find(const struct step *s,
 				      const struct worker *w);
 /* eng_free_slots - how many tasks of a step can be placed on a worker now */
-uint32_t eng_free_slots(const struct engine *e, const struct step *s,
+uint32_t eng_free_slots(struct engine *e, const struct step *s,
 			const struct worker *w);
 /* eng_worker_matches - the worker has the step's service and label */
 bool eng_worker_matches(const struct step *s, const struct worker *w);
--- a/packages/engine/src/eng_reserve.c
+++ b/packages/engine/src/eng_reserve.c
@@ -164,11 +164,12 @@
 	g_free(releases);
 }
 
-static bool is_candidate(const struct engine *e, const struct step *s,
+static bool is_candidate(struct engine *e, const struct step *s,
 			 const struct worker *w)
 {
 	const struct worker_advice *a;
 
+	e->stats.workers_examined++;
 	if (!eng_worker_usable(e, w) || !eng_worker_matches(s, w))
 		return false;
 	if (!s->job->spec->advice.needed)
@@ -230,6 +231,7 @@
 	for (guint i = 0; i < e->worker_list->len; i++) {
 		struct worker *w = e->worker_list->pdata[i];
 
+		e->stats.workers_examined++;
 		memset(&w->reserved, 0, sizeof(w->reserved));
 		if (w->listed)
 			e->cpu_capacity += w->capacity.cpu_milli;
--- a/packages/engine/src/eng_workers.c
+++ b/packages/engine/src/eng_workers.c
@@ -457,6 +457,7 @@
 	for (guint i = 0; i < e->worker_list->len; i++) {
 		struct worker *w = e->worker_list->pdata[i];
 
+		e->stats.workers_examined++;
 		if (w->tasks->len && w->lease_expired_ms &&
 		    w->lease_expired_ms < e->now_ms &&
 		    (w->hold_failures || !*w->address || !w->listed))
--- a/packages/engine/src/engine.c
+++ b/packages/engine/src/engine.c
@@ -505,6 +505,7 @@
 	for (guint i = 0; i < e->worker_list->len; i++) {
 		struct worker *w = e->worker_list->pdata[i];
 
+		e->stats.workers_examined++;
 		if (w->acknowledged < w->processed && w->ack_batch <= batch)
 			w->acknowledged = w->processed;
 	}
