Find workers with room through an index

Cause: a pass looked at each worker for each waiting step, to place it, to choose whom to ask the policy service about and to plan reservations, and eng_poll_workers() and eng_batch_stored() looked at all workers each time.

A search passes over full parts of the cell. - Steps that need advice look at their approved workers only. Of these, a pass examines the ones on which room has grown since the pass before, so that a blocked step costs a comparison of two bitmaps. - Candidates are collected part by part of the cell, in the order of the step, until there are twice as many as a call may name or needs. A cell of one part (400 workers) is searched whole, as before. - Polls are found by due times in one array; ends to acknowledge, failing and reserved workers are kept in lists.

The longest passes at 7,200 need a budget.

--- a/packages/engine/src/eng_advice.c
+++ b/packages/engine/src/eng_advice.c
@@ -16,13 +16,11 @@
 #define ADVICE_INTERVAL_MS 120	/* from an answer to the next call */
 #define ADVICE_RETRY_MS 200	/* after a failed call */
 #define SLOW_ADVICE_MS 150.0	/* first calls this slow name all workers */
-#define LATENCY_BUCKET_MS 25	/* when workers are sorted by latency */
 #define GANG_READY_SHARE 0.7 /* of a gang's slots, before tickets are renewed */
 #define TICKET_MIN_VALIDITY_MS 250 /* of a gang's tickets, after a call */
 #define EMPTY_INTERVAL_MS 60	   /* until workers are looked for again */
-#define PART_WORKERS 400	   /* of a cell, see order_for() */
-#define ORDER_MULTIPLIER UINT64_C(0x9e3779b97f4a7c15)
-#define APPROVAL_RATE_MIN 0.05	 /* bound of the moving average */
+#define COLLECT_FACTOR 2       /* candidates to choose from, per one to name */
+#define APPROVAL_RATE_MIN 0.05 /* bound of the moving average */
 #define APPROVAL_EWMA_WEIGHT 0.1 /* weight of a new answer */
 
 void eng_advice_free(gpointer p)
@@ -41,7 +39,7 @@
 	return g_hash_table_lookup(s->advice_by_worker, w);
 }
 
-static bool has_label(const struct worker *w, struct vh_slice label)
+bool eng_worker_has_label(const struct worker *w, struct vh_slice label)
 {
 	for (char **l = w->labels; *l; l++) {
 		if (vh_slice_eq_str(label, *l))
@@ -54,7 +52,7 @@
 {
 	if (s->job->service != w->service)
 		return false;
-	return !s->spec->label.len || has_label(w, s->spec->label);
+	return !s->spec->label.len || eng_worker_has_label(w, s->spec->label);
 }
 
 static uint32_t tasks_on_worker(const struct step *s, const struct worker *w)
@@ -140,14 +138,10 @@
  * first of them can use. Within a part all begin with the same workers, which
  * keeps others free for wide gangs.
  */
-static uint64_t order_for(const struct step *s, const struct worker *w)
+static uint64_t order_for(const struct engine *e, const struct step *s,
+			  const struct worker *w)
 {
-	uint64_t part = w->index / PART_WORKERS;
-	uint64_t x = (s->job->id ^ s->number) + part * ORDER_MULTIPLIER;
-
-	x ^= x >> 32;
-	x *= ORDER_MULTIPLIER;
-	return (x & ~UINT64_C(0xffffffff)) | w->index;
+	return eng_part_key(s, w->index / eng_part_workers(e)) | w->index;
 }
 
 static int by_usefulness(const void *a, const void *b)
@@ -198,6 +192,8 @@
 
 static void sort_candidates(struct candidate *c, size_t n)
 {
+	if (!n)
+		return;
 	if (n > ADVICE_WORKERS_MAX)
 		select_most_useful(c, n, ADVICE_WORKERS_MAX);
 	qsort(c, MIN(n, ADVICE_WORKERS_MAX), sizeof(*c), by_usefulness);
@@ -220,15 +216,165 @@
 	return MIN(MIN(take + ADVICE_EXTRA_WORKERS, n), ADVICE_WORKERS_MAX);
 }
 
-/* Whether asking about a worker may help a waiting gang. */
-static bool useful_for_gang(const struct step *s, const struct worker *w,
-			    const struct worker_advice *a, double slots)
+/**
+ * struct collection - candidates of one call
+ * @candidates: struct candidate
+ * @enough_slots: expected slots after which no further part is looked at
+ * @new_slots: slots on workers not asked about yet, all of them if approved
+ * @valid_slots: slots on workers with valid tickets
+ * @n_open: candidates that no gang waits for
+ */
+struct collection {
+	GArray *candidates;
+	double enough_slots;
+	uint64_t new_slots;
+	uint64_t valid_slots;
+	size_t n_open;
+};
+
+static void add_candidate(struct engine *e, struct step *s, struct worker *w,
+			  bool known, uint32_t slots, struct collection *out)
 {
-	if (a && !a->approved)
-		return false;
-	if (s->enough_advised)
-		return slots > 0;
-	return !a && w->listed && eng_worker_matches(s, w);
+	bool gang = s->spec->gang && s->spec->n_tasks > 1;
+	struct candidate c = {
+		.w = w,
+		.slots = known ? slots : slots * s->job->queue->approval_rate,
+		.known = known,
+		.reserved = !gang && eng_recently_reserved(e, w),
+		.order = order_for(e, s, w),
+	};
+
+	if (!gang)
+		c.latency_bucket =
+			eng_latency_bucket(eng_worker_latency_ms(w, s));
+	if (!known)
+		out->new_slots += slots;
+	out->n_open += !c.reserved;
+	g_array_append_val(out->candidates, c);
+}
+
+/* Whether enough candidates are known for the best of them to be good. */
+static bool collected_enough(const struct step *s, const struct collection *out)
+{
+	if (out->n_open >= COLLECT_FACTOR * ADVICE_WORKERS_MAX)
+		return true;
+	return out->n_open >= COLLECT_FACTOR * ADVICE_EXTRA_WORKERS &&
+	       (double)out->new_slots * s->job->queue->approval_rate >=
+		       out->enough_slots;
+}
+
+/* Workers with room that were not asked about, in one latency bucket or all. */
+static void collect_new(struct engine *e, struct step *s,
+			struct room_scan *scan, struct collection *out)
+{
+	struct worker *w;
+
+	while (!collected_enough(s, out) && eng_scan_next_part(scan)) {
+		while ((w = eng_scan_next(scan))) {
+			uint32_t slots = eng_advice_find(s, w)
+						 ? 0
+						 : eng_free_slots(e, s, w);
+
+			if (slots)
+				add_candidate(e, s, w, false, slots, out);
+		}
+	}
+}
+
+/*
+ * In a cell of several parts, the search ends with the part that brought enough
+ * candidates. Steps for which latency matters look for near workers in all
+ * parts first.
+ */
+static void collect_with_room(struct engine *e, struct step *s,
+			      struct collection *out)
+{
+	bool any_latency = (s->spec->gang && s->spec->n_tasks > 1) ||
+			   !eng_latency_matters(s);
+	struct room_scan scan;
+
+	eng_scan_begin(e, s, &scan);
+	if (any_latency || scan.n_parts <= 1) {
+		collect_new(e, s, &scan, out);
+		return;
+	}
+	for (int b = 0; b < LATENCY_BUCKETS && !collected_enough(s, out); b++) {
+		eng_scan_restart(&scan, b);
+		collect_new(e, s, &scan, out);
+	}
+}
+
+/* Matching workers that were not asked about, whether they have room or not. */
+static void collect_listed(struct engine *e, struct step *s, bool free_soon,
+			   struct collection *out)
+{
+	struct room_scan scan;
+	struct worker *w;
+
+	eng_scan_begin(e, s, &scan);
+	while (out->n_open < COLLECT_FACTOR * ADVICE_WORKERS_MAX &&
+	       eng_scan_next_part(&scan)) {
+		while ((w = eng_scan_next_listed(&scan))) {
+			uint32_t slots;
+
+			if (eng_advice_find(s, w))
+				continue;
+			slots = eng_free_slots(e, s, w);
+			if (free_soon)
+				slots = MAX(slots, eng_reserved_slots(s, w));
+			add_candidate(e, s, w, false, slots, out);
+		}
+	}
+}
+
+/* Adds an approved worker to the candidates, unless its ticket is valid. */
+static uint32_t count_approved(struct engine *e, struct step *s,
+			       const struct approval *a, int64_t valid_until,
+			       uint32_t slots, struct collection *out)
+{
+	if (a->advice->expires_ms > valid_until)
+		out->valid_slots += slots;
+	else if (slots)
+		add_candidate(e, s, a->w, true, slots, out);
+	return slots;
+}
+
+/* Slots on workers that are reserved for the gang, but not free yet. */
+static uint64_t count_reserved(struct engine *e, struct step *s,
+			       int64_t valid_until, struct collection *out)
+{
+	uint64_t n = 0;
+
+	for (guint i = 0; s->reservation_active && i < s->reservations->len;
+	     i++) {
+		const struct reservation *r =
+			&g_array_index(s->reservations, struct reservation, i);
+		struct approval a = { r->w, eng_advice_find(s, r->w) };
+		uint32_t free = eng_free_slots(e, s, r->w);
+
+		if (a.advice && !free)
+			n += count_approved(e, s, &a, valid_until, r->slots,
+					    out);
+	}
+	return n;
+}
+
+/* Slots on approved workers, now or, if they are reserved, soon. */
+static uint64_t count_known(struct engine *e, struct step *s, bool free_soon,
+			    int64_t valid_until, struct collection *out)
+{
+	uint64_t n = 0;
+
+	for (guint i = 0; i < s->open->len; i++) {
+		const struct approval *a =
+			&g_array_index(s->open, struct approval, i);
+		uint32_t slots = eng_free_slots(e, s, a->w);
+
+		if (free_soon && slots)
+			slots = MAX(slots, eng_reserved_slots(s, a->w));
+		n += count_approved(e, s, a, valid_until, slots, out);
+	}
+	return free_soon ? n + count_reserved(e, s, valid_until, out) : n;
 }
 
 /*
@@ -240,7 +386,7 @@
  * asked about yet.
  */
 static size_t gang_candidates(struct engine *e, struct step *s,
-			      struct candidate *out)
+			      struct collection *out)
 {
 	const struct eng_advice_params *params = &s->job->spec->advice;
 	int64_t valid_until =
@@ -248,73 +394,43 @@
 		(int64_t)(params->decide_ms +
 			  params->each_ms * (double)s->spec->n_tasks);
 	bool free_soon = s->est_wait_ms <= e->settings.stop_ms;
-	double ready_slots = 0;
-	double n_slots = 0;
-	size_t n = 0;
-
-	for (guint i = 0; i < e->worker_list->len; i++) {
-		struct worker *w = e->worker_list->pdata[i];
-		struct worker_advice *a = eng_advice_find(s, w);
-		double slots = eng_free_slots(e, s, w);
-
-		if (free_soon)
-			slots = MAX(slots, (double)eng_reserved_slots(s, w));
-		if (!useful_for_gang(s, w, a, slots))
-			continue;
-		ready_slots += a ? slots : slots * s->job->queue->approval_rate;
-		if (a && a->expires_ms > valid_until) {
-			n_slots += slots;
-			continue;
-		}
-		out[n].w = w;
-		out[n].known = a;
-		out[n].reserved = false;
-		out[n].latency_bucket = 0;
-		out[n].order = order_for(s, w);
-		out[n].slots = a ? slots : slots * s->job->queue->approval_rate;
-		n++;
-	}
+	uint64_t known_slots = 0;
+	double ready_slots;
+
+	if (s->enough_advised)
+		known_slots = count_known(e, s, free_soon, valid_until, out);
+	if (s->enough_advised)
+		collect_with_room(e, s, out);
+	else
+		collect_listed(e, s, free_soon, out);
+	ready_slots = (double)known_slots +
+		      (double)out->new_slots * s->job->queue->approval_rate;
 	if (s->enough_advised &&
 	    ready_slots < GANG_READY_SHARE * s->spec->n_tasks)
 		return 0;
-	sort_candidates(out, n);
-	return count_to_request(s, out, n, n_slots, !s->enough_advised);
+	sort_candidates((struct candidate *)(void *)out->candidates->data,
+			out->candidates->len);
+	return count_to_request(
+		s, (struct candidate *)(void *)out->candidates->data,
+		out->candidates->len, (double)out->valid_slots,
+		!s->enough_advised);
 }
 
-/* Stores the slots on workers with valid tickets in @n_slots. */
-static size_t find_candidates(struct engine *e, struct step *s,
-			      bool all_workers, struct candidate *out,
-			      double *n_slots)
+/* Returns the slots on workers with valid tickets. */
+static double find_candidates(struct engine *e, struct step *s,
+			      bool all_workers, struct collection *out)
 {
-	size_t n = 0;
-
-	*n_slots = 0;
-	for (guint i = 0; i < e->worker_list->len; i++) {
-		struct worker *w = e->worker_list->pdata[i];
-		struct worker_advice *a = eng_advice_find(s, w);
-		double slots;
+	int64_t valid_until =
+		e->now_ms + TICKET_MARGIN_MS + e->store_latency_ms;
 
-		if (a && !a->approved)
-			continue;
-		slots = eng_free_slots(e, s, w);
-		if (a && eng_ticket_valid(e, a)) {
-			*n_slots += slots;
-			continue;
-		}
-		if (!slots && !(all_workers && !a && w->listed &&
-				eng_worker_matches(s, w)))
-			continue;
-		out[n].w = w;
-		out[n].known = a;
-		out[n].reserved = eng_recently_reserved(e, w);
-		out[n].latency_bucket =
-			(int)(eng_worker_latency_ms(w, s) / LATENCY_BUCKET_MS);
-		out[n].order = order_for(s, w);
-		out[n].slots = a ? slots : slots * s->job->queue->approval_rate;
-		n++;
-	}
-	sort_candidates(out, n);
-	return n;
+	count_known(e, s, false, valid_until, out);
+	if (out->valid_slots >= s->n_waiting)
+		return (double)out->valid_slots;
+	if (all_workers)
+		collect_listed(e, s, false, out);
+	else
+		collect_with_room(e, s, out);
+	return (double)out->valid_slots;
 }
 
 static void send_advice_request(struct engine *e, struct step *s,
@@ -334,42 +450,60 @@
 }
 
 static size_t step_candidates(struct engine *e, struct step *s,
-			      struct candidate *out)
+			      struct collection *out)
 {
 	bool all_workers = s->job->spec->advice.decide_ms >= SLOW_ADVICE_MS &&
 			   !g_hash_table_size(s->advice_by_worker);
-	double n_slots;
-	size_t n = find_candidates(e, s, all_workers, out, &n_slots);
+	double n_slots = find_candidates(e, s, all_workers, out);
+	struct candidate *c = (struct candidate *)(void *)out->candidates->data;
+	size_t n = out->candidates->len;
+
+	if (n_slots >= s->n_waiting || !n)
+		return 0;
+	sort_candidates(c, n);
+	return count_to_request(s, c, n, n_slots, all_workers);
+}
 
-	return n_slots < s->n_waiting && n
-		       ? count_to_request(s, out, n, n_slots, all_workers)
-		       : 0;
+/* Whether a call can be made now; asked once per cost and pass. */
+static bool advice_available(struct engine *e, double cost_ms)
+{
+	if (!e->callbacks.advice_available)
+		return true;
+	if (e->no_advice_cost_ms > 0 && cost_ms >= e->no_advice_cost_ms)
+		return false;
+	if (e->callbacks.advice_available(e->callbacks.ctx, cost_ms))
+		return true;
+	e->no_advice_cost_ms = cost_ms;
+	return false;
 }
 
 void eng_request_advice(struct engine *e, struct step *s)
 {
 	const struct eng_advice_params *params = &s->job->spec->advice;
-	struct candidate *c;
+	struct collection c = {
+		.enough_slots =
+			COLLECT_FACTOR * ADVICE_SLOTS_FACTOR * s->n_waiting,
+	};
 	struct vh_slice ids[ADVICE_WORKERS_MAX];
 	size_t n;
 
 	if (!params->needed || s->advice_pending ||
 	    s->next_advice_ms > e->now_ms)
 		return;
-	/* Avoids scanning the workers, costly when thousands of steps wait. */
-	if (e->callbacks.advice_available &&
-	    !e->callbacks.advice_available(e->callbacks.ctx, params->decide_ms))
+	/* Avoids searches, costly when thousands of steps wait. */
+	if (!advice_available(e, params->decide_ms))
 		return;
-	c = g_new(struct candidate, e->worker_list->len + 1);
-	n = s->spec->gang && s->spec->n_tasks > 1 ? gang_candidates(e, s, c)
-						  : step_candidates(e, s, c);
+	c.candidates = g_array_new(FALSE, FALSE, sizeof(struct candidate));
+	n = s->spec->gang && s->spec->n_tasks > 1 ? gang_candidates(e, s, &c)
+						  : step_candidates(e, s, &c);
 	for (size_t i = 0; i < n; i++)
-		ids[i] = eng_str(c[i].w->id);
+		ids[i] = eng_str(
+			g_array_index(c.candidates, struct candidate, i).w->id);
 	if (n)
 		send_advice_request(e, s, ids, n);
 	else
 		s->next_advice_ms = e->now_ms + EMPTY_INTERVAL_MS;
-	g_free(c);
+	g_array_free(c.candidates, TRUE);
 }
 
 static struct step *find_step(struct engine *e, uint64_t job, uint32_t step)
@@ -381,6 +515,18 @@
 	return &j->steps[step];
 }
 
+static void approve(struct step *s, struct worker *w, struct worker_advice *a)
+{
+	struct approval approval = { w, a };
+
+	if (a->approved)
+		return;
+	a->approved = true;
+	g_array_append_val(s->approved, approval);
+	g_array_append_val(s->open, approval);
+	eng_set_add(&s->approved_set, w->index);
+}
+
 static struct worker_advice *advice_get(struct step *s, struct worker *w)
 {
 	struct worker_advice *a = eng_advice_find(s, w);
@@ -419,7 +565,7 @@
 
 		if (!a)
 			continue;
-		a->approved = true;
+		approve(s, w, a);
 		g_free(a->ticket);
 		a->ticket = vh_slice_dup(approved[i].ticket);
 		a->expires_ms = sent_ms + valid_ms;
--- a/packages/engine/src/eng_place.c
+++ b/packages/engine/src/eng_place.c
@@ -1,31 +1,30 @@
 #include "eng_priv.h"
 
 /* Placement of waiting tasks on workers, in the order of eng_order.c. */
+#define FAILURE_SCORE_STEP 1.0	 /* added by a failed run or a refusal */
 #define FAILURE_SCORE_LIMIT 2.5	 /* score at which a worker is avoided */
 #define FAILURE_SCORE_RESUME 1.5 /* score that it is reset to then */
 #define FAILURE_AVOID_MS 3000	 /* how long it is avoided */
+#define GANG_SLOTS_FACTOR 4	 /* slots to choose from, per task of a gang */
 
-static bool placement_allowed(const struct step *s, const struct engine *e,
-			      const struct worker *w)
+void eng_worker_failed(struct engine *e, struct worker *w)
 {
-	const struct worker_advice *a;
-
-	if (!s->job->spec->advice.needed)
-		return true;
-	a = eng_advice_find(s, w);
-	return a && eng_ticket_valid(e, a);
+	w->failure_score += FAILURE_SCORE_STEP;
+	if (w->failure_score >= FAILURE_SCORE_LIMIT)
+		g_ptr_array_add(e->failing_workers, w);
 }
 
 static void avoid_failing_workers(struct engine *e)
 {
-	for (guint i = 0; i < e->worker_list->len; i++) {
-		struct worker *w = e->worker_list->pdata[i];
+	for (guint i = 0; i < e->failing_workers->len; i++) {
+		struct worker *w = e->failing_workers->pdata[i];
 
 		if (w->failure_score < FAILURE_SCORE_LIMIT)
 			continue;
 		w->failure_score = FAILURE_SCORE_RESUME;
 		w->avoid_until_ms = e->now_ms + FAILURE_AVOID_MS;
 	}
+	g_ptr_array_set_size(e->failing_workers, 0);
 }
 
 /* The best worker found so far. */
@@ -53,24 +52,70 @@
 	best->cost = c;
 }
 
-static struct worker *best_worker(struct engine *e, const struct task *t)
+static void best_approved(struct engine *e, const struct task *t,
+			  struct choice *best)
 {
 	struct step *s = t->step;
-	struct choice best = { NULL, 0 };
-	GHashTableIter it;
-	gpointer w;
-	gpointer a;
-
-	if (!s->job->spec->advice.needed) {
-		for (guint i = 0; i < e->worker_list->len; i++)
-			update_best(e, t, e->worker_list->pdata[i], &best);
-		return best.w;
+
+	for (guint i = 0; i < s->open->len; i++) {
+		const struct approval *a =
+			&g_array_index(s->open, struct approval, i);
+
+		if (eng_ticket_valid(e, a->advice) && eng_index_usable(e, a->w))
+			update_best(e, t, a->w, best);
 	}
-	g_hash_table_iter_init(&it, s->advice_by_worker);
-	while (g_hash_table_iter_next(&it, &w, &a)) {
-		if (eng_ticket_valid(e, a))
-			update_best(e, t, w, &best);
+}
+
+/* Whether to look at further parts of the cell for a better worker. */
+static bool good_enough(struct engine *e, const struct task *t,
+			const struct choice *best)
+{
+	if (!best->w || t->step->spec->rack.len || eng_task_needs_trial(t))
+		return false;
+	return !eng_recently_reserved(e, best->w) &&
+	       !eng_worker_trial_active(e, best->w);
+}
+
+static void best_in_parts(struct engine *e, const struct task *t,
+			  struct room_scan *scan, struct choice *best)
+{
+	struct worker *w;
+
+	while (!good_enough(e, t, best) && eng_scan_next_part(scan)) {
+		while ((w = eng_scan_next(scan)))
+			update_best(e, t, w, best);
 	}
+}
+
+/*
+ * In a cell of several parts, the search ends with the part in which a worker
+ * was found; a task for which latency matters is placed on a near one.
+ */
+static void best_with_room(struct engine *e, const struct task *t,
+			   struct choice *best)
+{
+	struct room_scan scan;
+
+	eng_scan_begin(e, t->step, &scan);
+	if (scan.n_parts <= 1 || t->step->spec->rack.len ||
+	    !eng_latency_matters(t->step)) {
+		best_in_parts(e, t, &scan, best);
+		return;
+	}
+	for (int b = 0; b < LATENCY_BUCKETS && !good_enough(e, t, best); b++) {
+		eng_scan_restart(&scan, b);
+		best_in_parts(e, t, &scan, best);
+	}
+}
+
+static struct worker *best_worker(struct engine *e, const struct task *t)
+{
+	struct choice best = { NULL, 0 };
+
+	if (t->step->job->spec->advice.needed)
+		best_approved(e, t, &best);
+	else
+		best_with_room(e, t, &best);
 	return best.w;
 }
 
@@ -87,6 +132,8 @@
 
 static void place_tasks(struct engine *e, struct step *s)
 {
+	if (s->job->spec->advice.needed && !s->open->len)
+		return;
 	for (uint32_t k = 0; k < s->spec->n_tasks && s->n_waiting; k++) {
 		struct task *t = &s->tasks[k];
 		struct worker *w;
@@ -109,7 +156,7 @@
 	double cost;
 };
 
-static int by_slots(const void *a, const void *b)
+static int by_slots(gconstpointer a, gconstpointer b)
 {
 	const struct part *x = a;
 	const struct part *y = b;
@@ -144,34 +191,61 @@
 	}
 }
 
+/* The parts of a gang that can be placed now. */
+struct parts {
+	GArray *array; /* struct part */
+	uint64_t n_slots;
+};
+
+static void add_part(struct engine *e, struct step *s, struct worker *w,
+		     struct parts *out)
+{
+	struct part part = { .w = w, .slots = eng_free_slots(e, s, w) };
+
+	if (!part.slots)
+		return;
+	part.cost = eng_placement_cost(e, s, w, false);
+	out->n_slots += part.slots;
+	g_array_append_val(out->array, part);
+}
+
+static void find_parts(struct engine *e, struct step *s, struct parts *out)
+{
+	struct room_scan scan;
+	struct worker *w;
+
+	for (guint i = 0; i < s->open->len; i++) {
+		const struct approval *a =
+			&g_array_index(s->open, struct approval, i);
+
+		if (eng_ticket_valid(e, a->advice) && eng_index_usable(e, a->w))
+			add_part(e, s, a->w, out);
+	}
+	if (s->job->spec->advice.needed)
+		return;
+	eng_scan_begin(e, s, &scan);
+	while (out->n_slots < GANG_SLOTS_FACTOR * s->spec->n_tasks &&
+	       eng_scan_next_part(&scan)) {
+		while ((w = eng_scan_next(&scan)))
+			add_part(e, s, w, out);
+	}
+}
+
 /* Places all tasks of a gang, or none. */
 static void place_gang(struct engine *e, struct step *s)
 {
-	struct part *parts;
-	uint64_t n_slots = 0;
-	size_t n = 0;
+	struct parts parts = { NULL, 0 };
 
 	if (s->n_placed || !eng_team_quota_allows(s, s->spec->n_tasks))
 		return;
-	parts = g_new(struct part, e->worker_list->len + 1);
-	for (guint i = 0; i < e->worker_list->len; i++) {
-		struct worker *w = e->worker_list->pdata[i];
-		uint32_t slots = placement_allowed(s, e, w)
-					 ? eng_free_slots(e, s, w)
-					 : 0;
-
-		if (!slots)
-			continue;
-		parts[n++] =
-			(struct part){ w, slots,
-				       eng_placement_cost(e, s, w, false) };
-		n_slots += slots;
-	}
-	if (n_slots >= s->spec->n_tasks) {
-		qsort(parts, n, sizeof(*parts), by_slots);
-		place_gang_parts(e, s, parts);
+	parts.array = g_array_new(FALSE, FALSE, sizeof(struct part));
+	find_parts(e, s, &parts);
+	if (parts.n_slots >= s->spec->n_tasks) {
+		g_array_sort(parts.array, by_slots);
+		place_gang_parts(e, s,
+				 &g_array_index(parts.array, struct part, 0));
 	}
-	g_free(parts);
+	g_array_free(parts.array, TRUE);
 }
 
 /* Logs why a step waits, once per change of the reason. */
@@ -215,6 +289,7 @@
 {
 	if (give_up(e, s))
 		return;
+	eng_step_examine(e, s);
 	if (s->spec->gang)
 		place_gang(e, s);
 	else
@@ -227,14 +302,22 @@
 		eng_request_advice(e, s);
 }
 
+static void begin_pass(struct engine *e)
+{
+	e->pass++;
+	avoid_failing_workers(e);
+	eng_reservations_clear(e);
+	eng_index_begin_pass(e);
+}
+
 void eng_place_steps(struct engine *e)
 {
 	GPtrArray *steps;
 
 	if (!e->runnable_steps->len)
 		return;
-	avoid_failing_workers(e);
-	eng_reservations_clear(e);
+	begin_pass(e);
+	e->no_advice_cost_ms = 0;
 	steps = g_ptr_array_sized_new(e->runnable_steps->len);
 	eng_order_steps(e, steps);
 	for (guint i = 0; i < steps->len; i++)
--- a/packages/engine/src/eng_priv.h
+++ b/packages/engine/src/eng_priv.h
@@ -101,6 +101,24 @@
 	int64_t expires_ms;
 };
 
+#define ENG_PARTS_MAX 64     /* of a cell, see eng_scan_begin() */
+#define PART_WORKERS 400     /* least size of a part of a cell */
+#define LATENCY_BUCKETS 13   /* of the start latency, which is bounded */
+#define LATENCY_BUCKET_MS 25 /* when workers are sorted by latency */
+#define ORDER_MULTIPLIER UINT64_C(0x9e3779b97f4a7c15)
+
+/* A set of workers, as a bitmap of their positions. */
+struct worker_set {
+	uint64_t *words;
+	guint n_words;
+};
+
+/* A worker that the policy service has approved for a step. */
+struct approval {
+	struct worker *w;
+	struct worker_advice *advice;
+};
+
 /**
  * struct step
  * @n_waiting: tasks that are neither done nor assigned to a worker
@@ -112,6 +130,13 @@
  * @advice_pending: a call to the policy service is in flight
  * @next_advice_ms: earliest time of the next call to the policy service
  * @advice_by_worker: struct worker to struct worker_advice
+ * @approved: struct approval, in the order of the answers; the workers of
+ *	      @advice_by_worker that may run the step
+ * @rooms: index of the workers that match the step, NULL: not looked up yet
+ * @approved_set: positions of the approved workers
+ * @open: struct approval, the approved workers that had room when the step was
+ *	  last examined, or were approved since
+ * @seen_pass: the last pass that examined it
  * @tier: position in the order of placement, an enum tier
  * @wait_reason: why its tasks wait, constant text; NULL: not reported yet
  * @reservations: of a waiting gang: struct reservation, the workers that it
@@ -139,6 +164,11 @@
 	bool advice_pending;
 	int64_t next_advice_ms;
 	GHashTable *advice_by_worker;
+	GArray *approved;
+	const struct room_index *rooms;
+	struct worker_set approved_set;
+	GArray *open;
+	uint64_t seen_pass;
 	double tier;
 	int64_t latest_start_ms;
 	const char *wait_reason;
@@ -253,6 +283,9 @@
  * @lost_runs: array of struct lost_run: what was on it when its lease expired,
  *	       until it is known whether it has crashed
  * @lost_at_ms: when these were lost
+ * @hidden: not in the index of free resources, since it was not usable
+ * @counted_cpu: its part of the engine's cpu_capacity
+ * @ack_pending: in the engine's list of workers with ends to acknowledge
  * @trial: a task on it whose start, or whole run, is on trial; NULL: none
  */
 struct worker {
@@ -290,6 +323,9 @@
 	int64_t alive_ms;
 	GArray *lost_runs;
 	int64_t lost_at_ms;
+	bool hidden;
+	int64_t counted_cpu;
+	bool ack_pending;
 	struct task *trial;
 	GPtrArray *tasks;
 };
@@ -314,6 +350,18 @@
  * @reserved_cpu: thousandths of a processor reserved for gangs, in the current
  *		  placement pass
  * @cpu_capacity: thousandths of a processor of all listed workers
+ * @room_indexes: struct room_index, see eng_index.c
+ * @hidden_workers: workers that the indexes leave out
+ * @reserved_workers: workers with resources reserved for gangs
+ * @failing_workers: workers whose failure score has reached the limit
+ * @unacknowledged: workers with ends that are not acknowledged
+ * @poll_due_ms: by position of a worker, when it is polled next
+ * @poll_cursor: position from which all workers are polled in turn
+ * @pass: number of the present placement pass, or of the last one
+ * @grown: workers on which room grew since the pass began
+ * @grown_before_pass: the same, from the beginning of the pass before
+ * @no_advice_cost_ms: calls of the policy service that cost as much were not
+ *		       available in this pass; 0: none refused
  */
 struct engine {
 	struct eng_settings settings;
@@ -337,6 +385,17 @@
 	int64_t next_learned_ms;
 	int64_t reserved_cpu;
 	int64_t cpu_capacity;
+	GPtrArray *room_indexes;
+	GPtrArray *hidden_workers;
+	GPtrArray *reserved_workers;
+	GPtrArray *failing_workers;
+	GPtrArray *unacknowledged;
+	GArray *poll_due_ms;
+	guint poll_cursor;
+	uint64_t pass;
+	struct worker_set grown;
+	struct worker_set grown_before_pass;
+	double no_advice_cost_ms;
 	int64_t now_ms;
 	struct eng_stats stats;
 };
@@ -365,6 +424,8 @@
 void eng_task_started(struct engine *e, struct task *t);
 /* eng_task_send - starts a task whose placement is stored, if it still may */
 void eng_task_send(struct engine *e, struct task *t);
+/* eng_retry_due_ms - when eng_retry_requests() is due; INT64_MAX: never */
+int64_t eng_retry_due_ms(const struct worker *w);
 /* eng_retry_requests - resends starts and stops that got no reply */
 void eng_retry_requests(struct engine *e, struct worker *w);
 
@@ -403,6 +464,8 @@
 /* eng_worker_boot_over - another boot, with another id, has taken its place */
 void eng_worker_boot_over(struct engine *e, struct worker *w);
 void eng_worker_record_latency(struct worker *w, int64_t latency_ms);
+/* eng_latency_matters - the step is short, so that start latency matters */
+bool eng_latency_matters(const struct step *s);
 /* eng_worker_latency_ms - start latency; 0 if the critical path is long */
 double eng_worker_latency_ms(const struct worker *w, const struct step *s);
 bool eng_worker_usable(const struct engine *e, const struct worker *w);
@@ -416,6 +479,8 @@
  * lease of an unreachable worker is not extended.
  */
 int64_t eng_worker_grant_lease(struct engine *e, struct worker *w);
+/* eng_worker_touch - its state has changed, so it is polled at the next pass */
+void eng_worker_touch(struct engine *e, const struct worker *w);
 /* eng_poll_workers - sends due holds, resends requests, expires leases */
 void eng_poll_workers(struct engine *e);
 
@@ -458,6 +523,8 @@
 		       bool *placed);
 
 /* eng_place.c */
+/* eng_worker_failed - a run failed on a worker, or it refused a start */
+void eng_worker_failed(struct engine *e, struct worker *w);
 void eng_place_steps(struct engine *e);
 
 /* eng_learned.c: statistics that a new owner takes over */
@@ -496,6 +563,65 @@
 /* eng_tasks_fitting - how many tasks of a step fit into @free, at most all */
 uint32_t eng_tasks_fitting(const struct step *s, struct eng_resources free);
 
+bool eng_worker_has_label(const struct worker *w, struct vh_slice label);
+
+/**
+ * struct room_scan - a search for workers with room for a step
+ * @parts: parts of the cell, in the order of the step, see order_for()
+ * @part: position in @parts of the next part
+ * @position: of the next worker in the part
+ * @end: end of the part
+ * @bucket: only workers of this latency bucket, -1: all
+ */
+struct room_scan {
+	struct engine *engine;
+	struct step *step;
+	guint part_workers;
+	guint n_parts;
+	uint16_t parts[ENG_PARTS_MAX];
+	guint part;
+	guint position;
+	guint end;
+	int bucket;
+};
+
+/* eng_index.c: index of the workers by their free resources */
+/* eng_index_update - free resources, latency or usability have changed */
+void eng_index_update(struct engine *e, const struct worker *w);
+/* eng_index_relist - its entry in the fleet's list was added or removed */
+void eng_index_relist(struct engine *e, struct worker *w);
+void eng_index_free(gpointer index);
+void eng_index_begin_pass(struct engine *e);
+/* eng_index_usable - eng_worker_usable(); leaves it out of the index if not */
+bool eng_index_usable(struct engine *e, struct worker *w);
+void eng_set_add(struct worker_set *set, guint position);
+/**
+ * eng_step_examine - brings a step's list of open workers up to date
+ *
+ * Called once per pass, before the step is placed. Looks only at the approved
+ * workers on which room has grown since the pass before.
+ */
+void eng_step_examine(struct engine *e, struct step *s);
+/* eng_part_workers - number of workers of a part of the cell */
+guint eng_part_workers(const struct engine *e);
+/* eng_part_key - order of the parts of the cell; differs by step */
+uint64_t eng_part_key(const struct step *s, uint64_t part);
+void eng_scan_begin(struct engine *e, struct step *s, struct room_scan *scan);
+/* eng_scan_restart - begins anew, with the workers of one latency bucket */
+void eng_scan_restart(struct room_scan *scan, int bucket);
+/* eng_scan_next_part - begins the next part of the cell; false: no more */
+bool eng_scan_next_part(struct room_scan *scan);
+/* eng_scan_next - the next usable worker with room in the part; NULL: none */
+struct worker *eng_scan_next(struct room_scan *scan);
+/* eng_scan_next_listed - the next listed worker that matches, full or not */
+struct worker *eng_scan_next_listed(struct room_scan *scan);
+
+static inline int eng_latency_bucket(double latency_ms)
+{
+	return CLAMP((int)(latency_ms / LATENCY_BUCKET_MS), 0,
+		     LATENCY_BUCKETS - 1);
+}
+
 /* eng_reserve.c: reservations for gangs that do not fit yet */
 void eng_reservations_clear(struct engine *e);
 /**
--- a/packages/engine/src/eng_reserve.c
+++ b/packages/engine/src/eng_reserve.c
@@ -15,6 +15,7 @@
 #define PREEMPTIONS_MAX 2	  /* how often one task is stopped for gangs */
 #define PREEMPT_SLACK_MIN_MS 2500 /* of the job of a preempted task */
 #define PREEMPT_INTERVAL_MS 1200  /* between two preemptions for a gang */
+#define SLOTS_FACTOR 4		  /* slots to choose from, per task of a gang */
 #define OVERRUN_SHARE 0.25	  /* least remaining time, per elapsed time */
 #define RATIO_EWMA_WEIGHT 0.05	  /* weight of a new sample of run_ratio */
 #define RATIO_MIN 0.3		  /* bounds of a sample */
@@ -167,15 +168,8 @@
 static bool is_candidate(struct engine *e, const struct step *s,
 			 const struct worker *w)
 {
-	const struct worker_advice *a;
-
 	e->stats.workers_examined++;
-	if (!eng_worker_usable(e, w) || !eng_worker_matches(s, w))
-		return false;
-	if (!s->job->spec->advice.needed)
-		return true;
-	a = eng_advice_find(s, w);
-	return a && a->approved;
+	return eng_worker_usable(e, w) && eng_worker_matches(s, w);
 }
 
 static struct reservation *reservation_for(struct step *s, struct worker *w)
@@ -194,6 +188,33 @@
 			      s->reservations->len - 1);
 }
 
+/*
+ * A gang that needs no advice begins in its part of the cell, and does not look
+ * at further parts once it could choose between SLOTS_FACTOR times its slots.
+ */
+static void collect_free_slots(struct engine *e, struct step *s, GArray *slots)
+{
+	struct room_scan scan;
+	struct worker *w;
+
+	if (s->job->spec->advice.needed) {
+		for (guint i = 0; i < s->approved->len; i++) {
+			w = g_array_index(s->approved, struct approval, i).w;
+			if (is_candidate(e, s, w))
+				free_slots_on(e, s, w, slots);
+		}
+		return;
+	}
+	eng_scan_begin(e, s, &scan);
+	while (slots->len < SLOTS_FACTOR * s->spec->n_tasks &&
+	       eng_scan_next_part(&scan)) {
+		while ((w = eng_scan_next_listed(&scan))) {
+			if (is_candidate(e, s, w))
+				free_slots_on(e, s, w, slots);
+		}
+	}
+}
+
 /* Chooses the workers on which the gang is expected to fit first. */
 static void plan_reservations(struct engine *e, struct step *s)
 {
@@ -205,12 +226,7 @@
 		s->reservations =
 			g_array_new(FALSE, FALSE, sizeof(struct reservation));
 	g_array_set_size(s->reservations, 0);
-	for (guint i = 0; i < e->worker_list->len; i++) {
-		struct worker *w = e->worker_list->pdata[i];
-
-		if (is_candidate(e, s, w))
-			free_slots_on(e, s, w, slots);
-	}
+	collect_free_slots(e, s, slots);
 	s->enough_advised = slots->len >= n;
 	if (s->enough_advised) {
 		g_array_sort(slots, by_free_time);
@@ -227,15 +243,14 @@
 void eng_reservations_clear(struct engine *e)
 {
 	e->reserved_cpu = 0;
-	e->cpu_capacity = 0;
-	for (guint i = 0; i < e->worker_list->len; i++) {
-		struct worker *w = e->worker_list->pdata[i];
+	for (guint i = 0; i < e->reserved_workers->len; i++) {
+		struct worker *w = e->reserved_workers->pdata[i];
 
 		e->stats.workers_examined++;
 		memset(&w->reserved, 0, sizeof(w->reserved));
-		if (w->listed)
-			e->cpu_capacity += w->capacity.cpu_milli;
+		eng_index_update(e, w);
 	}
+	g_ptr_array_set_size(e->reserved_workers, 0);
 }
 
 const char *eng_gang_plan(struct engine *e, struct step *s)
@@ -271,6 +286,8 @@
 		r->w->reserved.mem_mb += r->slots * need->mem_mb;
 		r->w->reserved.gpu += r->slots * need->gpu;
 		r->w->reserved_at_ms = e->now_ms;
+		g_ptr_array_add(e->reserved_workers, r->w);
+		eng_index_update(e, r->w);
 		e->reserved_cpu += r->slots * need->cpu_milli;
 	}
 }
--- a/packages/engine/src/eng_tasks.c
+++ b/packages/engine/src/eng_tasks.c
@@ -6,7 +6,6 @@
 #define NO_CAPACITY_AVOID_MS 300 /* after a start exceeded the capacity */
 #define REFUSED_AVOID_MS 1500	 /* after a start was refused */
 #define FAILED_RUN_BITS 64	 /* bits of failed_runs, a bitmap by run */
-#define FAILURE_SCORE_STEP 1.0	 /* added by a failed run or a refusal */
 #define FAILURE_SCORE_DECAY 0.7	 /* factor for each successful run */
 
 struct eng_task_ref eng_task_ref(const struct task *t)
@@ -34,6 +33,8 @@
 {
 	t->state = s;
 	t->since_ms = e->now_ms;
+	if (t->worker)
+		eng_worker_touch(e, t->worker);
 }
 
 void eng_task_confirm(struct engine *e, struct task *t)
@@ -65,6 +66,8 @@
 	eng_resources_add(&w->used, s->spec, 1);
 	eng_resources_add(&s->job->team->used, s->spec, 1);
 	g_ptr_array_add(w->tasks, t);
+	eng_index_update(e, w);
+	eng_worker_touch(e, w);
 	if (eng_task_needs_trial(t))
 		w->trial = t;
 	s->n_placed++;
@@ -85,6 +88,8 @@
 	eng_resources_add(&w->used, s->spec, -1);
 	eng_resources_add(&s->job->team->used, s->spec, -1);
 	g_ptr_array_remove_fast(w->tasks, t);
+	eng_index_update(e, w);
+	eng_worker_touch(e, w);
 	if (w->trial == t)
 		w->trial = NULL;
 	t->worker = NULL;
@@ -287,7 +292,7 @@
 	} else if (f->how == ENG_END_FAILED) {
 		e->stats.ends_failed++;
 		if (w)
-			w->failure_score += FAILURE_SCORE_STEP;
+			eng_worker_failed(e, w);
 		handle_failed(e, t, f->task.run);
 	}
 	if (!s->job->steps)
@@ -321,6 +326,8 @@
 	struct worker *w = eng_worker_find(e, worker);
 
 	e->now_ms = now_ms;
+	if (w)
+		eng_worker_touch(e, w);
 	if (reply == ENG_REPLY_FENCED) {
 		e->deposed = true;
 		e->callbacks.deposed(e->callbacks.ctx,
@@ -363,6 +370,7 @@
 	switch (reply) {
 	case ENG_REPLY_OK:
 		eng_worker_record_latency(w, now_ms - t->since_ms);
+		eng_index_update(e, w);
 		eng_task_confirm(e, t);
 		return;
 	case ENG_REPLY_NO_CAPACITY:
@@ -379,7 +387,7 @@
 	}
 	case ENG_REPLY_REFUSED:
 		w->avoid_until_ms = now_ms + REFUSED_AVOID_MS;
-		w->failure_score += FAILURE_SCORE_STEP;
+		eng_worker_failed(e, w);
 		start_rejected(e, t, "refused");
 		return;
 	case ENG_REPLY_STALE_RUN:
@@ -422,6 +430,23 @@
 	}
 }
 
+int64_t eng_retry_due_ms(const struct worker *w)
+{
+	int64_t due = INT64_MAX;
+
+	for (guint i = 0; i < w->tasks->len; i++) {
+		const struct task *t = w->tasks->pdata[i];
+
+		if (t->request_pending)
+			continue;
+		if (t->state == TASK_STARTING)
+			due = MIN(due, t->since_ms + START_RETRY_MS);
+		else if (t->state == TASK_STOPPING && !t->stop_acked_ms)
+			due = MIN(due, t->since_ms + STOP_RETRY_MS);
+	}
+	return due;
+}
+
 void eng_retry_requests(struct engine *e, struct worker *w)
 {
 	for (guint i = 0; i < w->tasks->len; i++)
--- a/packages/engine/src/eng_workers.c
+++ b/packages/engine/src/eng_workers.c
@@ -8,6 +8,7 @@
 #define LEASE_EXPIRY_MARGIN_MS 150 /* added to lease_expired_ms */
 #define LATENCY_EWMA_WEIGHT 0.1	   /* weight of a new sample */
 #define LATENCY_SAMPLE_MAX_MS 300  /* longer times are not due to distance */
+#define POLL_TURN_PASSES 50	   /* in which all workers are polled */
 #define SHORT_PATH_MS 2500	   /* longest path that latency matters for */
 #define HOLD_WAIT_LEASE_SHARE 0.55 /* part of the lease, bounds the long poll */
 
@@ -48,6 +49,9 @@
 		e->settings.stop_ms + LEASE_EXPIRY_MARGIN_MS;
 	g_hash_table_insert(e->workers, w->id, w);
 	g_ptr_array_add(e->worker_list, w);
+	g_array_set_size(e->poll_due_ms, e->worker_list->len);
+	eng_index_relist(e, w);
+	eng_worker_touch(e, w);
 	return w;
 }
 
@@ -83,6 +87,7 @@
 	w->processed = 0;
 	w->acknowledged = 0;
 	w->next_hold_ms = 0;
+	eng_worker_touch(e, w);
 }
 
 void eng_worker_boot_over(struct engine *e, struct worker *w)
@@ -113,8 +118,10 @@
 
 		if (other != w &&
 		    (other->tasks->len || other->lost_runs->len) &&
-		    !strcmp(other->address, w->address))
+		    !strcmp(other->address, w->address)) {
 			other->next_hold_ms = 0;
+			eng_worker_touch(e, other);
+		}
 	}
 }
 
@@ -145,6 +152,8 @@
 	w->capacity = info->capacity;
 	w->entry_born_ms = info->born_ms;
 	w->entry_clock_ms = info->clock_ms;
+	eng_index_relist(e, w);
+	eng_worker_touch(e, w);
 	if (!was_listed) {
 		report_event(e, w, "worker listed", false);
 		look_at_former_boot(e, w);
@@ -166,6 +175,8 @@
 	if (!w || !w->listed)
 		return;
 	w->listed = false;
+	eng_index_relist(e, w);
+	eng_worker_touch(e, w);
 	report_event(e, w, "worker unlisted", w->tasks->len > 0);
 }
 
@@ -180,9 +191,14 @@
 			LATENCY_EWMA_WEIGHT * (latency - w->start_latency_ms);
 }
 
+bool eng_latency_matters(const struct step *s)
+{
+	return s->critical_path_ms <= SHORT_PATH_MS;
+}
+
 double eng_worker_latency_ms(const struct worker *w, const struct step *s)
 {
-	return s->critical_path_ms <= SHORT_PATH_MS ? w->start_latency_ms : 0;
+	return eng_latency_matters(s) ? w->start_latency_ms : 0;
 }
 
 static int64_t worker_clock_now(const struct engine *e, const struct worker *w)
@@ -287,6 +303,10 @@
 	/* Ends that changed no job are acknowledged without a record. */
 	if (all_acknowledged && !e->dirty->len)
 		w->acknowledged = w->processed;
+	if (w->acknowledged >= w->processed || w->ack_pending)
+		return;
+	w->ack_pending = true;
+	g_ptr_array_add(e->unacknowledged, w);
 }
 
 static void stop_unknown_run(struct engine *e, struct worker *w,
@@ -365,6 +385,7 @@
 	e->now_ms = now_ms;
 	if (!w)
 		return;
+	eng_worker_touch(e, w);
 	w->hold_pending = false;
 	if (w->hold_failures)
 		report_event(e, w, "worker answers again", false);
@@ -395,6 +416,7 @@
 	e->now_ms = now_ms;
 	if (!w)
 		return;
+	eng_worker_touch(e, w);
 	w->hold_pending = false;
 	if (reply == ENG_REPLY_FENCED) {
 		e->deposed = true;
@@ -414,12 +436,11 @@
 	w->next_hold_ms = now_ms + wait;
 }
 
-static bool hold_due(const struct engine *e, const struct worker *w)
+/* Whether a hold is to be sent, at next_hold_ms. */
+static bool hold_wanted(const struct engine *e, const struct worker *w)
 {
 	if (w->hold_pending || !*w->address || w->boot_over)
 		return false;
-	if (w->next_hold_ms > e->now_ms)
-		return false;
 	if (!w->listed && !w->tasks->len && !eng_worker_needs_proof(e, w))
 		return false;
 	if (!w->fenced || w->report_needed || w->hold_failures)
@@ -452,18 +473,54 @@
 	e->callbacks.hold(e->callbacks.ctx, &request);
 }
 
+static bool lease_may_expire(const struct worker *w)
+{
+	return w->tasks->len && w->lease_expired_ms &&
+	       (w->hold_failures || !*w->address || !w->listed);
+}
+
+static int64_t poll_due_ms(const struct engine *e, const struct worker *w)
+{
+	int64_t due = eng_retry_due_ms(w);
+
+	if (lease_may_expire(w))
+		due = MIN(due, w->lease_expired_ms + 1);
+	if (hold_wanted(e, w))
+		due = MIN(due, w->next_hold_ms);
+	return due;
+}
+
+static void poll_worker(struct engine *e, struct worker *w)
+{
+	e->stats.workers_examined++;
+	if (lease_may_expire(w) && w->lease_expired_ms < e->now_ms)
+		eng_worker_lease_expired(e, w);
+	eng_retry_requests(e, w);
+	if (w->next_hold_ms <= e->now_ms && hold_wanted(e, w))
+		send_hold(e, w);
+	g_array_index(e->poll_due_ms, int64_t, w->index) = poll_due_ms(e, w);
+}
+
+void eng_worker_touch(struct engine *e, const struct worker *w)
+{
+	g_array_index(e->poll_due_ms, int64_t, w->index) = 0;
+}
+
+/*
+ * The due times are kept in one array, so that the workers with nothing due
+ * cost a comparison. Besides, all workers are polled in turn, so that one whose
+ * due time is wrong is only delayed.
+ */
 void eng_poll_workers(struct engine *e)
 {
-	for (guint i = 0; i < e->worker_list->len; i++) {
-		struct worker *w = e->worker_list->pdata[i];
-
-		e->stats.workers_examined++;
-		if (w->tasks->len && w->lease_expired_ms &&
-		    w->lease_expired_ms < e->now_ms &&
-		    (w->hold_failures || !*w->address || !w->listed))
-			eng_worker_lease_expired(e, w);
-		eng_retry_requests(e, w);
-		if (hold_due(e, w))
-			send_hold(e, w);
+	guint n = e->worker_list->len;
+
+	for (guint i = 0; n && i <= n / POLL_TURN_PASSES; i++) {
+		g_array_index(e->poll_due_ms, int64_t, e->poll_cursor % n) = 0;
+		e->poll_cursor = (e->poll_cursor + 1) % n;
+	}
+	for (guint i = 0; i < n; i++) {
+		if (g_array_index(e->poll_due_ms, int64_t, i) <= e->now_ms)
+			poll_worker(e, e->worker_list->pdata[i]);
 	}
 }
--- a/packages/engine/src/engine.c
+++ b/packages/engine/src/engine.c
@@ -43,6 +43,9 @@
 		}
 		g_free(s->tasks);
 		g_hash_table_destroy(s->advice_by_worker);
+		g_array_free(s->approved, TRUE);
+		g_array_free(s->open, TRUE);
+		g_free(s->approved_set.words);
 		if (s->reservations)
 			g_array_free(s->reservations, TRUE);
 	}
@@ -82,6 +85,12 @@
 	e->dirty = g_ptr_array_new();
 	e->ended_jobs = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	g_queue_init(&e->storing);
+	e->room_indexes = g_ptr_array_new_with_free_func(eng_index_free);
+	e->hidden_workers = g_ptr_array_new();
+	e->reserved_workers = g_ptr_array_new();
+	e->failing_workers = g_ptr_array_new();
+	e->unacknowledged = g_ptr_array_new();
+	e->poll_due_ms = g_array_new(FALSE, TRUE, sizeof(int64_t));
 	return e;
 }
 
@@ -98,6 +107,14 @@
 	g_hash_table_destroy(e->workers);
 	g_hash_table_destroy(e->teams);
 	g_hash_table_destroy(e->queues);
+	g_ptr_array_free(e->room_indexes, TRUE);
+	g_ptr_array_free(e->hidden_workers, TRUE);
+	g_ptr_array_free(e->reserved_workers, TRUE);
+	g_ptr_array_free(e->failing_workers, TRUE);
+	g_ptr_array_free(e->unacknowledged, TRUE);
+	g_array_free(e->poll_due_ms, TRUE);
+	g_free(e->grown.words);
+	g_free(e->grown_before_pass.words);
 	g_free(e);
 }
 
@@ -238,6 +255,9 @@
 		s->tasks = g_new0(struct task, s->spec->n_tasks);
 		s->advice_by_worker = g_hash_table_new_full(
 			g_direct_hash, g_direct_equal, NULL, eng_advice_free);
+		s->approved =
+			g_array_new(FALSE, FALSE, sizeof(struct approval));
+		s->open = g_array_new(FALSE, FALSE, sizeof(struct approval));
 		for (uint32_t k = 0; k < s->spec->n_tasks; k++) {
 			s->tasks[k].step = s;
 			s->tasks[k].index = k;
@@ -485,6 +505,25 @@
 	e->store_latency_ms = MIN(MAX(latency, decayed), STORE_LATENCY_MAX_MS);
 }
 
+static void acknowledge_ends(struct engine *e, uint64_t batch)
+{
+	guint i = 0;
+
+	while (i < e->unacknowledged->len) {
+		struct worker *w = e->unacknowledged->pdata[i];
+
+		e->stats.workers_examined++;
+		if (w->acknowledged < w->processed && w->ack_batch > batch) {
+			i++;
+			continue;
+		}
+		w->acknowledged = w->processed;
+		w->ack_pending = false;
+		g_ptr_array_remove_index_fast(e->unacknowledged, i);
+		eng_worker_touch(e, w);
+	}
+}
+
 void eng_batch_stored(struct engine *e, uint64_t batch, int64_t now_ms)
 {
 	const struct task *first = g_queue_peek_head(&e->storing);
@@ -502,13 +541,7 @@
 		if (t->state == TASK_STORING)
 			eng_task_send(e, t);
 	}
-	for (guint i = 0; i < e->worker_list->len; i++) {
-		struct worker *w = e->worker_list->pdata[i];
-
-		e->stats.workers_examined++;
-		if (w->acknowledged < w->processed && w->ack_batch <= batch)
-			w->acknowledged = w->processed;
-	}
+	acknowledge_ends(e, batch);
 }
 
 void eng_recovery_done(struct engine *e, int64_t now_ms)
