Bound the time of a placement pass

Cause: a pass over 7,200 workers and 18,000 waiting tasks took up to 13 ms, during which the event loop handles nothing else.

Change: eng_schedule() stops between two steps after 5 ms, which the new callback elapsed_us measures, and returns false. The next call goes on with the steps not examined yet, in the order of placement, so that a step that has become urgent meanwhile comes first. Reservations stay until all steps were examined. Polls of workers come before the steps in each call. Which workers a step has asked about is kept as a bitmap.

--- a/packages/engine/include/vh/engine.h
+++ b/packages/engine/include/vh/engine.h
@@ -225,6 +225,9 @@
  * @worker_event: a worker changed; not called during recovery; may be NULL
  * @decided: logs a decision; may be NULL
  * @milestone: a job started or ended; may be NULL
+ * @elapsed_us: microseconds since any fixed time, to limit the time that
+ *		eng_schedule() takes; NULL: no limit. Decides only when a pass
+ *		is interrupted.
  */
 struct eng_callbacks {
 	void (*start)(void *ctx, const struct eng_start_request *request);
@@ -237,6 +240,7 @@
 	void (*worker_event)(void *ctx, const struct eng_worker_event *w);
 	void (*decided)(void *ctx, const struct eng_decision *d);
 	void (*milestone)(void *ctx, const struct eng_milestone *m);
+	int64_t (*elapsed_us)(void *ctx);
 	void *ctx;
 };
 
@@ -353,8 +357,14 @@
  */
 void eng_recovery_done(struct engine *e, int64_t now_ms);
 
-/* eng_schedule - makes all decisions due now; call soon after any event */
-void eng_schedule(struct engine *e, int64_t now_ms);
+/**
+ * eng_schedule - makes the decisions due now; call soon after any event
+ *
+ * Returns false if its time was used up before all waiting steps had been
+ * examined. To be called again then, once the events that have arrived have been
+ * handled; it goes on with the steps not examined yet, the most urgent first.
+ */
+bool eng_schedule(struct engine *e, int64_t now_ms);
 
 /**
  * struct eng_record - a record to store
--- a/packages/engine/src/eng_advice.c
+++ b/packages/engine/src/eng_advice.c
@@ -34,7 +34,7 @@
 struct worker_advice *eng_advice_find(const struct step *s,
 				      const struct worker *w)
 {
-	if (!g_hash_table_size(s->advice_by_worker))
+	if (!eng_set_contains(&s->asked_set, w->index))
 		return NULL;
 	return g_hash_table_lookup(s->advice_by_worker, w);
 }
@@ -271,10 +271,11 @@
 
 	while (!collected_enough(s, out) && eng_scan_next_part(scan)) {
 		while ((w = eng_scan_next(scan))) {
-			uint32_t slots = eng_advice_find(s, w)
-						 ? 0
-						 : eng_free_slots(e, s, w);
+			uint32_t slots;
 
+			if (eng_set_contains(&s->asked_set, w->index))
+				continue;
+			slots = eng_free_slots(e, s, w);
 			if (slots)
 				add_candidate(e, s, w, false, slots, out);
 		}
@@ -317,7 +318,7 @@
 		while ((w = eng_scan_next_listed(&scan))) {
 			uint32_t slots;
 
-			if (eng_advice_find(s, w))
+			if (eng_set_contains(&s->asked_set, w->index))
 				continue;
 			slots = eng_free_slots(e, s, w);
 			if (free_soon)
@@ -535,6 +536,7 @@
 		return a;
 	a = g_new0(struct worker_advice, 1);
 	g_hash_table_insert(s->advice_by_worker, w, a);
+	eng_set_add(&s->asked_set, w->index);
 	return a;
 }
 
--- a/packages/engine/src/eng_index.c
+++ b/packages/engine/src/eng_index.c
@@ -53,7 +53,7 @@
 	set->words[word] |= UINT64_C(1) << position % 64;
 }
 
-static bool set_contains(const struct worker_set *set, guint position)
+bool eng_set_contains(const struct worker_set *set, guint position)
 {
 	guint word = position / 64;
 
@@ -247,7 +247,7 @@
 	for (guint i = 0; i < s->open->len; i++) {
 		struct approval a = g_array_index(s->open, struct approval, i);
 
-		if (set_contains(&e->grown_before_pass, a.w->index) ||
+		if (eng_set_contains(&e->grown_before_pass, a.w->index) ||
 		    !fits(e, x, a.w->index, need))
 			continue;
 		g_array_index(s->open, struct approval, n++) = a;
--- a/packages/engine/src/eng_place.c
+++ b/packages/engine/src/eng_place.c
@@ -5,7 +5,10 @@
 #define FAILURE_SCORE_LIMIT 2.5	 /* score at which a worker is avoided */
 #define FAILURE_SCORE_RESUME 1.5 /* score that it is reset to then */
 #define FAILURE_AVOID_MS 3000	 /* how long it is avoided */
-#define GANG_SLOTS_FACTOR 4	 /* slots to choose from, per task of a gang */
+/* Time for the steps, after which events are handled; half of the 10 ms that a
+ * call of eng_schedule() may take, since it also polls and sorts. */
+#define PASS_MAX_US 5000
+#define GANG_SLOTS_FACTOR 4 /* slots to choose from, per task of a gang */
 
 void eng_worker_failed(struct engine *e, struct worker *w)
 {
@@ -310,19 +313,44 @@
 	eng_index_begin_pass(e);
 }
 
-void eng_place_steps(struct engine *e)
+/* Places the steps until the time is used up; at least one. */
+static bool place_until(struct engine *e, GPtrArray *steps)
+{
+	int64_t (*elapsed_us)(void *ctx) = e->callbacks.elapsed_us;
+	int64_t end =
+		elapsed_us ? elapsed_us(e->callbacks.ctx) + PASS_MAX_US : 0;
+
+	for (guint i = 0; i < steps->len; i++) {
+		struct step *s = steps->pdata[i];
+
+		if (s->seen_pass == e->pass)
+			continue; /* before the interruption */
+		place_step(e, s);
+		s->seen_pass = e->pass;
+		if (elapsed_us && elapsed_us(e->callbacks.ctx) >= end)
+			return false;
+	}
+	return true;
+}
+
+bool eng_place_steps(struct engine *e)
 {
 	GPtrArray *steps;
+	bool done;
 
-	if (!e->runnable_steps->len)
-		return;
-	begin_pass(e);
+	if (!e->runnable_steps->len) {
+		e->pass_interrupted = false;
+		return true;
+	}
+	if (!e->pass_interrupted)
+		begin_pass(e);
 	e->no_advice_cost_ms = 0;
 	steps = g_ptr_array_sized_new(e->runnable_steps->len);
 	eng_order_steps(e, steps);
-	for (guint i = 0; i < steps->len; i++)
-		place_step(e, steps->pdata[i]);
+	done = place_until(e, steps);
+	e->pass_interrupted = !done;
 	for (guint i = 0; i < steps->len; i++)
 		eng_step_update(e, steps->pdata[i]);
 	g_ptr_array_free(steps, TRUE);
+	return done;
 }
--- a/packages/engine/src/eng_priv.h
+++ b/packages/engine/src/eng_priv.h
@@ -133,6 +133,7 @@
  * @approved: struct approval, in the order of the answers; the workers of
  *	      @advice_by_worker that may run the step
  * @rooms: index of the workers that match the step, NULL: not looked up yet
+ * @asked_set: positions of the workers in @advice_by_worker
  * @approved_set: positions of the approved workers
  * @open: struct approval, the approved workers that had room when the step was
  *	  last examined, or were approved since
@@ -166,6 +167,7 @@
 	GHashTable *advice_by_worker;
 	GArray *approved;
 	const struct room_index *rooms;
+	struct worker_set asked_set;
 	struct worker_set approved_set;
 	GArray *open;
 	uint64_t seen_pass;
@@ -358,6 +360,7 @@
  * @poll_due_ms: by position of a worker, when it is polled next
  * @poll_cursor: position from which all workers are polled in turn
  * @pass: number of the present placement pass, or of the last one
+ * @pass_interrupted: some steps were not examined in the present pass yet
  * @grown: workers on which room grew since the pass began
  * @grown_before_pass: the same, from the beginning of the pass before
  * @no_advice_cost_ms: calls of the policy service that cost as much were not
@@ -393,6 +396,7 @@
 	GArray *poll_due_ms;
 	guint poll_cursor;
 	uint64_t pass;
+	bool pass_interrupted;
 	struct worker_set grown;
 	struct worker_set grown_before_pass;
 	double no_advice_cost_ms;
@@ -525,7 +529,8 @@
 /* eng_place.c */
 /* eng_worker_failed - a run failed on a worker, or it refused a start */
 void eng_worker_failed(struct engine *e, struct worker *w);
-void eng_place_steps(struct engine *e);
+/* eng_place_steps - false if its time was used up, as in eng_schedule() */
+bool eng_place_steps(struct engine *e);
 
 /* eng_learned.c: statistics that a new owner takes over */
 /* eng_learned_due - whether eng_learned_pack() would be called now */
@@ -595,6 +600,7 @@
 /* eng_index_usable - eng_worker_usable(); leaves it out of the index if not */
 bool eng_index_usable(struct engine *e, struct worker *w);
 void eng_set_add(struct worker_set *set, guint position);
+bool eng_set_contains(const struct worker_set *set, guint position);
 /**
  * eng_step_examine - brings a step's list of open workers up to date
  *
--- a/packages/engine/src/engine.c
+++ b/packages/engine/src/engine.c
@@ -45,6 +45,7 @@
 		g_hash_table_destroy(s->advice_by_worker);
 		g_array_free(s->approved, TRUE);
 		g_array_free(s->open, TRUE);
+		g_free(s->asked_set.words);
 		g_free(s->approved_set.words);
 		if (s->reservations)
 			g_array_free(s->reservations, TRUE);
@@ -561,14 +562,13 @@
 	}
 }
 
-void eng_schedule(struct engine *e, int64_t now_ms)
+bool eng_schedule(struct engine *e, int64_t now_ms)
 {
 	e->now_ms = now_ms;
 	if (e->deposed)
-		return;
+		return true;
 	eng_poll_workers(e);
-	if (e->ready)
-		eng_place_steps(e);
+	return !e->ready || eng_place_steps(e);
 }
 
 void eng_stats(const struct engine *e, struct eng_stats *out)
--- a/packages/engine/tests/bench_engine.c
+++ b/packages/engine/tests/bench_engine.c
@@ -81,8 +81,9 @@
 	uint64_t next_job;
 	GRand *random;
 	int64_t total_ns;
-	uint64_t starts; /* before the measurement */
-	GArray *pass_ns; /* int64_t */
+	unsigned int interrupted; /* calls of eng_schedule() */
+	uint64_t starts;	  /* before the measurement */
+	GArray *pass_ns;	  /* int64_t */
 };
 
 struct started {
@@ -180,6 +181,12 @@
 	return true;
 }
 
+static int64_t elapsed_us(void *ctx)
+{
+	(void)ctx;
+	return cpu_ns() / 1000;
+}
+
 static void on_deposed(void *ctx, const char *why)
 {
 	(void)ctx;
@@ -337,17 +344,19 @@
 	eng_pop_ended_jobs(sim->engine, ids, G_N_ELEMENTS(ids));
 }
 
-static void run_scheduler(struct simulation *sim, bool measured)
+/* Calls the scheduler once; false if it is to be called again. */
+static bool run_scheduler(struct simulation *sim, bool measured)
 {
 	int64_t begin_ns = cpu_ns();
-	int64_t elapsed_ns;
+	bool done = eng_schedule(sim->engine, sim->now);
+	int64_t elapsed_ns = cpu_ns() - begin_ns;
 
-	eng_schedule(sim->engine, sim->now);
-	elapsed_ns = cpu_ns() - begin_ns;
 	if (!measured)
-		return;
+		return done;
+	sim->interrupted += !done;
 	sim->total_ns += elapsed_ns;
 	g_array_append_val(sim->pass_ns, elapsed_ns);
+	return done;
 }
 
 static void run_tick(struct simulation *sim, bool measured)
@@ -368,7 +377,8 @@
 		    0)
 			report(sim, &sim->workers[i]);
 	}
-	run_scheduler(sim, measured);
+	while (!run_scheduler(sim, measured))
+		;
 	store_batch(sim);
 }
 
@@ -451,6 +461,7 @@
 		     (double)sim->total_ns / 1e3 / MAX(starts, 1), "us");
 	print_figure(sim, "run_p50", quantile_ms(sim, 0.5), "ms");
 	print_result(sim, "run_p99", quantile_ms(sim, 0.99), "ms", RUN_MS_MAX);
+	print_figure(sim, "interrupted", sim->interrupted, "runs");
 	print_figure(sim, "run_worst", quantile_ms(sim, 1), "ms");
 	print_result(sim, "core_share",
 		     (double)sim->total_ns / 1e9 / sim->scenario.measure_s,
@@ -527,6 +538,7 @@
 					   .advise = on_advise,
 					   .advice_available = advice_available,
 					   .deposed = on_deposed,
+					   .elapsed_us = elapsed_us,
 					   .ctx = sim };
 	struct eng_stats stats;
 	int ticks = scenario->measure_s * 1000 / TICK_MS;
--- a/packages/engine/tests/test_passes.cc
+++ b/packages/engine/tests/test_passes.cc
@@ -46,6 +46,7 @@
 	std::vector<Call> calls;
 	std::vector<uint64_t> costs; // of the passes, in examined workers
 	std::vector<std::string> placements;
+	int64_t elapsed_us = 0, us_per_step = 0;
 	uint64_t next_job = 0, n_started = 0;
 	int calls_max;
 
@@ -75,6 +76,11 @@
 			return (int)((Cell *)ctx)->calls.size() <
 			       ((Cell *)ctx)->calls_max;
 		};
+		c.elapsed_us = [](void *ctx) {
+			Cell *cell = (Cell *)ctx;
+
+			return cell->elapsed_us += cell->us_per_step;
+		};
 		c.ctx = this;
 		e = eng_new(&s, &c, now);
 		for (int i = 0; i < n; i++)
@@ -361,6 +367,33 @@
 	EXPECT_LE(cell.costs.back(), 5 * 3000u);
 }
 
+// Passes that were cut short began with the same steps each time, or left a step
+// that had become urgent for the end.
+TEST(Passes, AnInterruptedPassForgetsStepsOrPassesOverUrgentOnes)
+{
+	Cell cell(100);
+	int calls = 1;
+
+	cell.us_per_step = 1000;
+	for (int i = 0; i < 60; i++)
+		cell.submit(1, 1000, 0, false, 2);
+	cell.now += TICK_MS;
+	EXPECT_FALSE(eng_schedule(cell.e, cell.now));
+	cell.submit(1, 1000, 0, false, 0);
+	EXPECT_FALSE(eng_schedule(cell.e, cell.now));
+	cell.store();
+	EXPECT_NE(std::find_if(cell.placements.begin(), cell.placements.end(),
+			       [](const std::string &p) {
+				       return p.rfind("61/", 0) == 0;
+			       }),
+		  cell.placements.end());
+	while (!eng_schedule(cell.e, cell.now))
+		ASSERT_LT(calls++, 61);
+	cell.store();
+	EXPECT_EQ(cell.placements.size(), 61u);
+	EXPECT_GT(calls, 5);
+}
+
 std::vector<std::string> placements_of(int n_workers)
 {
 	Cell cell(n_workers);
