Let scheduling runs give way to the other events of the loop

Cause: the owner rested for three times the duration of its last run, so that its loop read replies and reports.

Change: the timer of the runs has a lower priority than all other events (run_timer.c), so a run begins when nothing else is ready, and no later than a twentieth of a lease after it is due. An interrupted run goes on at once after the events that are ready. No pause by a factor.

--- a/packages/cell/src/owner.c
+++ b/packages/cell/src/owner.c
@@ -5,8 +5,10 @@
 #include "vh/log.h"
 
 #define RUN_DELAY_MS 4	   /* after an event, to handle several in one run */
-#define RUN_REST_FACTOR 3  /* minimum pause, as a multiple of the last run */
-#define RUN_INTERVAL_MS 40 /* without events */
+#define RUN_INTERVAL_MS 40 /* from a run that was not interrupted to the next */
+/* Part of a lease by which other events may delay a run. A lease is renewed with
+ * nearly half of it left, so a run this late still renews it in time. */
+#define RUN_LATEST_LEASE_SHARE 0.05
 #define FLEET_POLL_INTERVAL_MS 400
 #define JOBS_POLL_INTERVAL_MS 250 /* for jobs that other nodes have stored */
 #define HEARTBEAT_WRITE_MS 500	  /* longest time without a write */
@@ -16,15 +18,10 @@
 #define STALL_MS 900	     /* a longer gap between runs is a stalled loop */
 #define MAX_JOBS_AGE_MS 1500 /* with older data, a job may be missing */
 
-int64_t owner_run_pause_ms(int64_t run_duration_ms)
-{
-	return MAX(RUN_INTERVAL_MS, RUN_REST_FACTOR * run_duration_ms);
-}
-
 void owner_schedule_run(struct owner *o)
 {
-	if (!vh_timer_pending(&o->run_timer) && o->phase != OWNER_ENDED)
-		vh_timer_start(&o->run_timer, RUN_DELAY_MS);
+	if (!run_timer_pending(&o->run_timer) && o->phase != OWNER_ENDED)
+		run_timer_start(&o->run_timer, RUN_DELAY_MS);
 }
 
 int64_t owner_now_ms(const struct owner *o)
@@ -170,7 +167,9 @@
 {
 	struct owner *o = ctx;
 	int64_t now = owner_now_ms(o);
+	bool done = true;
 
+	owner_record_loop_delay(o, o->run_timer.delay_ms);
 	if (now - o->last_run_ms > STALL_MS && o->phase == OWNER_ACTIVE) {
 		/* Another node may own the cell by now. The result of the next
 		 * write to the store will show it. */
@@ -180,14 +179,15 @@
 	}
 	o->last_run_ms = now;
 	if (o->phase == OWNER_ACTIVE && !o->awaiting_store) {
-		eng_schedule(o->engine, now);
+		done = eng_schedule(o->engine, now);
 		if (o->phase == OWNER_ENDED)
 			return;
 		owner_advice_expire(o);
-		o->run_duration_ms = owner_now_ms(o) - now;
 	}
 	flush(o);
-	vh_timer_start(&o->run_timer, owner_run_pause_ms(o->run_duration_ms));
+	/* An interrupted run goes on once the events that are ready have been
+	 * handled. */
+	run_timer_start(&o->run_timer, done ? RUN_INTERVAL_MS : 0);
 }
 
 static void maybe_activate(struct owner *o)
@@ -329,7 +329,9 @@
 	reader_setup(o, &o->jobs_reader, VH_TOPIC_JOBS, on_job_record,
 		     on_jobs_caught_up);
 	o->jobs_reader.poll_interval_ms = JOBS_POLL_INTERVAL_MS;
-	vh_timer_init(&o->run_timer, kernel, on_run, o);
+	run_timer_init(&o->run_timer, kernel,
+		       (int64_t)(RUN_LATEST_LEASE_SHARE * (double)s.lease_ms),
+		       on_run, o);
 	vh_timer_init(&o->append_retry_timer, kernel, on_append_retry_timer, o);
 	owner_advice_init(o);
 	owner_gc_init(o);
@@ -340,7 +342,7 @@
 	 * on_append_stored(); the other topics have no fence. */
 	topic_reader_start(&o->fleet_reader);
 	topic_reader_start(&o->jobs_reader);
-	vh_timer_start(&o->run_timer, RUN_INTERVAL_MS);
+	run_timer_start(&o->run_timer, RUN_INTERVAL_MS);
 	o->last_run_ms = owner_now_ms(o);
 	return o;
 }
@@ -358,10 +360,10 @@
 	struct owner *o = ctx;
 
 	if (!idle(o)) {
-		vh_timer_start(&o->run_timer, RUN_INTERVAL_MS);
+		run_timer_start(&o->run_timer, RUN_INTERVAL_MS);
 		return;
 	}
-	vh_timer_finish(&o->run_timer);
+	run_timer_finish(&o->run_timer);
 	vh_timer_finish(&o->append_retry_timer);
 	if (o->fleet_reader.timer.ev)
 		topic_reader_finish(&o->fleet_reader);
@@ -395,7 +397,7 @@
 	writer_finish(&o->writer);
 	owner_advice_finish(o);
 	o->run_timer.fn = free_when_idle;
-	vh_timer_start(&o->run_timer, RUN_INTERVAL_MS);
+	run_timer_start(&o->run_timer, RUN_INTERVAL_MS);
 }
 
 void owner_set_config(struct owner *o, const struct vh_config_view *config)
--- a/packages/cell/src/owner_engine.c
+++ b/packages/cell/src/owner_engine.c
@@ -211,6 +211,22 @@
 			 (uint64_t)MAX(took_ms, 0) * US_PER_MS);
 }
 
+void owner_record_loop_delay(struct owner *o, int64_t delay_ms)
+{
+	vh_histogram_add(vh_metrics_histogram(&o->kernel->metrics,
+					      "vh_loop_delay_seconds", NULL),
+			 (uint64_t)MAX(delay_ms, 0) * US_PER_MS);
+}
+
+static int64_t elapsed_us(void *ctx)
+{
+	const struct owner *o = ctx;
+	struct timespec t = o->kernel->clock->mono(o->kernel->clock->ctx);
+
+	return (int64_t)t.tv_sec * VH_MS_PER_S * US_PER_MS +
+	       t.tv_nsec / (VH_NS_PER_MS / US_PER_MS);
+}
+
 struct engine *owner_engine_new(struct owner *o, const struct eng_settings *s)
 {
 	struct eng_callbacks callbacks = {
@@ -223,6 +239,7 @@
 		.worker_event = on_worker_event,
 		.decided = on_decided,
 		.milestone = on_milestone,
+		.elapsed_us = elapsed_us,
 		.ctx = o,
 	};
 
--- a/packages/cell/src/owner_priv.h
+++ b/packages/cell/src/owner_priv.h
@@ -8,6 +8,7 @@
  */
 
 #include "owner.h"
+#include "run_timer.h"
 
 #define OWNER_GC_MAX_JOBS 256 /* jobs whose records one append deletes */
 
@@ -29,7 +30,6 @@
  * @awaiting_store: scheduling is suspended until the store accepts a write
  * @sequence: sequence number of the pending append, or else of the last one
  * @append_batch: number of the engine's batch in the pending append; 0: none
- * @run_duration_ms: duration of the last engine run
  * @writer: writes callers' records
  * @gc_jobs: ended jobs whose records are being deleted
  * @advice_calls: pending calls to the policy service, by sequence number
@@ -46,7 +46,7 @@
 	struct topic_reader fleet_reader;
 	struct topic_reader state_reader;
 	struct topic_reader jobs_reader;
-	struct vh_timer run_timer;
+	struct run_timer run_timer;
 	struct vh_timer append_retry_timer;
 	unsigned int pending_calls;
 	unsigned int n_records_loaded;
@@ -63,7 +63,6 @@
 	int64_t append_sent_ms;
 	int64_t last_write_ms;
 	int64_t last_run_ms;
-	int64_t run_duration_ms;
 
 	struct writer writer;
 
@@ -79,9 +78,6 @@
 };
 
 void owner_schedule_run(struct owner *o);
-/* owner_run_pause_ms - pause after an engine run, so that the runs leave time
- * for everything else in the event loop */
-int64_t owner_run_pause_ms(int64_t run_duration_ms);
 int64_t owner_now_ms(const struct owner *o);
 
 /* owner_has_ended - whether results of calls must be ignored */
@@ -90,6 +86,9 @@
 /* owner_engine.c: connects the engine to workers, logs and metrics */
 struct engine *owner_engine_new(struct owner *o, const struct eng_settings *s);
 
+/* owner_record_loop_delay - adds to the metric of the event loop's delay */
+void owner_record_loop_delay(struct owner *o, int64_t delay_ms);
+
 /* owner_record_append_time - adds to the metric of state append times */
 void owner_record_append_time(struct owner *o, int64_t took_ms);
 
--- a/packages/kernel/include/vh/kernel.h
+++ b/packages/kernel/include/vh/kernel.h
@@ -102,6 +102,10 @@
 void vh_timer_stop(struct vh_timer *timer);
 bool vh_timer_pending(const struct vh_timer *timer);
 
+/* vh_timer_yield - the timer fires only when no socket, other timer or deferred
+ * call is ready; to be called before it is started */
+void vh_timer_yield(struct vh_timer *timer);
+
 /* vh_kernel_defer - calls @fn once from the next pass of the event loop; for
  * code that must not call back directly */
 void vh_kernel_defer(struct vh_kernel *kernel, void (*fn)(void *ctx),
--- a/packages/kernel/src/kernel.c
+++ b/packages/kernel/src/kernel.c
@@ -3,11 +3,13 @@
 #include "vh/log.h"
 
 #define MAX_SERIES 4096
+#define N_PRIORITIES 3 /* of events; libevent gives them the middle one */
 
 void vh_kernel_init(struct vh_kernel *kernel, const struct vh_clock *clock)
 {
 	memset(kernel, 0, sizeof(*kernel));
 	kernel->base = event_base_new();
+	event_base_priority_init(kernel->base, N_PRIORITIES);
 	kernel->clock = clock;
 	vh_metrics_init(&kernel->metrics, MAX_SERIES);
 }
@@ -140,6 +142,11 @@
 	timer->ev = NULL;
 }
 
+void vh_timer_yield(struct vh_timer *timer)
+{
+	event_priority_set(timer->ev, N_PRIORITIES - 1);
+}
+
 void vh_timer_start(struct vh_timer *timer, int64_t delay_ms)
 {
 	struct timeval tv;
