Test the order of runs and events without wall-clock time

Owner.RunsOvertakeOtherEvents also passed without the lower priority.

Change: the first counts events: some are handled before the run, and the run comes before far more than can be handled until it is due. The second uses a chain of events, each ready once the one before is handled.

--- a/packages/cell/tests/test_owner.cc
+++ b/packages/cell/tests/test_owner.cc
@@ -12,12 +12,15 @@
 constexpr int RUNS = 20, EVENTS_PER_RUN = 10;
 constexpr int64_t LATEST_MS = 30;
 
+// Far more than a machine handles in LATEST_MS; a run that never comes.
+constexpr int64_t EVENTS_MAX = 20000000;
+
 struct Loop {
 	vh_kernel kernel;
 	run_timer timer;
 	vh_timer event;
 	int runs = 0, pending = 0, overtaken = 0;
-	int64_t delay_ms = 0;
+	int64_t events = 0;
 
 	Loop()
 	{
@@ -31,7 +34,8 @@
 	}
 };
 
-// Runs that follow each other at once, as interrupted ones do.
+// Runs that follow each other at once, as interrupted ones do, while a chain of
+// events, each of which is ready once the one before is handled, is pending.
 void on_run(void *ctx)
 {
 	Loop *l = (Loop *)ctx;
@@ -41,12 +45,17 @@
 		vh_kernel_stop(&l->kernel);
 		return;
 	}
-	for (int i = 0; i < EVENTS_PER_RUN; i++) {
-		l->pending++;
-		vh_kernel_defer(
-			&l->kernel, [](void *x) { ((Loop *)x)->pending--; }, l);
-	}
 	run_timer_start(&l->timer, 0);
+	l->pending = EVENTS_PER_RUN;
+	vh_timer_start(&l->event, 0);
+}
+
+void on_chained_event(void *ctx)
+{
+	Loop *l = (Loop *)ctx;
+
+	if (--l->pending)
+		vh_timer_start(&l->event, 0);
 }
 
 // An overloaded owner's loop was filled by its runs, so that it read nothing.
@@ -55,10 +64,12 @@
 	Loop l;
 
 	run_timer_init(&l.timer, &l.kernel, 60000, on_run, &l);
+	vh_timer_init(&l.event, &l.kernel, on_chained_event, &l);
 	run_timer_start(&l.timer, 0);
 	vh_kernel_run(&l.kernel);
 	EXPECT_EQ(l.runs, RUNS);
 	EXPECT_EQ(l.overtaken, 0);
+	vh_timer_finish(&l.event);
 }
 
 // A pause of three times a run starved placement; events that are always ready
@@ -72,18 +83,26 @@
 		[](void *ctx) {
 			Loop *x = (Loop *)ctx;
 
-			x->delay_ms = x->timer.delay_ms;
+			x->runs++;
 			vh_kernel_stop(&x->kernel);
 		},
 		&l);
 	vh_timer_init(
 		&l.event, &l.kernel,
-		[](void *ctx) { vh_timer_start(&((Loop *)ctx)->event, 0); },
+		[](void *ctx) {
+			Loop *x = (Loop *)ctx;
+
+			if (++x->events == EVENTS_MAX)
+				vh_kernel_stop(&x->kernel);
+			vh_timer_start(&x->event, 0);
+		},
 		&l);
 	vh_timer_start(&l.event, 0);
 	run_timer_start(&l.timer, 0);
 	vh_kernel_run(&l.kernel);
-	EXPECT_GE(l.delay_ms, LATEST_MS);
+	EXPECT_EQ(l.runs, 1);
+	EXPECT_GT(l.events, 0);
+	EXPECT_LT(l.events, EVENTS_MAX);
 	vh_timer_finish(&l.event);
 }
 
