Test the cost of a pass beside draining workers

Cause: a drained zone leaves a third of the workers with all room free and not usable; a search by free room alone would examine each of them for each step. No test had that.

Change: a test with 1,000 of 3,000 workers draining, of 15,000 examined workers at most for 500 waiting steps.

--- a/packages/engine/tests/test_passes.cc
+++ b/packages/engine/tests/test_passes.cc
@@ -93,13 +93,15 @@
 		eng_free(e);
 	}
 
-	void list_worker(int i)
+	void list_worker(int i, bool draining = false)
 	{
 		eng_worker_info info = {};
 		std::string address = "10.0.0.1:" + std::to_string(i + 1);
 
-		ids.push_back("w" + std::to_string(i));
-		info.id = vh_slice_str(ids.back().c_str());
+		if (ids.size() == (size_t)i)
+			ids.push_back("w" + std::to_string(i));
+		info.id = vh_slice_str(ids[(size_t)i].c_str());
+		info.draining = draining;
 		info.service = vh_slice_str("svc");
 		info.address = vh_slice_str(address.c_str());
 		info.zone = vh_slice_str("z");
@@ -367,6 +369,26 @@
 	EXPECT_LE(cell.costs.back(), 5 * 3000u);
 }
 
+// Workers that drain have all of their room free, but a step must not look at
+// each of them.
+TEST(Passes, DrainingWorkersAreExaminedForEachWaitingStep)
+{
+	Cell cell(3000);
+
+	for (int i = 0; i < 1000; i++)
+		cell.list_worker(i, true);
+	for (int i = 0; i < 2000; i++)
+		cell.submit(4, 16000, 0, false, 1);
+	cell.tick();
+	ASSERT_GT(cell.cpu_used(), 0.66);
+	for (int i = 0; i < 500; i++)
+		cell.submit(3, 9900, i % 2 ? 7 : 0, false, 0);
+	cell.late_us = 0;
+	cell.tick();
+	ASSERT_EQ(cell.costs.size(), 2u);
+	EXPECT_LE(cell.costs.back(), 5 * 3000u);
+}
+
 // Passes that were cut short began with the same steps each time, or left a step
 // that had become urgent for the end.
 TEST(Passes, AnInterruptedPassForgetsStepsOrPassesOverUrgentOnes)
