--- a/packages/engine/include/vh/engine.h
+++ b/packages/engine/include/vh/engine.h
@@ -246,6 +246,9 @@
  * @milestone: a job started or ended; may be NULL
  * @zone_event: the drain of a zone began or ended, or its last task has ended;
  *		@what is constant text; may be NULL
+ * @elapsed_us: microseconds since any fixed time, to limit the time that
+ *		eng_schedule() takes; NULL: no limit. Decides only when a pass
+ *		is interrupted.
  */
 struct eng_callbacks {
 	void (*start)(void *ctx, const struct eng_start_request *request);
@@ -260,6 +263,7 @@
 	void (*milestone)(void *ctx, const struct eng_milestone *m);
 	void (*zone_event)(void *ctx, const char *what,
 			   const struct eng_zone_status *z);
+	int64_t (*elapsed_us)(void *ctx);
 	void *ctx;
 };
 
@@ -399,8 +403,14 @@
  */
 void eng_recovery_done(struct engine *e, int64_t now_ms);
 
-/* eng_schedule - makes all decisions due now; call soon after any event */
-void eng_schedule(struct engine *e, int64_t now_ms);
+/**
+ * eng_schedule - makes the decisions due now; call soon after any event
+ *
+ * Returns false if its time was used up before all waiting steps had been
+ * examined. To be called again then, once the events that have arrived have been
+ * handled; it goes on with the steps not examined yet, the most urgent first.
+ */
+bool eng_schedule(struct engine *e, int64_t now_ms);
 
 /**
  * struct eng_record - a record to store
@@ -457,6 +467,8 @@
  * @ends_lost: runs that a worker refused, or that were lost without a reported
  *	       end
  * @zone_starts_prevented: starts prevented by drained zones
+ * @workers_examined: how often a worker was examined, for a step or for itself;
+ *		      the cost of scheduling in a unit that a test can count
  * @cpu_used: thousandths of a processor allocated on all workers
  * @cpu_capacity: the same unit, of the listed workers
  */
@@ -471,6 +483,7 @@
 	uint64_t advice_calls;
 	uint64_t holds;
 	uint64_t zone_starts_prevented;
+	uint64_t workers_examined;
 	int64_t cpu_used;
 	int64_t cpu_capacity;
 };
--- a/packages/engine/src/eng_zone.c
+++ b/packages/engine/src/eng_zone.c
@@ -204,8 +204,13 @@
 static void clear_zones(struct engine *e)
 {
 	release_reservations(e);
-	for (guint i = 0; i < e->worker_list->len; i++)
-		eng_zone_clear_worker(e, e->worker_list->pdata[i]);
+	for (guint i = 0; i < e->worker_list->len; i++) {
+		struct worker *w = e->worker_list->pdata[i];
+
+		eng_zone_clear_worker(e, w);
+		eng_index_relist(e, w);
+		eng_worker_touch(e, w);
+	}
 }
 
 void eng_set_drained_zones(struct engine *e, const struct vh_slice *zones,
