Move the ratio histogram from policy to base

The engine is to keep the distribution of a queue's run times and may use vh_base only. The buckets, the decay and the quantile of estimate.c move down unchanged; the limit of the decay becomes a parameter.

policy_test_estimate passes. No change of behaviour.

--- a/packages/policy/include/vh/estimate.h
+++ b/packages/policy/include/vh/estimate.h
@@ -7,10 +7,9 @@
  * (tests/sim_current.c) and the unit tests.
  */
 
+#include "vh/ratio_hist.h"
 #include "vh/res.h"
 
-/* Four buckets per power of two, from 2^-6 to 2^6. */
-#define VH_ESTIMATE_RATIO_BUCKETS 48
 /* Two buckets per power of two, from 1 ms. */
 #define VH_ESTIMATE_RUN_BUCKETS 64
 
@@ -30,8 +29,8 @@
  *	  tasks were of that job
  */
 struct vh_estimate {
-	uint16_t cpu[VH_ESTIMATE_RATIO_BUCKETS];
-	uint16_t mem[VH_ESTIMATE_RATIO_BUCKETS];
+	uint16_t cpu[VH_RATIO_BUCKETS];
+	uint16_t mem[VH_RATIO_BUCKETS];
 	uint16_t run[VH_ESTIMATE_RUN_BUCKETS];
 	uint32_t n_use, n_run;
 	uint32_t jobs;
--- a/packages/policy/src/estimate.c
+++ b/packages/policy/src/estimate.c
@@ -2,7 +2,6 @@
 
 #include <stddef.h>
 
-#define RATIO_ONE_BUCKET 24  /* bucket that starts at a ratio of 1 */
 #define DECAY_AT_TASKS 512   /* total at which all counts are halved */
 #define SAME_JOB_TASKS_MAX 8 /* consecutive tasks of one job that count */
 /* Tasks and series of one job each that an estimate requires. */
@@ -16,36 +15,15 @@
 #define USAGE_SAMPLES_MIN 10 /* before a commitment is lowered */
 #define USAGE_STALE_MS 30000 /* greatest age of the newest sample */
 
-#define RATIO_SCALE 65536
 /* The declared size may stay up to a ratio of 2^(1/4), one bucket above 1. */
 #define RATIO_DECLARED_MAX 77936
 
-/* 2^(i/4) in units of 1/65536. */
-static const uint32_t quarter_octaves[4] = { 65536, 77936, 92682, 110218 };
-
-/* Upper bound of a ratio bucket, in units of 1/65536. */
-static uint64_t ratio_upper(unsigned int bucket)
-{
-	int octave = (int)(bucket + 1) / 4 - RATIO_ONE_BUCKET / 4;
-	uint64_t q = quarter_octaves[(bucket + 1) % 4];
-
-	return octave >= 0 ? q << octave : q >> -octave;
-}
-
-static unsigned int ratio_bucket(uint32_t used, uint32_t declared)
-{
-	uint64_t ratio = ((uint64_t)used << 16) / (declared ? declared : 1);
-	unsigned int b = 0;
-
-	while (b < VH_ESTIMATE_RATIO_BUCKETS - 1 && ratio_upper(b) < ratio)
-		b++;
-	return b;
-}
-
 /* Upper bound of a run time bucket. */
 static int64_t run_upper_ms(unsigned int bucket)
 {
-	uint64_t q = quarter_octaves[(bucket + 1) % 2 * 2];
+	/* 2^(0/2) and 2^(1/2) in units of 1/65536. */
+	static const uint64_t half_octaves[2] = { 65536, 92682 };
+	uint64_t q = half_octaves[(bucket + 1) % 2];
 
 	return (int64_t)((q << (bucket + 1) / 2) >> 16);
 }
@@ -59,33 +37,6 @@
 	return b;
 }
 
-/* Halves the counts if they sum to DECAY_AT_TASKS. */
-static void decay(uint16_t *counts, size_t n, uint32_t *total)
-{
-	if (*total < DECAY_AT_TASKS)
-		return;
-	*total = 0;
-	for (size_t i = 0; i < n; i++) {
-		counts[i] /= 2;
-		*total += counts[i];
-	}
-}
-
-/* The first bucket by whose end at least @percent of all samples lie. */
-static unsigned int quantile(const uint16_t *counts, size_t n, uint32_t total,
-			     unsigned int percent)
-{
-	uint64_t need = ((uint64_t)total * percent + 99) / 100, seen = 0;
-	unsigned int b = 0;
-
-	for (; b < n - 1; b++) {
-		seen += counts[b];
-		if (seen >= need)
-			break;
-	}
-	return b;
-}
-
 void vh_estimate_add(struct vh_estimate *e, uint64_t job,
 		     const struct vh_res *declared, const struct vh_res *used,
 		     int64_t run_ms)
@@ -101,13 +52,15 @@
 	if (used) {
 		uint32_t n = e->n_use;
 
-		decay(e->cpu, VH_ESTIMATE_RATIO_BUCKETS, &n);
-		decay(e->mem, VH_ESTIMATE_RATIO_BUCKETS, &e->n_use);
-		e->cpu[ratio_bucket(used->v[VH_CPU], declared->v[VH_CPU])]++;
-		e->mem[ratio_bucket(used->v[VH_MEM], declared->v[VH_MEM])]++;
+		vh_hist_decay(e->cpu, VH_RATIO_BUCKETS, &n, DECAY_AT_TASKS);
+		vh_hist_decay(e->mem, VH_RATIO_BUCKETS, &e->n_use,
+			      DECAY_AT_TASKS);
+		e->cpu[vh_ratio_bucket(used->v[VH_CPU], declared->v[VH_CPU])]++;
+		e->mem[vh_ratio_bucket(used->v[VH_MEM], declared->v[VH_MEM])]++;
 		e->n_use++;
 	}
-	decay(e->run, VH_ESTIMATE_RUN_BUCKETS, &e->n_run);
+	vh_hist_decay(e->run, VH_ESTIMATE_RUN_BUCKETS, &e->n_run,
+		      DECAY_AT_TASKS);
 	e->run[run_bucket(run_ms)]++;
 	e->n_run++;
 }
@@ -116,12 +69,12 @@
 				   unsigned int percent, uint32_t declared,
 				   uint32_t margin_divisor, uint32_t minimum)
 {
-	uint64_t ratio = ratio_upper(
-		quantile(counts, VH_ESTIMATE_RATIO_BUCKETS, total, percent));
+	uint64_t ratio = vh_ratio_upper(
+		vh_hist_quantile(counts, VH_RATIO_BUCKETS, total, percent));
 	uint64_t size = ratio * declared >> 16;
 
 	if (ratio <= RATIO_DECLARED_MAX &&
-	    ratio + ratio / margin_divisor >= RATIO_SCALE)
+	    ratio + ratio / margin_divisor >= VH_RATIO_SCALE)
 		return declared;
 	size += size / margin_divisor;
 	if (size < minimum)
@@ -149,8 +102,8 @@
 {
 	if (e->n_run < TASKS_MIN)
 		return 0;
-	return run_upper_ms(
-		quantile(e->run, VH_ESTIMATE_RUN_BUCKETS, e->n_run, percent));
+	return run_upper_ms(vh_hist_quantile(e->run, VH_ESTIMATE_RUN_BUCKETS,
+					     e->n_run, percent));
 }
 
 void vh_usage_init(struct vh_usage *u, const struct vh_res *committed)
