Learn speeds of workers and run times of queues

Cause: placement knew neither how fast a worker is nor how a queue's run times are distributed, so urgent steps and gangs ran on slow workers.

A queue keeps a histogram of run times per estimate, for critical paths and for when room gets free. Both are learned records of kind "w".

Figures: engine_test_load, workers, takeover, schedules and losses pass.

--- a/packages/cell/src/owner_engine.c
+++ b/packages/cell/src/owner_engine.c
@@ -169,6 +169,8 @@
 	char cpu[48];
 	char tasks[24];
 	char heard[24];
+	char speed[24];
+	char runs[12];
 	char *worker = vh_slice_dup(w->worker);
 	char *address = vh_slice_dup(w->address);
 
@@ -178,9 +180,12 @@
 		   w->cpu);
 	g_snprintf(tasks, sizeof(tasks), "%zu", w->n_tasks);
 	g_snprintf(heard, sizeof(heard), "%" PRId64, w->heard_ms);
+	g_ascii_formatd(speed, sizeof(speed), "%.2f", w->speed);
+	g_snprintf(runs, sizeof(runs), "%u", w->speed_samples);
 	vh_log(w->problem ? G_LOG_LEVEL_WARNING : G_LOG_LEVEL_INFO, w->what,
 	       "worker", worker, "address", address, "born", born, "cpu", cpu,
-	       "tasks", tasks, "heard_ms", heard, NULL);
+	       "tasks", tasks, "heard_ms", heard, "speed", speed, "speed_runs",
+	       runs, NULL);
 	g_free(worker);
 	g_free(address);
 }
--- a/packages/engine/include/vh/engine.h
+++ b/packages/engine/include/vh/engine.h
@@ -29,6 +29,7 @@
  * @former_owner_ms: how long a former owner may still renew leases
  * @entry_age_max_ms: how old a worker's entry in the fleet's list may be when a
  *		      task is started on it, 0: any age
+ * @ignore_speeds: every worker counts as equally fast
  */
 struct eng_settings {
 	uint64_t fence;
@@ -38,6 +39,7 @@
 	int64_t gang_ms;
 	int64_t former_owner_ms;
 	int64_t entry_age_max_ms;
+	bool ignore_speeds;
 };
 
 enum eng_job_status {
@@ -188,6 +190,8 @@
  * @used_cpu: what is allocated of it
  * @n_tasks: number of tasks assigned to it
  * @heard_ms: time since its last report, -1: none yet
+ * @speed: how fast it runs tasks, 1: as usual, or not known
+ * @speed_samples: from how many runs that is known
  */
 struct eng_worker_event {
 	const char *what;
@@ -199,6 +203,8 @@
 	int64_t used_cpu;
 	size_t n_tasks;
 	int64_t heard_ms;
+	double speed;
+	unsigned int speed_samples;
 };
 
 /**
--- a/packages/engine/src/eng_advice.c
+++ b/packages/engine/src/eng_advice.c
@@ -129,6 +129,7 @@
 	double slots;	    /* expected number, by the chance of approval */
 	bool known;	    /* approved by an earlier answer */
 	bool reserved;	    /* a gang waits for it */
+	int speed_class;    /* of eng_speed_class() */
 	int latency_bucket; /* in units of LATENCY_BUCKET_MS */
 	uint64_t order;	    /* among equals; differs by step */
 };
@@ -158,6 +159,8 @@
 		return x->reserved ? 1 : -1;
 	if (x->known != y->known)
 		return x->known ? -1 : 1;
+	if (x->speed_class != y->speed_class)
+		return x->speed_class < y->speed_class ? -1 : 1;
 	if (x->latency_bucket != y->latency_bucket)
 		return x->latency_bucket < y->latency_bucket ? -1 : 1;
 	if (x->slots != y->slots)
@@ -269,6 +272,7 @@
 		out[n].known = a;
 		out[n].reserved = false;
 		out[n].latency_bucket = 0;
+		out[n].speed_class = eng_speed_class(s, w);
 		out[n].order = order_for(s, w);
 		out[n].slots = a ? slots : slots * s->job->queue->approval_rate;
 		n++;
@@ -308,6 +312,7 @@
 		out[n].reserved = eng_recently_reserved(e, w);
 		out[n].latency_bucket =
 			(int)(eng_worker_latency_ms(w, s) / LATENCY_BUCKET_MS);
+		out[n].speed_class = eng_speed_class(s, w);
 		out[n].order = order_for(s, w);
 		out[n].slots = a ? slots : slots * s->job->queue->approval_rate;
 		n++;
--- a/packages/engine/src/eng_cost.c
+++ b/packages/engine/src/eng_cost.c
@@ -14,8 +14,8 @@
 
 /*
  * Cost of placing a task on a worker; lower is better. Prefers a tight fit, few
- * failures, low latency for short steps, and the rack of the step's data. Keeps
- * tasks on trial, see eng_loss.c, and other work apart.
+ * failures, low latency for short steps, a suitable speed, and the rack of the
+ * step's data. Keeps tasks on trial, see eng_loss.c, and other work apart.
  */
 double eng_placement_cost(const struct engine *e, const struct step *s,
 			  const struct worker *w, bool on_trial)
@@ -24,7 +24,8 @@
 			       s->spec->need.cpu_milli) /
 		      CORE_MILLI;
 	double c = left + FAILURE_COST * w->failure_score +
-		   LATENCY_COST_PER_MS * eng_worker_latency_ms(w, s);
+		   LATENCY_COST_PER_MS * eng_worker_latency_ms(w, s) +
+		   eng_speed_cost(s, w);
 
 	if (eng_worker_trial_active(e, w))
 		c += TRIAL_COST;
--- a/packages/engine/src/eng_learned.c
+++ b/packages/engine/src/eng_learned.c
@@ -21,6 +21,7 @@
 };
 
 static const struct learned_kind kinds[] = {
+	{ 'w', eng_speeds_pack, eng_speeds_restore },
 	{ 0 }, /* end of the list */
 };
 
--- a/packages/engine/src/eng_order.c
+++ b/packages/engine/src/eng_order.c
@@ -21,8 +21,8 @@
 
 static enum tier step_tier(const struct engine *e, const struct step *s)
 {
-	int64_t end = e->now_ms + (int64_t)(CRITICAL_PATH_FACTOR *
-					    (double)s->critical_path_ms);
+	int64_t end = e->now_ms +
+		      (int64_t)(CRITICAL_PATH_FACTOR * (double)eng_path_ms(s));
 
 	if (s->job->over_share)
 		return end <= s->job->due_ms ? TIER_OVER_SHARE : TIER_LAST;
@@ -53,7 +53,7 @@
 		struct step *s = e->runnable_steps->pdata[i];
 
 		s->tier = step_tier(e, s);
-		s->latest_start_ms = s->job->due_ms - s->critical_path_ms;
+		s->latest_start_ms = s->job->due_ms - eng_path_ms(s);
 		g_ptr_array_add(out, s);
 	}
 	g_ptr_array_sort(out, by_tier);
--- a/packages/engine/src/eng_place.c
+++ b/packages/engine/src/eng_place.c
@@ -105,15 +105,22 @@
 /* The tasks of a gang that one worker can take. */
 struct part {
 	struct worker *w;
+	int speed_class;
 	uint32_t slots;
 	double cost;
 };
 
+/*
+ * Workers on which the gang is in time come first, by eng_speed_class(); the
+ * slowest member of a gang delays all.
+ */
 static int by_slots(const void *a, const void *b)
 {
 	const struct part *x = a;
 	const struct part *y = b;
 
+	if (x->speed_class != y->speed_class)
+		return x->speed_class < y->speed_class ? -1 : 1;
 	if (x->slots != y->slots)
 		return x->slots < y->slots ? 1 : -1;
 	if (x->cost != y->cost)
@@ -163,7 +170,7 @@
 		if (!slots)
 			continue;
 		parts[n++] =
-			(struct part){ w, slots,
+			(struct part){ w, eng_speed_class(s, w), slots,
 				       eng_placement_cost(e, s, w, false) };
 		n_slots += slots;
 	}
@@ -215,6 +222,7 @@
 {
 	if (give_up(e, s))
 		return;
+	eng_speed_plan(e, s);
 	if (s->spec->gang)
 		place_gang(e, s);
 	else
--- a/packages/engine/src/eng_priv.h
+++ b/packages/engine/src/eng_priv.h
@@ -9,6 +9,10 @@
 #include <glib.h>
 
 #include "vh/engine.h"
+#include "vh/ratio_hist.h"
+
+#define SPEED_SAMPLES 9 /* newest samples of a worker's speed */
+#define STEP_TIMES 16	/* newest run times of a step */
 
 /*
  * TASK_WAITING	    not assigned to a worker
@@ -101,6 +105,12 @@
 	int64_t expires_ms;
 };
 
+/* A run that is done, and how long it took. */
+struct timed_run {
+	struct worker *w;
+	double run_ms;
+};
+
 /**
  * struct step
  * @n_waiting: tasks that are neither done nor assigned to a worker
@@ -108,6 +118,12 @@
  * @failed_runs: failed runs of a gang, a bitmap as in struct task
  * @critical_path_ms: declared time from the start of this step to the end of
  *		      the job, along the longest chain of steps
+ * @path_work_ms: the same without the calls to the policy service
+ * @timed: the newest STEP_TIMES runs that are done, NULL: none
+ * @n_timed: how many were added
+ * @usual_ms: what its tasks take at the usual speed, 0: unknown
+ * @min_speed: workers from this speed on are fast enough, see eng_speed_plan()
+ * @any_in_time: all of these suit it alike; if not, the slower ones do better
  * @runnable: in the engine's list of steps with tasks to place
  * @advice_pending: a call to the policy service is in flight
  * @next_advice_ms: earliest time of the next call to the policy service
@@ -135,6 +151,12 @@
 	uint32_t n_placed;
 	uint64_t failed_runs;
 	int64_t critical_path_ms;
+	int64_t path_work_ms;
+	struct timed_run *timed;
+	guint n_timed;
+	double usual_ms;
+	double min_speed;
+	bool any_in_time;
 	bool runnable;
 	bool advice_pending;
 	int64_t next_advice_ms;
@@ -177,13 +199,22 @@
  * struct queue - statistics of one queue
  * @approval_rate: moving average of the share of workers that the policy
  *		   service approved
- * @run_ratio: moving average of the ratio of a run's time to its estimate
+ * @ratios: histogram of the ratio of a run's time, at the usual speed, to its
+ *	    estimate
+ * @n_ratios: sum of @ratios
+ * @ratios_unstored: samples since the histogram was stored
+ * @usual_ratio: their median; 1 until there are enough
+ * @reliable: there are enough, and most of them are close to the median
  * @pending: jobs of which no task has started
  */
 struct queue {
 	char *name;
 	double approval_rate;
-	double run_ratio;
+	uint16_t ratios[VH_RATIO_BUCKETS];
+	uint32_t n_ratios;
+	uint32_t ratios_unstored;
+	double usual_ratio;
+	bool reliable;
 	size_t pending;
 };
 
@@ -221,6 +252,38 @@
 	int64_t cutoff_ms;
 };
 
+/**
+ * struct speed - speed of a worker, relative to the others
+ * @value: 1: usual, 2: its tasks take half of the usual time
+ * @known: from enough samples; @value is 1 if not
+ * @slowness: time of a run beyond the usual, per usual time
+ * @log_median: logarithm of the median of the samples, significant or not
+ * @rank: of slowness, in half powers of two
+ * @slow: it was reported as slow
+ * @samples: ring of the newest samples
+ * @n: number of samples
+ * @next: where the next one goes
+ * @n_overdue: samples of overdue runs in @value
+ * @sampled_ms: when the newest was added
+ * @kept_ms: when a sample was last added or dropped
+ * @stored: @value as stored, 0: not stored
+ */
+struct speed {
+	double value;
+	double slowness;
+	double log_median;
+	bool known;
+	int rank;
+	bool slow;
+	double samples[SPEED_SAMPLES];
+	unsigned int n;
+	unsigned int next;
+	size_t n_overdue;
+	int64_t sampled_ms;
+	int64_t kept_ms;
+	double stored;
+};
+
 /**
  * struct worker
  * @index: position in the engine's list of workers
@@ -248,6 +311,8 @@
  * @start_latency_ms: moving average of its reply times to starts; 0: unknown
  * @failure_score: rises with failed runs and refused starts, decays with
  *		   successful runs
+ * @speed: how fast it runs its tasks
+ * @silent_until_ms: when it answered again after it had not
  * @boot_over: another boot answers at its address
  * @alive_ms: when it last answered a request
  * @lost_runs: array of struct lost_run: what was on it when its lease expired,
@@ -286,6 +351,8 @@
 	int64_t avoid_until_ms;
 	double start_latency_ms;
 	double failure_score;
+	struct speed speed;
+	int64_t silent_until_ms;
 	bool boot_over;
 	int64_t alive_ms;
 	GArray *lost_runs;
@@ -311,6 +378,16 @@
  * @stored_batch: number of the last stored batch
  * @store_latency_ms: time that a placement takes to be stored
  * @next_learned_ms: when learned records are stored next
+ * @mean_speed: geometric mean of the speeds of the listed workers
+ * @speed_noise: mean distance of the logarithms of samples of a worker from
+ *		 their median
+ * @n_noise: samples in @speed_noise
+ * @next_speeds_ms: when overdue runs are looked for next
+ * @scheduled_ms: when eng_schedule() was last called
+ * @stalled_ms: when it was called again after a pause too long to tell when
+ *		runs ended
+ * @restored_speeds: id to struct restored of eng_speed_record.c
+ * @next_speed_group: group of workers whose speeds are stored next
  * @reserved_cpu: thousandths of a processor reserved for gangs, in the current
  *		  placement pass
  * @cpu_capacity: thousandths of a processor of all listed workers
@@ -335,6 +412,14 @@
 	uint64_t report_serial;
 	int64_t store_latency_ms;
 	int64_t next_learned_ms;
+	double mean_speed;
+	double speed_noise;
+	guint n_noise;
+	int64_t next_speeds_ms;
+	int64_t scheduled_ms;
+	int64_t stalled_ms;
+	GHashTable *restored_speeds;
+	guint next_speed_group;
 	int64_t reserved_cpu;
 	int64_t cpu_capacity;
 	int64_t now_ms;
@@ -372,6 +457,8 @@
 /* eng_intern - the one copy of a name, never freed */
 const char *eng_intern(struct vh_slice name);
 void eng_job_mark_dirty(struct engine *e, struct job *j);
+/* eng_queue_get - finds a queue or creates it */
+struct queue *eng_queue_get(struct engine *e, struct vh_slice name);
 /* eng_milestone - reports a job's start or end, except during recovery */
 void eng_milestone(struct engine *e, const struct job *j,
 		   enum eng_job_status status);
@@ -405,6 +492,9 @@
 void eng_worker_record_latency(struct worker *w, int64_t latency_ms);
 /* eng_worker_latency_ms - start latency; 0 if the critical path is long */
 double eng_worker_latency_ms(const struct worker *w, const struct step *s);
+/* eng_worker_report_event - reports a change; @problem: it cannot be used */
+void eng_worker_report_event(struct engine *e, const struct worker *w,
+			     const char *what, bool problem);
 bool eng_worker_usable(const struct engine *e, const struct worker *w);
 /* eng_worker_accepts - whether a task that is assigned to it may be started:
  * its capacity is known and not exceeded, and it does not drain */
@@ -512,8 +602,45 @@
 uint32_t eng_reserved_slots(const struct step *s, const struct worker *w);
 /* eng_recently_reserved - a gang waits for the worker, or did so recently */
 bool eng_recently_reserved(const struct engine *e, const struct worker *w);
-/* eng_update_run_ratio - updates its queue's run_ratio, after a success */
-void eng_update_run_ratio(struct task *t, int64_t now_ms);
+
+/* eng_speed.c: speeds of workers and run times of queues */
+/* eng_speed - of a worker; 1 if it is not known */
+double eng_speed(const struct worker *w);
+/* eng_expected_ms - what a task of a step takes at the usual speed */
+double eng_expected_ms(const struct step *s);
+/* eng_path_ms - critical_path_ms at the usual ratio of the queue */
+int64_t eng_path_ms(const struct step *s);
+/* eng_speed_remaining_ms - time until a task that was not stopped ends */
+int64_t eng_speed_remaining_ms(const struct engine *e, const struct task *t);
+/* eng_speed_run_done - learns from the current run of a task, which is done */
+void eng_speed_run_done(struct engine *e, const struct task *t);
+/* eng_update_speeds - lowers the speed of workers whose runs are overdue */
+void eng_update_speeds(struct engine *e);
+/* eng_speed_set - sets the speed that was known from @n samples */
+void eng_speed_set(struct engine *e, struct worker *w, double speed,
+		   unsigned int n);
+/* eng_speed_reset - forgets the speed, of a new or restarted worker */
+void eng_speed_reset(struct worker *w);
+/* eng_speed_plan - what speed a step needs now; before the next two */
+void eng_speed_plan(const struct engine *e, struct step *s);
+/* eng_speed_cost - the part of the cost of a placement */
+double eng_speed_cost(const struct step *s, const struct worker *w);
+/**
+ * eng_speed_class - how well the speed of a worker suits a step
+ *
+ * Lower is better: for a gang 0 if it is in time there; for urgent steps less
+ * on faster workers, and for those with slack on slower ones.
+ */
+int eng_speed_class(const struct step *s, const struct worker *w);
+/* eng_queue_ratios_changed - updates what depends on the histogram */
+void eng_queue_ratios_changed(struct queue *q);
+
+/* eng_speed_record.c: learned records of speeds, of kind "w" */
+void eng_speeds_pack(struct engine *e, GArray *records);
+bool eng_speeds_restore(struct engine *e, struct vh_slice name,
+			struct vh_slice bytes);
+/* eng_speed_worker_known - applies the restored speed of a listed worker */
+void eng_speed_worker_known(struct engine *e, struct worker *w);
 
 static inline struct vh_slice eng_str(const char *s)
 {
--- a/packages/engine/src/eng_reserve.c
+++ b/packages/engine/src/eng_reserve.c
@@ -15,14 +15,11 @@
 #define PREEMPTIONS_MAX 2	  /* how often one task is stopped for gangs */
 #define PREEMPT_SLACK_MIN_MS 2500 /* of the job of a preempted task */
 #define PREEMPT_INTERVAL_MS 1200  /* between two preemptions for a gang */
-#define OVERRUN_SHARE 0.25	  /* least remaining time, per elapsed time */
-#define RATIO_EWMA_WEIGHT 0.05	  /* weight of a new sample of run_ratio */
-#define RATIO_MIN 0.3		  /* bounds of a sample */
-#define RATIO_MAX 4.0
 
-/* A worker that can take one more task of the gang after @in_ms. */
+/* A worker that can take one more task of the gang, and end it, after so long. */
 struct free_slot {
 	int64_t in_ms;
+	int64_t end_ms;
 	struct worker *w;
 };
 
@@ -32,19 +29,6 @@
 	       e->now_ms - w->reserved_at_ms < RECENTLY_RESERVED_MS;
 }
 
-void eng_update_run_ratio(struct task *t, int64_t now_ms)
-{
-	struct queue *q = t->step->job->queue;
-	int64_t estimate = t->step->spec->estimate_ms;
-	double ratio;
-
-	if (t->state != TASK_RUNNING || estimate <= 0)
-		return;
-	ratio = (double)(now_ms - t->since_ms) / (double)estimate;
-	ratio = CLAMP(ratio, RATIO_MIN, RATIO_MAX);
-	q->run_ratio += RATIO_EWMA_WEIGHT * (ratio - q->run_ratio);
-}
-
 /*
  * Whether a task may be stopped for a gang: it has a lower priority, it saves
  * checkpoints, so that its work is not lost, and its job either has slack or
@@ -54,7 +38,7 @@
 			const struct task *t)
 {
 	const struct step *s = t->step;
-	int64_t slack = s->job->due_ms - e->now_ms - s->critical_path_ms;
+	int64_t slack = s->job->due_ms - e->now_ms - eng_path_ms(s);
 
 	if (t->state != TASK_RUNNING || t->done || t->request_pending)
 		return false;
@@ -69,27 +53,22 @@
 /* Estimated time until a task releases its resources; -1: unbounded. */
 static int64_t remaining_ms(const struct engine *e, const struct task *t)
 {
-	double expected = (double)t->step->spec->estimate_ms *
-			  t->step->job->queue->run_ratio;
 	int64_t elapsed = e->now_ms - t->since_ms;
 
 	if (t->state == TASK_STOPPING)
 		return MAX(e->settings.stop_ms - elapsed, 0);
 	if (t->step->spec->service)
 		return -1;
-	if (t->state != TASK_RUNNING)
-		return (int64_t)expected;
-	return MAX((int64_t)expected - elapsed,
-		   (int64_t)(OVERRUN_SHARE * (double)elapsed));
+	return eng_speed_remaining_ms(e, t);
 }
 
-static int by_free_time(gconstpointer a, gconstpointer b)
+static int by_end_time(gconstpointer a, gconstpointer b)
 {
 	const struct free_slot *x = a;
 	const struct free_slot *y = b;
 
-	if (x->in_ms != y->in_ms)
-		return x->in_ms < y->in_ms ? -1 : 1;
+	if (x->end_ms != y->end_ms)
+		return x->end_ms < y->end_ms ? -1 : 1;
 	/* Prefers workers reserved before, to keep the choice stable. */
 	return x->w->reserved_at_ms > y->w->reserved_at_ms ? -1
 	       : x->w->reserved_at_ms < y->w->reserved_at_ms
@@ -144,10 +123,12 @@
 	struct release *releases = g_new(struct release, w->tasks->len + 1);
 	size_t n = releases_on(e, s, w, releases);
 	struct eng_resources free = eng_free_resources(w);
+	int64_t run_ms = (int64_t)(eng_expected_ms(s) / eng_speed(w));
 	uint32_t n_slots = 0;
 
 	for (size_t i = 0; i <= n && n_slots < s->spec->n_tasks; i++) {
-		struct free_slot slot = { i ? releases[i - 1].in_ms : 0, w };
+		int64_t in_ms = i ? releases[i - 1].in_ms : 0;
+		struct free_slot slot = { in_ms, in_ms + run_ms, w };
 		uint32_t fits;
 
 		if (i) {
@@ -212,13 +193,15 @@
 	}
 	s->enough_advised = slots->len >= n;
 	if (s->enough_advised) {
-		g_array_sort(slots, by_free_time);
-		for (uint32_t i = 0; i < n; i++)
-			reservation_for(
-				s, g_array_index(slots, struct free_slot, i).w)
-				->slots++;
-		s->est_wait_ms =
-			g_array_index(slots, struct free_slot, n - 1).in_ms;
+		g_array_sort(slots, by_end_time);
+		s->est_wait_ms = 0;
+		for (uint32_t i = 0; i < n; i++) {
+			const struct free_slot *slot =
+				&g_array_index(slots, struct free_slot, i);
+
+			reservation_for(s, slot->w)->slots++;
+			s->est_wait_ms = MAX(s->est_wait_ms, slot->in_ms);
+		}
 	}
 	g_array_free(slots, TRUE);
 }
@@ -249,8 +232,7 @@
 	    (double)(e->reserved_cpu + gang_cpu) >
 		    RESERVED_SHARE_MAX * (double)e->cpu_capacity)
 		return "gang waits behind others";
-	if (e->now_ms + s->est_wait_ms + s->critical_path_ms >
-	    s->job->cutoff_ms)
+	if (e->now_ms + s->est_wait_ms + eng_path_ms(s) > s->job->cutoff_ms)
 		return "gang waits, too late to earn";
 	s->reservation_active = true;
 	return "gang waits for its room";
--- a/packages/engine/src/eng_tasks.c
+++ b/packages/engine/src/eng_tasks.c
@@ -273,6 +273,9 @@
 	struct step *s = t->step;
 	bool current = w && t->run == f->task.run;
 
+	/* Before the checkpoint of this run replaces the one it began with. */
+	if (current && f->how == ENG_END_DONE)
+		eng_speed_run_done(e, t);
 	save_checkpoint(t, f->checkpoint);
 	eng_loss_remove(e, t, f->task.run);
 	eng_task_started(e, t);
@@ -280,8 +283,6 @@
 		e->stats.ends_done++;
 		if (w)
 			w->failure_score *= FAILURE_SCORE_DECAY;
-		if (current)
-			eng_update_run_ratio(t, e->now_ms);
 		if (!s->spec->service)
 			handle_done(e, t);
 	} else if (f->how == ENG_END_FAILED) {
--- a/packages/engine/src/eng_workers.c
+++ b/packages/engine/src/eng_workers.c
@@ -42,6 +42,7 @@
 	w->labels = g_new0(char *, 1);
 	w->tasks = g_ptr_array_new();
 	w->lost_runs = g_array_new(FALSE, FALSE, sizeof(struct lost_run));
+	eng_speed_reset(w);
 	w->lease_expired_ms =
 		e->now_ms + e->settings.former_owner_ms +
 		(int64_t)((double)e->settings.lease_max_ms / CLOCK_RATE_MIN) +
@@ -51,8 +52,8 @@
 	return w;
 }
 
-static void report_event(struct engine *e, const struct worker *w,
-			 const char *what, bool problem)
+void eng_worker_report_event(struct engine *e, const struct worker *w,
+			     const char *what, bool problem)
 {
 	struct eng_worker_event event = {
 		.what = what,
@@ -64,6 +65,8 @@
 		.used_cpu = w->used.cpu_milli,
 		.n_tasks = w->tasks->len,
 		.heard_ms = w->clock_at_ms ? e->now_ms - w->clock_at_ms : -1,
+		.speed = eng_speed(w),
+		.speed_samples = w->speed.n,
 	};
 
 	if (e->callbacks.worker_event && e->ready)
@@ -73,8 +76,9 @@
 /* A new boot runs nothing, has no fencing token and restarts end numbers. */
 void eng_worker_restarted(struct engine *e, struct worker *w, int64_t born_ms)
 {
-	report_event(e, w, "worker started anew", true);
+	eng_worker_report_event(e, w, "worker started anew", true);
 	eng_worker_crashed(e, w, "worker started anew");
+	eng_speed_reset(w);
 	w->born_ms = born_ms;
 	w->boot_over = false;
 	w->fenced = false;
@@ -90,7 +94,7 @@
 	if (w->boot_over)
 		return;
 	w->boot_over = true;
-	report_event(e, w, "worker crashed", true);
+	eng_worker_report_event(e, w, "worker crashed", true);
 	eng_worker_crashed(e, w, "worker crashed");
 }
 
@@ -146,16 +150,15 @@
 	w->entry_born_ms = info->born_ms;
 	w->entry_clock_ms = info->clock_ms;
 	if (!was_listed) {
-		report_event(e, w, "worker listed", false);
+		eng_worker_report_event(e, w, "worker listed", false);
 		look_at_former_boot(e, w);
 	} else if (resized)
-		report_event(e, w, "worker capacity changed", false);
-	if (!info->born_ms || info->born_ms == w->born_ms)
-		return;
-	if (w->born_ms && info->born_ms > w->born_ms)
+		eng_worker_report_event(e, w, "worker capacity changed", false);
+	if (info->born_ms && w->born_ms && info->born_ms > w->born_ms)
 		eng_worker_restarted(e, w, info->born_ms);
 	else if (!w->born_ms)
 		w->born_ms = info->born_ms;
+	eng_speed_worker_known(e, w);
 }
 
 void eng_worker_unlisted(struct engine *e, struct vh_slice id, int64_t now_ms)
@@ -166,7 +169,7 @@
 	if (!w || !w->listed)
 		return;
 	w->listed = false;
-	report_event(e, w, "worker unlisted", w->tasks->len > 0);
+	eng_worker_report_event(e, w, "worker unlisted", w->tasks->len > 0);
 }
 
 void eng_worker_record_latency(struct worker *w, int64_t latency_ms)
@@ -366,8 +369,10 @@
 	if (!w)
 		return;
 	w->hold_pending = false;
-	if (w->hold_failures)
-		report_event(e, w, "worker answers again", false);
+	if (w->hold_failures) {
+		w->silent_until_ms = now_ms;
+		eng_worker_report_event(e, w, "worker answers again", false);
+	}
 	w->hold_failures = 0;
 	w->next_hold_ms = now_ms + HOLD_INTERVAL_MS;
 	if (r->born_ms && w->born_ms && r->born_ms != w->born_ms) {
@@ -379,6 +384,7 @@
 	w->alive_ms = now_ms;
 	if (r->born_ms)
 		w->born_ms = r->born_ms;
+	eng_speed_worker_known(e, w);
 	update_clock(e, w, r->clock_ms);
 	w->fenced = true;
 	process_ends(e, w, r);
@@ -407,7 +413,7 @@
 		return;
 	}
 	if (!w->hold_failures)
-		report_event(e, w, "worker does not answer", true);
+		eng_worker_report_event(e, w, "worker does not answer", true);
 	wait = MIN((int64_t)HOLD_RETRY_MS << MIN(w->hold_failures, 4u),
 		   HOLD_RETRY_MAX_MS);
 	w->hold_failures++;
--- a/packages/engine/src/engine.c
+++ b/packages/engine/src/engine.c
@@ -3,6 +3,7 @@
 #include <math.h>
 
 #define CUTOFF_FACTOR 3		  /* time to the cutoff, in objectives */
+#define SPEED_NOISE_INITIAL 0.7	  /* so that the first samples prove little */
 #define STORE_LATENCY_DECAY 0.9	  /* of the estimate, per observation */
 #define STORE_LATENCY_MAX_MS 600  /* bound of the estimate */
 #define INITIAL_APPROVAL_RATE 0.5 /* before the first answer for a queue */
@@ -42,6 +43,7 @@
 				g_array_free(s->tasks[k].losses, TRUE);
 		}
 		g_free(s->tasks);
+		g_free(s->timed);
 		g_hash_table_destroy(s->advice_by_worker);
 		if (s->reservations)
 			g_array_free(s->reservations, TRUE);
@@ -69,6 +71,10 @@
 	e->callbacks = *callbacks;
 	e->now_ms = now_ms;
 	e->open_batch = 1;
+	e->mean_speed = 1;
+	e->speed_noise = SPEED_NOISE_INITIAL;
+	e->restored_speeds =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	e->jobs = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					job_free);
 	e->workers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
@@ -98,6 +104,7 @@
 	g_hash_table_destroy(e->workers);
 	g_hash_table_destroy(e->teams);
 	g_hash_table_destroy(e->queues);
+	g_hash_table_destroy(e->restored_speeds);
 	g_free(e);
 }
 
@@ -141,7 +148,7 @@
 	return interned;
 }
 
-static struct queue *queue_get(struct engine *e, struct vh_slice name)
+struct queue *eng_queue_get(struct engine *e, struct vh_slice name)
 {
 	char *key = vh_slice_dup(name);
 	struct queue *q = g_hash_table_lookup(e->queues, key);
@@ -153,7 +160,7 @@
 	q = g_new0(struct queue, 1);
 	q->name = key;
 	q->approval_rate = INITIAL_APPROVAL_RATE;
-	q->run_ratio = 1;
+	eng_queue_ratios_changed(q);
 	g_hash_table_insert(e->queues, q->name, q);
 	return q;
 }
@@ -223,9 +230,13 @@
 static void job_init_steps(struct job *j)
 {
 	size_t n = j->spec->n_steps;
+	struct eng_job_spec without_advice = *j->spec;
 	int64_t *paths = g_new0(int64_t, n);
+	int64_t *work = g_new0(int64_t, n);
 
+	without_advice.advice.needed = false;
 	eng_critical_paths_ms(j->spec, paths);
+	eng_critical_paths_ms(&without_advice, work);
 	j->steps = g_new0(struct step, n);
 	for (size_t i = 0; i < n; i++) {
 		struct step *s = &j->steps[i];
@@ -234,6 +245,7 @@
 		s->number = (uint32_t)i;
 		s->spec = &j->spec->steps[i];
 		s->critical_path_ms = paths[i];
+		s->path_work_ms = work[i];
 		s->n_waiting = s->spec->n_tasks;
 		s->tasks = g_new0(struct task, s->spec->n_tasks);
 		s->advice_by_worker = g_hash_table_new_full(
@@ -244,6 +256,7 @@
 		}
 	}
 	g_free(paths);
+	g_free(work);
 }
 
 static int64_t job_objective_ms(const struct job *j)
@@ -310,7 +323,7 @@
 	}
 	j->spec = spec;
 	j->team = eng_team_get(e, spec->team);
-	j->queue = queue_get(e, spec->queue);
+	j->queue = eng_queue_get(e, spec->queue);
 	j->service = eng_intern(spec->service);
 	j->queue->pending++;
 	job_init_steps(j);
@@ -532,6 +545,7 @@
 	e->now_ms = now_ms;
 	if (e->deposed)
 		return;
+	eng_update_speeds(e);
 	eng_poll_workers(e);
 	if (e->ready)
 		eng_place_steps(e);
