--- a/packages/engine/src/eng_priv.h
+++ b/packages/engine/src/eng_priv.h
@@ -11,8 +11,11 @@
 #include "vh/engine.h"
 #include "vh/ratio_hist.h"
 
-#define SPEED_SAMPLES 9 /* newest samples of a worker's speed */
-#define STEP_TIMES 16	/* newest run times of a step */
+#define SPEED_SAMPLES 9	      /* newest samples of a worker's speed */
+#define SPEED_FAST_COST 30.0  /* per unit of slowness, for urgent steps */
+#define SPEED_SLOW_BONUS 12.0 /* the same, for steps with slack */
+#define SPEED_CLASSES 64      /* distance between kinds of eng_speed_class() */
+#define STEP_TIMES 16	      /* newest run times of a step */
 
 /*
  * TASK_WAITING	    not assigned to a worker
@@ -123,6 +126,7 @@
  * @n_timed: how many were added
  * @usual_ms: what its tasks take at the usual speed, 0: unknown
  * @min_speed: workers from this speed on are fast enough, see eng_speed_plan()
+ * @next_speed_ms: when that is calculated again
  * @any_in_time: all of these suit it alike; if not, the slower ones do better
  * @runnable: in the engine's list of steps with tasks to place
  * @advice_pending: a call to the policy service is in flight
@@ -156,6 +160,7 @@
 	guint n_timed;
 	double usual_ms;
 	double min_speed;
+	int64_t next_speed_ms;
 	bool any_in_time;
 	bool runnable;
 	bool advice_pending;
@@ -624,14 +629,31 @@
 /* eng_speed_plan - what speed a step needs now; before the next two */
 void eng_speed_plan(const struct engine *e, struct step *s);
 /* eng_speed_cost - the part of the cost of a placement */
-double eng_speed_cost(const struct step *s, const struct worker *w);
+static inline double eng_speed_cost(const struct step *s,
+				    const struct worker *w)
+{
+	if (s->min_speed <= 0)
+		return 0;
+	if (w->speed.value < s->min_speed)
+		return SPEED_FAST_COST * w->speed.slowness;
+	return s->any_in_time ? 0 : -SPEED_SLOW_BONUS * w->speed.slowness;
+}
+
 /**
  * eng_speed_class - how well the speed of a worker suits a step
  *
  * Lower is better: for a gang 0 if it is in time there; for urgent steps less
  * on faster workers, and for those with slack on slower ones.
  */
-int eng_speed_class(const struct step *s, const struct worker *w);
+static inline int eng_speed_class(const struct step *s, const struct worker *w)
+{
+	if (s->min_speed <= 0)
+		return 0;
+	if (w->speed.value < s->min_speed)
+		return SPEED_CLASSES + w->speed.rank;
+	return s->any_in_time ? 0 : -w->speed.rank;
+}
+
 /* eng_queue_ratios_changed - updates what depends on the histogram */
 void eng_queue_ratios_changed(struct queue *q);
 
--- a/packages/engine/src/eng_speed.c
+++ b/packages/engine/src/eng_speed.c
@@ -23,10 +23,13 @@
 #define SURE_FACTOR 4.7
 #define NOISE_WEIGHT_MIN 0.01 /* of a new distance from the median */
 #define NOISE_MAX 0.7	      /* bound of a distance, for a heavy tail */
-#define SPEED_MIN 0.02	      /* bounds of a sample */
+/* The former owner has stored only speeds that were beyond its noise. */
+#define RESTORED_NOISE 0.2
+#define SPEED_MIN 0.02 /* bounds of a sample */
 #define SPEED_MAX 8.0
 #define COMPARED_MIN 3	 /* runs of a step that are compared */
 #define OTHERS_MIN 2	 /* of these, on other workers */
+#define PLAN_MS 100	 /* between two calculations of what a step needs */
 #define UPDATE_MS 500	 /* between two checks for overdue runs */
 #define STALL_MS 1000	 /* without a pass: reports have been waiting */
 #define FORGET_MS 60000	 /* without a sample: the oldest one is dropped */
@@ -35,20 +38,18 @@
 #define OVERDUE_SURE_FACTOR 10
 #define SLOW_BELOW 0.7 /* reported as slow */
 #define SLOW_UNTIL 0.8
-#define HIST_DECAY_AT 256    /* samples, so that a queue that changes shows */
-#define STEP_SAMPLES_MAX 8   /* of a step, in the histogram of its queue */
-#define QUEUE_SAMPLES_MIN 20 /* before the histogram counts */
-#define RELIABLE_BUCKETS 2   /* between the quartiles: a factor of 1.7 */
-#define BUCKET_MIDDLE 0.917  /* of its upper bound: 2^(-1/8) */
-#define OVERRUN_SHARE 0.25   /* least remaining time, per elapsed time */
-#define GANG_MARGIN 1.2	     /* of the expected time, as the slowest counts */
-#define BATCH_MARGIN 1.5     /* of the expected time on a slow worker */
-#define FAST_COST 30.0	     /* per unit of slowness, for urgent steps */
-#define SLOW_BONUS 12.0	     /* the same, for steps with slack */
-#define VERY_SLOW 0.4	     /* speed below which steps with slack avoid it */
-#define SPEED_ANY 100.0	     /* above all speeds: the faster, the better */
-#define SLOWNESS_MAX 10.0    /* bound of the slowness in a cost */
-#define CLASSES 64	     /* distance between kinds of classes */
+#define HIST_DECAY_AT 256     /* samples, so that a queue that changes shows */
+#define STEP_SAMPLES_MAX 8    /* of a step, in the histogram of its queue */
+#define QUEUE_SAMPLES_MIN 20  /* before the histogram counts */
+#define RELIABLE_BUCKETS 2    /* between the quartiles: a factor of 1.7 */
+#define BUCKET_MIDDLE 0.917   /* of its upper bound: 2^(-1/8) */
+#define OVERRUN_SHARE 0.25    /* least remaining time, per elapsed time */
+#define GANG_MARGIN 1.2	      /* of the expected time, as the slowest counts */
+#define BATCH_MARGIN 1.5      /* of the expected time on a slow worker */
+#define UNRELIABLE_MARGIN 1.7 /* of both, if the estimates are far off */
+#define VERY_SLOW 0.4	      /* speed below which steps with slack avoid it */
+#define SPEED_ANY 100.0	      /* above all speeds: the faster, the better */
+#define SLOWNESS_MAX 10.0     /* bound of the slowness in a cost */
 
 static int by_value(const void *a, const void *b)
 {
@@ -256,6 +257,8 @@
 {
 	struct speed *v = &w->speed;
 
+	if (!e->n_noise)
+		e->speed_noise = RESTORED_NOISE;
 	v->n = MIN(n, SPEED_SAMPLES);
 	v->next = v->n % SPEED_SAMPLES;
 	v->kept_ms = e->now_ms;
@@ -490,11 +493,16 @@
 
 	if (left < expected)
 		left = (double)(s->job->cutoff_ms - e->now_ms) - rest;
+	if (!s->job->queue->reliable)
+		margin *= UNRELIABLE_MARGIN;
 	return left > 0 ? margin * expected / left : SPEED_ANY;
 }
 
 void eng_speed_plan(const struct engine *e, struct step *s)
 {
+	if (s->next_speed_ms > e->now_ms)
+		return;
+	s->next_speed_ms = e->now_ms + PLAN_MS;
 	s->any_in_time = s->spec->gang && s->spec->n_tasks > 1;
 	if (!s->spec->estimate_ms || s->spec->service)
 		s->min_speed = 0;
@@ -505,21 +513,3 @@
 	else
 		s->min_speed = MAX(speed_needed(e, s, BATCH_MARGIN), VERY_SLOW);
 }
-
-double eng_speed_cost(const struct step *s, const struct worker *w)
-{
-	if (!w->speed.known || s->min_speed <= 0)
-		return 0;
-	if (w->speed.value < s->min_speed)
-		return FAST_COST * w->speed.slowness;
-	return s->any_in_time ? 0 : -SLOW_BONUS * w->speed.slowness;
-}
-
-int eng_speed_class(const struct step *s, const struct worker *w)
-{
-	if (s->min_speed <= 0)
-		return 0;
-	if (w->speed.value < s->min_speed)
-		return CLASSES + w->speed.rank;
-	return s->any_in_time ? 0 : -w->speed.rank;
-}
--- a/packages/engine/tests/bench_engine.c
+++ b/packages/engine/tests/bench_engine.c
@@ -56,7 +56,8 @@
 	uint64_t next_job;
 	GRand *random;
 	int64_t total_ns;
-	GArray *pass_ns; /* int64_t */
+	GArray *pass_ns;	/* int64_t */
+	uint64_t starts_before; /* in the warm-up */
 };
 
 struct started {
@@ -386,6 +387,14 @@
 	return (double)g_array_index(sim->pass_ns, int64_t, at) / 1e6;
 }
 
+static uint64_t count_starts(const struct simulation *sim)
+{
+	struct eng_stats stats;
+
+	eng_stats(sim->engine, &stats);
+	return stats.starts;
+}
+
 static void print_results(struct simulation *sim)
 {
 	struct eng_stats stats;
@@ -403,6 +412,9 @@
 	print_result(n, "run_p99", quantile_ms(sim, 0.99), "ms", RUN_MS_MAX);
 	printf("bench engine_%d_run_worst %.3f ms - -\n", n,
 	       quantile_ms(sim, 1));
+	printf("bench engine_%d_per_start %.3f us - -\n", n,
+	       (double)sim->total_ns / 1e3 /
+		       (double)(stats.starts - sim->starts_before));
 	print_result(n, "core_share", (double)sim->total_ns / 1e9 / MEASURE_S,
 		     "cores", CORE_SHARE_MAX);
 }
@@ -434,8 +446,11 @@
 	sim->engine = eng_new(&s, &callbacks, sim->now);
 	add_workers(sim);
 	eng_recovery_done(sim->engine, sim->now);
-	for (int i = 0; i < (WARMUP_S + MEASURE_S) * 1000 / TICK_MS; i++)
+	for (int i = 0; i < (WARMUP_S + MEASURE_S) * 1000 / TICK_MS; i++) {
+		if (i == WARMUP_S * 1000 / TICK_MS)
+			sim->starts_before = count_starts(sim);
 		run_tick(sim, i >= WARMUP_S * 1000 / TICK_MS);
+	}
 	print_results(sim);
 }
 
--- a/packages/engine/tests/sim_state.h
+++ b/packages/engine/tests/sim_state.h
@@ -98,11 +98,18 @@
 	bool draining = false;
 	int64_t delay_ms = 15; /* one way */
 	int starts = 0;
+	double speed = 1; /* of its runs, if SimState::run_ms is set */
 	bool reachable = true;
 	int64_t crash_at_ms = -1;    /* a task crashes it then; -1: none */
 	Worker *successor = nullptr; /* its next boot, under another id */
 };
 
+/* A record of a batch; without a name, the state of a job. */
+struct Record {
+	uint64_t job;
+	std::string name, bytes;
+};
+
 struct Job {
 	eng_job_spec *spec;
 	int64_t accepted_ms = 0, cancelled_ms = -1;
@@ -411,6 +418,15 @@
 		tickets; /* by job, step and worker: expiry */
 	std::set<std::string> asked_workers; /* in requests for advice */
 	int64_t entry_age_max_ms = 0;	     /* setting of the engine */
+	double stretch = 2;		     /* objective of new jobs */
+	int64_t target_ms = 1000;	     /* the same */
+	bool ignore_speeds = false;	     /* the same */
+	std::map<std::string, std::string> learned_records; /* by name */
+	size_t learned_bytes = 0;
+	std::map<std::string, std::set<std::string>>
+		events_by_kind; /* workers, by the text of the event */
+	std::function<double(const Worker &, const TaskKey &)>
+		run_ms; /* time of a run at the usual speed, -1: it hangs */
 	int starts = 0, holds = 0, advice_requests = 0, expired_leases = 0,
 	    stale_tickets = 0;
 	std::string service = "svc", team = "team", payload = "spec",
--- a/packages/engine/tests/simulation.h
+++ b/packages/engine/tests/simulation.h
@@ -5,7 +5,7 @@
  * Discrete-event simulation of the cluster around the engine: workers that
  * follow the worker API, a store, a policy service, and faults drawn from a
  * seed. The invariants are checked on the state of the workers. Included by
- * test_capacity.cc, test_load.cc, test_losses.cc, test_schedules.cc, test_takeover.cc and
+ * test_capacity.cc, test_load.cc, test_losses.cc, test_schedules.cc, test_speeds.cc, test_takeover.cc and
  * test_workers.cc.
  */
 
@@ -33,8 +33,8 @@
 		spec.team = str(team);
 		spec.priority = priority;
 		spec.max_attempts = attempts;
-		spec.stretch = 2;
-		spec.target_ms = 1000;
+		spec.stretch = stretch;
+		spec.target_ms = target_ms;
 		spec.advice.needed = advice;
 		spec.advice.decide_ms = 50;
 		spec.advice.each_ms = 1;
@@ -81,11 +81,13 @@
 		s.gang_ms = 3000;
 		s.former_owner_ms = 100;
 		s.entry_age_max_ms = entry_age_max_ms;
+		s.ignore_speeds = ignore_speeds;
 		callbacks.start = start_cb;
 		callbacks.stop = stop_cb;
 		callbacks.hold = hold_cb;
 		callbacks.advise = advise_cb;
 		callbacks.deposed = deposed_cb;
+		callbacks.worker_event = worker_event_cb;
 		callbacks.ctx = this;
 		engine = eng_new(&s, &callbacks, now);
 		batch_in_flight = false;
@@ -98,6 +100,9 @@
 					eng_job_cancel(engine, j.first, now);
 			}
 		}
+		for (auto &r : learned_records)
+			eng_learned_restore(engine, str(r.first), str(r.second),
+					    now);
 		for (auto &r : stored_records)
 			eng_job_restore(engine, r.first, str(r.second), now);
 		for (auto &j : jobs) {
@@ -156,11 +161,12 @@
 
 		if (!batch)
 			return;
-		std::vector<std::pair<uint64_t, std::string>> copy;
+		std::vector<Record> copy;
 		for (size_t i = 0; i < n; i++)
-			copy.emplace_back(records[i].job,
-					  std::string(records[i].bytes.data,
-						      records[i].bytes.len));
+			copy.push_back({ records[i].job,
+					 records[i].name ? records[i].name : "",
+					 std::string(records[i].bytes.data,
+						     records[i].bytes.len) });
 		eng_records_free(records, n);
 		batch_in_flight = true;
 		uint64_t e = epoch;
@@ -168,9 +174,8 @@
 			    [=] { store_batch(e, batch, copy); });
 	}
 
-	void store_batch(
-		uint64_t e, uint64_t batch,
-		const std::vector<std::pair<uint64_t, std::string>> &records)
+	void store_batch(uint64_t e, uint64_t batch,
+			 const std::vector<Record> &records)
 	{
 		if (e != epoch)
 			return;
@@ -180,7 +185,7 @@
 			return;
 		}
 		for (auto &r : records)
-			stored_records[r.first] = r.second;
+			store_record(r);
 		schedule_in(5, [=] {
 			if (e != epoch)
 				return;
@@ -189,6 +194,16 @@
 		});
 	}
 
+	void store_record(const Record &r)
+	{
+		if (r.name.empty()) {
+			stored_records[r.job] = r.bytes;
+			return;
+		}
+		learned_records[r.name] = r.bytes;
+		learned_bytes += r.name.size() + r.bytes.size();
+	}
+
 	void inject_faults()
 	{
 		Worker &w =
@@ -444,6 +459,8 @@
 						  (double)jobs[ref.job]
 							  .spec->steps[ref.step]
 							  .estimate_ms);
+				if (run_ms)
+					x.ends_ms = run_end_ms(w, r.key);
 				x.fails = chance(faults.fail_task);
 				if (w.up && w.boot_ms == boot_ms &&
 				    (w.reachable || delayed))
@@ -463,6 +480,20 @@
 			});
 	}
 
+	int64_t run_end_ms(const Worker &w, const TaskKey &key)
+	{
+		double ms = run_ms(w, key);
+
+		return ms < 0 ? -1 : now + (int64_t)(ms / w.speed);
+	}
+
+	static void worker_event_cb(void *ctx, const eng_worker_event *w)
+	{
+		((Simulation *)ctx)
+			->events_by_kind[w->what]
+			.insert(std::string(w->worker.data, w->worker.len));
+	}
+
 	static void stop_cb(void *ctx, struct vh_slice worker,
 			    struct vh_slice address, eng_task_ref task)
 	{
