Let gangs on unreliable estimates take faster workers

Cause: in the simulation of mixed workers, gangs whose estimates were far too low counted as in time on workers on which they were late.

Change: the speed that a step needs is calculated with the 90th percentile of the queue's ratios.

--- a/packages/engine/src/eng_priv.h
+++ b/packages/engine/src/eng_priv.h
@@ -209,6 +209,7 @@
  * @n_ratios: sum of @ratios
  * @ratios_unstored: samples since the histogram was stored
  * @usual_ratio: their median; 1 until there are enough
+ * @high_ratio: their 90th percentile, in the same way
  * @reliable: there are enough, and most of them are close to the median
  * @pending: jobs of which no task has started
  */
@@ -219,6 +220,7 @@
 	uint32_t n_ratios;
 	uint32_t ratios_unstored;
 	double usual_ratio;
+	double high_ratio;
 	bool reliable;
 	size_t pending;
 };
--- a/packages/engine/src/eng_speed.c
+++ b/packages/engine/src/eng_speed.c
@@ -38,18 +38,17 @@
 #define OVERDUE_SURE_FACTOR 10
 #define SLOW_BELOW 0.7 /* reported as slow */
 #define SLOW_UNTIL 0.8
-#define HIST_DECAY_AT 256     /* samples, so that a queue that changes shows */
-#define STEP_SAMPLES_MAX 8    /* of a step, in the histogram of its queue */
-#define QUEUE_SAMPLES_MIN 20  /* before the histogram counts */
-#define RELIABLE_BUCKETS 2    /* between the quartiles: a factor of 1.7 */
-#define BUCKET_MIDDLE 0.917   /* of its upper bound: 2^(-1/8) */
-#define OVERRUN_SHARE 0.25    /* least remaining time, per elapsed time */
-#define GANG_MARGIN 1.2	      /* of the expected time, as the slowest counts */
-#define BATCH_MARGIN 1.5      /* of the expected time on a slow worker */
-#define UNRELIABLE_MARGIN 1.7 /* of both, if the estimates are far off */
-#define VERY_SLOW 0.4	      /* speed below which steps with slack avoid it */
-#define SPEED_ANY 100.0	      /* above all speeds: the faster, the better */
-#define SLOWNESS_MAX 10.0     /* bound of the slowness in a cost */
+#define HIST_DECAY_AT 256    /* samples, so that a queue that changes shows */
+#define STEP_SAMPLES_MAX 8   /* of a step, in the histogram of its queue */
+#define QUEUE_SAMPLES_MIN 20 /* before the histogram counts */
+#define RELIABLE_BUCKETS 2   /* between the quartiles: a factor of 1.7 */
+#define BUCKET_MIDDLE 0.917  /* of its upper bound: 2^(-1/8) */
+#define OVERRUN_SHARE 0.25   /* least remaining time, per elapsed time */
+#define GANG_MARGIN 1.2	     /* of the expected time, as the slowest counts */
+#define BATCH_MARGIN 1.5     /* of the expected time on a slow worker */
+#define VERY_SLOW 0.4	     /* speed below which steps with slack avoid it */
+#define SPEED_ANY 100.0	     /* above all speeds: the faster, the better */
+#define SLOWNESS_MAX 10.0    /* bound of the slowness in a cost */
 
 static int by_value(const void *a, const void *b)
 {
@@ -79,11 +78,15 @@
 	unsigned int high;
 
 	q->usual_ratio = 1;
+	q->high_ratio = 1;
 	q->reliable = false;
 	if (q->n_ratios < QUEUE_SAMPLES_MIN)
 		return;
 	q->usual_ratio = ratio_of_bucket(
 		vh_hist_quantile(q->ratios, VH_RATIO_BUCKETS, q->n_ratios, 50));
+	/* Below a heavy tail, which no worker is fast enough for. */
+	q->high_ratio = ratio_of_bucket(
+		vh_hist_quantile(q->ratios, VH_RATIO_BUCKETS, q->n_ratios, 90));
 	low = vh_hist_quantile(q->ratios, VH_RATIO_BUCKETS, q->n_ratios, 25);
 	high = vh_hist_quantile(q->ratios, VH_RATIO_BUCKETS, q->n_ratios, 75);
 	q->reliable = high - low <= RELIABLE_BUCKETS;
@@ -493,8 +496,7 @@
 
 	if (left < expected)
 		left = (double)(s->job->cutoff_ms - e->now_ms) - rest;
-	if (!s->job->queue->reliable)
-		margin *= UNRELIABLE_MARGIN;
+	margin *= s->job->queue->high_ratio / s->job->queue->usual_ratio;
 	return left > 0 ? margin * expected / left : SPEED_ANY;
 }
 
--- a/packages/engine/tests/test_speeds.cc
+++ b/packages/engine/tests/test_speeds.cc
@@ -91,8 +91,8 @@
 		for (int64_t end = sim.now + ms; sim.now < end;) {
 			if (load && sim.chance(0.3))
 				submit(0, 3, 3000, 900);
-			if (load && sim.chance(0.04))
-				submit(1, 8, 2000, 4000);
+			if (load && sim.chance(0.02))
+				submit(1, 8, 6000, 4000);
 			if (load && sim.chance(0.06))
 				submit(2, 12, 1000, 2800);
 			sim.run_for(20, false);
@@ -150,7 +150,7 @@
 	       with[0], with[1], with[2], without[0], without[1], without[2]);
 	EXPECT_GT(with[0], without[0]);
 	EXPECT_GT(with[1], without[1]);
-	EXPECT_GE(with[2], with[0] - 0.02);
+	EXPECT_GE(with[2], with[0]);
 }
 
 struct Speeds : testing::Test {
