--- a/packages/engine/src/eng_speed.c
+++ b/packages/engine/src/eng_speed.c
@@ -21,8 +21,9 @@
 #define SAMPLES_MIN 3  /* at least, */
 /* Of the noise, per root of the samples: three times the error of a median. */
 #define SURE_FACTOR 4.7
-#define NOISE_WEIGHT_MIN 0.01 /* of a new distance from the median */
-#define NOISE_MAX 0.7	      /* bound of a distance, for a heavy tail */
+#define NOISE_WEIGHT_MIN 0.01  /* of a new distance from the median */
+#define NOISE_FIRST_SAMPLES 10 /* that the initial noise is worth */
+#define NOISE_MAX 0.7	       /* bound of a distance, for a heavy tail */
 /* The former owner has stored only speeds that were beyond its noise. */
 #define RESTORED_NOISE 0.2
 #define SPEED_MIN 0.02 /* bounds of a sample */
@@ -237,7 +238,9 @@
 		return;
 	distance =
 		fabs(log(speed) - newest_median(v, NULL, 0, SPEED_SAMPLES, 0));
-	weight = MAX(NOISE_WEIGHT_MIN, 1.0 / (10 + e->n_noise++));
+	weight =
+		MAX(NOISE_WEIGHT_MIN, 1.0 / (NOISE_FIRST_SAMPLES + e->n_noise));
+	e->n_noise++;
 	e->speed_noise += weight * (MIN(distance, NOISE_MAX) - e->speed_noise);
 }
 
