--- a/packages/engine/src/eng_advice.c
+++ b/packages/engine/src/eng_advice.c
@@ -128,6 +128,7 @@
 	double slots;	    /* expected number, by the chance of approval */
 	bool known;	    /* approved by an earlier answer */
 	bool reserved;	    /* a gang waits for it, or it is cold */
+	int speed_class;    /* of eng_speed_class() */
 	int latency_bucket; /* in units of LATENCY_BUCKET_MS */
 	uint64_t order;	    /* among equals; differs by step */
 };
@@ -153,6 +154,8 @@
 		return x->reserved ? 1 : -1;
 	if (x->known != y->known)
 		return x->known ? -1 : 1;
+	if (x->speed_class != y->speed_class)
+		return x->speed_class < y->speed_class ? -1 : 1;
 	if (x->latency_bucket != y->latency_bucket)
 		return x->latency_bucket < y->latency_bucket ? -1 : 1;
 	if (x->slots != y->slots)
@@ -242,6 +245,7 @@
 		.known = known,
 		.reserved = eng_worker_cold_for(e, s, w) ||
 			    (!gang && eng_recently_reserved(e, w)),
+		.speed_class = eng_speed_class(s, w),
 		.order = order_for(e, s, w),
 	};
 
--- a/packages/engine/src/eng_load.c
+++ b/packages/engine/src/eng_load.c
@@ -107,7 +107,7 @@
 	struct vh_slice name = eng_str(j->queue->name);
 	struct eng_queue_load *q = eng_load_find(l, name);
 	int64_t work = (int64_t)((double)waiting_work(s) *
-				 MIN(j->queue->run_ratio, 1.0));
+				 MIN(j->queue->usual_ratio, 1.0));
 	int64_t end_ms = e->now_ms + s->critical_path_ms;
 	int64_t expired_ms = end_ms - j->cutoff_ms;
 
--- a/packages/engine/src/eng_place.c
+++ b/packages/engine/src/eng_place.c
@@ -156,11 +156,16 @@
 /* The tasks of a gang that one worker can take. */
 struct part {
 	struct worker *w;
+	int speed_class;
 	uint32_t slots;
 	double cost;
 	bool cold;
 };
 
+/*
+ * Workers on which the gang is in time come first, by eng_speed_class(); the
+ * slowest member of a gang delays all.
+ */
 static int by_slots(gconstpointer a, gconstpointer b)
 {
 	const struct part *x = a;
@@ -168,6 +173,8 @@
 
 	if (x->cold != y->cold)
 		return x->cold ? 1 : -1;
+	if (x->speed_class != y->speed_class)
+		return x->speed_class < y->speed_class ? -1 : 1;
 	if (x->slots != y->slots)
 		return x->slots < y->slots ? 1 : -1;
 	if (x->cost != y->cost)
@@ -208,6 +215,7 @@
 		     struct parts *out)
 {
 	struct part part = { .w = w,
+			     .speed_class = eng_speed_class(s, w),
 			     .slots = eng_free_slots(e, s, w),
 			     .cold = eng_worker_cold_for(e, s, w) };
 
@@ -299,6 +307,7 @@
 	if (give_up(e, s))
 		return;
 	eng_step_examine(e, s);
+	eng_speed_plan(e, s);
 	if (s->spec->gang)
 		place_gang(e, s);
 	else
