Learn speeds from reliable estimates of all steps

Tasks of a step are mostly on few workers, which then are their own measure; nine samples can't tell 1.6 from chance at three times the error; and a queue whose workers differ counted as unreliable.

Change: steps of a queue with reliable estimates (a factor of 2.4 between the quartiles) are compared with them, 25 samples are kept, twice the error is enough.

--- a/packages/engine/src/eng_priv.h
+++ b/packages/engine/src/eng_priv.h
@@ -11,7 +11,7 @@
 #include "vh/engine.h"
 #include "vh/ratio_hist.h"
 
-#define SPEED_SAMPLES 9	      /* newest samples of a worker's speed */
+#define SPEED_SAMPLES 25      /* newest samples of a worker's speed */
 #define SPEED_FAST_COST 30.0  /* per unit of slowness, for urgent steps */
 #define SPEED_SLOW_BONUS 12.0 /* the same, for steps with slack */
 #define SPEED_CLASSES 64      /* distance between kinds of eng_speed_class() */
--- a/packages/engine/src/eng_speed.c
+++ b/packages/engine/src/eng_speed.c
@@ -19,8 +19,8 @@
 #define START_UNSURE_MS 500
 #define FALL_SAMPLES 5 /* the speed falls with the median of these, */
 #define SAMPLES_MIN 3  /* at least, */
-/* Of the noise, per root of the samples: three times the error of a median. */
-#define SURE_FACTOR 4.7
+/* Of the noise, per root of the samples: twice the error of a median. */
+#define SURE_FACTOR 3.1
 #define NOISE_WEIGHT_MIN 0.01  /* of a new distance from the median */
 #define NOISE_FIRST_SAMPLES 10 /* that the initial noise is worth */
 #define NOISE_MAX 0.7	       /* bound of a distance, for a heavy tail */
@@ -42,7 +42,7 @@
 #define HIST_DECAY_AT 256    /* samples, so that a queue that changes shows */
 #define STEP_SAMPLES_MAX 8   /* of a step, in the histogram of its queue */
 #define QUEUE_SAMPLES_MIN 20 /* before the histogram counts */
-#define RELIABLE_BUCKETS 2   /* between the quartiles: a factor of 1.7 */
+#define RELIABLE_BUCKETS 4   /* between the quartiles: a factor of 2.4 */
 #define BUCKET_MIDDLE 0.917  /* of its upper bound: 2^(-1/8) */
 #define OVERRUN_SHARE 0.25   /* least remaining time, per elapsed time */
 #define GANG_MARGIN 1.2	     /* of the expected time, as the slowest counts */
@@ -319,10 +319,19 @@
 	return n >= OTHERS_MIN;
 }
 
+static bool estimate_reliable(const struct step *s)
+{
+	return s->job->queue->reliable && s->spec->estimate_ms > 0;
+}
+
+/*
+ * The tasks of a step are often on few workers, which then are their own
+ * measure, so a reliable estimate is preferred.
+ */
 static void compare(struct engine *e, const struct step *s,
 		    const struct timed_run *r)
 {
-	if (comparable(s, r->w))
+	if (!estimate_reliable(s) && comparable(s, r->w))
 		add_sample(e, r->w, s->usual_ms / r->run_ms);
 }
 
@@ -347,12 +356,9 @@
 static void compare_with_queue(struct engine *e, const struct step *s,
 			       const struct timed_run *r)
 {
-	const struct queue *q = s->job->queue;
-
-	if (q->reliable && s->spec->estimate_ms > 0)
-		add_sample(e, r->w,
-			   (double)s->spec->estimate_ms * q->usual_ratio /
-				   r->run_ms);
+	add_sample(e, r->w,
+		   (double)s->spec->estimate_ms * s->job->queue->usual_ratio /
+			   r->run_ms);
 }
 
 /* Chosen by index: the first to end would be those that took least. */
@@ -395,7 +401,7 @@
 		return;
 	if (s->spec->n_tasks >= COMPARED_MIN)
 		compare_in_step(e, s, &r);
-	else
+	if (estimate_reliable(s))
 		compare_with_queue(e, s, &r);
 }
 
