Order steps at overload for the most jobs in time

Change: overload is recognised by service from what the waiting steps need, free room and how long tasks hold it, with hysteresis. Then, within a tier, steps that are due to a team or class short of its minimum share go first, then those that can end in time; jobs that have begun and those with the least work left go first within a priority. Steps without value wait for idle room and ask for no advice. Room is kept for urgent arrivals.

--- a/packages/cell/src/owner_engine.c
+++ b/packages/cell/src/owner_engine.c
@@ -203,6 +203,65 @@
 			 (uint64_t)MAX(m->took_ms, 0) * US_PER_MS);
 }
 
+static void on_overload(void *ctx, const struct eng_overload_event *event)
+{
+	const char *what = event->active ? "overload begins" : "overload ends";
+	char cpu[48];
+	char waiting[48];
+	char hold[24];
+	char lasted[24];
+	char *service = vh_slice_dup(event->service);
+
+	count_event(ctx, "vh_overload_events_total", what);
+	g_snprintf(cpu, sizeof(cpu), "%" PRId64 "/%" PRId64, event->free_cpu,
+		   event->cpu_capacity);
+	g_snprintf(waiting, sizeof(waiting), "%" PRId64 "/%" PRId64,
+		   event->at_risk_cpu, event->waiting_cpu);
+	g_snprintf(hold, sizeof(hold), "%" PRId64, event->hold_ms);
+	g_snprintf(lasted, sizeof(lasted), "%" PRId64, event->lasted_ms);
+	vh_log(event->active ? G_LOG_LEVEL_WARNING : G_LOG_LEVEL_INFO, what,
+	       "service", service, "free_cpu", cpu, "at_risk_cpu", waiting,
+	       "hold_ms", hold, "lasted_ms", lasted, NULL);
+	g_free(service);
+}
+
+static void set_waiting(struct owner *o, const struct eng_waiting *w,
+			const char *state, uint32_t n)
+{
+	char labels[ENG_NAME_MAX + 80];
+
+	g_snprintf(labels, sizeof(labels),
+		   "team=\"%.*s\",class=\"%u\",state=\"%s\"",
+		   VH_SLICE_ARGS(w->team), w->priority, state);
+	*vh_metrics_gauge(&o->kernel->metrics, "vh_overload_waiting_tasks",
+			  labels) = n;
+}
+
+static void on_waiting(void *ctx, const struct eng_waiting *w)
+{
+	struct owner *o = ctx;
+	char class[12];
+	char tasks[72];
+	char ahead[24];
+	char wait[24];
+	char *team = vh_slice_dup(w->team);
+
+	set_waiting(o, w, "in_time", w->in_time);
+	set_waiting(o, w, "doubtful", w->doubtful);
+	set_waiting(o, w, "late", w->late);
+	set_waiting(o, w, "over_share", w->over_share);
+	set_waiting(o, w, "no_value", w->no_value);
+	g_snprintf(class, sizeof(class), "%u", w->priority);
+	g_snprintf(tasks, sizeof(tasks), "%u/%u/%u/%u/%u", w->in_time,
+		   w->doubtful, w->late, w->over_share, w->no_value);
+	g_snprintf(ahead, sizeof(ahead), "%" PRId64, w->ahead_cpu);
+	g_snprintf(wait, sizeof(wait), "%" PRId64, w->wait_ms);
+	vh_log(G_LOG_LEVEL_INFO, "waits at overload", "team", team, "class",
+	       class, "tasks", tasks, "ahead_cpu", ahead, "wait_ms", wait,
+	       NULL);
+	g_free(team);
+}
+
 void owner_record_append_time(struct owner *o, int64_t took_ms)
 {
 	vh_histogram_add(vh_metrics_histogram(&o->kernel->metrics,
@@ -223,6 +282,8 @@
 		.worker_event = on_worker_event,
 		.decided = on_decided,
 		.milestone = on_milestone,
+		.overload = on_overload,
+		.waiting = on_waiting,
 		.ctx = o,
 	};
 
--- a/packages/engine/include/vh/engine.h
+++ b/packages/engine/include/vh/engine.h
@@ -29,6 +29,7 @@
  * @former_owner_ms: how long a former owner may still renew leases
  * @entry_age_max_ms: how old a worker's entry in the fleet's list may be when a
  *		      task is started on it, 0: any age
+ * @overload_order: at overload, order the waiting steps as eng_order.c says
  */
 struct eng_settings {
 	uint64_t fence;
@@ -38,6 +39,7 @@
 	int64_t gang_ms;
 	int64_t former_owner_ms;
 	int64_t entry_age_max_ms;
+	bool overload_order;
 };
 
 enum eng_job_status {
@@ -213,6 +215,51 @@
 	int64_t took_ms;
 };
 
+/**
+ * struct eng_overload_event - overload of a service's workers begins or ends
+ * @active: it begins
+ * @lasted_ms: for an end, time since the beginning
+ * @cpu_capacity: thousandths of a processor of the usable workers
+ * @free_cpu: what is free of it, counted in whole tasks of the usual size
+ * @waiting_cpu: what the waiting tasks need that can still be in time
+ * @at_risk_cpu: the part of it that would be late in the usual order
+ * @hold_ms: how long a task holds its room
+ */
+struct eng_overload_event {
+	struct vh_slice service;
+	bool active;
+	int64_t lasted_ms;
+	int64_t cpu_capacity;
+	int64_t free_cpu;
+	int64_t waiting_cpu;
+	int64_t at_risk_cpu;
+	int64_t hold_ms;
+};
+
+/**
+ * struct eng_waiting - what waits of one team and class during an overload
+ * @priority: the class; the last one includes all higher numbers
+ * @in_time: waiting tasks that are expected to end in time
+ * @doubtful: that are in time only if the wait is shorter than expected
+ * @late: past the objective, before the cutoff
+ * @over_share: of jobs beyond the share of the team
+ * @no_value: past the cutoff, or late and over the share
+ * @ahead_cpu: what the steps ahead of the first of them need, in thousandths of
+ *	       a processor
+ * @wait_ms: expected wait of the first of them for room
+ */
+struct eng_waiting {
+	struct vh_slice team;
+	uint32_t priority;
+	uint32_t in_time;
+	uint32_t doubtful;
+	uint32_t late;
+	uint32_t over_share;
+	uint32_t no_value;
+	int64_t ahead_cpu;
+	int64_t wait_ms;
+};
+
 /**
  * struct eng_callbacks - requests and notifications of the engine
  * @start: sends a start request; eng_start_reply() reports the result
@@ -225,6 +272,10 @@
  * @worker_event: a worker changed; not called during recovery; may be NULL
  * @decided: logs a decision; may be NULL
  * @milestone: a job started or ended; may be NULL
+ * @overload: an overload begins or ends; may be NULL
+ * @waiting: once a second during an overload for each team and class with
+ *	     waiting tasks, and once with zeros after the last of them; may be
+ *	     NULL
  */
 struct eng_callbacks {
 	void (*start)(void *ctx, const struct eng_start_request *request);
@@ -237,6 +288,8 @@
 	void (*worker_event)(void *ctx, const struct eng_worker_event *w);
 	void (*decided)(void *ctx, const struct eng_decision *d);
 	void (*milestone)(void *ctx, const struct eng_milestone *m);
+	void (*overload)(void *ctx, const struct eng_overload_event *o);
+	void (*waiting)(void *ctx, const struct eng_waiting *w);
 	void *ctx;
 };
 
--- a/packages/engine/src/eng_place.c
+++ b/packages/engine/src/eng_place.c
@@ -82,6 +82,7 @@
 	t->store_batch = e->open_batch;
 	eng_task_set_state(e, t, TASK_STORING);
 	g_queue_push_tail(&e->storing, t);
+	eng_floor_placed(e, t->step);
 	eng_report_decision(e, "place", t, w);
 }
 
@@ -93,7 +94,7 @@
 
 		if (t->worker || t->done)
 			continue;
-		if (!eng_team_quota_allows(s, 1))
+		if (!eng_team_quota_allows(s, 1) || !eng_headroom_allows(s, 1))
 			return;
 		w = best_worker(e, t);
 		if (!w)
@@ -151,7 +152,8 @@
 	uint64_t n_slots = 0;
 	size_t n = 0;
 
-	if (s->n_placed || !eng_team_quota_allows(s, s->spec->n_tasks))
+	if (s->n_placed || !eng_team_quota_allows(s, s->spec->n_tasks) ||
+	    !eng_headroom_allows(s, s->spec->n_tasks))
 		return;
 	parts = g_new(struct part, e->worker_list->len + 1);
 	for (guint i = 0; i < e->worker_list->len; i++) {
@@ -211,9 +213,29 @@
 	return false;
 }
 
+/*
+ * At overload, a step without value waits for as long as others of its service
+ * do, and does not ask for advice.
+ */
+static bool deferred(struct engine *e, struct step *s)
+{
+	if (!s->ranked || s->tier != TIER_LAST || !s->job->pool->others_wait)
+		return false;
+	s->reservation_active = false;
+	report_wait(e, s, "without value, waits behind all others");
+	return true;
+}
+
+/* Whether the step still waits for something other than its team's limit. */
+static void note_waiting(struct step *s)
+{
+	if (s->tier != TIER_LAST && eng_team_quota_allows(s, 1))
+		s->job->pool->others_wait = true;
+}
+
 static void place_step(struct engine *e, struct step *s)
 {
-	if (give_up(e, s))
+	if (give_up(e, s) || deferred(e, s))
 		return;
 	if (s->spec->gang)
 		place_gang(e, s);
@@ -221,6 +243,7 @@
 		place_tasks(e, s);
 	if (!s->n_waiting)
 		return;
+	note_waiting(s);
 	if (s->spec->gang && !s->n_placed)
 		handle_waiting_gang(e, s);
 	else
@@ -231,7 +254,7 @@
 {
 	GPtrArray *steps;
 
-	if (!e->runnable_steps->len)
+	if (!e->runnable_steps->len && !e->settings.overload_order)
 		return;
 	avoid_failing_workers(e);
 	eng_reservations_clear(e);
--- a/packages/engine/src/eng_priv.h
+++ b/packages/engine/src/eng_priv.h
@@ -101,6 +101,20 @@
 	int64_t expires_ms;
 };
 
+enum tier {
+	TIER_IN_TIME,
+	TIER_LATE,
+	TIER_OVER_SHARE, /* in time, but beyond the share of its team */
+	TIER_LAST	 /* past the cutoff, or late and over the share */
+};
+
+/* Order within a tier at overload. */
+enum band {
+	BAND_FLOOR,   /* its team or class is short of its minimum share */
+	BAND_CAN,     /* expected to end before the limit of its tier */
+	BAND_DOUBTFUL /* only if the wait for room is shorter than expected */
+};
+
 /**
  * struct step
  * @n_waiting: tasks that are neither done nor assigned to a worker
@@ -112,7 +126,7 @@
  * @advice_pending: a call to the policy service is in flight
  * @next_advice_ms: earliest time of the next call to the policy service
  * @advice_by_worker: struct worker to struct worker_advice
- * @tier: position in the order of placement, an enum tier
+ * @tier: position in the order of placement
  * @wait_reason: why its tasks wait, constant text; NULL: not reported yet
  * @reservations: of a waiting gang: struct reservation, the workers that it
  *		  is expected to fit on
@@ -124,6 +138,11 @@
  * @plan_expires_ms: when @reservations are chosen again
  * @next_preempt_ms: earliest time of the next preemption for this gang
  * @has_losses: some of its tasks had losses
+ * @ranked: its service is overloaded; the next three order it then
+ * @band: position within the tier
+ * @begun: some task of the job has started
+ * @remaining_work: of the job's waiting tasks, see eng_step_work()
+ * @ahead_cpu: what the steps before it need, in thousandths of a processor
  */
 struct step {
 	struct job *job;
@@ -139,7 +158,7 @@
 	bool advice_pending;
 	int64_t next_advice_ms;
 	GHashTable *advice_by_worker;
-	double tier;
+	enum tier tier;
 	int64_t latest_start_ms;
 	const char *wait_reason;
 	GArray *reservations;
@@ -149,6 +168,72 @@
 	int64_t plan_expires_ms;
 	int64_t next_preempt_ms;
 	bool has_losses;
+	bool ranked;
+	enum band band;
+	bool begun;
+	double remaining_work;
+	int64_t ahead_cpu;
+};
+
+/* Priorities that are told apart at overload; higher ones share the last. */
+#define ENG_CLASSES 8
+
+/**
+ * struct floor - minimum share of the placements for one team or class
+ * @deficit: work that it is short of its minimum, see eng_step_work()
+ * @placed: work placed since the last pass
+ * @left: work to place first in this pass
+ * @waiting: it has steps that could be placed in time
+ */
+struct floor {
+	double deficit;
+	double placed;
+	double left;
+	bool waiting;
+};
+
+/**
+ * struct pool - the workers of one service and the steps that wait for them
+ * @service: interned
+ * @capacity: of the usable workers
+ * @free_cpu: of @capacity, in whole tasks of the usual size
+ * @waiting_cpu: what waiting tasks need that can be in time
+ * @waiting_tasks: their number
+ * @waiting_work: the same, times their usual duration
+ * @at_risk_cpu: the part of @waiting_cpu that the usual order makes late
+ * @ahead_cpu: needs of the steps looked at so far, in a walk along the order
+ * @hold_work: sum of @hold_cpu times how long it was held
+ * @hold_cpu: what ended runs held, decaying
+ * @overloaded: the order for overload is in force
+ * @since_ms: when the present overload began
+ * @change_since_ms: since when the inputs contradict @overloaded, 0: they do not
+ * @others_wait: steps that may have a value wait, in the current pass
+ * @urgent_arrived: work of urgent jobs since @urgent_from_ms, in thousandths of
+ *		    a processor times milliseconds
+ * @urgent_rate: moving average of the processors that these arrivals keep busy
+ * @urgent_used: what urgent tasks hold now
+ * @headroom: thousandths of a processor kept free of the least urgent work
+ */
+struct pool {
+	const char *service;
+	struct eng_resources capacity;
+	int64_t free_cpu;
+	int64_t waiting_cpu;
+	int64_t waiting_tasks;
+	double waiting_work;
+	int64_t at_risk_cpu;
+	int64_t ahead_cpu;
+	double hold_work;
+	double hold_cpu;
+	bool overloaded;
+	int64_t since_ms;
+	int64_t change_since_ms;
+	bool others_wait;
+	double urgent_arrived;
+	int64_t urgent_from_ms;
+	double urgent_rate;
+	int64_t urgent_used;
+	int64_t headroom;
 };
 
 /* Resources for @slots tasks of a gang, reserved on one worker. */
@@ -163,6 +248,9 @@
  *	    within its share; 0: unlimited
  * @cap: upper limit of @used; 0 in a field: no limit
  * @share_tokens: tokens in the bucket at @share_refilled_ms
+ * @floor: at overload
+ * @waiting: what waits by class, in the report of a running overload
+ * @reported: in the engine's list of teams in that report
  */
 struct team {
 	char *name;
@@ -171,6 +259,9 @@
 	struct eng_resources used;
 	double share_tokens;
 	int64_t share_refilled_ms;
+	struct floor floor;
+	struct eng_waiting waiting[ENG_CLASSES];
+	bool reported;
 };
 
 /**
@@ -193,6 +284,8 @@
  *	  of its tasks is placed
  * @stored_record: state stored by the former owner, kept until @spec is known
  * @service: name of the workers that run it, interned
+ * @pool: these workers
+ * @remaining_work: of its waiting tasks, in the pass @ranked_pass
  * @status_batch: batch that stores the end of the job; callers may see the end
  *		  once it is durable
  * @started: some task has started, or the job has ended
@@ -208,6 +301,9 @@
 	struct team *team;
 	struct queue *queue;
 	const char *service;
+	struct pool *pool;
+	double remaining_work;
+	uint64_t ranked_pass;
 	struct step *steps;
 	size_t n_steps_done;
 	enum eng_job_status status;
@@ -314,6 +410,11 @@
  * @reserved_cpu: thousandths of a processor reserved for gangs, in the current
  *		  placement pass
  * @cpu_capacity: thousandths of a processor of all listed workers
+ * @pools: struct pool, one per service
+ * @class_floors: by class, at overload
+ * @ranked_pass: number of the last pass in the order for overload
+ * @next_waiting_ms: when what waits is reported next
+ * @reported_teams: struct team, those in the report of what waits
  */
 struct engine {
 	struct eng_settings settings;
@@ -337,6 +438,11 @@
 	int64_t next_learned_ms;
 	int64_t reserved_cpu;
 	int64_t cpu_capacity;
+	GPtrArray *pools;
+	struct floor class_floors[ENG_CLASSES];
+	uint64_t ranked_pass;
+	int64_t next_waiting_ms;
+	GPtrArray *reported_teams;
 	int64_t now_ms;
 	struct eng_stats stats;
 };
@@ -473,6 +579,46 @@
 /* eng_order_steps - appends the runnable steps in the order of placement */
 void eng_order_steps(struct engine *e, GPtrArray *out);
 
+/* eng_floor.c: minimum shares of teams and classes at overload */
+/* eng_floors_begin - updates the deficits; @steps are the waiting ones */
+void eng_floors_begin(struct engine *e, const GPtrArray *steps);
+/* eng_floor_take - charges a step to the minimum shares of its team and class;
+ * false: neither is short of its share */
+bool eng_floor_take(struct engine *e, struct step *s);
+/* eng_floor_placed - a task was placed */
+void eng_floor_placed(struct engine *e, const struct step *s);
+/* eng_step_class - the class of a step's priority */
+uint32_t eng_step_class(const struct step *s);
+
+/* eng_overload.c: recognition of overload, and room kept for urgent work */
+struct pool *eng_pool_get(struct engine *e, const char *service);
+/**
+ * eng_overload_update - decides for each pool whether it is overloaded
+ * @steps: the waiting steps in the usual order
+ *
+ * Returns whether any pool is.
+ */
+bool eng_overload_update(struct engine *e, const GPtrArray *steps);
+/* eng_pool_wait_ms - expected time until @cpu more is free for waiting steps */
+int64_t eng_pool_wait_ms(const struct pool *p, int64_t cpu);
+/* eng_step_cpu - what the waiting tasks of a step need */
+int64_t eng_step_cpu(const struct step *s);
+/* eng_step_work - usual work of @n tasks of a step: milliseconds times the
+ * dominant share of the service's capacity */
+double eng_step_work(const struct step *s, uint32_t n);
+void eng_overload_job_added(struct engine *e, const struct job *j);
+void eng_overload_assigned(const struct task *t);
+void eng_overload_released(const struct engine *e, const struct task *t);
+/* eng_headroom_allows - @n tasks of a step leave enough room for urgent work */
+bool eng_headroom_allows(const struct step *s, int64_t n);
+
+/* eng_waiting.c */
+/**
+ * eng_waiting_report - reports by team and class what waits, if it is due
+ * @steps: the waiting steps, in order
+ */
+void eng_waiting_report(struct engine *e, const GPtrArray *steps);
+
 /* eng_cost.c */
 /* eng_placement_cost - cost of placing a task of a step on a worker; lower is
  * better */
--- a/packages/engine/src/eng_tasks.c
+++ b/packages/engine/src/eng_tasks.c
@@ -65,6 +65,7 @@
 	eng_resources_add(&w->used, s->spec, 1);
 	eng_resources_add(&s->job->team->used, s->spec, 1);
 	g_ptr_array_add(w->tasks, t);
+	eng_overload_assigned(t);
 	if (eng_task_needs_trial(t))
 		w->trial = t;
 	s->n_placed++;
@@ -85,6 +86,7 @@
 	eng_resources_add(&w->used, s->spec, -1);
 	eng_resources_add(&s->job->team->used, s->spec, -1);
 	g_ptr_array_remove_fast(w->tasks, t);
+	eng_overload_released(e, t);
 	if (w->trial == t)
 		w->trial = NULL;
 	t->worker = NULL;
--- a/packages/engine/src/engine.c
+++ b/packages/engine/src/engine.c
@@ -81,6 +81,8 @@
 	e->runnable_steps = g_ptr_array_new();
 	e->dirty = g_ptr_array_new();
 	e->ended_jobs = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	e->pools = g_ptr_array_new_with_free_func(g_free);
+	e->reported_teams = g_ptr_array_new();
 	g_queue_init(&e->storing);
 	return e;
 }
@@ -92,6 +94,8 @@
 	g_queue_clear(&e->storing);
 	g_ptr_array_free(e->dirty, TRUE);
 	g_array_free(e->ended_jobs, TRUE);
+	g_ptr_array_free(e->pools, TRUE);
+	g_ptr_array_free(e->reported_teams, TRUE);
 	g_ptr_array_free(e->runnable_steps, TRUE);
 	g_hash_table_destroy(e->jobs);
 	g_ptr_array_free(e->worker_list, TRUE);
@@ -312,6 +316,7 @@
 	j->team = eng_team_get(e, spec->team);
 	j->queue = queue_get(e, spec->queue);
 	j->service = eng_intern(spec->service);
+	j->pool = eng_pool_get(e, j->service);
 	j->queue->pending++;
 	job_init_steps(j);
 	j->accepted_ms = now_ms - age;
@@ -323,6 +328,7 @@
 	j->over_share = e->ready && !eng_team_take_token(j->team, now_ms);
 	if (j->over_share)
 		eng_job_mark_dirty(e, j);
+	eng_overload_job_added(e, j);
 	job_apply_record(e, j);
 }
 
--- a/packages/engine/tests/sim_state.h
+++ b/packages/engine/tests/sim_state.h
@@ -411,6 +411,17 @@
 		tickets; /* by job, step and worker: expiry */
 	std::set<std::string> asked_workers; /* in requests for advice */
 	int64_t entry_age_max_ms = 0;	     /* setting of the engine */
+	bool overload_order = false;	     /* setting of the engine */
+	std::vector<eng_team> teams;	     /* set in each engine */
+	int advice_nodes = 0; /* that make one call at a time, 0: no limit */
+	int busy_nodes = 0;
+	/* Duration of a task, if not drawn below its estimate. */
+	std::function<int64_t(const TaskKey &, int64_t estimate_ms)> run_ms;
+	std::vector<std::tuple<int64_t, std::string, TaskKey>> start_log;
+	/* Time, job, and whether it was during a reported overload. */
+	std::vector<std::tuple<int64_t, uint64_t, bool>> advice_log;
+	int overloads = 0, overload_ends = 0, waiting_reports = 0;
+	bool in_overload = false;
 	int starts = 0, holds = 0, advice_requests = 0, expired_leases = 0,
 	    stale_tickets = 0;
 	std::string service = "svc", team = "team", payload = "spec",
--- a/packages/engine/tests/simulation.h
+++ b/packages/engine/tests/simulation.h
@@ -5,8 +5,7 @@
  * Discrete-event simulation of the cluster around the engine: workers that
  * follow the worker API, a store, a policy service, and faults drawn from a
  * seed. The invariants are checked on the state of the workers. Included by
- * test_capacity.cc, test_load.cc, test_losses.cc, test_schedules.cc, test_takeover.cc and
- * test_workers.cc.
+ * the test_*.cc of this directory.
  */
 
 #include "sim_state.h"
@@ -81,14 +80,22 @@
 		s.gang_ms = 3000;
 		s.former_owner_ms = 100;
 		s.entry_age_max_ms = entry_age_max_ms;
+		s.overload_order = overload_order;
 		callbacks.start = start_cb;
 		callbacks.stop = stop_cb;
 		callbacks.hold = hold_cb;
 		callbacks.advise = advise_cb;
 		callbacks.deposed = deposed_cb;
+		if (advice_nodes)
+			callbacks.advice_available = advice_available_cb;
+		callbacks.overload = overload_cb;
+		callbacks.waiting = waiting_cb;
 		callbacks.ctx = this;
 		engine = eng_new(&s, &callbacks, now);
 		batch_in_flight = false;
+		busy_nodes = 0;
+		in_overload = false;
+		eng_set_teams(engine, teams.data(), teams.size());
 		for (auto &w : workers)
 			list_worker(w);
 		if (jobs_first) {
@@ -411,6 +418,7 @@
 			});
 			return;
 		}
+		start_log.emplace_back(now, id, r.key);
 		r.need = s.need;
 		bool ticket = jobs[ref.job].spec->advice.needed;
 
@@ -444,6 +452,14 @@
 						  (double)jobs[ref.job]
 							  .spec->steps[ref.step]
 							  .estimate_ms);
+				if (run_ms)
+					x.ends_ms =
+						now +
+						run_ms(r.key,
+						       jobs[ref.job]
+							       .spec
+							       ->steps[ref.step]
+							       .estimate_ms);
 				x.fails = chance(faults.fail_task);
 				if (w.up && w.boot_ms == boot_ms &&
 				    (w.reachable || delayed))
@@ -621,6 +637,32 @@
 		});
 	}
 
+	static bool advice_available_cb(void *ctx, double cost_ms)
+	{
+		auto *sim = (Simulation *)ctx;
+
+		(void)cost_ms;
+		return sim->busy_nodes < sim->advice_nodes;
+	}
+
+	static void overload_cb(void *ctx, const eng_overload_event *o)
+	{
+		auto *sim = (Simulation *)ctx;
+
+		if (o->active == sim->in_overload)
+			sim->add_violation("overload reported twice");
+		sim->in_overload = o->active;
+		sim->overloads += o->active;
+		sim->overload_ends += !o->active;
+	}
+
+	static void waiting_cb(void *ctx, const eng_waiting *w)
+	{
+		auto *sim = (Simulation *)ctx;
+
+		sim->waiting_reports += w->team.len > 0;
+	}
+
 	static bool advise_cb(void *ctx, const eng_advice_request *a)
 	{
 		((Simulation *)ctx)->on_advise(a);
@@ -644,6 +686,8 @@
 		uint32_t step = a->step;
 
 		advice_requests++;
+		advice_log.emplace_back(now, job, in_overload);
+		busy_nodes++;
 		for (size_t i = 0; i < a->n; i++)
 			ids.emplace_back(a->workers[i].data, a->workers[i].len);
 		asked_workers.insert(ids.begin(), ids.end());
@@ -653,6 +697,7 @@
 
 			if (e != epoch)
 				return;
+			busy_nodes--;
 			for (auto &id : ids) {
 				requested.push_back(str(id));
 				if (!is_approved(job, step, id))
