Spend no calls on work that cannot use the answer at overload

Cause: steps kept off the room for urgent work still asked for advice, and steps without value of other services took calls from those that wait.

Change: neither asks while an overload lasts. The order moves the doubtful steps in one walk instead of a third sort. Without waiting steps a pass does nothing but end a running overload.

--- a/packages/cell/src/owner_engine.c
+++ b/packages/cell/src/owner_engine.c
@@ -246,10 +246,9 @@
 	char wait[24];
 	char *team = vh_slice_dup(w->team);
 
-	set_waiting(o, w, "in_time", w->in_time);
-	set_waiting(o, w, "doubtful", w->doubtful);
-	set_waiting(o, w, "late", w->late);
-	set_waiting(o, w, "over_share", w->over_share);
+	/* Few states, since each is a series for every team and class. */
+	set_waiting(o, w, "in_time", w->in_time + w->doubtful);
+	set_waiting(o, w, "late", w->late + w->over_share);
 	set_waiting(o, w, "no_value", w->no_value);
 	g_snprintf(class, sizeof(class), "%u", w->priority);
 	g_snprintf(tasks, sizeof(tasks), "%u/%u/%u/%u/%u", w->in_time,
--- a/packages/engine/include/vh/engine.h
+++ b/packages/engine/include/vh/engine.h
@@ -273,7 +273,7 @@
  * @decided: logs a decision; may be NULL
  * @milestone: a job started or ended; may be NULL
  * @overload: an overload begins or ends; may be NULL
- * @waiting: once a second during an overload for each team and class with
+ * @waiting: every two seconds during an overload for each team and class with
  *	     waiting tasks, and once with zeros after the last of them; may be
  *	     NULL
  */
--- a/packages/engine/src/eng_order.c
+++ b/packages/engine/src/eng_order.c
@@ -95,6 +95,10 @@
 	if (!s->ranked)
 		return;
 	s->band = BAND_CAN;
+	s->begun = false;
+	s->remaining_work = 0;
+	if (s->tier == TIER_LAST)
+		return;
 	s->begun = s->job->started || s->n_placed;
 	s->remaining_work = remaining_work(e, s->job);
 }
@@ -132,6 +136,30 @@
 	}
 }
 
+/* Moves the doubtful steps behind the others of their tier, in O(n). */
+static void move_doubtful(GPtrArray *steps)
+{
+	GPtrArray *doubtful = g_ptr_array_sized_new(steps->len);
+	enum tier tier = TIER_IN_TIME;
+	guint n = 0;
+
+	for (guint i = 0; i <= steps->len; i++) {
+		struct step *s = i < steps->len ? steps->pdata[i] : NULL;
+
+		if (!s || s->tier != tier) {
+			for (guint k = 0; k < doubtful->len; k++)
+				steps->pdata[n++] = doubtful->pdata[k];
+			g_ptr_array_set_size(doubtful, 0);
+			tier = s ? s->tier : tier;
+		}
+		if (s && s->ranked && s->band == BAND_DOUBTFUL)
+			g_ptr_array_add(doubtful, s);
+		else if (s)
+			steps->pdata[n++] = s;
+	}
+	g_ptr_array_free(doubtful, TRUE);
+}
+
 static void order_for_overload(struct engine *e, GPtrArray *steps)
 {
 	e->ranked_pass++;
@@ -146,7 +174,7 @@
 	}
 	g_ptr_array_sort(steps, by_band);
 	find_doubtful(e, steps);
-	g_ptr_array_sort(steps, by_band);
+	move_doubtful(steps);
 }
 
 void eng_order_steps(struct engine *e, GPtrArray *out)
@@ -170,3 +198,15 @@
 	if (overloaded || e->reported_teams->len)
 		eng_waiting_report(e, out);
 }
+
+void eng_order_idle(struct engine *e)
+{
+	bool overloaded = false;
+
+	for (guint i = 0; i < e->pools->len; i++)
+		overloaded |= ((struct pool *)e->pools->pdata[i])->overloaded;
+	if (overloaded)
+		eng_overload_update(e, e->runnable_steps);
+	if (overloaded || e->reported_teams->len)
+		eng_waiting_report(e, e->runnable_steps);
+}
--- a/packages/engine/src/eng_overload.c
+++ b/packages/engine/src/eng_overload.c
@@ -234,8 +234,7 @@
 	for (guint i = 0; i < e->pools->len; i++)
 		clear_inputs(e->pools->pdata[i]);
 	add_waiting(steps);
-	if (steps->len)
-		add_workers(e);
+	add_workers(e);
 	add_at_risk(e, steps);
 	for (guint i = 0; i < e->pools->len; i++) {
 		struct pool *p = e->pools->pdata[i];
--- a/packages/engine/src/eng_place.c
+++ b/packages/engine/src/eng_place.c
@@ -194,7 +194,8 @@
 		reason = "gang waits for its team's limit";
 	}
 	report_wait(e, s, reason);
-	eng_request_advice(e, s);
+	if (s->tier != TIER_LAST || !e->advice_wanted)
+		eng_request_advice(e, s);
 	eng_gang_preempt(e, s);
 	eng_gang_reserve(e, s);
 }
@@ -227,10 +228,27 @@
 }
 
 /* Whether the step still waits for something other than its team's limit. */
-static void note_waiting(struct step *s)
+static void note_waiting(struct engine *e, struct step *s)
+{
+	if (s->tier == TIER_LAST || !eng_team_quota_allows(s, 1))
+		return;
+	s->job->pool->others_wait = true;
+	if (s->ranked && s->job->spec->advice.needed)
+		e->advice_wanted = true;
+}
+
+/*
+ * At overload, calls to the policy service are for steps that may have a value,
+ * and that could use the answer.
+ */
+static bool advice_useful(struct engine *e, struct step *s)
 {
-	if (s->tier != TIER_LAST && eng_team_quota_allows(s, 1))
-		s->job->pool->others_wait = true;
+	if (s->tier == TIER_LAST && e->advice_wanted)
+		return false;
+	if (eng_headroom_allows(s, 1))
+		return true;
+	report_wait(e, s, "waits, room is kept for urgent work");
+	return false;
 }
 
 static void place_step(struct engine *e, struct step *s)
@@ -243,10 +261,10 @@
 		place_tasks(e, s);
 	if (!s->n_waiting)
 		return;
-	note_waiting(s);
+	note_waiting(e, s);
 	if (s->spec->gang && !s->n_placed)
 		handle_waiting_gang(e, s);
-	else
+	else if (advice_useful(e, s))
 		eng_request_advice(e, s);
 }
 
@@ -254,10 +272,13 @@
 {
 	GPtrArray *steps;
 
-	if (!e->runnable_steps->len && !e->settings.overload_order)
+	if (!e->runnable_steps->len) {
+		eng_order_idle(e);
 		return;
+	}
 	avoid_failing_workers(e);
 	eng_reservations_clear(e);
+	e->advice_wanted = false;
 	steps = g_ptr_array_sized_new(e->runnable_steps->len);
 	eng_order_steps(e, steps);
 	for (guint i = 0; i < steps->len; i++)
--- a/packages/engine/src/eng_priv.h
+++ b/packages/engine/src/eng_priv.h
@@ -411,6 +411,8 @@
  *		  placement pass
  * @cpu_capacity: thousandths of a processor of all listed workers
  * @pools: struct pool, one per service
+ * @advice_wanted: in the current pass, a step of an overloaded service that may
+ *		   have a value waits for advice
  * @class_floors: by class, at overload
  * @ranked_pass: number of the last pass in the order for overload
  * @next_waiting_ms: when what waits is reported next
@@ -439,6 +441,7 @@
 	int64_t reserved_cpu;
 	int64_t cpu_capacity;
 	GPtrArray *pools;
+	bool advice_wanted;
 	struct floor class_floors[ENG_CLASSES];
 	uint64_t ranked_pass;
 	int64_t next_waiting_ms;
@@ -578,6 +581,8 @@
 /* eng_order.c */
 /* eng_order_steps - appends the runnable steps in the order of placement */
 void eng_order_steps(struct engine *e, GPtrArray *out);
+/* eng_order_idle - no step waits, so a running overload may end */
+void eng_order_idle(struct engine *e);
 
 /* eng_floor.c: minimum shares of teams and classes at overload */
 /* eng_floors_begin - updates the deficits; @steps are the waiting ones */
--- a/packages/engine/src/eng_waiting.c
+++ b/packages/engine/src/eng_waiting.c
@@ -1,7 +1,7 @@
 #include "eng_priv.h"
 
 /* Report by team and class of what waits during an overload, and behind what. */
-#define REPORT_INTERVAL_MS 1000
+#define REPORT_INTERVAL_MS 2000
 
 static uint32_t *count_for(struct eng_waiting *w, const struct step *s)
 {
