--- a/packages/engine/src/eng_place.c
+++ b/packages/engine/src/eng_place.c
@@ -131,6 +131,7 @@
 	eng_task_set_state(e, t, TASK_STORING);
 	g_queue_push_tail(&e->storing, t);
 	w->zone->used_cpu += t->step->spec->need.cpu_milli;
+	eng_floor_placed(e, t->step);
 	eng_report_decision(e, "place", t, w);
 }
 
@@ -144,7 +145,7 @@
 
 		if (t->worker || t->done)
 			continue;
-		if (!eng_team_quota_allows(s, 1))
+		if (!eng_team_quota_allows(s, 1) || !eng_headroom_allows(s, 1))
 			return;
 		w = best_worker(e, t);
 		if (!w)
@@ -253,7 +254,8 @@
 {
 	struct parts parts = { NULL, 0 };
 
-	if (s->n_placed || !eng_team_quota_allows(s, s->spec->n_tasks))
+	if (s->n_placed || !eng_team_quota_allows(s, s->spec->n_tasks) ||
+	    !eng_headroom_allows(s, s->spec->n_tasks))
 		return;
 	parts.array = g_array_new(FALSE, FALSE, sizeof(struct part));
 	find_parts(e, s, &parts);
@@ -283,7 +285,8 @@
 		reason = "gang waits for its team's limit";
 	}
 	report_wait(e, s, reason);
-	eng_request_advice(e, s);
+	if (s->tier != TIER_LAST || !e->advice_wanted)
+		eng_request_advice(e, s);
 	eng_gang_preempt(e, s);
 	eng_gang_reserve(e, s);
 }
@@ -302,9 +305,46 @@
 	return false;
 }
 
+/*
+ * At overload, a step without value waits for as long as others of its service
+ * do, and does not ask for advice.
+ */
+static bool deferred(struct engine *e, struct step *s)
+{
+	if (!s->ranked || s->tier != TIER_LAST || !s->job->pool->others_wait)
+		return false;
+	s->reservation_active = false;
+	report_wait(e, s, "without value, waits behind all others");
+	return true;
+}
+
+/* Whether the step still waits for something other than its team's limit. */
+static void note_waiting(struct engine *e, struct step *s)
+{
+	if (s->tier == TIER_LAST || !eng_team_quota_allows(s, 1))
+		return;
+	s->job->pool->others_wait = true;
+	if (s->ranked && s->job->spec->advice.needed)
+		e->advice_wanted = true;
+}
+
+/*
+ * At overload, calls to the policy service are for steps that may have a value,
+ * and that could use the answer.
+ */
+static bool advice_useful(struct engine *e, struct step *s)
+{
+	if (s->tier == TIER_LAST && e->advice_wanted)
+		return false;
+	if (eng_headroom_allows(s, 1))
+		return true;
+	report_wait(e, s, "waits, room is kept for urgent work");
+	return false;
+}
+
 static void place_step(struct engine *e, struct step *s)
 {
-	if (give_up(e, s))
+	if (give_up(e, s) || deferred(e, s))
 		return;
 	eng_step_examine(e, s);
 	eng_speed_plan(e, s);
@@ -314,15 +354,17 @@
 		place_tasks(e, s);
 	if (!s->n_waiting)
 		return;
+	note_waiting(e, s);
 	if (s->spec->gang && !s->n_placed)
 		handle_waiting_gang(e, s);
-	else
+	else if (advice_useful(e, s))
 		eng_request_advice(e, s);
 }
 
 static void begin_pass(struct engine *e)
 {
 	e->pass++;
+	e->advice_wanted = false;
 	avoid_failing_workers(e);
 	eng_reservations_clear(e);
 	eng_index_begin_pass(e);
@@ -338,8 +380,11 @@
 	for (guint i = 0; i < steps->len; i++) {
 		struct step *s = steps->pdata[i];
 
-		if (s->seen_pass == e->pass)
-			continue; /* before the interruption */
+		if (s->seen_pass == e->pass) { /* before the interruption */
+			if (s->n_waiting)
+				note_waiting(e, s);
+			continue;
+		}
 		place_step(e, s);
 		s->seen_pass = e->pass;
 		if (elapsed_us && elapsed_us(e->callbacks.ctx) >= end)
@@ -355,6 +400,7 @@
 
 	if (!e->runnable_steps->len) {
 		e->pass_interrupted = false;
+		eng_order_idle(e);
 		return true;
 	}
 	if (!e->pass_interrupted)
--- a/packages/engine/src/eng_tasks.c
+++ b/packages/engine/src/eng_tasks.c
@@ -68,6 +68,7 @@
 	g_ptr_array_add(w->tasks, t);
 	eng_index_update(e, w);
 	eng_worker_touch(e, w);
+	eng_overload_assigned(t);
 	if (eng_task_needs_trial(t))
 		w->trial = t;
 	s->n_placed++;
@@ -90,6 +91,7 @@
 	g_ptr_array_remove_fast(w->tasks, t);
 	eng_index_update(e, w);
 	eng_worker_touch(e, w);
+	eng_overload_released(e, t);
 	if (w->trial == t)
 		w->trial = NULL;
 	t->worker = NULL;
--- a/packages/engine/tests/sim_state.h
+++ b/packages/engine/tests/sim_state.h
@@ -448,6 +448,18 @@
 		events_by_kind; /* workers, by the text of the event */
 	std::function<double(const Worker &, const TaskKey &)>
 		run_ms; /* time of a run at the usual speed, -1: it hangs */
+	bool overload_order = false; /* setting of the engine */
+	std::vector<eng_team> teams; /* set in each engine */
+	int advice_nodes = 0; /* that make one call at a time, 0: no limit */
+	int busy_nodes = 0;
+	/* Duration of a task, if not drawn below its estimate. */
+	std::function<int64_t(const TaskKey &, int64_t estimate_ms)>
+		duration_ms;
+	std::vector<std::tuple<int64_t, std::string, TaskKey>> start_log;
+	/* Time, job, and whether it was during a reported overload. */
+	std::vector<std::tuple<int64_t, uint64_t, bool>> advice_log;
+	int overloads = 0, overload_ends = 0, waiting_reports = 0;
+	bool in_overload = false;
 	int starts = 0, holds = 0, advice_requests = 0, expired_leases = 0,
 	    stale_tickets = 0;
 	std::string service = "svc", team = "team", payload = "spec",
--- a/packages/engine/tests/simulation.h
+++ b/packages/engine/tests/simulation.h
@@ -81,6 +81,7 @@
 		s.former_owner_ms = 100;
 		s.entry_age_max_ms = entry_age_max_ms;
 		s.ignore_speeds = ignore_speeds;
+		s.overload_order = overload_order;
 		callbacks.start = start_cb;
 		callbacks.stop = stop_cb;
 		callbacks.hold = hold_cb;
@@ -88,9 +89,16 @@
 		callbacks.deposed = deposed_cb;
 		callbacks.zone_event = zone_event_cb;
 		callbacks.worker_event = worker_event_cb;
+		if (advice_nodes)
+			callbacks.advice_available = advice_available_cb;
+		callbacks.overload = overload_cb;
+		callbacks.waiting = waiting_cb;
 		callbacks.ctx = this;
 		engine = eng_new(&s, &callbacks, now);
 		batch_in_flight = false;
+		busy_nodes = 0;
+		in_overload = false;
+		eng_set_teams(engine, teams.data(), teams.size());
 		for (auto &w : workers)
 			list_worker(w);
 		if (jobs_first) {
@@ -475,6 +483,7 @@
 			});
 			return;
 		}
+		start_log.emplace_back(now, id, r.key);
 		r.need = s.need;
 		bool ticket = jobs[ref.job].spec->advice.needed;
 
@@ -508,7 +517,7 @@
 						  (double)jobs[ref.job]
 							  .spec->steps[ref.step]
 							  .estimate_ms);
-				if (run_ms)
+				if (run_ms || duration_ms)
 					x.ends_ms = run_end_ms(w, r.key);
 				x.fails = chance(faults.fail_task);
 				if (w.up && w.boot_ms == boot_ms &&
@@ -531,8 +540,14 @@
 
 	int64_t run_end_ms(const Worker &w, const TaskKey &key)
 	{
-		double ms = run_ms(w, key);
+		double ms;
 
+		if (duration_ms)
+			return now +
+			       duration_ms(key, jobs[key.job]
+							.spec->steps[key.step]
+							.estimate_ms);
+		ms = run_ms(w, key);
 		return ms < 0 ? -1 : now + (int64_t)(ms / w.speed);
 	}
 
@@ -701,6 +716,32 @@
 		});
 	}
 
+	static bool advice_available_cb(void *ctx, double cost_ms)
+	{
+		auto *sim = (Simulation *)ctx;
+
+		(void)cost_ms;
+		return sim->busy_nodes < sim->advice_nodes;
+	}
+
+	static void overload_cb(void *ctx, const eng_overload_event *o)
+	{
+		auto *sim = (Simulation *)ctx;
+
+		if (o->active == sim->in_overload)
+			sim->add_violation("overload reported twice");
+		sim->in_overload = o->active;
+		sim->overloads += o->active;
+		sim->overload_ends += !o->active;
+	}
+
+	static void waiting_cb(void *ctx, const eng_waiting *w)
+	{
+		auto *sim = (Simulation *)ctx;
+
+		sim->waiting_reports += w->team.len > 0;
+	}
+
 	static bool advise_cb(void *ctx, const eng_advice_request *a)
 	{
 		((Simulation *)ctx)->on_advise(a);
@@ -724,6 +765,8 @@
 		uint32_t step = a->step;
 
 		advice_requests++;
+		advice_log.emplace_back(now, job, in_overload);
+		busy_nodes++;
 		for (size_t i = 0; i < a->n; i++)
 			ids.emplace_back(a->workers[i].data, a->workers[i].len);
 		asked_workers.insert(ids.begin(), ids.end());
@@ -733,6 +776,7 @@
 
 			if (e != epoch)
 				return;
+			busy_nodes--;
 			for (auto &id : ids) {
 				requested.push_back(str(id));
 				if (!is_approved(job, step, id))
