Past use of teams in the order of placement

Cause: shares are kept over seconds (token bucket by team), so a team may use far more than others over hours and nothing pays that back.

Change: eng_usage.c charges a team for what its tasks hold, from assignment to release, with decay; the charge is computed at these two events and once a second for all teams, in closed form, so a pass costs nothing per task. Once a second each team gets a level of 0 to 4 from the logarithm of its past use by weight. Within a tier and a priority, steps are ordered by a latest start that is shifted by an eighth a level of what the step can still wait beyond the longest run of its priority. Late steps count as late for less. A record a team (learned record "u" + name) is written with batches, at most every 5 s and if it changed by a twentieth. The setting past_use_half_life_ms is 0 by default: the order is as before.

--- a/packages/engine/include/vh/engine.h
+++ b/packages/engine/include/vh/engine.h
@@ -29,6 +29,8 @@
  * @former_owner_ms: how long a former owner may still renew leases
  * @entry_age_max_ms: how old a worker's entry in the fleet's list may be when a
  *		      task is started on it, 0: any age
+ * @past_use_half_life_ms: half-life of the past use of teams, 0: it has no
+ *			   effect
  */
 struct eng_settings {
 	uint64_t fence;
@@ -38,6 +40,7 @@
 	int64_t gang_ms;
 	int64_t former_owner_ms;
 	int64_t entry_age_max_ms;
+	int64_t past_use_half_life_ms;
 };
 
 enum eng_job_status {
@@ -157,6 +160,36 @@
 	double cost_ms;
 };
 
+/**
+ * struct eng_team_usage - past use of a team, for the log and the metrics
+ * @past_use_s: seconds for which its tasks would have held the whole cell,
+ *		decayed; of the resource that they used most
+ * @share: of the past use of all teams
+ * @due_share: its weight, of that of all teams with past use
+ * @delay: part of the time that its steps can wait, for which steps of other
+ *	   teams may go first
+ */
+struct eng_team_usage {
+	struct vh_slice team;
+	double past_use_s;
+	double share;
+	double due_share;
+	double delay;
+};
+
+/**
+ * struct eng_usage_wait - why past use makes a step wait
+ * @ahead: the team of a step that goes first
+ * @ahead_job: the job of that step
+ * @shift_ms: by how much later the waiting step is placed in the order
+ */
+struct eng_usage_wait {
+	struct eng_team_usage own;
+	struct eng_team_usage ahead;
+	uint64_t ahead_job;
+	int64_t shift_ms;
+};
+
 /**
  * struct eng_decision - one decision about a task, for the log
  * @what: constant text
@@ -167,6 +200,7 @@
  * @in_state_ms: time since the task last changed its state; for a lost run, how
  *		 long it had been starting or running
  * @lost_runs: how many runs of the task were lost with their worker
+ * @usage: of a step that waits because of past use; NULL: another decision
  */
 struct eng_decision {
 	const char *what;
@@ -177,6 +211,7 @@
 	int64_t age_ms;
 	int64_t in_state_ms;
 	unsigned int lost_runs;
+	const struct eng_usage_wait *usage;
 };
 
 /**
@@ -246,6 +281,8 @@
  * @milestone: a job started or ended; may be NULL
  * @zone_event: the drain of a zone began or ended, or its last task has ended;
  *		@what is constant text; may be NULL
+ * @usage_event: the past use of a team delays its steps more, or less; @what is
+ *		 constant text; may be NULL
  */
 struct eng_callbacks {
 	void (*start)(void *ctx, const struct eng_start_request *request);
@@ -260,6 +297,8 @@
 	void (*milestone)(void *ctx, const struct eng_milestone *m);
 	void (*zone_event)(void *ctx, const char *what,
 			   const struct eng_zone_status *z);
+	void (*usage_event)(void *ctx, const char *what,
+			    const struct eng_team_usage *u);
 	void *ctx;
 };
 
@@ -348,6 +387,11 @@
 size_t eng_drained_zones(const struct engine *e, struct eng_zone_status *out,
 			 size_t max);
 
+/* eng_team_usages - writes the past use of up to @max teams, returns their
+ * number; none if the settings have no half-life */
+size_t eng_team_usages(const struct engine *e, struct eng_team_usage *out,
+		       size_t max);
+
 void eng_set_teams(struct engine *e, const struct eng_team *teams, size_t n);
 
 /* eng_worker_listed - a worker's entry was added to the list or updated */
--- a/packages/engine/src/eng_learned.c
+++ b/packages/engine/src/eng_learned.c
@@ -21,6 +21,7 @@
 };
 
 static const struct learned_kind kinds[] = {
+	{ USAGE_RECORD_PREFIX, eng_usage_pack, eng_usage_restore },
 	{ 0 }, /* end of the list */
 };
 
--- a/packages/engine/src/eng_order.c
+++ b/packages/engine/src/eng_order.c
@@ -8,7 +8,7 @@
  * the objective of their job; then late ones that complete before the cutoff;
  * then those in time of jobs that exceeded the share of their team; last all
  * others. Within a tier, steps are ordered by the priority of the job, then by
- * latest start time.
+ * latest start time, which the past use of the team shifts (eng_usage.c).
  */
 #define CRITICAL_PATH_FACTOR 0.8 /* of the critical path, in step_tier() */
 
@@ -31,6 +31,11 @@
 	return end <= s->job->cutoff_ms ? TIER_LATE : TIER_LAST;
 }
 
+static bool is_late(const struct step *s)
+{
+	return s->tier == TIER_LATE || s->tier == TIER_LAST;
+}
+
 static int by_tier(gconstpointer a, gconstpointer b)
 {
 	const struct step *x = *(const struct step *const *)a;
@@ -42,6 +47,8 @@
 		return x->tier < y->tier ? -1 : 1;
 	if (p->priority != q->priority)
 		return p->priority < q->priority ? -1 : 1;
+	if (x->order_ms != y->order_ms)
+		return x->order_ms < y->order_ms ? -1 : 1;
 	if (x->latest_start_ms != y->latest_start_ms)
 		return x->latest_start_ms < y->latest_start_ms ? -1 : 1;
 	return p->id < q->id ? -1 : p->id > q->id;
@@ -49,11 +56,13 @@
 
 void eng_order_steps(struct engine *e, GPtrArray *out)
 {
+	eng_usage_begin_pass(e);
 	for (guint i = 0; i < e->runnable_steps->len; i++) {
 		struct step *s = e->runnable_steps->pdata[i];
 
 		s->tier = step_tier(e, s);
 		s->latest_start_ms = s->job->due_ms - s->critical_path_ms;
+		s->order_ms = eng_usage_start_ms(e, s, is_late(s));
 		g_ptr_array_add(out, s);
 	}
 	g_ptr_array_sort(out, by_tier);
--- a/packages/engine/src/eng_place.c
+++ b/packages/engine/src/eng_place.c
@@ -241,8 +241,10 @@
 	eng_reservations_clear(e);
 	steps = g_ptr_array_sized_new(e->runnable_steps->len);
 	eng_order_steps(e, steps);
-	for (guint i = 0; i < steps->len; i++)
+	for (guint i = 0; i < steps->len; i++) {
 		place_step(e, steps->pdata[i]);
+		eng_usage_passed(e, steps->pdata[i]);
+	}
 	for (guint i = 0; i < steps->len; i++)
 		eng_step_update(e, steps->pdata[i]);
 	g_ptr_array_free(steps, TRUE);
--- a/packages/engine/src/eng_priv.h
+++ b/packages/engine/src/eng_priv.h
@@ -113,6 +113,9 @@
  * @next_advice_ms: earliest time of the next call to the policy service
  * @advice_by_worker: struct worker to struct worker_advice
  * @tier: position in the order of placement, an enum tier
+ * @order_ms: @latest_start_ms, shifted by its team's past use
+ * @usage_level_reported: the team's level when it was last reported that the
+ *			  step waits because of past use
  * @wait_reason: why its tasks wait, constant text; NULL: not reported yet
  * @reservations: of a waiting gang: struct reservation, the workers that it
  *		  is expected to fit on
@@ -141,6 +144,8 @@
 	GHashTable *advice_by_worker;
 	double tier;
 	int64_t latest_start_ms;
+	int64_t order_ms;
+	int usage_level_reported;
 	const char *wait_reason;
 	GArray *reservations;
 	bool reservation_active;
@@ -157,6 +162,33 @@
 	uint32_t slots;
 };
 
+/* Amounts of resources, times the seconds for which tasks held them. */
+struct resource_seconds {
+	double cpu_milli;
+	double mem_mb;
+	double gpu;
+};
+
+/**
+ * struct team_usage - past use of a team
+ * @held: decayed until @charged_ms
+ * @charged_ms: time up to which @held includes the team's tasks
+ * @inherited: from the former owner's record, added to @held after recovery
+ * @written: @held as last passed to the store
+ * @past_use_s: @held as seconds of the whole cell, at the last refresh
+ * @level: how much it delays the team's steps, 0: not at all
+ * @ranked: @level was set
+ */
+struct team_usage {
+	struct resource_seconds held;
+	int64_t charged_ms;
+	struct resource_seconds inherited;
+	struct resource_seconds written;
+	double past_use_s;
+	int level;
+	bool ranked;
+};
+
 /**
  * struct team
  * @weight: rate of the team's token bucket: jobs per second that it may submit
@@ -171,6 +203,7 @@
 	struct eng_resources used;
 	double share_tokens;
 	int64_t share_refilled_ms;
+	struct team_usage usage;
 };
 
 /**
@@ -321,6 +354,45 @@
 	int64_t cold_until_ms;
 };
 
+#define USAGE_PRIORITIES 8u /* the lowest ones count as one */
+
+/**
+ * struct usage_ahead - of the steps that were passed in the order of placement,
+ * and have one tier and priority, the one with the last latest start
+ * @team: NULL: none yet
+ */
+struct usage_ahead {
+	double tier;
+	uint32_t priority;
+	int64_t latest_start_ms;
+	uint64_t job;
+	const struct team *team;
+};
+
+/**
+ * struct usage - past use of all teams, at the last refresh
+ * @refreshed_ms: when that was, 0: not yet
+ * @capacity: of all listed workers
+ * @mean_weight: of the teams that have a weight
+ * @active_weight: sum of the weights of the teams with past use
+ * @total_s: sum of the past use of all teams
+ * @mean_s: their past use by weight
+ * @prior_s: added to each team's past use by weight
+ * @longest_ms: the longest estimate of the runnable steps, by priority
+ * @ahead: in the present pass
+ */
+struct usage {
+	int64_t refreshed_ms;
+	struct eng_resources capacity;
+	double mean_weight;
+	double active_weight;
+	double total_s;
+	double mean_s;
+	double prior_s;
+	int64_t longest_ms[USAGE_PRIORITIES];
+	struct usage_ahead ahead;
+};
+
 /**
  * struct engine
  * @deposed: a worker reported a newer fencing token; nothing is sent any more
@@ -371,6 +443,7 @@
 	int64_t reserved_cpu;
 	int64_t cpu_capacity;
 	int64_t now_ms;
+	struct usage usage;
 	struct eng_stats stats;
 };
 
@@ -419,6 +492,9 @@
 void eng_send_stored(struct engine *e);
 void eng_report_decision(struct engine *e, const char *what,
 			 const struct task *t, const struct worker *w);
+/* eng_report_usage_wait - reports that a step waits because of past use */
+void eng_report_usage_wait(struct engine *e, const struct step *s,
+			   const struct eng_usage_wait *wait);
 
 /* eng_team.c */
 struct team *eng_team_get(struct engine *e, struct vh_slice name);
@@ -523,6 +599,34 @@
 struct vh_buf *eng_learned_add(GArray *records, char prefix,
 			       struct vh_slice name);
 
+/* eng_usage.c: past use of teams; without effect if the settings have no
+ * half-life */
+#define USAGE_RECORD_PREFIX 'u'
+/* eng_usage_charge - charges the team for what it holds; called before that
+ * changes */
+void eng_usage_charge(struct engine *e, struct team *t);
+/* eng_usage_refresh - computes the levels of all teams, once a second */
+void eng_usage_refresh(struct engine *e);
+/* eng_usage_begin_pass - called before the steps of a pass are ordered */
+void eng_usage_begin_pass(struct engine *e);
+/**
+ * eng_usage_start_ms - latest_start_ms, shifted by the team's past use
+ * @late: the steps of this tier are late in any case
+ *
+ * Grows with latest_start_ms among steps of teams with the same level, if they
+ * have the same priority and the same @late.
+ */
+int64_t eng_usage_start_ms(const struct engine *e, const struct step *s,
+			   bool late);
+/* eng_usage_passed - called for each step of a pass, in the order of placement;
+ * reports steps that wait because of past use */
+void eng_usage_passed(struct engine *e, struct step *s);
+void eng_usage_pack(struct engine *e, GArray *records);
+bool eng_usage_restore(struct engine *e, struct vh_slice team,
+		       struct vh_slice bytes);
+/* eng_usage_recovered - adds what the records of the former owner said */
+void eng_usage_recovered(struct engine *e);
+
 /* eng_order.c */
 /* eng_order_steps - appends the runnable steps in the order of placement */
 void eng_order_steps(struct engine *e, GPtrArray *out);
--- a/packages/engine/src/eng_tasks.c
+++ b/packages/engine/src/eng_tasks.c
@@ -63,6 +63,7 @@
 	t->confirmed = false;
 	t->stop_acked_ms = 0;
 	eng_resources_add(&w->used, s->spec, 1);
+	eng_usage_charge(e, s->job->team);
 	eng_resources_add(&s->job->team->used, s->spec, 1);
 	g_ptr_array_add(w->tasks, t);
 	if (eng_task_needs_trial(t))
@@ -83,6 +84,7 @@
 	if (t->state == TASK_STORING)
 		g_queue_remove(&e->storing, t);
 	eng_resources_add(&w->used, s->spec, -1);
+	eng_usage_charge(e, s->job->team);
 	eng_resources_add(&s->job->team->used, s->spec, -1);
 	g_ptr_array_remove_fast(w->tasks, t);
 	if (w->trial == t)
--- a/packages/engine/src/engine.c
+++ b/packages/engine/src/engine.c
@@ -103,8 +103,9 @@
 	g_free(e);
 }
 
-void eng_report_decision(struct engine *e, const char *what,
-			 const struct task *t, const struct worker *w)
+static struct eng_decision decision(const struct engine *e, const char *what,
+				    const struct task *t,
+				    const struct worker *w)
 {
 	struct eng_decision d = {
 		.what = what,
@@ -117,6 +118,26 @@
 		.lost_runs = eng_task_losses(t),
 	};
 
+	return d;
+}
+
+void eng_report_decision(struct engine *e, const char *what,
+			 const struct task *t, const struct worker *w)
+{
+	struct eng_decision d = decision(e, what, t, w);
+
+	if (e->callbacks.decided)
+		e->callbacks.decided(e->callbacks.ctx, &d);
+}
+
+void eng_report_usage_wait(struct engine *e, const struct step *s,
+			   const struct eng_usage_wait *wait)
+{
+	struct eng_decision d =
+		decision(e, "waits behind a team with less past use",
+			 &s->tasks[0], NULL);
+
+	d.usage = wait;
 	if (e->callbacks.decided)
 		e->callbacks.decided(e->callbacks.ctx, &d);
 }
@@ -532,6 +553,7 @@
 			eng_job_end(e, j, ENG_CANCELLED);
 		eng_job_reclaim(e, j);
 	}
+	eng_usage_recovered(e);
 }
 
 void eng_schedule(struct engine *e, int64_t now_ms)
@@ -541,6 +563,7 @@
 		return;
 	eng_poll_zones(e);
 	eng_poll_workers(e);
+	eng_usage_refresh(e);
 	if (e->ready && !e->zones_outdated)
 		eng_place_steps(e);
 }
--- a/packages/engine/tests/sim_state.h
+++ b/packages/engine/tests/sim_state.h
@@ -112,6 +112,13 @@
 	int64_t accepted_ms = 0, cancelled_ms = -1;
 };
 
+/* A record as the engine passed it to the store. */
+struct StoredRecord {
+	uint64_t job;
+	std::string name; /* empty: the state of a job */
+	std::string bytes;
+};
+
 struct Faults {
 	double lose_reply = 0;	  /* share of the start and stop replies */
 	double delay_request = 0; /* share of the starts: carried out seconds
@@ -411,6 +418,7 @@
 	std::deque<Worker> workers; /* references stay valid as it grows */
 	std::map<uint64_t, Job> jobs;
 	std::map<uint64_t, std::string> serialized_jobs, stored_records;
+	std::map<std::string, std::string> learned_records;
 	std::set<uint64_t> started_jobs;
 	std::set<TaskKey> done_tasks, acked_done;
 	std::set<std::pair<TaskKey, uint32_t>> sent_starts; /* with the run */
@@ -432,6 +440,7 @@
 		tickets; /* by job, step and worker: expiry */
 	std::set<std::string> asked_workers; /* in requests for advice */
 	int64_t entry_age_max_ms = 0;	     /* setting of the engine */
+	int64_t past_use_half_life_ms = 0;   /* the same */
 	int starts = 0, holds = 0, advice_requests = 0, expired_leases = 0,
 	    stale_tickets = 0;
 	std::string service = "svc", team = "team", payload = "spec",
--- a/packages/engine/tests/simulation.h
+++ b/packages/engine/tests/simulation.h
@@ -6,7 +6,7 @@
  * follow the worker API, a store, a policy service, and faults drawn from a
  * seed. The invariants are checked on the state of the workers. Included by
  * test_capacity.cc, test_load.cc, test_losses.cc, test_schedules.cc, test_takeover.cc,
- * test_workers.cc and test_zones.cc.
+ * test_usage.cc, test_workers.cc and test_zones.cc.
  */
 
 #include "sim_state.h"
@@ -81,6 +81,7 @@
 		s.gang_ms = 3000;
 		s.former_owner_ms = 100;
 		s.entry_age_max_ms = entry_age_max_ms;
+		s.past_use_half_life_ms = past_use_half_life_ms;
 		callbacks.start = start_cb;
 		callbacks.stop = stop_cb;
 		callbacks.hold = hold_cb;
@@ -99,6 +100,9 @@
 					eng_job_cancel(engine, j.first, now);
 			}
 		}
+		for (auto &r : learned_records)
+			eng_learned_restore(engine, str(r.first), str(r.second),
+					    now);
 		for (auto &r : stored_records)
 			eng_job_restore(engine, r.first, str(r.second), now);
 		for (auto &j : jobs) {
@@ -199,11 +203,12 @@
 
 		if (!batch)
 			return;
-		std::vector<std::pair<uint64_t, std::string>> copy;
+		std::vector<StoredRecord> copy;
 		for (size_t i = 0; i < n; i++)
-			copy.emplace_back(records[i].job,
-					  std::string(records[i].bytes.data,
-						      records[i].bytes.len));
+			copy.push_back({ records[i].job,
+					 records[i].name ? records[i].name : "",
+					 std::string(records[i].bytes.data,
+						     records[i].bytes.len) });
 		eng_records_free(records, n);
 		batch_in_flight = true;
 		uint64_t e = epoch;
@@ -211,9 +216,8 @@
 			    [=] { store_batch(e, batch, copy); });
 	}
 
-	void store_batch(
-		uint64_t e, uint64_t batch,
-		const std::vector<std::pair<uint64_t, std::string>> &records)
+	void store_batch(uint64_t e, uint64_t batch,
+			 const std::vector<StoredRecord> &records)
 	{
 		if (e != epoch)
 			return;
@@ -223,10 +227,18 @@
 			return;
 		}
 		for (auto &r : records)
-			stored_records[r.first] = r.second;
+			store_record(r);
 		schedule_in(5, [=] { confirm_batch(e, batch); });
 	}
 
+	void store_record(const StoredRecord &r)
+	{
+		if (r.name.empty())
+			stored_records[r.job] = r.bytes;
+		else
+			learned_records[r.name] = r.bytes;
+	}
+
 	void confirm_batch(uint64_t e, uint64_t batch)
 	{
 		if (e != epoch)
