Measure the cost of past use

Cause: a pass with past use may cost at most a tenth more.

Change: engine_bench_engine takes a number of teams and a half-life; the first teams submit most, so that their levels differ. Without arguments it measures as before.

--- a/packages/engine/tests/bench_engine.c
+++ b/packages/engine/tests/bench_engine.c
@@ -10,10 +10,12 @@
  * load that they can run, thousands of waiting tasks. The simulation around the engine is
  * minimal: records are stored at the end of each tick, starts are confirmed in
  * the next tick, and a call of the policy service takes its cost and one tick.
+ * Arguments: number of teams (1), half-life of their past use in seconds (0: off).
  * Output: bench NAME value unit bound verdict.
  */
 
 #define WORKERS_MAX 1100
+#define TEAMS_MAX 65
 #define ADVICE_NODES_MAX 100 /* each makes one call at a time */
 #define LOAD_WORKERS 350     /* that the rates of job_classes are for */
 #define TICK_MS 20
@@ -54,6 +56,7 @@
 	GArray *advice_calls; /* struct advice_call */
 	int64_t busy_until_ms[ADVICE_NODES_MAX];
 	uint64_t next_job;
+	uint64_t n_teams;
 	GRand *random;
 	int64_t total_ns;
 	GArray *pass_ns; /* int64_t */
@@ -273,7 +276,6 @@
 	struct eng_job_spec spec = { .id = ++sim->next_job,
 				     .queue = vh_slice_str(k->queue),
 				     .service = vh_slice_str("svc"),
-				     .team = vh_slice_str("team"),
 				     .priority = k->priority,
 				     .max_attempts = 3,
 				     .stretch = 2,
@@ -281,7 +283,13 @@
 				     .steps = &step,
 				     .n_steps = 1 };
 	struct vh_buf bytes;
+	char team[16];
 
+	/* The first teams submit most. */
+	g_snprintf(team, sizeof(team), "team%d",
+		   (int)MIN(spec.id % sim->n_teams,
+			    spec.id / sim->n_teams % sim->n_teams));
+	spec.team = vh_slice_str(team);
 	spec.advice = (struct eng_advice_params){ true, k->decide_ms,
 						  k->each_ms, 2500 };
 	spec.received_ms = sim->now;
@@ -407,14 +415,16 @@
 		     "cores", CORE_SHARE_MAX);
 }
 
-static void measure(int n_workers, int n_advice_nodes)
+static void measure(int n_workers, int n_advice_nodes, uint64_t n_teams,
+		    int64_t half_life_ms)
 {
 	struct simulation *sim = g_new0(struct simulation, 1);
 	struct eng_settings s = { .fence = 1,
 				  .lease_ms = 5000,
 				  .lease_max_ms = 6000,
 				  .stop_ms = 900,
-				  .gang_ms = 3000 };
+				  .gang_ms = 3000,
+				  .past_use_half_life_ms = half_life_ms };
 	struct eng_callbacks callbacks = { .start = on_start,
 					   .stop = on_stop,
 					   .hold = on_hold,
@@ -425,6 +435,7 @@
 
 	sim->now = 1000;
 	sim->n_workers = n_workers;
+	sim->n_teams = n_teams;
 	sim->n_advice_nodes = n_advice_nodes;
 	sim->random = g_rand_new_with_seed(1);
 	sim->started = g_array_new(FALSE, FALSE, sizeof(struct started));
@@ -439,9 +450,17 @@
 	print_results(sim);
 }
 
-int main(void)
+int main(int argc, char **argv)
 {
-	measure(LOAD_WORKERS, 30);
-	measure(WORKERS_MAX, 100);
+	uint64_t n_teams = 1;
+	uint64_t half_life_s = 0;
+
+	if (argc > 1)
+		n_teams = g_ascii_strtoull(argv[1], NULL, 10);
+	if (argc > 2)
+		half_life_s = g_ascii_strtoull(argv[2], NULL, 10);
+	n_teams = CLAMP(n_teams, 1, TEAMS_MAX);
+	measure(LOAD_WORKERS, 30, n_teams, (int64_t)half_life_s * 1000);
+	measure(WORKERS_MAX, 100, n_teams, (int64_t)half_life_s * 1000);
 	return 0;
 }
