Store no past use of teams with very long names

The key of a team's record is two bytes longer than its name, so a name of more than 253 bytes would give a record of another key.

--- a/packages/engine/src/eng_usage.c
+++ b/packages/engine/src/eng_usage.c
@@ -23,6 +23,7 @@
 #define PRIOR_SHARE (1.0 / 32)	 /* of the past use of a cell that is full */
 #define ACTIVE_SHARE 0.001	 /* of all past use, to count in the mean */
 #define RECORD_FORMAT 1		 /* version of a learned record */
+#define RECORD_TEAM_MAX 250	 /* bytes; the store's keys have at most 255 */
 #define RECORD_FIELDS 4		 /* elements of a learned record */
 #define AMOUNT_MAX 1e18		 /* larger amounts are taken for errors */
 #define SPARE_MAX_MS INT64_C(86400000) /* keeps the arithmetic in range */
@@ -385,7 +386,7 @@
 		struct team *t = p;
 
 		eng_usage_charge(e, t);
-		if (has_changed(e, t))
+		if (strlen(t->name) <= RECORD_TEAM_MAX && has_changed(e, t))
 			pack_team(t,
 				  eng_learned_add(records, USAGE_RECORD_PREFIX,
 						  eng_str(t->name)));
@@ -434,7 +435,7 @@
 {
 	struct resource_seconds r = { 0 };
 
-	if (team.len > ENG_NAME_MAX || !unpack_record(bytes, &r))
+	if (team.len > RECORD_TEAM_MAX || !unpack_record(bytes, &r))
 		return false;
 	/* Kept apart until recovery is done, since the topic may pass several
 	 * records of one team: the last one counts. */
--- a/packages/engine/tests/test_usage.cc
+++ b/packages/engine/tests/test_usage.cc
@@ -636,6 +636,21 @@
 	EXPECT_LT(bytes, 3600u * 100); // a tenth of 1 KB a second
 }
 
+// The store's keys have one byte for their length: a longer key would become
+// that of another record.
+TEST(Usage, TeamsWithNamesThatAreTooLongForAKeyHaveNoRecord)
+{
+	Cell c;
+	Records store;
+
+	c.recover();
+	c.use(std::string(250, 'a'), 50000, HOUR_MS);
+	c.use(std::string(251, 'b'), 50000, HOUR_MS);
+	c.write(&store);
+	ASSERT_EQ(store.size(), 1u);
+	EXPECT_EQ(store.begin()->first, "u" + std::string(250, 'a'));
+}
+
 TEST(Usage, MalformedAndUnknownRecordsAreIgnored)
 {
 	Cell former, c;
