Report the past use of teams in the log and the metrics

Change: gauges by team on the owner's metrics address (past use, share, share by weight, delay), a log line when a team's level changes, and the decision "waits behind a team with less past use" with both teams' past use and the job that goes first, once a step and level. A learned record that is ignored is logged with its name as a warning; before, the line was on the debug level, which nodes do not log.

Tests, with sanitizers: cell_test_cell 14 and cell_test_owner 2 passed, among them Cell.ReportsAndStoresThePastUseOfTeams (records in the store, metrics only with a half-life).

--- a/packages/cell/src/owner.c
+++ b/packages/cell/src/owner.c
@@ -219,6 +219,7 @@
 			return;
 		owner_advice_expire(o);
 		owner_update_zone_metrics(o);
+		owner_update_usage_metrics(o);
 		o->run_duration_ms = owner_now_ms(o) - now;
 	}
 	flush(o);
@@ -265,15 +266,27 @@
 	maybe_activate(ctx);
 }
 
+static void restore_learned(struct owner *o, struct vh_slice name,
+			    struct vh_slice value)
+{
+	char *text;
+
+	if (eng_learned_restore(o->engine, name, value, owner_now_ms(o)))
+		return;
+	text = vh_slice_dup(name);
+	vh_log(G_LOG_LEVEL_WARNING, "learned record ignored", "name", text,
+	       NULL);
+	g_free(text);
+}
+
 static void on_state_record(void *ctx, const struct vh_record *r)
 {
 	struct owner *o = ctx;
 	struct vh_slice name;
 	uint64_t id;
 
-	if (vh_key_parse_learned(r->key, &name) &&
-	    !eng_learned_restore(o->engine, name, r->value, owner_now_ms(o)))
-		vh_log(G_LOG_LEVEL_DEBUG, "learned record ignored", NULL);
+	if (vh_key_parse_learned(r->key, &name))
+		restore_learned(o, name, r->value);
 	if (!vh_key_parse(r->key, VH_KEY_STATE, &id))
 		return;
 	o->n_records_loaded++;
@@ -422,6 +435,7 @@
 void owner_end(struct owner *o)
 {
 	owner_clear_zone_metrics(o);
+	owner_clear_usage_metrics(o);
 	o->phase = OWNER_ENDED;
 	peer_server_set_owner(o->peer_server, 0, NULL, NULL);
 	if (o->fleet_reader.timer.ev)
--- a/packages/cell/src/owner_engine.c
+++ b/packages/cell/src/owner_engine.c
@@ -8,6 +8,8 @@
 #define MS_PER_S 1000.0
 #define ZONE_METRICS_MAX 64
 #define ZONE_METRICS_INTERVAL_MS 1000
+#define USAGE_METRICS_MAX 256
+#define USAGE_METRICS_INTERVAL_MS 1000
 
 /* A pending call to a worker. */
 struct worker_call {
@@ -139,7 +141,7 @@
 	++*vh_metrics_counter(&o->kernel->metrics, metric, labels);
 }
 
-static void on_decided(void *ctx, const struct eng_decision *d)
+static void on_task_decided(void *ctx, const struct eng_decision *d)
 {
 	char job[20];
 	char task[40];
@@ -166,6 +168,111 @@
 	g_free(worker);
 }
 
+/* Text forms of a team's past use, for log lines. */
+struct usage_text {
+	char *team;
+	char use[24];
+	char share[16];
+};
+
+static void usage_text_init(struct usage_text *t,
+			    const struct eng_team_usage *u)
+{
+	t->team = vh_slice_dup(u->team);
+	g_snprintf(t->use, sizeof(t->use), "%.1f", u->past_use_s);
+	g_snprintf(t->share, sizeof(t->share), "%.4f", u->share);
+}
+
+static void on_usage_wait(void *ctx, const struct eng_decision *d)
+{
+	const struct eng_usage_wait *w = d->usage;
+	char job[20];
+	char behind[20];
+	char shift[24];
+	char age[24];
+	struct usage_text own;
+	struct usage_text ahead;
+
+	count_event(ctx, "vh_task_decisions_total", d->what);
+	g_snprintf(job, sizeof(job), "%016" PRIx64, d->task.job);
+	g_snprintf(behind, sizeof(behind), "%016" PRIx64, w->ahead_job);
+	g_snprintf(shift, sizeof(shift), "%" PRId64, w->shift_ms);
+	g_snprintf(age, sizeof(age), "%" PRId64, d->age_ms);
+	usage_text_init(&own, &w->own);
+	usage_text_init(&ahead, &w->ahead);
+	vh_log(G_LOG_LEVEL_INFO, d->what, "job", job, "team", own.team,
+	       "past_use_s", own.use, "share", own.share, "behind", behind,
+	       "behind_team", ahead.team, "behind_past_use_s", ahead.use,
+	       "behind_share", ahead.share, "shift_ms", shift, "age_ms", age,
+	       NULL);
+	g_free(own.team);
+	g_free(ahead.team);
+}
+
+static void on_decided(void *ctx, const struct eng_decision *d)
+{
+	if (d->usage)
+		on_usage_wait(ctx, d);
+	else
+		on_task_decided(ctx, d);
+}
+
+static void on_usage_event(void *ctx, const char *what,
+			   const struct eng_team_usage *u)
+{
+	struct usage_text t;
+	char due[16];
+	char delay[16];
+
+	count_event(ctx, "vh_team_usage_events_total", what);
+	usage_text_init(&t, u);
+	g_snprintf(due, sizeof(due), "%.4f", u->due_share);
+	g_snprintf(delay, sizeof(delay), "%.3f", u->delay);
+	vh_log(G_LOG_LEVEL_INFO, what, "team", t.team, "past_use_s", t.use,
+	       "share", t.share, "due_share", due, "delay", delay, NULL);
+	g_free(t.team);
+}
+
+static void set_usage_metrics(struct owner *o, const struct eng_team_usage *u)
+{
+	struct vh_metrics *m = &o->kernel->metrics;
+	char labels[ENG_NAME_MAX + 16];
+
+	g_snprintf(labels, sizeof(labels), "team=\"%.*s\"",
+		   (int)MIN(u->team.len, ENG_NAME_MAX), u->team.data);
+	*vh_metrics_gauge(m, "vh_team_past_use_seconds", labels) =
+		u->past_use_s;
+	*vh_metrics_gauge(m, "vh_team_past_use_share", labels) = u->share;
+	*vh_metrics_gauge(m, "vh_team_due_share", labels) = u->due_share;
+	*vh_metrics_gauge(m, "vh_team_past_use_delay", labels) = u->delay;
+}
+
+void owner_update_usage_metrics(struct owner *o)
+{
+	struct eng_team_usage teams[USAGE_METRICS_MAX];
+	int64_t now = owner_now_ms(o);
+	size_t n;
+
+	if (now - o->usage_metrics_ms < USAGE_METRICS_INTERVAL_MS)
+		return;
+	o->usage_metrics_ms = now;
+	n = eng_team_usages(o->engine, teams, USAGE_METRICS_MAX);
+	for (size_t i = 0; i < n; i++)
+		set_usage_metrics(o, &teams[i]);
+}
+
+void owner_clear_usage_metrics(struct owner *o)
+{
+	struct eng_team_usage teams[USAGE_METRICS_MAX];
+	size_t n = eng_team_usages(o->engine, teams, USAGE_METRICS_MAX);
+
+	for (size_t i = 0; i < n; i++) {
+		struct eng_team_usage none = { .team = teams[i].team };
+
+		set_usage_metrics(o, &none);
+	}
+}
+
 static void on_worker_event(void *ctx, const struct eng_worker_event *w)
 {
 	char born[24];
@@ -290,6 +397,7 @@
 		.decided = on_decided,
 		.milestone = on_milestone,
 		.zone_event = on_zone_event,
+		.usage_event = on_usage_event,
 		.ctx = o,
 	};
 
--- a/packages/cell/src/owner_priv.h
+++ b/packages/cell/src/owner_priv.h
@@ -29,6 +29,7 @@
  * @awaiting_store: scheduling is suspended until the store accepts a write
  * @zones_as_of_ms: time as of which the drained zones are known; 0: never
  * @zone_metrics_ms: when the gauges of drained zones were last set
+ * @usage_metrics_ms: when the gauges of the past use of teams were last set
  * @zones_outdated: nothing is placed or started until they are read again
  * @sequence: sequence number of the pending append, or else of the last one
  * @append_batch: number of the engine's batch in the pending append; 0: none
@@ -61,6 +62,7 @@
 	bool awaiting_store;
 	int64_t zones_as_of_ms;
 	int64_t zone_metrics_ms;
+	int64_t usage_metrics_ms;
 	bool zones_outdated;
 	uint64_t sequence;
 	uint64_t append_batch;
@@ -100,6 +102,10 @@
 void owner_update_zone_metrics(struct owner *o);
 /* owner_clear_zone_metrics - another node is going to report them */
 void owner_clear_zone_metrics(struct owner *o);
+/* owner_update_usage_metrics - sets the gauges of past use, once a second */
+void owner_update_usage_metrics(struct owner *o);
+/* owner_clear_usage_metrics - another node is going to report them */
+void owner_clear_usage_metrics(struct owner *o);
 
 /* owner_record_append_time - adds to the metric of state append times */
 void owner_record_append_time(struct owner *o, int64_t took_ms);
--- a/packages/cell/tests/fake_cluster.h
+++ b/packages/cell/tests/fake_cluster.h
@@ -179,6 +179,7 @@
 	int64_t objects_from_ms = 0;	    /* that topic is not read earlier */
 	uint64_t objects_retained_from = 0; /* older offsets are gone */
 	int pending_callbacks = 0;
+	int64_t past_use_half_life_ms = 0; /* of nodes that start later */
 };
 
 /* The ports of one node. */
@@ -549,6 +550,7 @@
 		s.engine.lease_max_ms = 6000;
 		s.engine.stop_ms = 300;
 		s.engine.gang_ms = 3000;
+		s.engine.past_use_half_life_ms = cluster.past_use_half_life_ms;
 		cell = vh_cell_new(&s, &ports, &cluster.kernel);
 		vh_service *service = vh_cell_service(cell);
 		started =
--- a/packages/cell/tests/test_cell.cc
+++ b/packages/cell/tests/test_cell.cc
@@ -295,6 +295,35 @@
 	EXPECT_GT(cluster.starts_by_worker[worker_id(0)], 0);
 }
 
+// The past use of teams is reported and stored by nodes whose settings have a
+// half-life, and not by others.
+TEST_F(Cell, ReportsAndStoresThePastUseOfTeams)
+{
+	auto stored = [this] {
+		for (auto &r : cluster.topics[VH_TOPIC_STATE].records)
+			if (r.first == "lu") /* the team without a name */
+				return true;
+		return false;
+	};
+	std::string metric = "vh_team_past_use_seconds{team=\"\"}";
+
+	submit_jobs(non_owner(), 1, 5);
+	expect_complete(non_owner(), 1, 5);
+	cluster.run_for(1100);
+	EXPECT_EQ(cluster.metrics().find(metric), std::string::npos);
+	while (!nodes.empty())
+		nodes.pop_back();
+	cluster.past_use_half_life_ms = 1000;
+	for (int i = 0; i < 2; i++)
+		add_node();
+	ASSERT_TRUE(cluster.run_until([this] { return owner(); }));
+	submit_jobs(*owner(), 6, 20);
+	EXPECT_FALSE(stored());
+	ASSERT_TRUE(cluster.run_until(stored));
+	EXPECT_NE(cluster.metrics().find(metric), std::string::npos);
+	expect_complete(*owner(), 6, 20);
+}
+
 // The history with the tombstone is discarded before the nodes have read it.
 TEST_F(Cell, ADrainThatIsGoneFromTheTopicEnds)
 {
