Count teams with weights that make no sense as of mean weight

Cause: a weight that is infinite, not a number or denormal made the mean past use infinite or not a number, and with it the levels of all teams.

Change: weights outside 1e-9 to 1e9 are treated like no weight, by the mean weight.

Tests: the new test fails 4 times without the change (Release) and passes with it; engine_test_usage with sanitizers, 26 passed.

--- a/packages/engine/src/eng_usage.c
+++ b/packages/engine/src/eng_usage.c
@@ -22,10 +22,12 @@
 #define DELAY_PER_LEVEL 0.125	 /* part of the time that a step can wait */
 #define PRIOR_SHARE (1.0 / 32)	 /* of the past use of a cell that is full */
 #define ACTIVE_SHARE 0.001	 /* of all past use, to count in the mean */
-#define RECORD_FORMAT 1		 /* version of a learned record */
-#define RECORD_TEAM_MAX 250	 /* bytes; the store's keys have at most 255 */
-#define RECORD_FIELDS 4		 /* elements of a learned record */
-#define AMOUNT_MAX 1e18		 /* larger amounts are taken for errors */
+#define WEIGHT_MIN 1e-9
+#define WEIGHT_MAX 1e9
+#define RECORD_FORMAT 1	    /* version of a learned record */
+#define RECORD_TEAM_MAX 250 /* bytes; the store's keys have at most 255 */
+#define RECORD_FIELDS 4	    /* elements of a learned record */
+#define AMOUNT_MAX 1e18	    /* larger amounts are taken for errors */
 #define SPARE_MAX_MS INT64_C(86400000) /* keeps the arithmetic in range */
 
 /* A step that can wait for less than this has no time to give away: storing
@@ -84,9 +86,15 @@
 	return MAX(most, part(r->gpu, c->gpu));
 }
 
+/* Weights beyond these bounds are taken for errors, and like no weight. */
+static bool has_weight(const struct team *t)
+{
+	return t->weight >= WEIGHT_MIN && t->weight <= WEIGHT_MAX;
+}
+
 static double team_weight(const struct engine *e, const struct team *t)
 {
-	return t->weight > 0 ? t->weight : e->usage.mean_weight;
+	return has_weight(t) ? t->weight : e->usage.mean_weight;
 }
 
 static void sum_capacity(struct engine *e)
@@ -116,7 +124,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		const struct team *t = p;
 
-		if (t->weight <= 0)
+		if (!has_weight(t))
 			continue;
 		sum += t->weight;
 		n++;
--- a/packages/engine/tests/test_usage.cc
+++ b/packages/engine/tests/test_usage.cc
@@ -323,6 +323,23 @@
 	EXPECT_EQ(c.level("b"), c.level("c"));
 }
 
+// A weight that makes no sense must not disturb the order of other teams.
+TEST(Usage, WeightsThatMakeNoSenseCountAsTheMeanWeight)
+{
+	Cell c;
+	const double weights[] = { NAN, INFINITY, -1, 1e-320, 1e300 };
+
+	c.recover();
+	c.set_weight("a", 1);
+	c.use("a", 30000, 2 * HOUR_MS);
+	c.use("b", 30000, 2 * HOUR_MS);
+	for (double weight : weights) {
+		c.set_weight("b", weight);
+		EXPECT_EQ(c.level("a"), c.level("b")) << weight;
+		EXPECT_TRUE(std::isfinite(c.e->usage.mean_s)) << weight;
+	}
+}
+
 TEST(Usage, ATeamThatUsedLittleGoesFirst)
 {
 	Cell c;
