--- a/packages/cell/tests/fake_cluster.h
+++ b/packages/cell/tests/fake_cluster.h
@@ -180,6 +180,7 @@
 	uint64_t objects_retained_from = 0; /* older offsets are gone */
 	bool admission = false;		    /* setting of the nodes */
 	int pending_callbacks = 0;
+	int64_t past_use_half_life_ms = 0; /* of nodes that start later */
 };
 
 /* The ports of one node. */
@@ -551,6 +552,7 @@
 		s.engine.lease_max_ms = 6000;
 		s.engine.stop_ms = 300;
 		s.engine.gang_ms = 3000;
+		s.engine.past_use_half_life_ms = cluster.past_use_half_life_ms;
 		cell = vh_cell_new(&s, &ports, &cluster.kernel);
 		vh_service *service = vh_cell_service(cell);
 		started =
--- a/packages/engine/src/eng_learned.c
+++ b/packages/engine/src/eng_learned.c
@@ -22,6 +22,7 @@
 
 static const struct learned_kind kinds[] = {
 	{ 'w', eng_speeds_pack, eng_speeds_restore },
+	{ USAGE_RECORD_PREFIX, eng_usage_pack, eng_usage_restore },
 	{ 0 }, /* end of the list */
 };
 
--- a/packages/engine/src/eng_order.c
+++ b/packages/engine/src/eng_order.c
@@ -8,7 +8,7 @@
  * the objective of their job; then late ones that complete before the cutoff;
  * then those in time of jobs that exceeded the share of their team; last all
  * others. Within a tier, steps are ordered by the priority of the job, then by
- * latest start time.
+ * latest start time, which the past use of the team shifts (eng_usage.c).
  *
  * At sustained overload this order keeps choosing what is about to be late.
  * Within a tier, the steps of an overloaded service are then ordered so that
@@ -32,6 +32,11 @@
 	return end <= s->job->cutoff_ms ? TIER_LATE : TIER_LAST;
 }
 
+static bool is_late(const struct step *s)
+{
+	return s->tier == TIER_LATE || s->tier == TIER_LAST;
+}
+
 static int by_latest_start(const struct step *x, const struct step *y)
 {
 	const struct eng_job_spec *p = x->job->spec;
@@ -39,6 +44,8 @@
 
 	if (p->priority != q->priority)
 		return p->priority < q->priority ? -1 : 1;
+	if (x->order_ms != y->order_ms)
+		return x->order_ms < y->order_ms ? -1 : 1;
 	if (x->latest_start_ms != y->latest_start_ms)
 		return x->latest_start_ms < y->latest_start_ms ? -1 : 1;
 	return p->id < q->id ? -1 : p->id > q->id;
@@ -181,12 +188,14 @@
 {
 	bool overloaded;
 
+	eng_usage_begin_pass(e);
 	for (guint i = 0; i < e->runnable_steps->len; i++) {
 		struct step *s = e->runnable_steps->pdata[i];
 
 		s->tier = step_tier(e, s);
 		s->latest_start_ms = s->job->due_ms - eng_path_ms(s);
 		s->ranked = false;
+		s->order_ms = eng_usage_start_ms(e, s, is_late(s));
 		g_ptr_array_add(out, s);
 	}
 	g_ptr_array_sort(out, by_tier);
--- a/packages/engine/src/eng_overload.c
+++ b/packages/engine/src/eng_overload.c
@@ -48,7 +48,8 @@
 
 static double usual_ms(const struct step *s)
 {
-	return (double)MAX(s->spec->estimate_ms, 1) * s->job->queue->usual_ratio;
+	return (double)MAX(s->spec->estimate_ms, 1) *
+	       s->job->queue->usual_ratio;
 }
 
 static double share_of(int64_t need, int64_t capacity)
--- a/packages/engine/src/eng_place.c
+++ b/packages/engine/src/eng_place.c
@@ -386,6 +386,7 @@
 			continue;
 		}
 		place_step(e, s);
+		eng_usage_passed(e, s);
 		s->seen_pass = e->pass;
 		if (elapsed_us && elapsed_us(e->callbacks.ctx) >= end)
 			return false;
--- a/packages/engine/tests/bench_engine.c
+++ b/packages/engine/tests/bench_engine.c
@@ -17,6 +17,7 @@
  */
 
 #define WORKERS_MAX 7200
+#define TEAMS_MAX 65
 #define ADVICE_NODES_MAX 723 /* each makes one call at a time */
 #define LOAD_WORKERS 350     /* that the rates of job_classes are for */
 #define TICK_MS 20
@@ -79,6 +80,7 @@
 	GArray *advice_calls; /* struct advice_call */
 	int64_t busy_until_ms[ADVICE_NODES_MAX];
 	uint64_t next_job;
+	uint64_t n_teams;
 	GRand *random;
 	int64_t total_ns;
 	unsigned int interrupted; /* calls of eng_schedule() */
@@ -314,7 +316,6 @@
 	struct eng_job_spec spec = { .id = ++sim->next_job,
 				     .queue = vh_slice_str(k->queue),
 				     .service = vh_slice_str("svc"),
-				     .team = vh_slice_str("team"),
 				     .priority = k->priority,
 				     .max_attempts = 3,
 				     .stretch = 2,
@@ -322,7 +323,13 @@
 				     .steps = &step,
 				     .n_steps = 1 };
 	struct vh_buf bytes;
+	char team[16];
 
+	/* The first teams submit most. */
+	g_snprintf(team, sizeof(team), "team%d",
+		   (int)MIN(spec.id % sim->n_teams,
+			    spec.id / sim->n_teams % sim->n_teams));
+	spec.team = vh_slice_str(team);
 	spec.advice = (struct eng_advice_params){ true, k->decide_ms,
 						  k->each_ms, 2500 };
 	spec.received_ms = sim->now;
@@ -527,14 +534,16 @@
 	g_free(sim);
 }
 
-static void measure(const struct scenario *scenario)
+static void measure(const struct scenario *scenario, uint64_t n_teams,
+		    int64_t half_life_ms)
 {
 	struct simulation *sim = g_new0(struct simulation, 1);
 	struct eng_settings s = { .fence = 1,
 				  .lease_ms = 5000,
 				  .lease_max_ms = 6000,
 				  .stop_ms = 900,
-				  .gang_ms = 3000 };
+				  .gang_ms = 3000,
+				  .past_use_half_life_ms = half_life_ms };
 	struct eng_callbacks callbacks = { .start = on_start,
 					   .stop = on_stop,
 					   .hold = on_hold,
@@ -549,6 +558,7 @@
 	sim->now = 1000;
 	sim->scenario = *scenario;
 	sim->n_workers = scenario->n_workers;
+	sim->n_teams = n_teams;
 	sim->n_advice_nodes = scenario->n_advice_nodes;
 	set_rates(sim);
 	sim->random = g_rand_new_with_seed(1);
@@ -571,7 +581,11 @@
 	free_simulation(sim);
 }
 
-/* The argument, if any, limits the scenarios to that number of workers. */
+/*
+ * Arguments, all optional: the number of workers that limits the scenarios to
+ * those of that size, 0 for all; the number of teams; and the half-life of their
+ * past use in seconds, 0: off.
+ */
 int main(int argc, char **argv)
 {
 	static const struct scenario scenarios[] = {
@@ -583,10 +597,13 @@
 		{ 7200, 723, "", 10, 10, 14000, 1, true },
 	};
 	int only = argc > 1 ? (int)g_ascii_strtoll(argv[1], NULL, 10) : 0;
+	uint64_t n_teams = argc > 2 ? g_ascii_strtoull(argv[2], NULL, 10) : 1;
+	int64_t half_life_s = argc > 3 ? g_ascii_strtoll(argv[3], NULL, 10) : 0;
 
+	n_teams = CLAMP(n_teams, 1, TEAMS_MAX);
 	for (size_t i = 0; i < G_N_ELEMENTS(scenarios); i++) {
 		if (!only || scenarios[i].n_workers == only)
-			measure(&scenarios[i]);
+			measure(&scenarios[i], n_teams, half_life_s * 1000);
 	}
 	return 0;
 }
--- a/packages/engine/tests/sim_state.h
+++ b/packages/engine/tests/sim_state.h
@@ -460,6 +460,7 @@
 	std::vector<std::tuple<int64_t, uint64_t, bool>> advice_log;
 	int overloads = 0, overload_ends = 0, waiting_reports = 0;
 	bool in_overload = false;
+	int64_t past_use_half_life_ms = 0; /* the same */
 	int starts = 0, holds = 0, advice_requests = 0, expired_leases = 0,
 	    stale_tickets = 0;
 	std::string service = "svc", team = "team", payload = "spec",
--- a/packages/engine/tests/simulation.h
+++ b/packages/engine/tests/simulation.h
@@ -82,6 +82,7 @@
 		s.entry_age_max_ms = entry_age_max_ms;
 		s.ignore_speeds = ignore_speeds;
 		s.overload_order = overload_order;
+		s.past_use_half_life_ms = past_use_half_life_ms;
 		callbacks.start = start_cb;
 		callbacks.stop = stop_cb;
 		callbacks.hold = hold_cb;
