Make no calls to the policy service for steps whose team is at its limit

Cause: one team sends six times its usual and is at its limit. Its waiting steps and gangs asked for advice again and again, before the steps of other teams that were past their cutoff, though none of their tasks could be placed.

Change: a step asks only if its team's limit allows one more task, a gang if it allows the whole gang.

The test TeamLimit.StepsThatItKeepsWaitingMakeNoCalls fails without the change.

--- a/packages/engine/src/eng_advice.c
+++ b/packages/engine/src/eng_advice.c
@@ -483,6 +483,13 @@
 	return false;
 }
 
+/* A call for a step that its team's limit keeps waiting would be taken from
+ * steps that could use the answer. */
+static bool quota_allows_more(const struct step *s)
+{
+	return eng_team_quota_allows(s, s->spec->gang ? s->spec->n_tasks : 1);
+}
+
 void eng_request_advice(struct engine *e, struct step *s)
 {
 	const struct eng_advice_params *params = &s->job->spec->advice;
@@ -494,7 +501,7 @@
 	size_t n;
 
 	if (!params->needed || s->advice_pending ||
-	    s->next_advice_ms > e->now_ms)
+	    s->next_advice_ms > e->now_ms || !quota_allows_more(s))
 		return;
 	/* Avoids searches, costly when thousands of steps wait. */
 	if (!advice_available(e, params->decide_ms))
--- a/packages/engine/tests/test_overload.cc
+++ b/packages/engine/tests/test_overload.cc
@@ -331,4 +331,41 @@
 	}
 }
 
+// Steps and gangs of a team at its limit asked the policy service again and again,
+// though none of their tasks could be placed, and the steps of other teams waited
+// for a call: after an overload some of these were not started for seconds.
+TEST(TeamLimit, StepsThatItKeepsWaitingMakeNoCalls)
+{
+	static const char team_name[] = "limited";
+	Simulation sim(1, Faults(), WORKERS);
+	eng_team team = {};
+
+	sim.faults.fail_task = 0;
+	sim.advice_nodes = 1;
+	sim.duration_ms = [](const TaskKey &, int64_t estimate_ms) {
+		return estimate_ms;
+	};
+	team.name = vh_slice_str(team_name);
+	team.cap.cpu_milli = 2000;
+	sim.teams.push_back(team);
+	sim.take_over();
+	sim.run_for(500, false);
+	sim.team = team_name;
+	sim.submit(1, { engine_sim::step(2, 1000, 3000) }, 1, true);
+	sim.run_for(1000, false);
+	ASSERT_EQ(eng_job_status(sim.engine, 1), ENG_RUNNING);
+	for (uint64_t id = 2; id < 8; id++) {
+		eng_step_spec s = engine_sim::step(2, 1000, 300);
+
+		s.gang = id % 2;
+		sim.submit(id, { s }, 1, true);
+	}
+	sim.run_for(1500, false);
+	for (auto &call : sim.advice_log)
+		EXPECT_EQ(std::get<1>(call), 1u);
+	sim.run_for(8000, false);
+	for (uint64_t id = 1; id < 8; id++)
+		EXPECT_EQ(eng_job_status(sim.engine, id), ENG_COMPLETE) << id;
+}
+
 } // namespace
