Log which state an owner relies on when it deletes a job's records

A line for each deletion now names the batch of the job's newest state and the newest batch that the store has confirmed. A new owner counts the states that it cannot use without the job's record and names the first 20.

--- a/packages/cell/src/owner.c
+++ b/packages/cell/src/owner.c
@@ -253,6 +253,7 @@
 	eng_recovery_done(o->engine, owner_now_ms(o));
 	g_snprintf(records, sizeof(records), "%u", o->n_records_loaded);
 	vh_log(G_LOG_LEVEL_INFO, "owner ready", "records", records, NULL);
+	owner_gc_check(o);
 	owner_schedule_run(o);
 }
 
--- a/packages/cell/src/owner_gc.c
+++ b/packages/cell/src/owner_gc.c
@@ -1,5 +1,8 @@
+#include <inttypes.h>
+
 #include "keys.h"
 #include "owner_priv.h"
+#include "vh/log.h"
 
 /*
  * A new owner reads all records of the jobs topic. Of a job that has ended, it
@@ -8,6 +11,60 @@
  */
 #define GC_INTERVAL_MS 1000
 #define GC_APPEND_TIMEOUT_MS 1500
+#define MISSING_JOBS_LOGGED 20 /* log lines of one takeover */
+
+static const char *status_name(enum eng_job_status status)
+{
+	static const char *const names[] = {
+		[ENG_PENDING] = "pending",     [ENG_RUNNING] = "running",
+		[ENG_COMPLETE] = "complete",   [ENG_FAILED] = "failed",
+		[ENG_CANCELLED] = "cancelled", [ENG_UNKNOWN] = "unknown",
+	};
+
+	return names[status];
+}
+
+static void log_job(GLogLevelFlags level, const char *what,
+		    const struct eng_ended_job *j)
+{
+	char job[20];
+	char state[24];
+	char stored[24];
+
+	g_snprintf(job, sizeof(job), "%016" PRIx64, j->id);
+	g_snprintf(state, sizeof(state), "%" PRIu64, j->state_batch);
+	g_snprintf(stored, sizeof(stored), "%" PRIu64, j->stored_batch);
+	vh_log(level, what, "job", job, "status", status_name(j->status),
+	       "state_batch", state, "stored_batch", stored, NULL);
+}
+
+void owner_gc_check(struct owner *o)
+{
+	struct eng_ended_job jobs[MISSING_JOBS_LOGGED];
+	size_t n = eng_states_without_job(o->engine, jobs, MISSING_JOBS_LOGGED);
+	char all[24];
+
+	if (!n)
+		return;
+	g_snprintf(all, sizeof(all), "%zu", n);
+	vh_log(G_LOG_LEVEL_WARNING, "states without a job's record", "jobs",
+	       all, NULL);
+	for (size_t i = 0; i < MIN(n, MISSING_JOBS_LOGGED); i++)
+		log_job(G_LOG_LEVEL_WARNING, "state without the job's record",
+			&jobs[i]);
+}
+
+/* Takes the next jobs, unless an earlier deletion has failed. */
+static void take_ended_jobs(struct owner *o)
+{
+	if (o->n_gc_jobs)
+		return;
+	o->n_gc_jobs =
+		eng_pop_ended_jobs(o->engine, o->gc_jobs, OWNER_GC_MAX_JOBS);
+	for (size_t i = 0; i < o->n_gc_jobs; i++)
+		log_job(G_LOG_LEVEL_INFO, "records of an ended job are deleted",
+			&o->gc_jobs[i]);
+}
 
 static void on_gc_stored(void *ctx, const struct vh_append_reply *r)
 {
@@ -41,11 +98,9 @@
 	vh_timer_start(&o->gc_timer, GC_INTERVAL_MS);
 	if (o->gc_in_flight || !owner_may_act(o))
 		return;
-	if (!o->n_gc_jobs)
-		o->n_gc_jobs = eng_pop_ended_jobs(o->engine, o->gc_jobs,
-						  OWNER_GC_MAX_JOBS);
+	take_ended_jobs(o);
 	for (size_t i = 0; i < o->n_gc_jobs; i++)
-		a.n += add_keys(&records[a.n], &keys[a.n], o->gc_jobs[i]);
+		a.n += add_keys(&records[a.n], &keys[a.n], o->gc_jobs[i].id);
 	if (!a.n)
 		return;
 	o->gc_in_flight = true;
--- a/packages/cell/src/owner_priv.h
+++ b/packages/cell/src/owner_priv.h
@@ -125,7 +125,7 @@
 
 	bool gc_in_flight;
 	struct vh_timer gc_timer;
-	uint64_t gc_jobs[OWNER_GC_MAX_JOBS];
+	struct eng_ended_job gc_jobs[OWNER_GC_MAX_JOBS];
 	size_t n_gc_jobs;
 
 	struct advice_balancer advice_balancer;
@@ -224,6 +224,8 @@
 /* owner_gc.c: deletes the records of accepted jobs that have ended */
 void owner_gc_init(struct owner *o);
 void owner_gc_finish(struct owner *o);
+/* owner_gc_check - logs states whose job's record is missing, after recovery */
+void owner_gc_check(struct owner *o);
 
 /* owner_advice.c: calls the policy service through all nodes */
 void owner_advice_init(struct owner *o);
--- a/packages/engine/include/vh/engine.h
+++ b/packages/engine/include/vh/engine.h
@@ -551,14 +551,38 @@
 /* eng_batch_stored - @batch and all batches before it are durable */
 void eng_batch_stored(struct engine *e, uint64_t batch, int64_t now_ms);
 
+/**
+ * struct eng_ended_job - a job that has ended
+ * @state_batch: batch of its newest record; 0: a former owner stored it
+ * @stored_batch: newest batch that was durable when this was filled in
+ */
+struct eng_ended_job {
+	uint64_t id;
+	enum eng_job_status status;
+	uint64_t state_batch;
+	uint64_t stored_batch;
+};
+
 /**
  * eng_pop_ended_jobs - returns ended jobs whose stored input can be deleted
- * @ids: room for @max ids
+ * @jobs: room for @max jobs
  *
  * The end of these jobs is stored, and none of their tasks is on a worker any
- * more. Each id is returned once.
+ * more. Each job is returned once.
+ */
+size_t eng_pop_ended_jobs(struct engine *e, struct eng_ended_job *jobs,
+			  size_t max);
+
+/**
+ * eng_states_without_job - lists jobs of which only the state was read
+ * @jobs: room for @max jobs
+ *
+ * Returns their number, which may be larger than @max. A state that names
+ * workers cannot be used without the job's input. After recovery there is none,
+ * unless the input was deleted too early.
  */
-size_t eng_pop_ended_jobs(struct engine *e, uint64_t *ids, size_t max);
+size_t eng_states_without_job(const struct engine *e,
+			      struct eng_ended_job *jobs, size_t max);
 
 /* eng_job_known - whether a job was added or has ended */
 bool eng_job_known(const struct engine *e, uint64_t id);
--- a/packages/engine/src/eng_state.h
+++ b/packages/engine/src/eng_state.h
@@ -398,6 +398,7 @@
  * @remaining_work: of its waiting tasks, in the pass @ranked_pass
  * @status_batch: batch that stores the end of the job; callers may see the end
  *		  once it is durable
+ * @state_batch: batch of its newest record, 0: none since recovery
  * @started: some task has started, or the job has ended
  * @dirty: in the engine's list of jobs to store
  * @over_share: its team had exceeded its share when the job was submitted
@@ -418,6 +419,7 @@
 	size_t n_steps_done;
 	enum eng_job_status status;
 	uint64_t status_batch;
+	uint64_t state_batch;
 	bool cancelled;
 	bool started;
 	bool dirty;
--- a/packages/engine/src/engine.c
+++ b/packages/engine/src/engine.c
@@ -432,24 +432,60 @@
 	g_array_append_val(e->ended_jobs, j->id);
 }
 
-size_t eng_pop_ended_jobs(struct engine *e, uint64_t *ids, size_t max)
+static struct eng_ended_job ended_job(const struct engine *e,
+				      const struct job *j)
+{
+	struct eng_ended_job out = { .id = j->id,
+				     .status = j->status,
+				     .state_batch = j->state_batch,
+				     .stored_batch = e->stored_batch };
+
+	return out;
+}
+
+size_t eng_pop_ended_jobs(struct engine *e, struct eng_ended_job *jobs,
+			  size_t max)
 {
 	size_t n = 0;
 	guint i = 0;
 
 	while (i < e->ended_jobs->len && n < max) {
 		uint64_t id = g_array_index(e->ended_jobs, uint64_t, i);
+		const struct job *j = job_find(e, id);
 
-		if (job_find(e, id)->status_batch > e->stored_batch) {
+		if (j->status_batch > e->stored_batch) {
 			i++;
 			continue;
 		}
-		ids[n++] = id;
+		jobs[n++] = ended_job(e, j);
 		g_array_remove_index_fast(e->ended_jobs, i);
 	}
 	return n;
 }
 
+size_t eng_states_without_job(const struct engine *e,
+			      struct eng_ended_job *jobs, size_t max)
+{
+	GHashTableIter it;
+	gpointer p;
+	size_t n = 0;
+
+	g_hash_table_iter_init(&it, e->jobs);
+	while (g_hash_table_iter_next(&it, NULL, &p)) {
+		const struct job *j = p;
+		bool placed;
+
+		if (j->spec || !j->stored_record.len)
+			continue;
+		if (n++ >= max)
+			continue;
+		jobs[n - 1] = ended_job(e, j);
+		eng_record_status(vh_buf_slice(&j->stored_record),
+				  &jobs[n - 1].status, &placed);
+	}
+	return n;
+}
+
 void eng_job_cancel(struct engine *e, uint64_t id, int64_t now_ms)
 {
 	struct job *j = job_get(e, id);
@@ -510,6 +546,7 @@
 		eng_record_pack(j, &r.bytes);
 		g_array_append_val(out, r);
 		j->dirty = false;
+		j->state_batch = e->open_batch;
 	}
 	for (guint i = 0; i < e->dirty->len; i++)
 		eng_job_reclaim(e, e->dirty->pdata[i]);
--- a/packages/engine/tests/bench_engine.c
+++ b/packages/engine/tests/bench_engine.c
@@ -344,7 +344,7 @@
 static void store_batch(struct simulation *sim)
 {
 	struct eng_record *records;
-	uint64_t ids[256];
+	struct eng_ended_job ended[256];
 	size_t n;
 	uint64_t batch = eng_flush(sim->engine, &records, &n);
 
@@ -352,7 +352,7 @@
 		return;
 	eng_records_free(records, n);
 	eng_batch_stored(sim->engine, batch, sim->now);
-	eng_pop_ended_jobs(sim->engine, ids, G_N_ELEMENTS(ids));
+	eng_pop_ended_jobs(sim->engine, ended, G_N_ELEMENTS(ended));
 }
 
 /* Calls the scheduler once; false if it is to be called again. */
