Keep a job's records until its last state is stored

Cause: an ended job whose tasks are still on workers is stored with its steps. When its last task leaves, eng_flush() packs the state without steps and puts the job on the list of jobs whose records may be deleted. eng_pop_ended_jobs() waited for the batch with the end, which may be stored long before, not for the batch with this last state. If the owner was lost between the deletion and the last batch, its successor found a state that names tasks, and no job to apply it to.

The list now waits for the batch of the job's newest state. That covers all ways in which a job gets there: by its end, by a cancellation, in an owner that took the end over from its predecessor, and by a late answer of the policy service.

The simulation now deletes the input of ended jobs as an owner does, and requires that a new owner knows each accepted job.

--- a/packages/engine/include/vh/engine.h
+++ b/packages/engine/include/vh/engine.h
@@ -567,8 +567,8 @@
  * eng_pop_ended_jobs - returns ended jobs whose stored input can be deleted
  * @jobs: room for @max jobs
  *
- * The end of these jobs is stored, and none of their tasks is on a worker any
- * more. Each job is returned once.
+ * The last state of these jobs is stored, so also that none of their tasks is
+ * on a worker any more. Each job is returned once.
  */
 size_t eng_pop_ended_jobs(struct engine *e, struct eng_ended_job *jobs,
 			  size_t max);
--- a/packages/engine/src/engine.c
+++ b/packages/engine/src/engine.c
@@ -453,7 +453,9 @@
 		uint64_t id = g_array_index(e->ended_jobs, uint64_t, i);
 		const struct job *j = job_find(e, id);
 
-		if (j->status_batch > e->stored_batch) {
+		/* Until its last state is stored, the newest stored one names
+		 * tasks that only the job's input describes. */
+		if (j->state_batch > e->stored_batch) {
 			i++;
 			continue;
 		}
--- a/packages/engine/tests/sim_state.h
+++ b/packages/engine/tests/sim_state.h
@@ -50,6 +50,9 @@
 /* ... so many further starts of it are too many. */
 constexpr int STARTS_AFTER_CRASHES = 3;
 
+/* The owner deletes the input of ended jobs so often. */
+constexpr int64_t DELETION_INTERVAL_MS = 100;
+
 struct TaskKey {
 	uint64_t job;
 	uint32_t step, index;
@@ -257,6 +260,16 @@
 				      " actually wait");
 	}
 
+	/* An owner knows each job that was accepted, though it has ended. */
+	void check_known_jobs()
+	{
+		for (auto &j : jobs) {
+			if (eng_job_status(engine, j.first) == ENG_UNKNOWN)
+				add_violation("job " + std::to_string(j.first) +
+					      " is not known to a new owner");
+		}
+	}
+
 	/*
 	 * Tasks of a cancelled job stop within CANCEL_LIMIT_MS, unless their
 	 * worker is unreachable or replies are lost.
@@ -439,6 +452,10 @@
 	std::vector<std::string> zone_events;
 	bool owner_asleep = false; /* its event loop does not run */
 	bool store_down = false;   /* nothing is stored, no entry changes */
+	bool states_down = false;  /* no states of jobs are stored */
+	std::set<uint64_t>
+		deleted_jobs; /* whose input is not stored any more */
+	int64_t next_deletion_ms = 0;
 	std::vector<std::string> violations;
 	std::map<std::tuple<uint64_t, uint32_t, std::string>, int64_t>
 		tickets; /* by job, step and worker: expiry */
@@ -457,6 +474,7 @@
 	std::vector<eng_team> teams; /* set in each engine */
 	int advice_nodes = 0; /* that make one call at a time, 0: no limit */
 	int busy_nodes = 0;
+	int64_t advice_ms = 40; /* until an answer, beside its cost */
 	/* Duration of a task, if not drawn below its estimate. */
 	std::function<int64_t(const TaskKey &, int64_t estimate_ms)>
 		duration_ms;
--- a/packages/engine/tests/simulation.h
+++ b/packages/engine/tests/simulation.h
@@ -102,26 +102,41 @@
 		eng_set_teams(engine, teams.data(), teams.size());
 		for (auto &w : workers)
 			list_worker(w);
-		if (jobs_first) {
-			for (auto &j : jobs) {
-				add_job(j.first);
-				if (j.second.cancelled_ms >= 0)
-					eng_job_cancel(engine, j.first, now);
-			}
-		}
+		if (jobs_first)
+			add_stored_jobs();
 		for (auto &r : learned_records)
 			eng_learned_restore(engine, str(r.first), str(r.second),
 					    now);
 		for (auto &r : stored_records)
 			eng_job_restore(engine, r.first, str(r.second), now);
+		add_stored_jobs();
+		ready = true;
+		pass_zones();
+		eng_recovery_done(engine, now);
+		check_known_jobs();
+	}
+
+	/* Adds the jobs and cancellations that are in the store. */
+	void add_stored_jobs()
+	{
 		for (auto &j : jobs) {
+			if (deleted_jobs.count(j.first))
+				continue;
 			add_job(j.first);
 			if (j.second.cancelled_ms >= 0)
 				eng_job_cancel(engine, j.first, now);
 		}
-		ready = true;
-		pass_zones();
-		eng_recovery_done(engine, now);
+	}
+
+	void delete_ended_jobs()
+	{
+		eng_ended_job ended[64];
+
+		if (store_down || now < next_deletion_ms)
+			return;
+		next_deletion_ms = now + DELETION_INTERVAL_MS;
+		for (size_t n = eng_pop_ended_jobs(engine, ended, 64); n; n--)
+			deleted_jobs.insert(ended[n - 1].id);
 	}
 
 	/* The owner's node has read the topic with the operators' records. */
@@ -204,6 +219,7 @@
 	void run_engine()
 	{
 		eng_schedule(engine, now);
+		delete_ended_jobs();
 		if (batch_in_flight)
 			return;
 		eng_record *records = nullptr;
@@ -230,7 +246,7 @@
 	{
 		if (e != epoch)
 			return;
-		if (store_down) {
+		if (store_down || states_down) {
 			schedule_in(50,
 				    [=] { store_batch(e, batch, records); });
 			return;
@@ -805,7 +821,7 @@
 		for (size_t i = 0; i < a->n; i++)
 			ids.emplace_back(a->workers[i].data, a->workers[i].len);
 		asked_workers.insert(ids.begin(), ids.end());
-		schedule_in((int64_t)a->cost_ms + 40, [=] {
+		schedule_in((int64_t)a->cost_ms + advice_ms, [=] {
 			std::vector<struct vh_slice> requested;
 			std::vector<eng_advised_worker> approved;
 
