Acknowledge a late end only once the job's own end is stored

An end that changes no job was acknowledged at once if no job was waiting to be packed. But of a job that has ended, the engine frees the tasks as soon as its last state is packed; an end of another member then finds no task and changes nothing, while the batch that says that the job is complete is still being stored. If the owner and the worker with the first end were lost before that batch was stored, the next owner knew nothing of either end.

Evidence: in EndedJob.AnEndIsAcknowledgedBeforeTheJobsStateIsStored a member ends on a worker that is cut off, its lease runs out, the other member's end completes the job, the store takes no states, and the first worker comes back.

An end now waits for the batch that holds the newest state of its job, packed or not, and for no other. Ends that changed nothing no longer wait for a batch that may not come while the cell is idle.

--- a/packages/engine/src/eng_workers.c
+++ b/packages/engine/src/eng_workers.c
@@ -265,11 +265,22 @@
 					  e->now_ms + eng_longest_lease_ms(e));
 }
 
+/*
+ * The batch that stores what an end has changed. An end of a job that has ended
+ * may change nothing while the batch with the job's own end is being stored.
+ */
+static uint64_t batch_with_end(const struct engine *e, struct eng_task_ref ref)
+{
+	const struct job *j = g_hash_table_lookup(e->jobs, &ref.job);
+
+	if (!j)
+		return 0;
+	return j->dirty ? e->open_batch : j->state_batch;
+}
+
 static void process_ends(struct engine *e, struct worker *w,
 			 const struct eng_worker_report *r)
 {
-	bool all_acknowledged = w->acknowledged >= w->processed;
-
 	for (size_t i = 0; i < r->n_finished; i++) {
 		const struct eng_finished_task *f = &r->finished[i];
 		struct task *t;
@@ -277,13 +288,12 @@
 		if (f->number <= w->processed)
 			continue;
 		w->processed = f->number;
-		w->ack_batch = e->open_batch;
 		t = eng_find_task(e, f->task);
 		if (t)
 			eng_task_ended(e, t, f);
+		w->ack_batch = MAX(w->ack_batch, batch_with_end(e, f->task));
 	}
-	/* Ends that changed no job are acknowledged without a record. */
-	if (all_acknowledged && !e->dirty->len)
+	if (w->ack_batch <= e->stored_batch)
 		w->acknowledged = w->processed;
 	if (w->acknowledged >= w->processed || w->ack_pending)
 		return;
--- a/packages/engine/tests/test_ended_jobs.cc
+++ b/packages/engine/tests/test_ended_jobs.cc
@@ -8,6 +8,7 @@
 using engine_sim::Faults;
 using engine_sim::Simulation;
 using engine_sim::TaskKey;
+using engine_sim::Worker;
 
 namespace
 {
@@ -44,9 +45,9 @@
 		FAIL() << "the job does not end";
 	}
 
-	void submit_gang()
+	void submit_gang(uint32_t n_tasks = 3)
 	{
-		eng_step_spec gang = engine_sim::step(3, 9000, 1000);
+		eng_step_spec gang = engine_sim::step(n_tasks, 9000, 1000);
 
 		gang.gang = true;
 		sim.submit(1, { gang });
@@ -69,6 +70,17 @@
 		sim.take_over();
 	}
 
+	void run_until_counted(uint64_t eng_stats::*counter)
+	{
+		struct eng_stats stats = {};
+
+		for (int i = 0; i < 2000 && !(stats.*counter); i++) {
+			sim.run_for(10, false);
+			eng_stats(sim.engine, &stats);
+		}
+		ASSERT_EQ(stats.*counter, 1u);
+	}
+
 	size_t running_tasks()
 	{
 		size_t n = 0;
@@ -140,4 +152,44 @@
 	EXPECT_EQ(eng_job_status(sim.engine, 1), ENG_CANCELLED);
 }
 
+// A gang ran again after the end of a member was acknowledged: the owner had
+// forgotten the job's tasks, so it took the end for one that changes nothing,
+// while the state that the job is complete was not stored.
+TEST_F(EndedJob, AnEndIsAcknowledgedBeforeTheJobsStateIsStored)
+{
+	Worker *near = nullptr;
+	Worker *far = nullptr;
+
+	sim.duration_ms = [](const TaskKey &k, int64_t) {
+		return k.index ? 1000 : 6500;
+	};
+	submit_gang(2);
+	sim.run_for(300, false);
+	for (auto &w : sim.workers) {
+		if (!w.running.empty())
+			(w.running[0].key.index ? far : near) = &w;
+	}
+	ASSERT_TRUE(near && far);
+	far->reachable = false;
+	sim.run_for(6000, false);
+	near->reachable = false;
+	run_until_counted(&eng_stats::ends_lost); // the far member's lease
+	ASSERT_EQ(near->ends.size(), 1u);
+	near->reachable = true;
+	run_until_counted(&eng_stats::ends_done);
+	ASSERT_FALSE(sim.batch_in_flight);
+	sim.states_down = true; // before the next batch is sent
+	sim.run_for(2000, false);
+	far->reachable = true;
+	sim.run_for(2000, false);
+	// A hold that may acknowledge is sent to a worker with a task.
+	sim.submit(2, { engine_sim::step(8, 9000, 1000) });
+	sim.run_for(1000, false);
+	sim.reboot(*near);
+	sim.states_down = false;
+	sim.take_over();
+	sim.run_for(20000, false);
+	EXPECT_EQ(eng_job_status(sim.engine, 1), ENG_COMPLETE);
+}
+
 } // namespace
