Read all jobs as of the fence before a new owner acts

A new owner reads the states of jobs after the store has set its fence, but takes the jobs for read once their first reading has ended, which begins before the fence. A former owner that still acts (cut off, paused, or turned away while the new owner's first write hangs) may store a job's placement in between. The new owner then had a state without its job until it read the jobs again, 250 ms later: it stopped the job's runs on their workers as unknown ones, and acknowledged their ends unseen. Once it had read the job, it started the tasks again.

The owner now reads the jobs once more when the fence is set, beside the states, and acts only when that reading has ended.

--- a/packages/cell/src/owner.c
+++ b/packages/cell/src/owner.c
@@ -97,6 +97,9 @@
 	owner_write_stored(o);
 	if (o->phase == OWNER_FENCING) {
 		o->phase = OWNER_LOADING;
+		/* The former owner may have stored states of jobs until now
+		 * that were stored after the jobs were read. */
+		topic_reader_refresh(&o->jobs_reader);
 		topic_reader_start(&o->state_reader);
 		topic_reader_start(&o->fleet_reader);
 	}
@@ -241,7 +244,7 @@
 	char records[24];
 
 	if (o->phase != OWNER_LOADING || !o->fleet_reader.snapshot_read ||
-	    !o->jobs_reader.snapshot_read || !o->state_reader.snapshot_read)
+	    !o->jobs_reader.refreshed || !o->state_reader.snapshot_read)
 		return;
 	if (!zones_recent(o)) {
 		o->ops.zones_wanted(o->ctx);
--- a/packages/cell/src/topic_reader.c
+++ b/packages/cell/src/topic_reader.c
@@ -50,6 +50,7 @@
 static void mark_caught_up(struct topic_reader *t)
 {
 	t->caught_up_ms = t->read_sent_ms;
+	t->refreshed = !t->outdated_read;
 	if (t->on_caught_up && !t->stopped)
 		t->on_caught_up(t->ctx, t->read_sent_ms);
 }
@@ -127,6 +128,7 @@
 	if (t->stopped || t->in_flight)
 		return;
 	t->in_flight = true;
+	t->outdated_read = false;
 	t->read_sent_ms = vh_kernel_now_ms(t->kernel);
 	if (t->snapshot_read)
 		ops->read(t->ports->store_self, t->topic, t->next_offset,
@@ -153,6 +155,13 @@
 		schedule(t, 0);
 }
 
+void topic_reader_refresh(struct topic_reader *t)
+{
+	t->refreshed = false;
+	t->outdated_read = t->in_flight;
+	topic_reader_hurry(t);
+}
+
 void topic_reader_stop(struct topic_reader *t)
 {
 	t->stopped = true;
--- a/packages/cell/src/topic_reader.h
+++ b/packages/cell/src/topic_reader.h
@@ -22,6 +22,8 @@
  * @next_offset: offset to read from
  * @page_after: key after which the next page of the snapshot starts
  * @at_once: the next read does not wait for new records
+ * @outdated_read: the read in flight was sent before topic_reader_refresh()
+ * @refreshed: all records as of topic_reader_refresh() are known
  * @caught_up_ms: time as of which all records are known; 0: never
  *
  * Starts over with the latest record of each key if the store no longer retains
@@ -46,6 +48,8 @@
 	int64_t read_sent_ms;
 	int64_t caught_up_ms;
 	bool at_once;
+	bool outdated_read;
+	bool refreshed;
 	unsigned int failures;
 	struct vh_timer timer;
 };
@@ -63,6 +67,10 @@
  * does not wait for new records */
 void topic_reader_hurry(struct topic_reader *t);
 
+/* topic_reader_refresh - the same, and clears @refreshed until all records that
+ * the store holds by now were delivered */
+void topic_reader_refresh(struct topic_reader *t);
+
 /* topic_reader_idle - whether no call is pending */
 bool topic_reader_idle(const struct topic_reader *t);
 void topic_reader_finish(struct topic_reader *t);
--- a/packages/cell/tests/fake_owner.h
+++ b/packages/cell/tests/fake_owner.h
@@ -310,8 +310,11 @@
 	std::vector<std::function<void()>> held_replies;
 	std::vector<Sent> starts, leases;
 	std::map<std::string, std::vector<eng_task_ref>> running; // by worker
+	std::map<std::string, std::vector<eng_task_ref>>
+		done;		   // ends that a worker lists, by worker
+	int64_t acknowledged = 0;  // number of the last end
 	std::string silent_worker; // its holds have no reply
-	int holds = 0;
+	int holds = 0, stops = 0;
 	int64_t pause_after_start_ms = 0; // once
 	bool zones_readable = true;
 	bool hold_states = false, hold_jobs = false; // reads have no answer
@@ -439,6 +442,7 @@
 			 eng_task_ref, void (*done)(void *, eng_reply),
 			 void *ctx)
 	{
+		of(self)->stops++;
 		of(self)->later([=] { done(ctx, ENG_REPLY_OK); });
 	}
 
@@ -457,16 +461,25 @@
 			return;
 		}
 		f->holds++;
+		f->acknowledged = std::max(f->acknowledged, h->acknowledged);
 		if (h->until_ms)
 			f->leases.push_back({ sent_ms, h->until_ms });
 		int64_t clock_ms = f->now();
 
 		f->reply(f->hold_reports, [=] {
 			std::vector<eng_running_task> tasks;
+			std::vector<eng_finished_task> ends;
 			struct eng_worker_report r = {};
 
 			for (auto &t : f->running[worker])
 				tasks.push_back({ t, {} });
+			for (auto &t : f->done[worker])
+				ends.push_back({ (int64_t)ends.size() + 1,
+						 t,
+						 ENG_END_DONE,
+						 {} });
+			r.finished = ends.data();
+			r.n_finished = ends.size();
 			r.sent_ms = sent_ms;
 			r.clock_ms = clock_ms;
 			r.born_ms = 1;
