Count the first page's time for a topic that is read in pages

An owner that read the jobs in pages took a job that was stored on an earlier page meanwhile for one that does not exist, for up to a poll interval: it could answer 410 for it, or stop its runs and acknowledge its ends.

Before this change TopicReader.ALaterPageCountsForAnEarlierOne and ALaterPageEndsARefresh failed. Now the time of the first page counts, and what has changed since is read right after the last page.

--- a/packages/cell/src/topic_reader.c
+++ b/packages/cell/src/topic_reader.c
@@ -80,6 +80,7 @@
 static void on_newest(void *ctx, const struct vh_read_reply *r)
 {
 	struct topic_reader *t = ctx;
+	bool several_pages = t->page_after;
 
 	if (!accept_reply(t, r))
 		return;
@@ -102,7 +103,7 @@
 	t->snapshot_read = true;
 	report_snapshot(t, false);
 	mark_caught_up(t);
-	schedule(t, t->poll_interval_ms);
+	schedule(t, several_pages ? 0 : t->poll_interval_ms);
 }
 
 static void on_read(void *ctx, const struct vh_read_reply *r)
@@ -128,8 +129,10 @@
 	if (t->stopped || t->in_flight)
 		return;
 	t->in_flight = true;
-	t->outdated_read = false;
-	t->read_sent_ms = vh_kernel_now_ms(t->kernel);
+	if (!t->page_after) { /* the first page tells as of when all are */
+		t->outdated_read = false;
+		t->read_sent_ms = vh_kernel_now_ms(t->kernel);
+	}
 	if (t->snapshot_read)
 		ops->read(t->ports->store_self, t->topic, t->next_offset,
 			  t->at_once ? 0 : t->wait_ms, on_read, t);
--- a/packages/cell/src/topic_reader.h
+++ b/packages/cell/src/topic_reader.h
@@ -21,6 +21,7 @@
  * @snapshot_read: the latest record of each key has been read
  * @next_offset: offset to read from
  * @page_after: key after which the next page of the snapshot starts
+ * @read_sent_ms: when the read in flight was sent, or the first of its pages
  * @at_once: the next read does not wait for new records
  * @outdated_read: the read in flight was sent before topic_reader_refresh()
  * @refreshed: all records as of topic_reader_refresh() are known
