Wait for starts of a former owner before a run is given up

What callers could see: two runs of one task, or of one gang, at the same time (TWICE), after a takeover.

Cause: a new owner asks a worker for a run that its predecessor has placed, and if the worker does not have it, starts the task elsewhere at once. The predecessor's start may still be on its way. The fence keeps it off the worker that was asked, but not off the worker's next boot under the same id, which has seen no fence. The owner's own starts are waited for already (eng_boot_start_in_flight()); those of a former owner were not.

Evidence: the simulation could not show this for gangs, since their members ended each for itself. GangSimulation makes them work as the worker API says, and two runs of a gang, as well as a start after an end that is taken note of later, are violations now.

Tasks that a new owner finds running or ended are not concerned.

--- a/packages/engine/src/eng_boot.c
+++ b/packages/engine/src/eng_boot.c
@@ -86,7 +86,7 @@
 
 bool eng_boot_start_in_flight(const struct task *t, int64_t at_ms)
 {
-	return t->open_starts &&
+	return (t->open_starts || t->adopted) &&
 	       at_ms - t->start_sent_ms <= REQUEST_IN_FLIGHT_MS;
 }
 
--- a/packages/engine/src/eng_state.h
+++ b/packages/engine/src/eng_state.h
@@ -73,7 +73,8 @@
  * @request_pending: a start or stop request has no reply yet
  * @open_starts: starts of its run that were sent and have no reply; they may
  *		 still be carried out
- * @start_sent_ms: when a start of its run was last sent
+ * @adopted: a former owner may have sent starts of its run, until the takeover
+ * @start_sent_ms: when a start of its run was last sent, or the takeover
  * @listed: the present boot of its worker has listed its run as running
  * @preempt_count: how often it was stopped to make room for a gang
  * @since_ms: when @state was entered or a stop was last sent
@@ -94,6 +95,7 @@
 	bool request_pending;
 	unsigned int start_attempts;
 	unsigned int open_starts;
+	bool adopted;
 	int64_t start_sent_ms;
 	bool listed;
 	unsigned int preempt_count;
--- a/packages/engine/src/eng_tasks.c
+++ b/packages/engine/src/eng_tasks.c
@@ -62,6 +62,7 @@
 	t->start_attempts = 0;
 	t->open_starts = 0;
 	t->start_sent_ms = 0;
+	t->adopted = false;
 	t->listed = false;
 	t->first_sent_ms = 0;
 	t->confirmed = false;
--- a/packages/engine/tests/sim_state.h
+++ b/packages/engine/tests/sim_state.h
@@ -79,6 +79,7 @@
 	TaskKey key;
 	uint32_t run;
 	eng_end_reason how;
+	int64_t ended_ms;
 	int64_t seen_ms = -1; /* when a report listed it */
 };
 
@@ -89,6 +90,7 @@
 	bool up = true, listed = true;
 	uint64_t fence = 0;
 	int64_t clock_offset = 0, lease_until = 0, next_end = 1;
+	int64_t lapsed_ms = 0; /* when its lease was last found to be over */
 	double clock_rate = 1;
 	std::vector<Run> running;
 	std::vector<End> ends;
@@ -237,6 +239,52 @@
 		return jobs[k.job].spec->steps[k.step].gang;
 	}
 
+	/* What runs as one: a task, or all tasks of a gang. */
+	TaskKey unit_of(const TaskKey &k)
+	{
+		return { k.job, k.step, is_gang(k) ? 0 : k.index };
+	}
+
+	static bool same(const TaskKey &a, const TaskKey &b)
+	{
+		return !(a < b) && !(b < a);
+	}
+
+	/* Whether two runs must not go on at the same time. Members of a gang
+	 * share the number of their run. */
+	bool exclude_each_other(const Run &a, const Run &b)
+	{
+		return same(a.key, b.key) ||
+		       (same(unit_of(a.key), unit_of(b.key)) && a.run != b.run);
+	}
+
+	/*
+	 * What an end that was done represents. Without gangs_end_together, a
+	 * member may end before another one of its run has started.
+	 */
+	TaskKey ended_unit(const TaskKey &k)
+	{
+		return gangs_end_together ? unit_of(k) : k;
+	}
+
+	/*
+	 * An end is acknowledged, and so taken note of unless the worker's
+	 * lease was over in between.
+	 */
+	void note_done(const Worker &w, const End &end)
+	{
+		TaskKey unit = ended_unit(end.key);
+		auto start = last_starts.find(unit);
+
+		acked_done.insert(unit);
+		if (w.lapsed_ms < end.ended_ms && start != last_starts.end() &&
+		    start->second > end.ended_ms &&
+		    !jobs[end.key.job].spec->steps[end.key.step].service)
+			add_violation("an end is acknowledged after whose time "
+				      "its task has started again, on " +
+				      w.id);
+	}
+
 	/*
 	 * At least half of the jobs without a started task must be reported as
 	 * pending, once PENDING_VISIBLE_MS have passed since their acceptance.
@@ -325,13 +373,13 @@
 			add_violation("capacity exceeded on " + w.id);
 		for (auto &o : workers) {
 			for (auto &x : o.running) {
-				if (o.up && !(x.key < r.key) &&
-				    !(r.key < x.key))
+				if (o.up && exclude_each_other(x, r))
 					add_violation("task runs twice: " +
 						      w.id + " and " + o.id);
 			}
 		}
-		if (acked_done.count(r.key) && !s.service)
+		last_starts[ended_unit(r.key)] = now;
+		if (acked_done.count(ended_unit(r.key)) && !s.service)
 			add_violation("start after an acknowledged end");
 		for (size_t i = 0; i < s.n_after; i++) {
 			const eng_step_spec &b = j.spec->steps[s.after[i]];
@@ -428,6 +476,7 @@
 	Faults faults;
 	int64_t now = 1000;
 	uint64_t sequence = 0, epoch = 0;
+	bool gangs_end_together = false; /* see GangSimulation */
 	bool jobs_first = false; /* recovery: add jobs before their records */
 	bool ready = false, batch_in_flight = false;
 	struct engine *engine = nullptr;
@@ -436,7 +485,9 @@
 	std::map<uint64_t, Job> jobs;
 	std::map<uint64_t, std::string> serialized_jobs, stored_records;
 	std::set<uint64_t> started_jobs;
-	std::set<TaskKey> done_tasks, acked_done;
+	std::set<TaskKey> done_tasks;
+	std::set<TaskKey> acked_done;			    /* units */
+	std::map<TaskKey, int64_t> last_starts;		    /* the same */
 	std::set<std::pair<TaskKey, uint32_t>> sent_starts; /* with the run */
 	std::map<uint64_t, std::set<std::pair<uint32_t, uint32_t>>>
 		failed_runs; /* by job: task index + 1, 0 for a gang, and run */
--- a/packages/engine/tests/simulation.h
+++ b/packages/engine/tests/simulation.h
@@ -420,7 +420,7 @@
 		Run r = w.running[i];
 
 		w.running.erase(w.running.begin() + (long)i);
-		w.ends.push_back({ w.next_end++, r.key, r.run, how });
+		w.ends.push_back({ w.next_end++, r.key, r.run, how, now });
 		w.void_runs.insert({ r.key, r.run });
 		if (how == ENG_END_DONE)
 			done_tasks.insert(r.key);
@@ -430,13 +430,15 @@
 				  r.run });
 	}
 
-	void advance_workers()
+	virtual void advance_workers()
 	{
 		for (auto &w : workers) {
 			if (w.crash_at_ms >= 0 && w.crash_at_ms <= now)
 				crash(w);
 			if (!w.up)
 				continue;
+			if (clock(w) > w.lease_until)
+				w.lapsed_ms = now;
 			if (!w.running.empty() && clock(w) > w.lease_until) {
 				while (!w.running.empty())
 					end_run(w, 0, ENG_END_LEASE_EXPIRED);
@@ -722,7 +724,7 @@
 	{
 		while (!w.ends.empty() && w.ends.front().number <= number) {
 			if (w.ends.front().how == ENG_END_DONE)
-				acked_done.insert(w.ends.front().key);
+				note_done(w, w.ends.front());
 			w.ends.erase(w.ends.begin());
 		}
 	}
--- a/packages/engine/tests/test_reboots.cc
+++ b/packages/engine/tests/test_reboots.cc
@@ -266,6 +266,39 @@
 	expect_done(one.sim, 7);
 }
 
+// A start of the former owner is on its way. The new owner asked the worker, gave
+// the run up and started the task elsewhere. Then the worker started again, which
+// forgets fences, and carried the start out.
+TEST(Boots, OneCarriesOutAStartOfAFormerOwner)
+{
+	Simulation sim(1, Faults(), 2);
+
+	sim.faults.fail_task = 0;
+	sim.run_ms = [](const engine_sim::Worker &,
+			const engine_sim::TaskKey &) { return 3000.0; };
+	sim.entries_name_boot = false;
+	for (auto &w : sim.workers)
+		w.delay_ms = 1800;
+	sim.take_over();
+	sim.run_for(1000, false);
+	sim.submit(1, { engine_sim::step(1, 1000, 3000) });
+	while (sim.start_log.empty())
+		sim.run_for(10, false);
+	auto &w = sim.find_worker(
+		Simulation::str(std::get<1>(sim.start_log.back())));
+	for (auto &other : sim.workers)
+		other.delay_ms = 15;
+	w.draining = true;
+	w.reachable = false; // so that the first report comes later
+	sim.take_over();
+	sim.run_for(100, false);
+	w.reachable = true;
+	sim.run_for(1100, false);
+	sim.restart(w);
+	sim.run_for(30000, false);
+	expect_done(sim, 1);
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, RestartedWorker,
 			 testing::Combine(testing::Range<uint64_t>(1, 11),
 					  testing::Bool()));
