A refresh between two pages waits for the next reading

topic_reader_refresh() looked only at a read in flight. Found by reading the diff. TopicReader.ALaterPageEndsARefreshBetweenTwoPages failed before.

--- a/packages/cell/src/topic_reader.c
+++ b/packages/cell/src/topic_reader.c
@@ -161,7 +161,7 @@
 void topic_reader_refresh(struct topic_reader *t)
 {
 	t->refreshed = false;
-	t->outdated_read = t->in_flight;
+	t->outdated_read = t->in_flight || t->page_after;
 	topic_reader_hurry(t);
 }
 
--- a/packages/cell/src/topic_reader.h
+++ b/packages/cell/src/topic_reader.h
@@ -23,7 +23,8 @@
  * @page_after: key after which the next page of the snapshot starts
  * @read_sent_ms: when the read in flight was sent, or the first of its pages
  * @at_once: the next read does not wait for new records
- * @outdated_read: the read in flight was sent before topic_reader_refresh()
+ * @outdated_read: the read in flight, or an earlier page, was sent before
+ *		   topic_reader_refresh()
  * @refreshed: all records as of topic_reader_refresh() are known
  * @caught_up_ms: time as of which all records are known; 0: never
  *
--- a/packages/cell/tests/test_topic_reader.cc
+++ b/packages/cell/tests/test_topic_reader.cc
@@ -130,6 +130,20 @@
 	EXPECT_TRUE(reader.refreshed);
 }
 
+// The same if no read is on its way.
+TEST_F(TopicReader, ALaterPageEndsARefreshBetweenTwoPages)
+{
+	wait_for_read();
+	answer(true);
+	topic_reader_refresh(&reader);
+	wait_for_read();
+	answer(false);
+	EXPECT_FALSE(reader.refreshed);
+	wait_for_read();
+	answer(false);
+	EXPECT_TRUE(reader.refreshed);
+}
+
 // A read that was on its way before.
 TEST_F(TopicReader, AReadInFlightEndsARefresh)
 {
