Read the jobs again at once after a reading that began too early

What callers saw: nothing but time. A reading of the jobs that is under way when the store sets the fence does not count for the new owner, and the next one began after the poll interval of 250 ms. Since both begin together with an ownership, that was the usual case, so a takeover took 250 ms longer than before.

TopicReader.AReadInFlightEndsARefresh failed before: no read was sent within the poll interval.

--- a/packages/cell/src/topic_reader.c
+++ b/packages/cell/src/topic_reader.c
@@ -13,6 +13,12 @@
 	vh_timer_start(&t->timer, delay_ms);
 }
 
+/* After a reading that has ended; @more records are known to be there. */
+static void schedule_next(struct topic_reader *t, bool more)
+{
+	schedule(t, more || t->outdated_read ? 0 : t->poll_interval_ms);
+}
+
 static void log_topic(const struct topic_reader *t, GLogLevelFlags level,
 		      const char *what)
 {
@@ -103,7 +109,7 @@
 	t->snapshot_read = true;
 	report_snapshot(t, false);
 	mark_caught_up(t);
-	schedule(t, several_pages ? 0 : t->poll_interval_ms);
+	schedule_next(t, several_pages);
 }
 
 static void on_read(void *ctx, const struct vh_read_reply *r)
@@ -118,7 +124,7 @@
 	t->next_offset += r->n;
 	if (t->next_offset >= r->end)
 		mark_caught_up(t);
-	schedule(t, t->next_offset < r->end ? 0 : t->poll_interval_ms);
+	schedule_next(t, t->next_offset < r->end);
 }
 
 static void send_read(void *ctx)
--- a/packages/cell/tests/test_topic_reader.cc
+++ b/packages/cell/tests/test_topic_reader.cc
@@ -13,6 +13,8 @@
 namespace
 {
 
+constexpr int64_t HOUR_MS = 3600000;
+
 using ReadDone = void (*)(void *, const struct vh_read_reply *);
 
 // One read at a time, which the test answers.
@@ -144,14 +146,18 @@
 	EXPECT_TRUE(reader.refreshed);
 }
 
-// A read that was on its way before.
+// A read that was on its way before. The next one waited for a poll interval, by
+// which each takeover took longer.
 TEST_F(TopicReader, AReadInFlightEndsARefresh)
 {
+	reader.poll_interval_ms = HOUR_MS;
 	wait_for_read();
 	topic_reader_refresh(&reader);
 	answer(false);
 	EXPECT_FALSE(reader.refreshed);
-	wait_for_read();
+	for (int i = 0; i < 1000 && !done; i++)
+		event_base_loop(kernel.base, EVLOOP_NONBLOCK);
+	ASSERT_TRUE(done);
 	answer(false);
 	EXPECT_TRUE(reader.refreshed);
 }
