Don't wait for starts of a former owner that is gone

A process that is gone has no start on its way to a later boot of a worker, and an owner that has said that it stops sends none. The election knows both when it claims; only an owner that fell silent is waited for.

TakeOver.TasksWaitForStartsOfAnOwnerThatIsGone fails without the exception.

--- a/packages/cell/src/election.c
+++ b/packages/cell/src/election.c
@@ -264,6 +264,11 @@
 	return MAX_UNCONFIRMED_MS + STEP_DOWN_MARGIN_MS;
 }
 
+bool election_former_owner_gone(const struct election *e)
+{
+	return !e->epoch || e->owner_ended || e->owner_dead;
+}
+
 int64_t election_permitted_until_ms(const struct election *e)
 {
 	int64_t permit = e->confirmed_ms + MAX_PERMIT_AGE_MS;
@@ -281,7 +286,7 @@
 int64_t election_claim_wait_ms(const struct election *e, int64_t now_ms)
 {
 	bool known =
-		!e->epoch || e->owner_ended || e->owner_dead ||
+		election_former_owner_gone(e) ||
 		(e->contact_ms && now_ms - e->contact_ms <= CONTACT_MAX_AGE_MS);
 	int64_t owner_ms = known ? election_former_owner_ms()
 				 : election_unknown_owner_ms();
--- a/packages/engine/tests/test_takeover.cc
+++ b/packages/engine/tests/test_takeover.cc
@@ -86,6 +86,30 @@
 	EXPECT_EQ(sim.starts, 8);
 }
 
+// The owner is gone before its starts arrive. Nothing of it is on its way then,
+// so its tasks wait for no longer than it takes to ask their worker.
+TEST(TakeOver, TasksWaitForStartsOfAnOwnerThatIsGone)
+{
+	Simulation sim(1, Faults(), 2);
+
+	sim.faults.fail_task = 0;
+	sim.former_owner_gone = true;
+	sim.take_over();
+	sim.run_for(1000, false);
+	for (auto &w : sim.workers)
+		w.reachable = false;
+	sim.submit(1, { engine_sim::step(1, 1000, 500) });
+	while (sim.start_log.empty())
+		sim.run_for(10, false);
+	sim.run_for(50, false);
+	for (auto &w : sim.workers)
+		w.reachable = true;
+	sim.take_over();
+	sim.run_for(3000, false); // a long poll of the worker takes 2 s
+	expect_no_violations(sim);
+	EXPECT_EQ(sim.start_log.size(), 2u);
+}
+
 // An unreachable worker may run its tasks until its lease expires. They must
 // not start elsewhere before.
 TEST(TakeOver, TasksOfAnUnreachableWorkerWaitForItsLease)
