--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -202,18 +202,37 @@
 	return true;
 }
 
+/* A free port below those that the kernel gives to channels. */
+static int free_port()
+{
+	static int next = 20000 + (int)(getpid() % 1100) * 10;
+
+	for (;;) {
+		struct sockaddr_in at = {};
+		int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+		int port = next++;
+
+		at.sin_family = AF_INET;
+		at.sin_port = htons((uint16_t)port);
+		at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+		int failed = bind(fd, (struct sockaddr *)&at, sizeof(at));
+		close(fd);
+		if (!failed)
+			return port;
+	}
+}
+
 /* A server with a thread for each channel. It can go away like a process that is
  * killed, and come back at the same port. */
 class Server
 {
       public:
 	std::function<Response(const Request &)> handle;
-	int port = 0;
+	int port = free_port();
 
 	void open()
 	{
 		struct sockaddr_in at = {};
-		socklen_t len = sizeof(at);
 		int on = 1;
 		int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
 
@@ -226,8 +245,6 @@
 			note("cannot listen on port %d", port);
 			_exit(2);
 		}
-		getsockname(fd, (struct sockaddr *)&at, &len);
-		port = ntohs(at.sin_port);
 		listener = fd;
 		std::thread([this, fd] { accept_all(fd); }).detach();
 	}
@@ -364,6 +381,22 @@
 		changed.notify_all();
 	}
 
+	/* The newest records whose keys begin with the prefix. */
+	std::map<string, string> newest_of(const string &topic,
+					   const string &prefix)
+	{
+		std::lock_guard<std::mutex> guard(lock);
+		Topic &t = topics[topic];
+		std::map<string, string> out;
+
+		for (auto i = t.newest.lower_bound(prefix);
+		     i != t.newest.end() &&
+		     !i->first.compare(0, prefix.size(), prefix);
+		     ++i)
+			out[i->first] = t.records[i->second].second;
+		return out;
+	}
+
       private:
 	std::mutex lock;
 	std::condition_variable changed;
@@ -857,22 +890,6 @@
 
 /* Nodes */
 
-static int free_port()
-{
-	Server probe;
-	struct sockaddr_in at = {};
-	socklen_t len = sizeof(at);
-	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
-
-	at.sin_family = AF_INET;
-	at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	if (bind(fd, (struct sockaddr *)&at, sizeof(at)))
-		_exit(2);
-	getsockname(fd, (struct sockaddr *)&at, &len);
-	close(fd);
-	return ntohs(at.sin_port);
-}
-
 static string read_file(const string &path)
 {
 	std::ifstream in(path);
@@ -991,11 +1008,11 @@
 	at.sin_family = AF_INET;
 	at.sin_port = htons((uint16_t)port);
 	at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-	out << method << " " << path
-	    << " HTTP/1.1\r\nHost: jobs.example\r\nAuthorization: Token " << key
-	    << "\r\nX-Deadline-Ms: 3000\r\n"
-	    << "Content-Type: application/json\r\nContent-Length: "
-	    << body.size() << "\r\n\r\n"
+	out << method << " " << path << " HTTP/1.1\r\nHost: jobs.example\r\n";
+	if (key)
+		out << "Authorization: Token " << key << "\r\n";
+	out << "X-Deadline-Ms: 3000\r\nContent-Type: application/json\r\n"
+	    << "Content-Length: " << body.size() << "\r\n\r\n"
 	    << body;
 	if (!connect(fd, (struct sockaddr *)&at, sizeof(at)) &&
 	    write_all(fd, out.str()) &&
@@ -1113,14 +1130,15 @@
 	}
 
       private:
-	static json_t *route(const char *name, const char *prefix)
+	static json_t *route(const char *name, const char *prefix,
+			     bool open = false)
 	{
 		return json_pack(
 			"{s:s,s:s,s:s,s:s,s:i,s:i,s:i,s:s,s:i,s:f,s:b}", "name",
 			name, "host", "jobs.example", "prefix", prefix, "kind",
 			"mutating", "timeoutMs", 3000, "targetDurationMs", 3000,
 			"priority", 1, "service", "ledger", "maxAttempts", 3,
-			"stretch", 4.0, "public", 0);
+			"stretch", 4.0, "public", open);
 	}
 
 	static json_t *tenant(const char *name, const char *key)
@@ -1133,15 +1151,17 @@
 	/* A queue and a tenant for each of two teams. */
 	void put_config()
 	{
-		store.put("keyed.op", "config",
-			  dump(json_pack(
-				  "{s:i,s:[o,o],s:[{s:s,s:b}],s:{s:i},s:[o,o]}",
-				  "version", 1, "routes", route("r-one", "/q/"),
-				  route("r-two", "/p/"), "services", "name",
-				  "ledger", "admissionCheck", 0, "limits",
-				  "maxBodyBytes", 262144, "tenants",
-				  tenant("team-one", key_one),
-				  tenant("team-two", key_two))));
+		store.put(
+			"keyed.op", "config",
+			dump(json_pack(
+				"{s:i,s:[o,o,o],s:[{s:s,s:b}],s:{s:i},s:[o,o]}",
+				"version", 1, "routes", route("r-one", "/q/"),
+				route("r-two", "/p/"),
+				route("r-open", "/o/", true), "services",
+				"name", "ledger", "admissionCheck", 0, "limits",
+				"maxBodyBytes", 262144, "tenants",
+				tenant("team-one", key_one),
+				tenant("team-two", key_two))));
 	}
 };
 
