--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins of the scripts in review/6 to review/10, into target/.
+# Builds the stand-ins of the scripts in review/6 to review/9, into target/.
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
