Log the steps that wait longest, with what decides on them

A step that waits though there is room for it left no line: nothing in the log told a missing answer of the policy service from an expired ticket, a team's limit or a list of workers that is out of date. "waits long" now names, every 2 s, the four steps that have waited longest, of those that could be placed for 3 s, with the workers asked about, approved, with a valid ticket, looked at and with room.

--- a/packages/cell/src/owner_engine.c
+++ b/packages/cell/src/owner_engine.c
@@ -476,6 +476,29 @@
 	g_free(team);
 }
 
+static void on_long_wait(void *ctx, const struct eng_long_wait *w)
+{
+	char job[20];
+	char task[40];
+	char waited[24];
+	char waiting[12];
+	char workers[72];
+
+	count_event(ctx, "vh_long_waits_total", w->reason);
+	g_snprintf(job, sizeof(job), "%016" PRIx64, w->task.job);
+	g_snprintf(task, sizeof(task), "%u.%u.%u", w->task.occurrence,
+		   w->task.step, w->task.index);
+	g_snprintf(waited, sizeof(waited), "%" PRId64, w->waited_ms);
+	g_snprintf(waiting, sizeof(waiting), "%u", w->n_waiting);
+	g_snprintf(workers, sizeof(workers), "%u/%u/%u/%u/%u", w->asked,
+		   w->approved, w->tickets, w->considered, w->with_room);
+	vh_log(G_LOG_LEVEL_INFO, "waits long", "job", job, "task", task, "why",
+	       w->reason, "waited_ms", waited, "waiting", waiting, "workers",
+	       workers, "asking", w->advice_pending ? "1" : "0", "team_allows",
+	       w->team_allows ? "1" : "0", "deferred", w->deferred ? "1" : "0",
+	       "on_trial", w->on_trial ? "1" : "0", NULL);
+}
+
 void owner_record_append_time(struct owner *o, int64_t took_ms)
 {
 	vh_histogram_add(vh_metrics_histogram(&o->kernel->metrics,
@@ -533,6 +556,7 @@
 		.elapsed_us = elapsed_us,
 		.overload = on_overload,
 		.waiting = on_waiting,
+		.long_wait = on_long_wait,
 		.usage_event = on_usage_event,
 		.ctx = o,
 	};
--- a/packages/engine/include/vh/engine.h
+++ b/packages/engine/include/vh/engine.h
@@ -333,6 +333,38 @@
 	int64_t wait_ms;
 };
 
+/**
+ * struct eng_long_wait - a step that has waited long, and what decides whether it
+ * is placed
+ * @task: the first of its tasks that wait
+ * @reason: why it waits as last decided, constant text; may be empty
+ * @waited_ms: since it could first be placed, or one of its tasks was placed
+ * @asked: workers that the policy service was asked about
+ * @approved: those of them that may run it
+ * @tickets: those of these whose tickets are valid
+ * @considered: those of @approved that the last pass looked at or would have
+ * @with_room: those of @approved that have room for a task
+ * @advice_pending: a call to the policy service is in flight
+ * @team_allows: its team's limit allows more
+ * @deferred: the last pass left it out, as it has no value during an overload
+ * @on_trial: @task is to run where a crash does least harm
+ */
+struct eng_long_wait {
+	struct eng_task_ref task;
+	const char *reason;
+	int64_t waited_ms;
+	uint32_t n_waiting;
+	uint32_t asked;
+	uint32_t approved;
+	uint32_t tickets;
+	uint32_t considered;
+	uint32_t with_room;
+	bool advice_pending;
+	bool team_allows;
+	bool deferred;
+	bool on_trial;
+};
+
 /**
  * struct eng_callbacks - requests and notifications of the engine
  * @start: sends a start request; eng_start_reply() reports the result
@@ -355,6 +387,8 @@
  * @waiting: every two seconds during an overload for each team and class with
  *	     waiting tasks, and once with zeros after the last of them; may be
  *	     NULL
+ * @long_wait: every two seconds for each of the steps that have waited longest, of
+ *	       those that have for three seconds; may be NULL
  * @usage_event: the past use of a team delays its steps more, or less; @what is
  *		 constant text; may be NULL
  */
@@ -374,6 +408,7 @@
 	int64_t (*elapsed_us)(void *ctx);
 	void (*overload)(void *ctx, const struct eng_overload_event *o);
 	void (*waiting)(void *ctx, const struct eng_waiting *w);
+	void (*long_wait)(void *ctx, const struct eng_long_wait *w);
 	void (*usage_event)(void *ctx, const char *what,
 			    const struct eng_team_usage *u);
 	void *ctx;
--- a/packages/engine/src/eng_place.c
+++ b/packages/engine/src/eng_place.c
@@ -129,6 +129,7 @@
 	t->run = run;
 	t->store_batch = e->open_batch;
 	eng_task_set_state(e, t, TASK_STORING);
+	t->step->waits_since_ms = e->now_ms;
 	g_queue_push_tail(&e->storing, t);
 	w->zone->used_cpu += t->step->spec->need.cpu_milli;
 	eng_floor_placed(e, t->step);
@@ -311,7 +312,9 @@
  */
 static bool deferred(struct engine *e, struct step *s)
 {
-	if (!s->ranked || s->tier != TIER_LAST || !s->job->pool->others_wait)
+	s->deferred =
+		s->ranked && s->tier == TIER_LAST && s->job->pool->others_wait;
+	if (!s->deferred)
 		return false;
 	s->reservation_active = false;
 	report_wait(e, s, "without value, waits behind all others");
@@ -414,5 +417,7 @@
 	for (guint i = 0; i < steps->len; i++)
 		eng_step_update(e, steps->pdata[i]);
 	g_ptr_array_free(steps, TRUE);
+	if (done)
+		eng_long_waits_report(e);
 	return done;
 }
--- a/packages/engine/src/eng_priv.h
+++ b/packages/engine/src/eng_priv.h
@@ -266,6 +266,11 @@
 /* eng_headroom_allows - @n tasks of a step leave enough room for urgent work */
 bool eng_headroom_allows(const struct step *s, int64_t n);
 
+/* eng_long_wait.c */
+/* eng_long_waits_report - reports the steps that have waited longest, if it is
+ * due; called after each whole pass */
+void eng_long_waits_report(struct engine *e);
+
 /* eng_waiting.c */
 /**
  * eng_waiting_report - reports by team and class what waits, if it is due
--- a/packages/engine/src/eng_state.h
+++ b/packages/engine/src/eng_state.h
@@ -186,6 +186,8 @@
  * @usage_level_reported: the team's level when it was last reported that the
  *			  step waits because of past use
  * @wait_reason: why its tasks wait, constant text; NULL: not reported yet
+ * @waits_since_ms: when it became runnable, or one of its tasks was last placed
+ * @deferred: the last pass left it out, since it has no value during an overload
  * @reservations: of a waiting gang: struct reservation, the workers that it
  *		  is expected to fit on
  * @reservation_active: resources are kept free for @reservations
@@ -234,6 +236,8 @@
 	int64_t order_ms;
 	int usage_level_reported;
 	const char *wait_reason;
+	int64_t waits_since_ms;
+	bool deferred;
 	GArray *reservations;
 	bool reservation_active;
 	bool enough_advised;
@@ -681,6 +685,7 @@
  * @ranked_pass: number of the last pass in the order for overload
  * @next_waiting_ms: when what waits is reported next
  * @reported_teams: struct team, those in the report of what waits
+ * @next_long_wait_ms: when steps that have waited long are reported next
  */
 struct engine {
 	struct eng_settings settings;
@@ -733,6 +738,7 @@
 	uint64_t ranked_pass;
 	int64_t next_waiting_ms;
 	GPtrArray *reported_teams;
+	int64_t next_long_wait_ms;
 	int64_t now_ms;
 	struct usage usage;
 	struct eng_stats stats;
--- a/packages/engine/src/engine.c
+++ b/packages/engine/src/engine.c
@@ -260,6 +260,7 @@
 	if (runnable == s->runnable)
 		return;
 	s->runnable = runnable;
+	s->waits_since_ms = e->now_ms;
 	if (runnable)
 		g_ptr_array_add(e->runnable_steps, s);
 	else
