Look at all approved workers of a step that a pass has left out

Cause: a step looks only at approved workers that had room at the last look, or on which room grew since. At overload, deferred() leaves a step without value out before it is examined, but place_until() set the mark of an examined step all the same. Room that grew in between was never seen, and as all workers had been asked about there was nothing to ask either.

Fix: one mark for steps that a pass has come to, and one for steps whose list is up to date. The second is set only where the list is made, so no path that leaves a step out can set it.

--- a/packages/engine/src/eng_index.c
+++ b/packages/engine/src/eng_index.c
@@ -283,12 +283,13 @@
 
 void eng_step_examine(struct engine *e, struct step *s)
 {
-	bool current = s->seen_pass && s->seen_pass + 1 >= e->pass;
+	/* A pass that left the step out did not see what grew before it. */
+	bool current = s->examined_pass && s->examined_pass + 1 >= e->pass;
 	const struct room_index *x;
 	struct room need;
 	guint n = MIN(s->approved_set.n_words, e->grown_before_pass.n_words);
 
-	s->seen_pass = e->pass;
+	s->examined_pass = e->pass;
 	if (!s->approved->len)
 		return;
 	x = index_for(e, s);
--- a/packages/engine/src/eng_place.c
+++ b/packages/engine/src/eng_place.c
@@ -383,14 +383,14 @@
 	for (guint i = 0; i < steps->len; i++) {
 		struct step *s = steps->pdata[i];
 
-		if (s->seen_pass == e->pass) { /* before the interruption */
+		if (s->handled_pass == e->pass) { /* before the interruption */
 			if (s->n_waiting)
 				note_waiting(e, s);
 			continue;
 		}
 		place_step(e, s);
 		eng_usage_passed(e, s);
-		s->seen_pass = e->pass;
+		s->handled_pass = e->pass;
 		if (elapsed_us && elapsed_us(e->callbacks.ctx) >= end)
 			return false;
 	}
--- a/packages/engine/src/eng_state.h
+++ b/packages/engine/src/eng_state.h
@@ -180,7 +180,8 @@
  * @approved_set: positions of the approved workers
  * @open: struct approval, the approved workers that had room when the step was
  *	  last examined, or were approved since
- * @seen_pass: the last pass that examined it
+ * @examined_pass: the last pass that brought @open up to date, 0: none yet
+ * @handled_pass: the last pass that came to it, also if it was left out
  * @tier: position in the order of placement, an enum tier
  * @order_ms: @latest_start_ms, shifted by its team's past use
  * @usage_level_reported: the team's level when it was last reported that the
@@ -230,7 +231,8 @@
 	struct worker_set asked_set;
 	struct worker_set approved_set;
 	GArray *open;
-	uint64_t seen_pass;
+	uint64_t examined_pass;
+	uint64_t handled_pass;
 	enum tier tier;
 	int64_t latest_start_ms;
 	int64_t order_ms;
--- a/packages/engine/tests/sim_state.h
+++ b/packages/engine/tests/sim_state.h
@@ -527,6 +527,11 @@
 	int advice_nodes = 0; /* that make one call at a time, 0: no limit */
 	int busy_nodes = 0;
 	int64_t advice_ms = 40; /* until an answer, beside its cost */
+	double decide_ms = 50;	/* of new jobs: cost of a call */
+	/* The answers, if not drawn for each step and worker. */
+	std::function<bool(uint64_t job, const std::string &worker)> approves;
+	std::map<uint64_t, eng_long_wait> long_waits; /* newest, by job */
+	std::set<uint64_t> deferred_jobs; /* in reports of long waits */
 	/* Duration of a task, if not drawn below its estimate. */
 	std::function<int64_t(const TaskKey &, int64_t estimate_ms)>
 		duration_ms;
@@ -535,7 +540,8 @@
 	std::vector<std::tuple<int64_t, uint64_t, bool>> advice_log;
 	int overloads = 0, overload_ends = 0, waiting_reports = 0;
 	bool in_overload = false;
-	int64_t past_use_half_life_ms = 0; /* the same */
+	int64_t past_use_half_life_ms = 0;   /* the same */
+	int64_t step_us = 0, elapsed_us = 0; /* time of a pass for a step */
 	int starts = 0, holds = 0, advice_requests = 0, expired_leases = 0,
 	    stale_tickets = 0;
 	std::string service = "svc", team = "team", payload = "spec",
--- a/packages/engine/tests/simulation.h
+++ b/packages/engine/tests/simulation.h
@@ -35,7 +35,7 @@
 		spec.stretch = stretch;
 		spec.target_ms = target_ms;
 		spec.advice.needed = advice;
-		spec.advice.decide_ms = 50;
+		spec.advice.decide_ms = decide_ms;
 		spec.advice.each_ms = 1;
 		spec.advice.valid_ms = 1500;
 		spec.received_ms = now;
@@ -95,6 +95,9 @@
 			callbacks.advice_available = advice_available_cb;
 		callbacks.overload = overload_cb;
 		callbacks.waiting = waiting_cb;
+		callbacks.long_wait = long_wait_cb;
+		if (step_us)
+			callbacks.elapsed_us = elapsed_us_cb;
 		callbacks.ctx = this;
 		engine = eng_new(&s, &callbacks, now);
 		batch_in_flight = false;
@@ -591,6 +594,22 @@
 		sim->waiting_reports += w->team.len > 0;
 	}
 
+	static int64_t elapsed_us_cb(void *ctx)
+	{
+		auto *sim = (Simulation *)ctx;
+
+		return sim->elapsed_us += sim->step_us;
+	}
+
+	static void long_wait_cb(void *ctx, const eng_long_wait *w)
+	{
+		auto *sim = (Simulation *)ctx;
+
+		sim->long_waits[w->task.job] = *w;
+		if (w->deferred)
+			sim->deferred_jobs.insert(w->task.job);
+	}
+
 	static bool advise_cb(void *ctx, const eng_advice_request *a)
 	{
 		((Simulation *)ctx)->on_advise(a);
@@ -628,7 +647,8 @@
 			busy_nodes--;
 			for (auto &id : ids) {
 				requested.push_back(str(id));
-				if (!is_approved(job, step, id))
+				if (approves ? !approves(job, id)
+					     : !is_approved(job, step, id))
 					continue;
 				approved.push_back({ str(id), str(id) });
 				tickets[{ job, step, id }] = now + 1500;
