Expect the longest lease on a boot that answers a new owner for the first time

Callers may see a task run twice (TWICE in the users' record): a worker starts again under its id, its owner is gone soon after, and then the worker is cut off.

Cause: the end of a lease is given on the worker's clock, which starts anew with the boot. An owner that sees the boot change allows for that. One that takes over afterwards takes the boot from its entry, sees no change, and lowered the expected end to that of its own lease, about 6 s.

Boots.ANewOwnerOfAYoungOneStartsItsTasksElsewhereTooEarly failed before for cuts 0.3, 1 and 1.8 s after the takeover ("task runs twice"), and passes.

Fix: from its first answer on a boot refuses calls of former owners by their fence, so the longest lease after that answer bounds what they may have given it. Later in an owner's life no such lease is left, and nothing changes.

--- a/packages/engine/src/eng_boot.c
+++ b/packages/engine/src/eng_boot.c
@@ -84,6 +84,19 @@
 	w->unknown_runs = false;
 }
 
+/*
+ * From its first answer on, the boot refuses calls of former owners. One that it
+ * has carried out may have been meant for the boot before, whose clock read more,
+ * so the lease in it may be as long as the worker allows.
+ */
+void eng_boot_fenced(const struct engine *e, struct worker *w)
+{
+	int64_t last_call_ms = MIN(e->now_ms, e->former_calls_until_ms);
+
+	w->lease_floor_ms =
+		MAX(w->lease_floor_ms, last_call_ms + eng_longest_lease_ms(e));
+}
+
 bool eng_boot_start_in_flight(const struct task *t, int64_t at_ms)
 {
 	return (t->open_starts || t->adopted) &&
--- a/packages/engine/src/eng_priv.h
+++ b/packages/engine/src/eng_priv.h
@@ -115,6 +115,9 @@
  * must be ignored */
 bool eng_boot_reported(struct engine *e, struct worker *w,
 		       const struct eng_worker_report *r);
+/* eng_boot_fenced - a boot gives its first answer to this owner: allows for the
+ * longest lease that a former owner may have given it */
+void eng_boot_fenced(const struct engine *e, struct worker *w);
 /* For so long after it was sent, a request may still reach a worker. */
 #define REQUEST_IN_FLIGHT_MS 2000
 /* eng_boot_start_in_flight - a start of a run may reach its worker after a hold
--- a/packages/engine/src/eng_state.h
+++ b/packages/engine/src/eng_state.h
@@ -638,6 +638,7 @@
  * struct engine
  * @deposed: a worker reported a newer fencing token; nothing is sent any more
  * @restoring: a stored record is being applied, so no new one is needed
+ * @former_calls_until_ms: calls of former owners may reach workers until then
  * @jobs: id to struct job
  * @workers: id to struct worker
  * @worker_list: the same workers, for iteration
@@ -696,6 +697,7 @@
 	bool deposed;
 	bool restoring;
 	bool zones_outdated;
+	int64_t former_calls_until_ms;
 	GHashTable *jobs;
 	GHashTable *workers;
 	GPtrArray *worker_list;
--- a/packages/engine/src/eng_workers.c
+++ b/packages/engine/src/eng_workers.c
@@ -420,6 +420,8 @@
 	w->reported_ms = r->clock_ms > 0 ? now_ms : 0;
 	w->ends_listed = r->n_finished > 0;
 	eng_speed_worker_known(e, w);
+	if (!w->fenced)
+		eng_boot_fenced(e, w);
 	update_clock(e, w, r->clock_ms);
 	w->fenced = true;
 	process_ends(e, w, r);
--- a/packages/engine/tests/sim_state.h
+++ b/packages/engine/tests/sim_state.h
@@ -513,6 +513,7 @@
 		tickets; /* by job, step and worker: expiry */
 	std::set<std::string> asked_workers; /* in requests for advice */
 	int64_t entry_age_max_ms = 0;	     /* setting of the engine */
+	int64_t lease_max_ms = 6000;	     /* that workers accept */
 	double stretch = 2;		     /* objective of new jobs */
 	int64_t target_ms = 1000;	     /* the same */
 	bool ignore_speeds = false;	     /* the same */
--- a/packages/engine/tests/sim_workers.h
+++ b/packages/engine/tests/sim_workers.h
@@ -156,8 +156,9 @@
 		if (fence < w.fence)
 			return ENG_REPLY_FENCED;
 		w.fence = fence;
-		w.lease_until = std::max(w.lease_until,
-					 std::min(until, clock(w) + 6000));
+		w.lease_until =
+			std::max(w.lease_until,
+				 std::min(until, clock(w) + lease_max_ms));
 		for (auto &x : w.running) {
 			if (!(x.key < r.key) && !(r.key < x.key) &&
 			    x.run == r.run)
--- a/packages/engine/tests/simulation.h
+++ b/packages/engine/tests/simulation.h
@@ -75,7 +75,7 @@
 		epoch++;
 		s.fence = epoch;
 		s.lease_ms = 5000;
-		s.lease_max_ms = 6000;
+		s.lease_max_ms = lease_max_ms;
 		s.stop_ms = 300;
 		s.gang_ms = 3000;
 		s.former_owner_ms = 100;
@@ -483,6 +483,16 @@
 		});
 	}
 
+	void apply_hold(Worker &w, uint64_t e, const eng_hold_request &h)
+	{
+		w.fence = e;
+		if (h.until_ms)
+			w.lease_until = std::max(
+				w.lease_until,
+				std::min(h.until_ms, clock(w) + lease_max_ms));
+		acknowledge(w, h.acknowledged);
+	}
+
 	/* @boot_ms: the boot that got the hold; if it starts again meanwhile, the
 	 * connection stays silent. */
 	void handle_hold(Worker &w, std::string id, uint64_t e,
@@ -510,12 +520,7 @@
 			});
 			return;
 		}
-		w.fence = e;
-		if (h.until_ms)
-			w.lease_until =
-				std::max(w.lease_until,
-					 std::min(h.until_ms, clock(w) + 6000));
-		acknowledge(w, h.acknowledged);
+		apply_hold(w, e, h);
 		h.acknowledged = 0;
 		h.until_ms = 0;
 		if (w.ends.empty() && now < reply_by_ms) {
--- a/packages/engine/tests/test_reboots.cc
+++ b/packages/engine/tests/test_reboots.cc
@@ -299,6 +299,40 @@
 	expect_done(sim, 1);
 }
 
+// A hold or a start that was meant for the former boot gives the new one the longest
+// lease, as its clock starts anew. An owner that takes over then sees this boot
+// only, and must not expect its tasks to stop as early as its own lease says.
+TEST(Boots, ANewOwnerOfAYoungOneStartsItsTasksElsewhereTooEarly)
+{
+	for (int64_t cut_ms : { 300, 1000, 1800 }) {
+		Simulation sim(1, Faults(), 2);
+
+		sim.faults.fail_task = 0;
+		sim.lease_max_ms = 10000;
+		sim.run_ms = [](const engine_sim::Worker &,
+				const engine_sim::TaskKey &) {
+			return 30000.0;
+		};
+		sim.take_over();
+		sim.run_for(1000, false);
+		sim.submit(1, { engine_sim::step(1, 1000, 30000) });
+		while (sim.start_log.empty())
+			sim.run_for(10, false);
+		auto &w = sim.find_worker(
+			Simulation::str(std::get<1>(sim.start_log.back())));
+		sim.restart(w);
+		while (w.running.empty() && sim.now < 5000)
+			sim.run_for(1, false);
+		ASSERT_EQ(w.running.size(), 1U);
+		sim.take_over();
+		sim.run_for(cut_ms, false);
+		w.reachable = false;
+		w.next_beat_ms = INT64_MAX;
+		sim.run_for(60000, false);
+		expect_done(sim, 1);
+	}
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, RestartedWorker,
 			 testing::Combine(testing::Range<uint64_t>(1, 11),
 					  testing::Bool()));
