--- a/packages/engine/tests/sim_state.h
+++ b/packages/engine/tests/sim_state.h
@@ -130,6 +130,9 @@
 				   * late, without a reply */
 	double slow_request = 0;  /* share of the starts: up to 1.6 s on their
 				   * way, without a reply */
+	double slow_hold = 0;	  /* share of the holds: up to 1.6 s on their
+				   * way, without a reply, to the boot that is
+				   * there then */
 	double reject_retry = 0;  /* share of the repeated starts: refused */
 	double crash = 0;	  /* workers that crash per second */
 	double reboot = 0;	  /* workers that start again at once, under
@@ -514,9 +517,11 @@
 	std::set<std::string> asked_workers; /* in requests for advice */
 	int64_t entry_age_max_ms = 0;	     /* setting of the engine */
 	int64_t lease_max_ms = 6000;	     /* that workers accept */
-	double stretch = 2;		     /* objective of new jobs */
-	int64_t target_ms = 1000;	     /* the same */
-	bool ignore_speeds = false;	     /* the same */
+	int64_t ack_transit_ms = 0; /* of holds that acknowledge ends, which
+				     * then get no reply; 0: as the others */
+	double stretch = 2;	    /* objective of new jobs */
+	int64_t target_ms = 1000;   /* the same */
+	bool ignore_speeds = false; /* the same */
 	std::map<std::string, std::string> learned_records; /* by name */
 	size_t learned_bytes = 0;
 	std::map<std::string, std::set<std::string>>
@@ -543,8 +548,8 @@
 	bool in_overload = false;
 	int64_t past_use_half_life_ms = 0;   /* the same */
 	int64_t step_us = 0, elapsed_us = 0; /* time of a pass for a step */
-	int starts = 0, holds = 0, advice_requests = 0, expired_leases = 0,
-	    stale_tickets = 0;
+	int starts = 0, holds = 0, acks_sent = 0, advice_requests = 0,
+	    expired_leases = 0, stale_tickets = 0;
 	std::string service = "svc", team = "team", payload = "spec",
 		    rack = "r1";
 	std::string queue_names[3] = { "q0", "q1", "q2" };
--- a/packages/engine/tests/simulation.h
+++ b/packages/engine/tests/simulation.h
@@ -477,12 +477,38 @@
 		std::string id = w.id;
 
 		holds++;
+		acks_sent += h.acknowledged > 0;
+		if ((h.acknowledged && ack_transit_ms) ||
+		    (faults.slow_hold > 0 && chance(faults.slow_hold))) {
+			carry_out_late(w, e, h);
+			return;
+		}
 		schedule_in(15, [=, &w] {
 			handle_hold(w, id, e, h, sent, w.boot_ms,
 				    now + h.wait_ms);
 		});
 	}
 
+	/* On the boot that is there then, and without a reply. */
+	void carry_out_late(Worker &w, uint64_t e, const eng_hold_request &h)
+	{
+		int64_t transit_ms = ack_transit_ms
+					     ? ack_transit_ms
+					     : (int64_t)(random01() * 1600);
+		eng_hold_request held = h;
+		std::string id = w.id;
+
+		schedule_in(transit_ms, [=, &w] {
+			if (w.up && w.reachable && e >= w.fence)
+				apply_hold(w, e, held);
+		});
+		schedule_in(h.wait_ms + 700, [=] {
+			if (e == epoch)
+				eng_hold_failed(engine, str(id), held.boot,
+						ENG_REPLY_NONE, now);
+		});
+	}
+
 	void apply_hold(Worker &w, uint64_t e, const eng_hold_request &h)
 	{
 		w.fence = e;
--- a/packages/engine/tests/test_reboots.cc
+++ b/packages/engine/tests/test_reboots.cc
@@ -119,6 +119,26 @@
 	play(f);
 }
 
+TEST_P(RestartedWorker, RunsATaskTwiceIfHoldsAreSlow)
+{
+	Faults f;
+
+	f.reboot = 10;
+	f.slow_hold = 0.2;
+	play(f);
+}
+
+TEST_P(RestartedWorker, RunsATaskTwiceIfHoldsAreSlowOverTakeoversAndCuts)
+{
+	Faults f;
+
+	f.reboot = 10;
+	f.slow_hold = 0.2;
+	f.takeover = 0.5;
+	f.partition = 5;
+	play(f);
+}
+
 void expect_done(Simulation &sim, size_t n_jobs)
 {
 	for (auto &v : sim.violations)
@@ -333,6 +353,73 @@
 	}
 }
 
+// A worker whose owner acknowledges an end, in a hold that takes @transit_ms.
+struct LateAcknowledgement {
+	Simulation sim{ 1, Faults(), 1 };
+	engine_sim::Worker &w = sim.workers[0];
+
+	explicit LateAcknowledgement(int64_t transit_ms)
+	{
+		sim.faults.fail_task = 0;
+		sim.entries_name_boot = false;
+		sim.run_ms = [](const engine_sim::Worker &,
+				const engine_sim::TaskKey &k) {
+			return k.job == 3 ? 20000.0 : 200.0;
+		};
+		sim.take_over();
+		sim.run_for(1000, false);
+		/* Its owner sends holds to a worker with tasks only. */
+		sim.submit(3, { engine_sim::step(1, 1000, 20000) });
+		sim.run_for(500, false);
+		sim.ack_transit_ms = transit_ms;
+		sim.submit(1, { engine_sim::step(1, 1000, 200) });
+		while (!sim.acks_sent && sim.now < 5000)
+			sim.run_for(10, false);
+	}
+
+	void start_again()
+	{
+		w.running.clear();
+		w.ends.clear();
+		w.void_runs.clear();
+		sim.restart(w);
+	}
+
+	void finish()
+	{
+		sim.run_for(2500, false);
+		sim.ack_transit_ms = 0;
+		sim.run_for(30000, false);
+		EXPECT_GE(sim.acks_sent, 1);
+		expect_done(sim, 3);
+	}
+};
+
+// Guards against a start that is repeated while an acknowledgement is on its way:
+// the next boot runs the task, and forgets the end with the ends of the former one.
+TEST(Boots, ANewOneForgetsTheEndOfARepeatedStart)
+{
+	LateAcknowledgement late(1300);
+
+	late.sim.submit(2, { engine_sim::step(1, 1000, 200) });
+	late.w.reachable = false;
+	late.sim.run_for(300, false);
+	late.start_again();
+	late.w.reachable = true;
+	late.finish();
+}
+
+// The same for a first start, that the owner sends before it can know of the boot.
+TEST(Boots, ANewOneForgetsTheEndOfAFirstStart)
+{
+	LateAcknowledgement late(1300);
+
+	late.sim.run_for(300, false);
+	late.start_again();
+	late.sim.submit(2, { engine_sim::step(1, 1000, 200) });
+	late.finish();
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, RestartedWorker,
 			 testing::Combine(testing::Range<uint64_t>(1, 11),
 					  testing::Bool()));
