--- a/packages/engine/include/vh/engine.h
+++ b/packages/engine/include/vh/engine.h
@@ -342,8 +342,8 @@
  * @asked: workers that the policy service was asked about
  * @approved: those of them that may run it
  * @tickets: those of these whose tickets are valid
- * @considered: those of @approved that the last pass looked at or would have
- * @with_room: those of @approved that have room for a task
+ * @considered: those of @approved on which placement looks for room
+ * @with_room: those of @approved that have room for a task, looked at anew
  * @advice_pending: a call to the policy service is in flight
  * @team_allows: its team's limit allows more
  * @deferred: the last pass left it out, as it has no value during an overload
