--- a/packages/engine/src/eng_boot.c
+++ b/packages/engine/src/eng_boot.c
@@ -97,11 +97,6 @@
 		MAX(w->lease_floor_ms, last_call_ms + eng_longest_lease_ms(e));
 }
 
-int64_t eng_boot_ack_arrived_ms(const struct worker *w)
-{
-	return w->ack_sent_ms ? w->ack_sent_ms + REQUEST_IN_FLIGHT_MS : 0;
-}
-
 bool eng_boot_start_in_flight(const struct task *t, int64_t at_ms)
 {
 	return (t->open_starts || t->adopted) &&
--- a/packages/engine/src/eng_priv.h
+++ b/packages/engine/src/eng_priv.h
@@ -120,9 +120,6 @@
 void eng_boot_fenced(const struct engine *e, struct worker *w);
 /* For so long after it was sent, a request may still reach a worker. */
 #define REQUEST_IN_FLIGHT_MS 2000
-/* eng_boot_ack_arrived_ms - by when an acknowledgement without an answer has
- * reached the worker, 0: there is none */
-int64_t eng_boot_ack_arrived_ms(const struct worker *w);
 /* eng_boot_start_in_flight - a start of a run may reach its worker after a hold
  * that was sent at @at_ms */
 bool eng_boot_start_in_flight(const struct task *t, int64_t at_ms);
--- a/packages/engine/src/eng_state.h
+++ b/packages/engine/src/eng_state.h
@@ -512,8 +512,6 @@
  *		      worker has stopped its tasks
  * @boot: count of its boots, see struct eng_start_request
  * @lease_sent_ms: when a hold that renews its lease was last sent
- * @ack_sent_ms: when a hold with an acknowledgement was sent that was not
- *		 answered yet, 0: none
  * @lease_floor_ms: least value of @lease_expired_ms
  * @ends_listed: the last report listed ends; they are listed again until they
  *		 are acknowledged
@@ -572,7 +570,6 @@
 	int64_t lease_expired_ms;
 	uint32_t boot;
 	int64_t lease_sent_ms;
-	int64_t ack_sent_ms;
 	int64_t lease_floor_ms;
 	bool ends_listed;
 	int64_t reported_ms;
--- a/packages/engine/src/eng_tasks.c
+++ b/packages/engine/src/eng_tasks.c
@@ -438,17 +438,6 @@
 	}
 }
 
-/*
- * A worker that did not answer may have started anew. Its new boot would run the
- * task, and an acknowledgement that was meant for the former boot would make it
- * forget the end, unseen. So that one must have arrived or be answered first.
- */
-static int64_t start_retry_due_ms(const struct task *t)
-{
-	return MAX(t->since_ms + START_RETRY_MS,
-		   eng_boot_ack_arrived_ms(t->worker));
-}
-
 static void retry_request(struct engine *e, struct task *t)
 {
 	int64_t age = e->now_ms - t->since_ms;
@@ -458,7 +447,7 @@
 	/* Neither sent again nor stopped: the zones will be known soon. */
 	if (t->state == TASK_STARTING && e->zones_outdated)
 		return;
-	if (t->state == TASK_STARTING && e->now_ms >= start_retry_due_ms(t)) {
+	if (t->state == TASK_STARTING && age >= START_RETRY_MS) {
 		if (t->start_attempts < START_ATTEMPTS_MAX && !t->done &&
 		    eng_job_active(t->step->job) &&
 		    eng_worker_accepts(e, t->worker))
@@ -481,7 +470,7 @@
 		if (t->request_pending)
 			continue;
 		if (t->state == TASK_STARTING)
-			due = MIN(due, start_retry_due_ms(t));
+			due = MIN(due, t->since_ms + START_RETRY_MS);
 		else if (t->state == TASK_STOPPING && !t->stop_acked_ms)
 			due = MIN(due, t->since_ms + STOP_RETRY_MS);
 	}
--- a/packages/engine/src/eng_workers.c
+++ b/packages/engine/src/eng_workers.c
@@ -411,7 +411,6 @@
 		eng_worker_report_event(e, w, "worker answers again", false);
 	}
 	w->hold_failures = 0;
-	w->ack_sent_ms = 0;
 	w->next_hold_ms = now_ms + HOLD_INTERVAL_MS;
 	if (!eng_boot_reported(e, w, r))
 		return;
@@ -513,8 +512,6 @@
 	if (w->report_needed || w->hold_failures || w->unknown_runs ||
 	    w->acknowledged < w->processed)
 		request.wait_ms = 0;
-	if (request.acknowledged)
-		w->ack_sent_ms = e->now_ms;
 	w->report_needed = false;
 	w->hold_pending = true;
 	e->stats.holds++;
