--- a/packages/cell/src/owner_engine.c
+++ b/packages/cell/src/owner_engine.c
@@ -180,6 +180,9 @@
 
 static void on_task_decided(void *ctx, const struct eng_decision *d)
 {
+	char born[24];
+	char heard[24];
+	char lease[24];
 	char job[20];
 	char task[40];
 	char run[12];
@@ -199,9 +202,13 @@
 	g_snprintf(age, sizeof(age), "%" PRId64, d->age_ms);
 	g_snprintf(in_state, sizeof(in_state), "%" PRId64, d->in_state_ms);
 	g_snprintf(lost, sizeof(lost), "%u", d->lost_runs);
+	g_snprintf(born, sizeof(born), "%" PRId64, d->born_ms);
+	g_snprintf(heard, sizeof(heard), "%" PRId64, d->heard_ms);
+	g_snprintf(lease, sizeof(lease), "%" PRId64, d->lease_left_ms);
 	vh_log(G_LOG_LEVEL_INFO, d->what, "job", job, "task", task, "run", run,
 	       "worker", worker, "cpu", cpu, "age_ms", age, "state_ms",
-	       in_state, "lost", lost, NULL);
+	       in_state, "lost", lost, "born", born, "heard_ms", heard,
+	       "lease_left_ms", lease, NULL);
 	g_free(worker);
 }
 
--- a/packages/engine/include/vh/engine.h
+++ b/packages/engine/include/vh/engine.h
@@ -217,6 +217,9 @@
  * @in_state_ms: time since the task last changed its state; for a lost run, how
  *		 long it had been starting or running
  * @lost_runs: how many runs of the task were lost with their worker
+ * @born_ms: start of the worker's boot that the decision is about, 0: unknown
+ * @heard_ms: time since that boot's last report, -1: none yet
+ * @lease_left_ms: time until every lease on the worker is expected to be over
  * @usage: of a step that waits because of past use; NULL: another decision
  */
 struct eng_decision {
@@ -228,6 +231,9 @@
 	int64_t age_ms;
 	int64_t in_state_ms;
 	unsigned int lost_runs;
+	int64_t born_ms;
+	int64_t heard_ms;
+	int64_t lease_left_ms;
 	const struct eng_usage_wait *usage;
 };
 
--- a/packages/engine/src/eng_priv.h
+++ b/packages/engine/src/eng_priv.h
@@ -57,6 +57,9 @@
 bool eng_job_active(const struct job *j);
 /* eng_send_stored - sends the starts whose placement is stored */
 void eng_send_stored(struct engine *e);
+/* eng_decision_set_boot - adds what is known of the present boot of a worker */
+void eng_decision_set_boot(const struct engine *e, struct eng_decision *d,
+			   const struct worker *w);
 void eng_report_decision(struct engine *e, const char *what,
 			 const struct task *t, const struct worker *w);
 /* eng_report_usage_wait - reports that a step waits because of past use */
--- a/packages/engine/src/eng_workers.c
+++ b/packages/engine/src/eng_workers.c
@@ -314,6 +314,7 @@
 	if (!e->callbacks.decided || e->now_ms < w->unknown_log_due_ms)
 		return;
 	w->unknown_log_due_ms = e->now_ms + UNKNOWN_RUN_LOG_MS;
+	eng_decision_set_boot(e, &d, w);
 	e->callbacks.decided(e->callbacks.ctx, &d);
 }
 
--- a/packages/engine/src/engine.c
+++ b/packages/engine/src/engine.c
@@ -134,6 +134,14 @@
 	g_free(e);
 }
 
+void eng_decision_set_boot(const struct engine *e, struct eng_decision *d,
+			   const struct worker *w)
+{
+	d->born_ms = w->born_ms;
+	d->heard_ms = w->clock_at_ms ? e->now_ms - w->clock_at_ms : -1;
+	d->lease_left_ms = w->lease_expired_ms - e->now_ms;
+}
+
 static struct eng_decision decision(const struct engine *e, const char *what,
 				    const struct task *t,
 				    const struct worker *w)
@@ -149,6 +157,8 @@
 		.lost_runs = eng_task_losses(t),
 	};
 
+	if (w)
+		eng_decision_set_boot(e, &d, w);
 	return d;
 }
 
