--- a/packages/platform/include/vh/http_pool.h
+++ b/packages/platform/include/vh/http_pool.h
@@ -14,7 +14,10 @@
 /**
  * struct vh_http_reply - an HTTP response
  * @status: HTTP status; 0 if the exchange failed
- * @not_sent: the request waited too long for a connection and was not sent
+ * @not_sent: the request was not sent: it waited too long for a connection, or
+ *	      the opening exchange failed or named another session; the other
+ *	      fields are those of the reply to the opening request, if there is
+ *	      one
  * @body: valid during the callback
  * @headers: valid during the callback; NULL if the exchange failed
  */
@@ -25,14 +28,40 @@
 	struct evkeyvalq *headers;
 };
 
+/**
+ * struct vh_http_opening - binds a request to one session of the server
+ *
+ * A session is one life of the server's process. A connection ends with the
+ * process that accepted it, so one on which a reply has named the session can
+ * bring a request to no other session, however long it takes on the way. On
+ * every other connection the opening request comes first, and the request itself
+ * is sent only if the reply to that names its session.
+ *
+ * @path, @body: of the opening request, a POST that any session may carry out;
+ *		 copied
+ * @timeout_ms: bound of the opening exchange
+ * @session: that the request is meant for
+ * @answers: the reply to the opening request is passed on as the reply to the
+ *	     request, which is then not sent
+ */
+struct vh_http_opening {
+	const char *path;
+	struct vh_slice body;
+	int64_t timeout_ms;
+	uint64_t session;
+	bool answers;
+};
+
 /**
  * struct vh_http_request - an HTTP request
  * @path: path and query; copied
  * @content_type: NULL if there is no body; a constant string, not copied
  * @body: copied
  * @timeout_ms: bound of the exchange, without its time in the queue
- * @max_queue_ms: bound of its time in the queue; 0: unlimited
+ * @max_queue_ms: bound of its time in the queue and in the opening exchange; 0:
+ *		  unlimited
  * @header, @header_value: one additional header; NULL: none; copied
+ * @opening: NULL: any session may carry out the request
  */
 struct vh_http_request {
 	enum evhttp_cmd_type method;
@@ -43,6 +72,7 @@
 	int64_t max_queue_ms;
 	const char *header;
 	const char *header_value;
+	const struct vh_http_opening *opening;
 };
 
 /**
@@ -58,6 +88,16 @@
 				      struct vh_slice address, uint16_t port,
 				      size_t max_conns, size_t max_reply_bytes);
 
+/**
+ * vh_http_pool_set_sessions - how the server's replies name its session
+ * @read: the session that a reply names; false if it names none
+ *
+ * Called before the first request that has an opening.
+ */
+void vh_http_pool_set_sessions(struct vh_http_pool *pool,
+			       bool (*read)(const struct vh_http_reply *reply,
+					    uint64_t *session));
+
 /* vh_http_pool_free - pending exchanges are dropped without a callback */
 void vh_http_pool_free(struct vh_http_pool *pool);
 
--- a/packages/platform/src/http_pool.c
+++ b/packages/platform/src/http_pool.c
@@ -1,10 +1,20 @@
 #include "vh/http_pool.h"
 
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/keyvalq_struct.h>
 
 #define HEADER_BYTES_ESTIMATE 150 /* for each request and reply */
 
+/* A copy of struct vh_http_opening. */
+struct opening {
+	char *path;
+	struct vh_buf body;
+	int64_t timeout_ms;
+	uint64_t session;
+	bool answers;
+};
+
 /* A request that is queued or in progress. */
 struct exchange {
 	struct vh_http_pool *pool;
@@ -20,6 +30,8 @@
 	bool failed;		 /* ends by exchange_failed() */
 	char *header;
 	char *header_value;
+	struct opening *opening; /* NULL: any session may carry it out */
+	bool in_opening;	 /* the opening request is in progress */
 	void (*done)(void *ctx, const struct vh_http_reply *reply);
 	void *ctx;
 };
@@ -28,6 +40,8 @@
 struct slot {
 	struct evhttp_connection *conn;
 	struct exchange *current; /* NULL: idle */
+	bool bound;		  /* a reply on it has named @session */
+	uint64_t session;
 };
 
 struct vh_http_pool {
@@ -37,16 +51,43 @@
 	size_t max_reply_bytes;
 	struct slot *slots;
 	size_t n_slots;
-	struct exchange *head; /* queued exchanges */
+	bool (*read_session)(const struct vh_http_reply *reply,
+			     uint64_t *session); /* NULL: no sessions */
+	struct exchange *head;			 /* queued exchanges */
 	struct exchange **tail;
 	uint64_t bytes;
 	bool in_callback;
 	bool free_pending;
 };
 
+static struct opening *opening_new(const struct vh_http_opening *from)
+{
+	struct opening *o;
+
+	if (!from)
+		return NULL;
+	o = g_new0(struct opening, 1);
+	o->path = g_strdup(from->path);
+	vh_buf_add_slice(&o->body, from->body);
+	o->timeout_ms = from->timeout_ms;
+	o->session = from->session;
+	o->answers = from->answers;
+	return o;
+}
+
+static void opening_free(struct opening *o)
+{
+	if (!o)
+		return;
+	vh_buf_finish(&o->body);
+	g_free(o->path);
+	g_free(o);
+}
+
 static void exchange_free(struct exchange *ex)
 {
 	vh_buf_finish(&ex->body);
+	opening_free(ex->opening);
 	g_free(ex->path);
 	g_free(ex->header);
 	g_free(ex->header_value);
@@ -69,6 +110,13 @@
 	return pool;
 }
 
+void vh_http_pool_set_sessions(struct vh_http_pool *pool,
+			       bool (*read)(const struct vh_http_reply *reply,
+					    uint64_t *session))
+{
+	pool->read_session = read;
+}
+
 static void pool_destroy(void *ctx)
 {
 	struct vh_http_pool *pool = ctx;
@@ -76,8 +124,10 @@
 	for (size_t i = 0; i < pool->n_slots; i++) {
 		struct slot *s = &pool->slots[i];
 
-		if (s->conn)
+		if (s->conn) {
+			evhttp_connection_set_closecb(s->conn, NULL, NULL);
 			evhttp_connection_free(s->conn);
+		}
 		/* exchange_failed() frees it. */
 		if (s->current && s->current->failed)
 			s->current->pool = NULL;
@@ -137,25 +187,51 @@
 	vh_kernel_defer(ex->pool->kernel, exchange_failed, ex);
 }
 
-static void exchange_done(struct evhttp_request *req, void *ctx)
+/* libevent opens a closed connection anew, unseen, with the next request. */
+static bool slot_connected(const struct slot *slot)
 {
-	struct exchange *ex = ctx;
-	struct vh_http_pool *pool = ex->pool;
-	struct vh_http_reply reply;
+	struct bufferevent *bev;
 
-	if (ex->sending) {
-		defer_failure(ex);
+	if (!slot->conn)
+		return false;
+	bev = evhttp_connection_get_bufferevent(slot->conn);
+	return bufferevent_getfd(bev) >= 0;
+}
+
+static bool slot_bound_to(const struct slot *slot, uint64_t session)
+{
+	return slot->bound && slot->session == session && slot_connected(slot);
+}
+
+static void on_connection_closed(struct evhttp_connection *conn, void *ctx)
+{
+	struct slot *slot = ctx;
+
+	(void)conn;
+	slot->bound = false;
+}
+
+/* A connection stays with the session that the first reply on it names. */
+static void bind_slot(const struct vh_http_pool *pool, struct slot *slot,
+		      const struct vh_http_reply *reply)
+{
+	if (slot->bound || !pool->read_session || !slot_connected(slot))
 		return;
-	}
-	read_reply(req, &reply);
-	pool->bytes += reply.body.len + HEADER_BYTES_ESTIMATE;
-	ex->slot->current = NULL;
-	pool->in_callback = true;
-	ex->done(ex->ctx, &reply);
-	pool->in_callback = false;
-	exchange_free(ex);
-	if (!pool->free_pending)
-		start_queued(pool);
+	slot->bound = pool->read_session(reply, &slot->session);
+}
+
+static void free_connection(void *ctx)
+{
+	evhttp_connection_free(ctx);
+}
+
+/* Deferred, since it may be called from a callback of the connection. */
+static void retire_connection(struct vh_http_pool *pool, struct slot *slot)
+{
+	evhttp_connection_set_closecb(slot->conn, NULL, NULL);
+	vh_kernel_defer(pool->kernel, free_connection, slot->conn);
+	slot->conn = NULL;
+	slot->bound = false;
 }
 
 static struct evhttp_connection *slot_connection(struct vh_http_pool *pool,
@@ -168,9 +244,12 @@
 	evhttp_connection_set_max_body_size(slot->conn,
 					    (ev_ssize_t)pool->max_reply_bytes);
 	evhttp_connection_set_retries(slot->conn, 0);
+	evhttp_connection_set_closecb(slot->conn, on_connection_closed, slot);
 	return slot->conn;
 }
 
+static void exchange_done(struct evhttp_request *req, void *ctx);
+
 static void exchange_failed(void *ctx)
 {
 	struct exchange *ex = ctx;
@@ -181,35 +260,85 @@
 		exchange_free(ex);
 }
 
-static void start_exchange(struct vh_http_pool *pool, struct slot *slot,
-			   struct exchange *ex)
+/* Sends the opening request or the request itself, see in_opening. */
+static void send_exchange(struct vh_http_pool *pool, struct exchange *ex)
 {
-	struct evhttp_connection *conn = slot_connection(pool, slot);
+	struct evhttp_connection *conn = slot_connection(pool, ex->slot);
 	struct evhttp_request *req = evhttp_request_new(exchange_done, ex);
 	struct evkeyvalq *headers = evhttp_request_get_output_headers(req);
-	struct timeval tv = { (time_t)(ex->timeout_ms / VH_MS_PER_S),
-			      (ex->timeout_ms % VH_MS_PER_S) * 1000 };
+	const struct opening *o = ex->in_opening ? ex->opening : NULL;
+	const struct vh_buf *body = o ? &o->body : &ex->body;
+	int64_t timeout_ms = o ? o->timeout_ms : ex->timeout_ms;
+	struct timeval tv = { (time_t)(timeout_ms / VH_MS_PER_S),
+			      (timeout_ms % VH_MS_PER_S) * 1000 };
 
-	ex->slot = slot;
-	slot->current = ex;
 	evhttp_add_header(headers, "Host", pool->address);
 	if (ex->content_type)
 		evhttp_add_header(headers, "Content-Type", ex->content_type);
 	if (ex->header)
 		evhttp_add_header(headers, ex->header, ex->header_value);
-	if (ex->body.len)
-		evbuffer_add(evhttp_request_get_output_buffer(req),
-			     ex->body.data, ex->body.len);
+	if (body->len)
+		evbuffer_add(evhttp_request_get_output_buffer(req), body->data,
+			     body->len);
 	evhttp_connection_set_timeout_tv(conn, &tv);
-	pool->bytes += ex->body.len + HEADER_BYTES_ESTIMATE;
+	pool->bytes += body->len + HEADER_BYTES_ESTIMATE;
 	/* If connect() fails at once, libevent calls exchange_done() from within
 	 * this call. It reports other errors to no callback. */
 	ex->sending = true;
-	if (evhttp_make_request(conn, req, ex->method, ex->path))
+	if (evhttp_make_request(conn, req, o ? EVHTTP_REQ_POST : ex->method,
+				o ? o->path : ex->path))
 		defer_failure(ex);
 	ex->sending = false;
 }
 
+static void start_exchange(struct vh_http_pool *pool, struct slot *slot,
+			   struct exchange *ex)
+{
+	ex->slot = slot;
+	slot->current = ex;
+	ex->in_opening =
+		ex->opening && !slot_bound_to(slot, ex->opening->session);
+	if (ex->in_opening && slot->bound)
+		retire_connection(pool, slot);
+	send_exchange(pool, ex);
+}
+
+/* Whether the reply to the opening request lets the request itself be sent. */
+static bool opened(const struct vh_http_pool *pool, const struct exchange *ex)
+{
+	return !ex->opening->answers &&
+	       slot_bound_to(ex->slot, ex->opening->session) &&
+	       ex->queued_until_ms >= vh_kernel_now_ms(pool->kernel);
+}
+
+static void exchange_done(struct evhttp_request *req, void *ctx)
+{
+	struct exchange *ex = ctx;
+	struct vh_http_pool *pool = ex->pool;
+	struct vh_http_reply reply;
+
+	if (ex->sending) {
+		defer_failure(ex);
+		return;
+	}
+	read_reply(req, &reply);
+	pool->bytes += reply.body.len + HEADER_BYTES_ESTIMATE;
+	bind_slot(pool, ex->slot, &reply);
+	if (ex->in_opening && opened(pool, ex)) {
+		ex->in_opening = false;
+		send_exchange(pool, ex);
+		return;
+	}
+	reply.not_sent = ex->in_opening && !ex->opening->answers;
+	ex->slot->current = NULL;
+	pool->in_callback = true;
+	ex->done(ex->ctx, &reply);
+	pool->in_callback = false;
+	exchange_free(ex);
+	if (!pool->free_pending)
+		start_queued(pool);
+}
+
 static struct exchange *dequeue(struct vh_http_pool *pool)
 {
 	struct exchange *ex = pool->head;
@@ -232,29 +361,37 @@
 	exchange_free(ex);
 }
 
-/* Returns NULL if no request that may still be sent is queued. */
-static struct exchange *dequeue_unexpired(struct vh_http_pool *pool)
+/* The idle connection that suits an exchange best, NULL: all are busy. */
+static struct slot *idle_slot(const struct vh_http_pool *pool,
+			      const struct exchange *ex)
 {
-	int64_t now = vh_kernel_now_ms(pool->kernel);
-	struct exchange *ex = dequeue(pool);
+	struct slot *idle = NULL;
+
+	for (size_t i = 0; i < pool->n_slots; i++) {
+		struct slot *s = &pool->slots[i];
 
-	while (ex && ex->queued_until_ms < now) {
-		vh_kernel_defer(pool->kernel, exchange_expired, ex);
-		ex = dequeue(pool);
+		if (s->current)
+			continue;
+		if (ex->opening && slot_bound_to(s, ex->opening->session))
+			return s;
+		/* One that belongs to another session would be closed. */
+		if (!idle || (idle->bound && !s->bound))
+			idle = s;
 	}
-	return ex;
+	return idle;
 }
 
 static void start_queued(struct vh_http_pool *pool)
 {
-	for (size_t i = 0; i < pool->n_slots && pool->head; i++) {
-		struct exchange *ex;
+	struct slot *slot;
 
-		if (pool->slots[i].current)
-			continue;
-		ex = dequeue_unexpired(pool);
-		if (ex)
-			start_exchange(pool, &pool->slots[i], ex);
+	while (pool->head && (slot = idle_slot(pool, pool->head))) {
+		struct exchange *ex = dequeue(pool);
+
+		if (ex->queued_until_ms < vh_kernel_now_ms(pool->kernel))
+			vh_kernel_defer(pool->kernel, exchange_expired, ex);
+		else
+			start_exchange(pool, slot, ex);
 	}
 }
 
@@ -276,6 +413,7 @@
 			: INT64_MAX;
 	ex->header = g_strdup(request->header);
 	ex->header_value = g_strdup(request->header_value);
+	ex->opening = opening_new(request->opening);
 	ex->done = done;
 	ex->ctx = ctx;
 	*pool->tail = ex;
