--- a/packages/cell/include/vh/ports.h
+++ b/packages/cell/include/vh/ports.h
@@ -117,20 +117,20 @@
 /**
  * struct vh_worker_ops - calls to workers
  *
- * Addresses are IP:PORT. The id given to stop names one boot of the worker, so
- * that a restarted worker does not act on the call.
+ * An order reaches the boot that it is meant for or none, see struct eng_boot. One
+ * that was not sent for this reason ends with ENG_REPLY_NOT_SENT.
  */
 struct vh_worker_ops {
-	void (*start)(void *self, struct vh_slice address, uint64_t fence,
+	void (*start)(void *self, uint64_t fence,
 		      const struct eng_start_request *o,
 		      void (*done)(void *ctx, enum eng_reply answer),
 		      void *ctx);
-	void (*stop)(void *self, struct vh_slice address, struct vh_slice id,
-		     uint64_t fence, struct eng_task_ref task,
+	void (*stop)(void *self, uint64_t fence,
+		     const struct eng_stop_request *o,
 		     void (*done)(void *ctx, enum eng_reply answer), void *ctx);
 	/* hold - renews the worker's lease and gets its report; @report is
 	 * NULL on failure */
-	void (*hold)(void *self, struct vh_slice address, uint64_t fence,
+	void (*hold)(void *self, uint64_t fence,
 		     const struct eng_hold_request *o,
 		     void (*done)(void *ctx, enum eng_reply answer,
 				  const struct eng_worker_report *report),
--- a/packages/cell/src/owner_engine.c
+++ b/packages/cell/src/owner_engine.c
@@ -11,7 +11,7 @@
 #define USAGE_METRICS_MAX 256
 #define USAGE_METRICS_INTERVAL_MS 1000
 
-/* A pending call to a worker; @boot is that of the request. */
+/* A pending call to a worker; @boot is the count of the request's boot. */
 struct worker_call {
 	struct owner *owner;
 	char *worker;
@@ -19,14 +19,14 @@
 	struct eng_task_ref task;
 };
 
-static struct worker_call *
-worker_call_new(struct owner *o, struct vh_slice worker, uint32_t boot)
+static struct worker_call *worker_call_new(struct owner *o,
+					   const struct eng_boot *boot)
 {
 	struct worker_call *call = g_new0(struct worker_call, 1);
 
 	call->owner = o;
-	call->worker = vh_slice_dup(worker);
-	call->boot = boot;
+	call->worker = vh_slice_dup(boot->worker);
+	call->boot = boot->count;
 	o->pending_calls++;
 	return call;
 }
@@ -111,7 +111,7 @@
 static void send_start(void *ctx, const struct eng_start_request *s)
 {
 	struct owner *o = ctx;
-	struct worker_call *call = worker_call_new(o, s->worker, s->boot);
+	struct worker_call *call = worker_call_new(o, &s->boot);
 
 	call->task = s->task;
 	if (!owner_may_act(o)) {
@@ -120,34 +120,32 @@
 		vh_kernel_defer(o->kernel, on_start_withheld, call);
 		return;
 	}
-	o->ports->workers->start(o->ports->workers_self, s->address, o->epoch,
-				 s, on_started, call);
+	o->ports->workers->start(o->ports->workers_self, o->epoch, s,
+				 on_started, call);
 }
 
-static void send_stop(void *ctx, struct vh_slice worker,
-		      struct vh_slice address, struct eng_task_ref task,
-		      uint32_t boot)
+static void send_stop(void *ctx, const struct eng_stop_request *s)
 {
 	struct owner *o = ctx;
-	struct worker_call *call = worker_call_new(o, worker, boot);
+	struct worker_call *call = worker_call_new(o, &s->boot);
 
-	call->task = task;
-	o->ports->workers->stop(o->ports->workers_self, address, worker,
-				o->epoch, task, on_stopped, call);
+	call->task = s->task;
+	o->ports->workers->stop(o->ports->workers_self, o->epoch, s, on_stopped,
+				call);
 }
 
 static void send_hold(void *ctx, const struct eng_hold_request *h)
 {
 	struct owner *o = ctx;
-	struct worker_call *call = worker_call_new(o, h->worker, h->boot);
+	struct worker_call *call = worker_call_new(o, &h->boot);
 	struct eng_hold_request request = *h;
 
 	if (request.until_ms && !owner_may_act(o)) {
 		o->withheld_leases++;
 		request.until_ms = 0;
 	}
-	o->ports->workers->hold(o->ports->workers_self, h->address, o->epoch,
-				&request, on_hold, call);
+	o->ports->workers->hold(o->ports->workers_self, o->epoch, &request,
+				on_hold, call);
 }
 
 static void report_deposed(void *ctx)
--- a/packages/cell/tests/fake_cluster.h
+++ b/packages/cell/tests/fake_cluster.h
@@ -151,7 +151,7 @@
 		if (done.count(name))
 			add_violation("a start of " + name + ", which is done");
 		starts[name]++;
-		starts_by_worker[to_str(o->worker)]++;
+		starts_by_worker[to_str(o->boot.worker)]++;
 		w.running.push_back({ name, o->task, now() + run_ms });
 	}
 
@@ -372,14 +372,15 @@
 
 	using CallDone = void (*)(void *, eng_reply);
 
-	static void start(void *self, struct vh_slice address, uint64_t fence,
+	static void start(void *self, uint64_t fence,
 			  const eng_start_request *o, CallDone done, void *ctx)
 	{
 		NodePorts *p = of(self);
-		Worker &w = p->cluster->workers[to_str(address)];
+		std::string address = to_str(o->boot.address);
+		Worker &w = p->cluster->workers[address];
 		eng_reply a = ENG_REPLY_OK;
 
-		if (p->cut_workers.count(to_str(address))) {
+		if (p->cut_workers.count(address)) {
 			p->cluster->call_later(WORKER_TIMEOUT_MS, [=] {
 				done(ctx, ENG_REPLY_NONE);
 			});
@@ -396,14 +397,14 @@
 		p->cluster->call_later(4, [=] { done(ctx, a); });
 	}
 
-	static void stop(void *self, struct vh_slice address, struct vh_slice,
-			 uint64_t fence, eng_task_ref task, CallDone done,
-			 void *ctx)
+	static void stop(void *self, uint64_t fence, const eng_stop_request *o,
+			 CallDone done, void *ctx)
 	{
 		NodePorts *p = of(self);
-		Worker &w = p->cluster->workers[to_str(address)];
+		std::string address = to_str(o->boot.address);
+		Worker &w = p->cluster->workers[address];
 
-		if (p->cut_workers.count(to_str(address))) {
+		if (p->cut_workers.count(address)) {
 			p->cluster->call_later(WORKER_TIMEOUT_MS, [=] {
 				done(ctx, ENG_REPLY_NONE);
 			});
@@ -411,7 +412,7 @@
 		}
 		w.fence = std::max(w.fence, fence);
 		for (auto &r : w.running)
-			if (r.task == Cluster::task_name(task))
+			if (r.task == Cluster::task_name(o->task))
 				r.ends_ms = 0;
 		p->cluster->call_later(4, [=] { done(ctx, ENG_REPLY_OK); });
 	}
@@ -419,13 +420,14 @@
 	using HoldDone = void (*)(void *, eng_reply,
 				  const struct eng_worker_report *);
 
-	static void hold(void *self, struct vh_slice address, uint64_t fence,
-			 const eng_hold_request *o, HoldDone done, void *ctx)
+	static void hold(void *self, uint64_t fence, const eng_hold_request *o,
+			 HoldDone done, void *ctx)
 	{
 		NodePorts *p = of(self);
-		Worker &w = p->cluster->workers[to_str(address)];
+		std::string address = to_str(o->boot.address);
+		Worker &w = p->cluster->workers[address];
 
-		if (p->cut_workers.count(to_str(address))) {
+		if (p->cut_workers.count(address)) {
 			p->cluster->call_later(WORKER_TIMEOUT_MS, [=] {
 				done(ctx, ENG_REPLY_NONE, nullptr);
 			});
--- a/packages/cell/tests/fake_owner.h
+++ b/packages/cell/tests/fake_owner.h
@@ -424,11 +424,11 @@
 		of(self)->send_records(topic, 0, false, done, ctx);
 	}
 
-	static void start(void *self, struct vh_slice address, uint64_t,
-			  const eng_start_request *s,
+	static void start(void *self, uint64_t, const eng_start_request *s,
 			  void (*done)(void *, eng_reply), void *ctx)
 	{
 		OneOwner *f = of(self);
+		struct vh_slice address = s->boot.address;
 
 		f->starts.push_back({ f->now(), s->until_ms });
 		f->running[std::string(address.data, address.len)].push_back(
@@ -438,23 +438,21 @@
 		f->later([=] { done(ctx, ENG_REPLY_OK); });
 	}
 
-	static void stop(void *self, struct vh_slice, struct vh_slice, uint64_t,
-			 eng_task_ref, void (*done)(void *, eng_reply),
-			 void *ctx)
+	static void stop(void *self, uint64_t, const eng_stop_request *,
+			 void (*done)(void *, eng_reply), void *ctx)
 	{
 		of(self)->stops++;
 		of(self)->later([=] { done(ctx, ENG_REPLY_OK); });
 	}
 
-	static void hold(void *self, struct vh_slice address, uint64_t,
-			 const eng_hold_request *h,
+	static void hold(void *self, uint64_t, const eng_hold_request *h,
 			 void (*done)(void *, eng_reply,
 				      const struct eng_worker_report *),
 			 void *ctx)
 	{
 		OneOwner *f = of(self);
 		int64_t sent_ms = f->now();
-		std::string worker(address.data, address.len);
+		std::string worker(h->boot.address.data, h->boot.address.len);
 
 		if (worker == f->silent_worker) {
 			f->later([=] { done(ctx, ENG_REPLY_NONE, nullptr); });
--- a/packages/engine/include/vh/engine.h
+++ b/packages/engine/include/vh/engine.h
@@ -96,7 +96,7 @@
 /**
  * struct eng_worker_report - a worker's reply to a hold
  * @sent_ms: when the hold was sent
- * @boot: of the hold, see struct eng_hold_request
+ * @boot: count of the boot that the hold was meant for, see struct eng_boot
  * @clock_ms: the worker's clock when it replied, 0: not known, or the reply was
  *	      handled long after it was sent
  * @born_ms: when this boot of the worker started, 0: not given
@@ -121,24 +121,38 @@
 	ENG_REPLY_NO_CAPACITY,	  /* the worker lacks free resources */
 	ENG_REPLY_TICKET_EXPIRED, /* the ticket has expired */
 	ENG_REPLY_OTHER_BOOT,	  /* another boot answers at the address */
-	ENG_REPLY_REFUSED	  /* not carried out, for another reason */
+	ENG_REPLY_NOT_SENT, /* no connection to the boot that it is meant for */
+	ENG_REPLY_REFUSED   /* not carried out, for another reason */
 };
 
 /**
- * struct eng_start_request - start a task
- * @worker: id
+ * struct eng_boot - the boot of a worker that a request is meant for
+ * @worker: its id, which another boot may have as well
  * @address: IP:PORT
- * @boot: the worker's boot that the request is meant for, as a count of those
- *	  that the engine knows of; to be passed back with the reply. The worker
- *	  itself tells its boots apart by their id only, so another boot with
- *	  the same id may carry out the request.
+ * @count: of the boots of the worker that the engine knows of; to be passed back
+ *	   with the reply
+ * @born_ms: when the boot started, as it says itself; 0: it does not, or has not
+ *	     answered yet
+ *
+ * The worker does not tell its boots apart: another one with the same id carries
+ * out what reaches it. So whoever sends an order (a start, a stop, or a hold with
+ * a lease or an acknowledgement) makes sure that it reaches this boot or none,
+ * however long it is on its way.
+ */
+struct eng_boot {
+	struct vh_slice worker;
+	struct vh_slice address;
+	uint32_t count;
+	int64_t born_ms;
+};
+
+/**
+ * struct eng_start_request - start a task
  * @until_ms: end of the lease, on the worker's clock
  * @ticket: empty if the queue needs none
  */
 struct eng_start_request {
-	struct vh_slice worker;
-	struct vh_slice address;
-	uint32_t boot;
+	struct eng_boot boot;
 	struct eng_task_ref task;
 	struct vh_slice payload;
 	int64_t until_ms;
@@ -146,19 +160,26 @@
 	struct vh_slice ticket;
 };
 
+/**
+ * struct eng_stop_request - stop a run
+ */
+struct eng_stop_request {
+	struct eng_boot boot;
+	struct eng_task_ref task;
+};
+
 /**
  * struct eng_hold_request - renew a worker's lease and ask for a report
- * @boot: as in struct eng_start_request
  * @until_ms: end of the lease, on the worker's clock; 0: leave it unchanged
- * @acknowledged: number of the last end that is stored
+ * @acknowledged: number of the last end that is stored; 0: none
  * @wait_ms: long poll: the worker may delay its reply by this until a run ends
  *
- * "Hold" is the name of this call in the worker API.
+ * "Hold" is the name of this call in the worker API. Without a lease and an
+ * acknowledgement it only asks, so any boot may answer it; one that cannot be
+ * sent as an order is sent without them.
  */
 struct eng_hold_request {
-	struct vh_slice worker;
-	struct vh_slice address;
-	uint32_t boot;
+	struct eng_boot boot;
 	int64_t until_ms;
 	int64_t acknowledged;
 	int64_t wait_ms;
@@ -374,8 +395,7 @@
 /**
  * struct eng_callbacks - requests and notifications of the engine
  * @start: sends a start request; eng_start_reply() reports the result
- * @stop: sends a stop request; eng_stop_reply() reports the result; @boot as in
- *	  struct eng_start_request
+ * @stop: sends a stop request; eng_stop_reply() reports the result
  * @hold: sends a hold; eng_worker_report() or eng_hold_failed() follows
  * @advise: calls the policy service; false if no call can be made now, then
  *	    eng_schedule() tries again
@@ -400,8 +420,7 @@
  */
 struct eng_callbacks {
 	void (*start)(void *ctx, const struct eng_start_request *request);
-	void (*stop)(void *ctx, struct vh_slice worker, struct vh_slice address,
-		     struct eng_task_ref task, uint32_t boot);
+	void (*stop)(void *ctx, const struct eng_stop_request *request);
 	void (*hold)(void *ctx, const struct eng_hold_request *request);
 	bool (*advise)(void *ctx, const struct eng_advice_request *request);
 	bool (*advice_available)(void *ctx, double cost_ms);
--- a/packages/engine/src/eng_boot.c
+++ b/packages/engine/src/eng_boot.c
@@ -79,7 +79,6 @@
 	w->lease_expired_ms = w->lease_floor_ms;
 	w->processed = 0;
 	w->acknowledged = 0;
-	w->reported_ms = 0;
 	w->ends_listed = false;
 	w->unknown_runs = false;
 }
--- a/packages/engine/src/eng_priv.h
+++ b/packages/engine/src/eng_priv.h
@@ -102,6 +102,8 @@
  * lease of an unreachable worker is not extended.
  */
 int64_t eng_worker_grant_lease(struct engine *e, struct worker *w);
+/* eng_worker_boot - the present boot, for which requests are meant */
+struct eng_boot eng_worker_boot(const struct worker *w);
 /* eng_worker_touch - its state has changed, so it is polled at the next pass */
 void eng_worker_touch(struct engine *e, const struct worker *w);
 /* eng_poll_workers - sends due holds, resends requests, expires leases */
--- a/packages/engine/src/eng_state.h
+++ b/packages/engine/src/eng_state.h
@@ -515,7 +515,6 @@
  * @lease_floor_ms: least value of @lease_expired_ms
  * @ends_listed: the last report listed ends; they are listed again until they
  *		 are acknowledged
- * @reported_ms: when the last report of the present boot arrived, 0: none yet
  * @unknown_runs: the last report listed runs that are not assigned to it; they use
  *		  resources that are not in @used
  * @processed: number of the last end that was applied to the state
@@ -572,7 +571,6 @@
 	int64_t lease_sent_ms;
 	int64_t lease_floor_ms;
 	bool ends_listed;
-	int64_t reported_ms;
 	bool unknown_runs;
 	int64_t processed;
 	int64_t acknowledged;
--- a/packages/engine/src/eng_tasks.c
+++ b/packages/engine/src/eng_tasks.c
@@ -112,13 +112,16 @@
 
 static void send_stop(struct engine *e, struct task *t)
 {
+	struct eng_stop_request request = {
+		.boot = eng_worker_boot(t->worker),
+		.task = eng_task_ref(t),
+	};
+
 	t->since_ms = e->now_ms;
 	if (!*t->worker->address)
 		return; /* unknown address: retry_request() sends it later */
 	t->request_pending = true;
-	e->callbacks.stop(e->callbacks.ctx, eng_str(t->worker->id),
-			  eng_str(t->worker->address), eng_task_ref(t),
-			  t->worker->boot);
+	e->callbacks.stop(e->callbacks.ctx, &request);
 }
 
 void eng_task_stop_again(struct engine *e, struct task *t)
@@ -159,9 +162,7 @@
 	struct worker *w = t->worker;
 	struct worker_advice *a = eng_advice_find(t->step, w);
 	struct eng_start_request request = {
-		.worker = eng_str(w->id),
-		.address = eng_str(w->address),
-		.boot = w->boot,
+		.boot = eng_worker_boot(w),
 		.task = eng_task_ref(t),
 		.payload = t->step->job->spec->payload,
 		.checkpoint = t->checkpoint,
@@ -377,12 +378,26 @@
  */
 static void start_rejected(struct engine *e, struct task *t, const char *reason)
 {
-	if (t->start_attempts > 1)
+	if (t->open_starts)
 		eng_task_stop(e, t);
 	else
 		eng_task_lost(e, t, reason);
 }
 
+/*
+ * The worker is silent, or has started again: a hold tells. A member of a gang is
+ * sent again, since others may run already.
+ */
+static void start_not_sent(struct engine *e, struct task *t)
+{
+	struct worker *w = t->worker;
+
+	w->avoid_until_ms = e->now_ms + REFUSED_AVOID_MS;
+	w->report_needed = true;
+	if (!t->step->spec->gang || t->start_attempts >= START_ATTEMPTS_MAX)
+		start_rejected(e, t, "not sent, no connection to its boot");
+}
+
 void eng_start_reply(struct engine *e, struct vh_slice worker, uint32_t boot,
 		     struct eng_task_ref ref, enum eng_reply reply,
 		     int64_t now_ms)
@@ -417,6 +432,9 @@
 		eng_worker_failed(e, w);
 		start_rejected(e, t, "refused");
 		return;
+	case ENG_REPLY_NOT_SENT:
+		start_not_sent(e, t);
+		return;
 	case ENG_REPLY_STALE_RUN:
 		eng_task_set_state(e, t, TASK_UNCONFIRMED);
 		w->report_needed = true;
--- a/packages/engine/src/eng_workers.c
+++ b/packages/engine/src/eng_workers.c
@@ -11,10 +11,8 @@
 #define POLL_TURN_PASSES 50	   /* in which all workers are polled */
 #define SHORT_PATH_MS 2500	   /* longest path that latency matters for */
 #define HOLD_WAIT_LEASE_SHARE 0.55 /* part of the lease, bounds the long poll */
-/* A worker takes longer to start again and end a first run. */
-#define ACK_REPORT_AGE_MAX_MS 150
-#define ENDS_LISTED_MAX 500	/* in one report */
-#define UNKNOWN_RUN_POLL_MS 150 /* while a run that is not expected stops */
+#define ENDS_LISTED_MAX 500	   /* in one report */
+#define UNKNOWN_RUN_POLL_MS 150	   /* while a run that is not expected stops */
 #define UNKNOWN_RUN_LOG_MS 1000 /* least time between log lines of a worker */
 
 struct worker *eng_worker_find(struct engine *e, struct vh_slice id)
@@ -92,6 +90,16 @@
 	*to = vh_slice_dup(s);
 }
 
+struct eng_boot eng_worker_boot(const struct worker *w)
+{
+	struct eng_boot boot = { .worker = eng_str(w->id),
+				 .address = eng_str(w->address),
+				 .count = w->boot,
+				 .born_ms = w->born_ms };
+
+	return boot;
+}
+
 void eng_worker_set_address(struct worker *w, struct vh_slice address)
 {
 	replace_str(&w->address, address);
@@ -321,10 +329,12 @@
 static void stop_unknown_run(struct engine *e, struct worker *w,
 			     struct eng_task_ref ref)
 {
+	struct eng_stop_request request = { .boot = eng_worker_boot(w),
+					    .task = ref };
+
 	report_unknown_run(e, w, ref);
 	if (e->ready)
-		e->callbacks.stop(e->callbacks.ctx, eng_str(w->id),
-				  eng_str(w->address), ref, w->boot);
+		e->callbacks.stop(e->callbacks.ctx, &request);
 }
 
 static void process_running(struct engine *e, struct worker *w,
@@ -417,8 +427,6 @@
 		return;
 	eng_worker_survived(e, w);
 	w->alive_ms = now_ms;
-	/* A report without a clock is from before a pause of this process. */
-	w->reported_ms = r->clock_ms > 0 ? now_ms : 0;
 	w->ends_listed = r->n_finished > 0;
 	eng_speed_worker_known(e, w);
 	if (!w->fenced)
@@ -478,27 +486,17 @@
 	return w->tasks->len > 0;
 }
 
-/*
- * The number of the last stored end, if it may be sent. A boot that the owner
- * does not know of would forget its own ends up to that number, unseen. So it
- * is sent only right after a report of the present boot that listed ends.
- */
-static int64_t number_to_acknowledge(const struct engine *e,
-				     const struct worker *w)
+/* The number of the last stored end, if the worker lists it still. */
+static int64_t number_to_acknowledge(const struct worker *w)
 {
-	if (!w->ends_listed || !w->reported_ms ||
-	    e->now_ms - w->reported_ms > ACK_REPORT_AGE_MAX_MS)
-		return 0;
-	return w->acknowledged;
+	return w->ends_listed ? w->acknowledged : 0;
 }
 
 static void send_hold(struct engine *e, struct worker *w)
 {
 	struct eng_hold_request request = {
-		.worker = eng_str(w->id),
-		.address = eng_str(w->address),
-		.boot = w->boot,
-		.acknowledged = number_to_acknowledge(e, w),
+		.boot = eng_worker_boot(w),
+		.acknowledged = number_to_acknowledge(w),
 	};
 
 	if (w->fenced && w->tasks->len) {
--- a/packages/engine/tests/bench_engine.c
+++ b/packages/engine/tests/bench_engine.c
@@ -112,23 +112,22 @@
 static void on_start(void *ctx, const struct eng_start_request *request)
 {
 	struct simulation *sim = ctx;
-	struct started s = { worker_index(request->worker), request->task };
+	struct started s = { worker_index(request->boot.worker),
+			     request->task };
 
 	g_array_append_val(sim->started, s);
 }
 
-static void on_stop(void *ctx, struct vh_slice worker, struct vh_slice address,
-		    struct eng_task_ref task, uint32_t boot)
+static void on_stop(void *ctx, const struct eng_stop_request *request)
 {
 	struct simulation *sim = ctx;
-	struct sim_worker *w = &sim->workers[worker_index(worker)];
+	struct sim_worker *w =
+		&sim->workers[worker_index(request->boot.worker)];
 
-	(void)address;
-	(void)boot;
 	for (guint i = 0; i < w->running->len; i++) {
 		struct run *r = &g_array_index(w->running, struct run, i);
 
-		if (!memcmp(&r->task, &task, sizeof(task)))
+		if (!memcmp(&r->task, &request->task, sizeof(r->task)))
 			r->ends_ms = sim->now;
 	}
 }
@@ -136,7 +135,8 @@
 static void on_hold(void *ctx, const struct eng_hold_request *request)
 {
 	struct simulation *sim = ctx;
-	struct sim_worker *w = &sim->workers[worker_index(request->worker)];
+	struct sim_worker *w =
+		&sim->workers[worker_index(request->boot.worker)];
 	guint keep = 0;
 
 	for (guint i = 0; i < w->finished->len; i++) {
--- a/packages/engine/tests/simulation.h
+++ b/packages/engine/tests/simulation.h
@@ -338,15 +338,16 @@
 
 	void on_start(const eng_start_request *request)
 	{
-		check_address(request->address);
-		Worker &w = find_worker(request->worker);
+		check_address(request->boot.address);
+		Worker &w = find_worker(request->boot.worker);
 		const eng_step_spec &s =
 			jobs[request->task.job].spec->steps[request->task.step];
 		Run r = {};
 		eng_task_ref ref = request->task;
 		uint64_t e = epoch;
-		uint32_t boot = request->boot;
-		int64_t until = request->until_ms, boot_ms = w.boot_ms;
+		uint32_t boot = request->boot.count;
+		int64_t until = request->until_ms;
+		int64_t born_ms = request->boot.born_ms;
 		std::string id = w.id;
 		bool delayed = chance(faults.delay_request);
 		bool slow =
@@ -367,6 +368,15 @@
 			});
 			return;
 		}
+		if (w.up && w.reachable && w.boot_ms != born_ms) {
+			schedule_in(2 * w.delay_ms, [=] {
+				if (e == epoch)
+					eng_start_reply(engine, str(id), boot,
+							ref, ENG_REPLY_NOT_SENT,
+							now);
+			});
+			return;
+		}
 		start_log.emplace_back(now, id, r.key);
 		r.need = s.need;
 		bool ticket = jobs[ref.job].spec->advice.needed;
@@ -404,8 +414,8 @@
 				if (run_ms || duration_ms)
 					x.ends_ms = run_end_ms(w, r.key);
 				x.fails = chance(faults.fail_task);
-				if (w.up && (delayed ? w.boot_ms == boot_ms
-						     : w.reachable))
+				if (w.up && w.boot_ms == born_ms &&
+				    (delayed || w.reachable))
 					a = handle_start(w, e, x, until,
 							 delayed);
 				if (reply_lost)
@@ -430,18 +440,18 @@
 			.insert(std::string(w->worker.data, w->worker.len));
 	}
 
-	static void stop_cb(void *ctx, struct vh_slice worker,
-			    struct vh_slice address, eng_task_ref task,
-			    uint32_t boot)
+	static void stop_cb(void *ctx, const eng_stop_request *request)
 	{
-		((Simulation *)ctx)->on_stop(worker, address, task, boot);
+		((Simulation *)ctx)->on_stop(request);
 	}
 
-	void on_stop(struct vh_slice worker, struct vh_slice address,
-		     eng_task_ref ref, uint32_t boot)
+	void on_stop(const eng_stop_request *request)
 	{
-		check_address(address);
-		Worker &w = find_worker(worker);
+		check_address(request->boot.address);
+		Worker &w = find_worker(request->boot.worker);
+		eng_task_ref ref = request->task;
+		uint32_t boot = request->boot.count;
+		int64_t born_ms = request->boot.born_ms;
 		uint64_t e = epoch;
 		std::string id = w.id;
 		bool reply_lost = chance(faults.lose_reply);
@@ -449,7 +459,9 @@
 		schedule_in(15, [=, &w] {
 			eng_reply a = reply_of_next_boot(w);
 
-			if (w.up && w.reachable) {
+			if (w.up && w.reachable && w.boot_ms != born_ms) {
+				a = ENG_REPLY_NOT_SENT;
+			} else if (w.up && w.reachable) {
 				a = handle_stop(w, e, ref);
 				if (reply_lost)
 					a = ENG_REPLY_NONE;
@@ -469,8 +481,8 @@
 
 	void on_hold(const eng_hold_request *request)
 	{
-		check_address(request->address);
-		Worker &w = find_worker(request->worker);
+		check_address(request->boot.address);
+		Worker &w = find_worker(request->boot.worker);
 		uint64_t e = epoch;
 		eng_hold_request h = *request;
 		int64_t sent = now;
@@ -504,14 +516,18 @@
 		});
 		schedule_in(h.wait_ms + 700, [=] {
 			if (e == epoch)
-				eng_hold_failed(engine, str(id), held.boot,
-						ENG_REPLY_NONE, now);
+				eng_hold_failed(engine, str(id),
+						held.boot.count, ENG_REPLY_NONE,
+						now);
 		});
 	}
 
+	/* What it orders is for one boot, any other boot is only asked. */
 	void apply_hold(Worker &w, uint64_t e, const eng_hold_request &h)
 	{
 		w.fence = e;
+		if (w.boot_ms != h.boot.born_ms)
+			return;
 		if (h.until_ms)
 			w.lease_until = std::max(
 				w.lease_until,
@@ -533,15 +549,16 @@
 
 			schedule_in(a == ENG_REPLY_NONE ? timeout_ms : 15, [=] {
 				if (e == epoch)
-					eng_hold_failed(engine, str(id), h.boot,
-							a, now);
+					eng_hold_failed(engine, str(id),
+							h.boot.count, a, now);
 			});
 			return;
 		}
 		if (e < w.fence) {
 			schedule_in(15, [=] {
 				if (e == epoch)
-					eng_hold_failed(engine, str(id), h.boot,
+					eng_hold_failed(engine, str(id),
+							h.boot.count,
 							ENG_REPLY_FENCED, now);
 			});
 			return;
@@ -556,7 +573,7 @@
 			});
 			return;
 		}
-		reply_to_hold(w, id, e, sent, h.boot);
+		reply_to_hold(w, id, e, sent, h.boot.count);
 	}
 
 	void reply_to_hold(Worker &w, const std::string &id, uint64_t e,
--- a/packages/engine/tests/test_passes.cc
+++ b/packages/engine/tests/test_passes.cc
@@ -64,8 +64,7 @@
 		c.start = [](void *ctx, const eng_start_request *r) {
 			((Cell *)ctx)->on_start(r);
 		};
-		c.stop = [](void *, struct vh_slice, struct vh_slice,
-			    eng_task_ref, uint32_t) {};
+		c.stop = [](void *, const eng_stop_request *) {};
 		c.hold = [](void *ctx, const eng_hold_request *r) {
 			((Cell *)ctx)->on_hold(r);
 		};
@@ -120,17 +119,18 @@
 	{
 		int64_t ms = 500 + (int64_t)(r->task.job * 7919 % 4000) * 4;
 
-		starting.push_back({ now + ms, worker_of(r->worker), r->task });
+		starting.push_back(
+			{ now + ms, worker_of(r->boot.worker), r->task });
 		placements.push_back(
 			std::to_string(r->task.job) + "/" +
 			std::to_string(r->task.index) + " " +
-			std::string(r->worker.data, r->worker.len));
+			std::string(r->boot.worker.data, r->boot.worker.len));
 		n_started++;
 	}
 
 	void on_hold(const eng_hold_request *r)
 	{
-		auto &x = ends[(size_t)worker_of(r->worker)];
+		auto &x = ends[(size_t)worker_of(r->boot.worker)];
 
 		while (!x.empty() && x.front().number <= r->acknowledged)
 			x.erase(x.begin());
