--- a/packages/cell/src/cell_priv.h
+++ b/packages/cell/src/cell_priv.h
@@ -20,8 +20,6 @@
  * @check_from_end: end of the state topic when the check of the owner began; if
  *		    it has not moved at the end of the check, the owner does not
  *		    write
- * @claimed_former_owner_gone: election_former_owner_gone() when the last claim was
- *			       written
  * @claimed_former_owners_ms: in the last record that was written, see
  *			      election_claim_wait_ms()
  * @pending_calls: calls to the store or the policy service without a result
@@ -53,7 +51,6 @@
 	struct vh_timer check_timer;
 	uint64_t check_from_end;
 	int64_t claimed_former_owners_ms;
-	bool claimed_former_owner_gone;
 	bool leaving;
 	bool stopped;
 	unsigned int pending_calls;
--- a/packages/cell/src/election.c
+++ b/packages/cell/src/election.c
@@ -264,7 +264,8 @@
 	return MAX_UNCONFIRMED_MS + STEP_DOWN_MARGIN_MS;
 }
 
-bool election_former_owner_gone(const struct election *e)
+/* Its process is gone, it has said that it stops, or there was none. */
+static bool former_owner_gone(const struct election *e)
 {
 	return !e->epoch || e->owner_ended || e->owner_dead;
 }
@@ -286,7 +287,7 @@
 int64_t election_claim_wait_ms(const struct election *e, int64_t now_ms)
 {
 	bool known =
-		election_former_owner_gone(e) ||
+		former_owner_gone(e) ||
 		(e->contact_ms && now_ms - e->contact_ms <= CONTACT_MAX_AGE_MS);
 	int64_t owner_ms = known ? election_former_owner_ms()
 				 : election_unknown_owner_ms();
--- a/packages/cell/src/election.h
+++ b/packages/cell/src/election.h
@@ -215,10 +215,6 @@
  * a node that it knows */
 int64_t election_former_owner_ms(void);
 
-/* election_former_owner_gone - its process is gone, it has said that it stops, or
- * there was none; otherwise it may still send requests */
-bool election_former_owner_gone(const struct election *e);
-
 /* election_unknown_owner_ms - the same for a node that it may not know */
 int64_t election_unknown_owner_ms(void);
 
--- a/packages/cell/src/ownership.c
+++ b/packages/cell/src/ownership.c
@@ -137,8 +137,6 @@
 			     vh_slice(NULL, 0));
 	log_begin(epoch, former_owners_ms);
 	c->live_owners++;
-	c->owner_settings.engine.former_owner_gone =
-		c->claimed_former_owner_gone;
 	c->owner =
 		owner_new(c->kernel, c->ports, &c->peer_server,
 			  &c->owner_settings, epoch, former_owners_ms, &ops, c);
@@ -295,7 +293,6 @@
 
 	vh_buf_init(&bytes);
 	c->claimed_former_owners_ms = former_owners_ms(c, released);
-	c->claimed_former_owner_gone = election_former_owner_gone(&c->election);
 	owner_record_encode(c, released, &bytes);
 	rec.value = vh_buf_slice(&bytes);
 	c->pending_calls++;
--- a/packages/engine/include/vh/engine.h
+++ b/packages/engine/include/vh/engine.h
@@ -27,8 +27,6 @@
  * @stop_ms: how long a worker takes to stop a task
  * @gang_ms: how long the tasks of a gang wait for each other to start
  * @former_owner_ms: how long a former owner may still renew leases
- * @former_owner_gone: its process is gone or it has said that it stops, so none
- *		       of its starts is on its way to a worker any more
  * @entry_age_max_ms: how old a worker's entry in the fleet's list may be when a
  *		      task is started on it, 0: any age
  * @ignore_speeds: every worker counts as equally fast
@@ -43,7 +41,6 @@
 	int64_t stop_ms;
 	int64_t gang_ms;
 	int64_t former_owner_ms;
-	bool former_owner_gone;
 	int64_t entry_age_max_ms;
 	bool ignore_speeds;
 	bool overload_order;
--- a/packages/engine/src/eng_loss.c
+++ b/packages/engine/src/eng_loss.c
@@ -301,28 +301,12 @@
 	g_array_set_size(w->lost_runs, 0);
 }
 
-/* The first run on a worker that has ended though its worker is silent. */
-static struct task *first_ended_run(const struct engine *e,
-				    const struct worker *w)
-{
-	for (guint i = 0; i < w->tasks->len; i++) {
-		struct task *t = w->tasks->pdata[i];
-
-		if (eng_boot_run_ends_ms(e, t) < e->now_ms)
-			return t;
-	}
-	return NULL;
-}
-
 void eng_worker_lease_expired(struct engine *e, struct worker *w)
 {
-	struct task *t = first_ended_run(e, w);
-
-	/* They are collected once, though some may end later than others. */
-	if (t && !w->lost_runs->len)
-		collect_lost_runs(e, w);
-	for (; t; t = first_ended_run(e, w))
-		eng_task_lost(e, t, "lease ran out");
+	collect_lost_runs(e, w);
+	while (w->tasks->len)
+		eng_task_lost(e, w->tasks->pdata[w->tasks->len - 1],
+			      "lease ran out");
 }
 
 void eng_worker_survived(struct engine *e, struct worker *w)
--- a/packages/engine/src/eng_priv.h
+++ b/packages/engine/src/eng_priv.h
@@ -120,17 +120,6 @@
  * must be ignored */
 bool eng_boot_reported(struct engine *e, struct worker *w,
 		       const struct eng_worker_report *r);
-/* eng_boot_fenced - a boot gives its first answer to this owner: allows for the
- * longest lease that a former owner may have given it */
-void eng_boot_fenced(const struct engine *e, struct worker *w);
-/* For so long after it was sent, a request may still reach a worker. */
-#define REQUEST_IN_FLIGHT_MS 2000
-/* eng_boot_start_in_flight - a start of a run may reach its worker after a hold
- * that was sent at @at_ms */
-bool eng_boot_start_in_flight(const struct task *t, int64_t at_ms);
-/* eng_boot_run_ends_ms - by when a run on a silent worker has ended, also if a
- * boot has it that the engine does not know of */
-int64_t eng_boot_run_ends_ms(const struct engine *e, const struct task *t);
 /* eng_worker_boot_over - another boot, with another id, has taken its place */
 void eng_worker_boot_over(struct engine *e, struct worker *w);
 
--- a/packages/engine/src/eng_record.c
+++ b/packages/engine/src/eng_record.c
@@ -239,10 +239,8 @@
 };
 
 /*
- * The former owner may have sent the start to a boot that it did not know of, so
- * the run is looked for on the worker's present boot too. Unless that owner is
- * gone, its start may still be on its way, and a boot that begins meanwhile would
- * carry it out, since it has seen no fence.
+ * The former owner may have known of a later boot than the entry of the worker
+ * names, so the run is looked for on the present boot.
  */
 static void restore_placement(struct engine *e, struct task *t,
 			      const struct recorded_worker *r)
@@ -251,8 +249,6 @@
 
 	eng_task_assign(e, t, r->w);
 	eng_task_set_state(e, t, TASK_UNCONFIRMED);
-	t->adopted = !e->settings.former_owner_gone;
-	t->start_sent_ms = e->now_ms;
 	if (r->rebooted && !t->done)
 		eng_loss_add(t, &l);
 }
--- a/packages/engine/src/eng_state.h
+++ b/packages/engine/src/eng_state.h
@@ -73,9 +73,6 @@
  * @request_pending: a start or stop request has no reply yet
  * @open_starts: starts of its run that were sent and have no reply; they may
  *		 still be carried out
- * @adopted: a former owner may have sent starts of its run, until the takeover
- * @start_sent_ms: when a start of its run was last sent, or the takeover
- * @listed: the present boot of its worker has listed its run as running
  * @preempt_count: how often it was stopped to make room for a gang
  * @since_ms: when @state was entered or a stop was last sent
  * @first_sent_ms: when its run was first sent to the worker; 0: not by this owner
@@ -95,9 +92,6 @@
 	bool request_pending;
 	unsigned int start_attempts;
 	unsigned int open_starts;
-	bool adopted;
-	int64_t start_sent_ms;
-	bool listed;
 	unsigned int preempt_count;
 	int64_t since_ms;
 	int64_t first_sent_ms;
@@ -511,8 +505,8 @@
  * @lease_expired_ms: our time by which every lease sent has expired and the
  *		      worker has stopped its tasks
  * @boot: count of its boots, see struct eng_start_request
- * @lease_sent_ms: when a hold that renews its lease was last sent
- * @lease_floor_ms: least value of @lease_expired_ms
+ * @former_leases_until_ms: our time by which every lease of former owners is over;
+ *			    the boot refuses their calls since its first answer
  * @ends_listed: the last report listed ends; they are listed again until they
  *		 are acknowledged
  * @unknown_runs: the last report listed runs that are not assigned to it; they use
@@ -568,8 +562,7 @@
 	int64_t clock_at_ms;
 	int64_t lease_expired_ms;
 	uint32_t boot;
-	int64_t lease_sent_ms;
-	int64_t lease_floor_ms;
+	int64_t former_leases_until_ms;
 	bool ends_listed;
 	bool unknown_runs;
 	int64_t processed;
@@ -636,7 +629,6 @@
  * struct engine
  * @deposed: a worker reported a newer fencing token; nothing is sent any more
  * @restoring: a stored record is being applied, so no new one is needed
- * @former_calls_until_ms: calls of former owners may reach workers until then
  * @jobs: id to struct job
  * @workers: id to struct worker
  * @worker_list: the same workers, for iteration
@@ -695,7 +687,6 @@
 	bool deposed;
 	bool restoring;
 	bool zones_outdated;
-	int64_t former_calls_until_ms;
 	GHashTable *jobs;
 	GHashTable *workers;
 	GPtrArray *worker_list;
--- a/packages/engine/src/eng_tasks.c
+++ b/packages/engine/src/eng_tasks.c
@@ -61,9 +61,6 @@
 	t->worker = w;
 	t->start_attempts = 0;
 	t->open_starts = 0;
-	t->start_sent_ms = 0;
-	t->adopted = false;
-	t->listed = false;
 	t->first_sent_ms = 0;
 	t->confirmed = false;
 	t->stop_acked_ms = 0;
@@ -174,7 +171,6 @@
 	t->request_pending = true;
 	t->start_attempts++;
 	t->open_starts++;
-	t->start_sent_ms = e->now_ms;
 	if (!t->first_sent_ms)
 		t->first_sent_ms = e->now_ms;
 	e->stats.starts++;
--- a/packages/engine/src/eng_workers.c
+++ b/packages/engine/src/eng_workers.c
@@ -242,7 +242,7 @@
 		  (int64_t)((double)(w->lease_until_ms - w->clock_ms) /
 			    CLOCK_RATE_MIN);
 	w->lease_expired_ms =
-		MAX(w->lease_floor_ms,
+		MAX(w->former_leases_until_ms,
 		    expired + e->settings.stop_ms + LEASE_EXPIRY_MARGIN_MS);
 }
 
@@ -269,8 +269,7 @@
 	if (w->lease_until_ms)
 		extend_lease(e, w, w->lease_until_ms);
 	else
-		w->lease_expired_ms = MAX(w->lease_floor_ms,
-					  e->now_ms + eng_longest_lease_ms(e));
+		w->lease_expired_ms = e->now_ms + eng_longest_lease_ms(e);
 }
 
 /*
@@ -353,7 +352,6 @@
 			continue;
 		}
 		t->last_report = serial;
-		t->listed = true;
 		eng_loss_remove(e, t, t->run);
 		eng_task_confirm(e, t);
 		if (t->done || !eng_job_active(t->step->job))
@@ -364,14 +362,11 @@
 /*
  * Whether a report without the task proves that the task is not on the worker.
  * The hold must have been sent after the state was entered, or after the stop
- * was acknowledged. A stop voids the run on one boot only, so no start may be on
- * its way to the next one.
+ * was acknowledged.
  */
 static bool absence_is_conclusive(const struct task *t,
 				  const struct eng_worker_report *r)
 {
-	if (eng_boot_start_in_flight(t, r->sent_ms))
-		return false;
 	switch (t->state) {
 	case TASK_RUNNING:
 	case TASK_UNCONFIRMED:
@@ -430,7 +425,7 @@
 	w->ends_listed = r->n_finished > 0;
 	eng_speed_worker_known(e, w);
 	if (!w->fenced)
-		eng_boot_fenced(e, w);
+		w->former_leases_until_ms = now_ms + eng_longest_lease_ms(e);
 	update_clock(e, w, r->clock_ms);
 	w->fenced = true;
 	process_ends(e, w, r);
@@ -502,8 +497,6 @@
 	if (w->fenced && w->tasks->len) {
 		if (!w->hold_failures)
 			request.until_ms = eng_worker_grant_lease(e, w);
-		if (request.until_ms)
-			w->lease_sent_ms = e->now_ms;
 		request.wait_ms = MIN(HOLD_WAIT_MAX_MS,
 				      (int64_t)((double)e->settings.lease_ms *
 						HOLD_WAIT_LEASE_SHARE));
--- a/packages/engine/src/engine.c
+++ b/packages/engine/src/engine.c
@@ -73,8 +73,6 @@
 	e->settings = *s;
 	e->callbacks = *callbacks;
 	e->now_ms = now_ms;
-	e->former_calls_until_ms =
-		now_ms + s->former_owner_ms + REQUEST_IN_FLIGHT_MS;
 	e->open_batch = 1;
 	e->mean_speed = 1;
 	e->speed_noise = SPEED_NOISE_INITIAL;
