--- a/packages/platform/src/http_pool.c
+++ b/packages/platform/src/http_pool.c
@@ -5,6 +5,8 @@
 #include <event2/keyvalq_struct.h>
 
 #define HEADER_BYTES_ESTIMATE 150 /* for each request and reply */
+/* Bounds how long a connection whose peer is silently gone is kept. */
+#define IDLE_TIMEOUT_S 10
 
 /* A copy of struct vh_http_opening. */
 struct opening {
@@ -211,6 +213,18 @@
 	slot->bound = false;
 }
 
+/* Otherwise libevent closes an idle connection after the time-out of its last
+ * request. */
+static void set_idle_timeout(const struct slot *slot)
+{
+	struct timeval tv = { IDLE_TIMEOUT_S, 0 };
+
+	if (slot_connected(slot))
+		bufferevent_set_timeouts(
+			evhttp_connection_get_bufferevent(slot->conn), &tv,
+			NULL);
+}
+
 /* A connection stays with the session that the first reply on it names. */
 static void bind_slot(const struct vh_http_pool *pool, struct slot *slot,
 		      const struct vh_http_reply *reply)
@@ -331,6 +345,7 @@
 	}
 	reply.not_sent = ex->in_opening && !ex->opening->answers;
 	ex->slot->current = NULL;
+	set_idle_timeout(ex->slot);
 	pool->in_callback = true;
 	ex->done(ex->ctx, &reply);
 	pool->in_callback = false;
