--- a/packages/platform/src/http_pool.c
+++ b/packages/platform/src/http_pool.c
@@ -40,6 +40,7 @@
 
 /* One connection of the pool, opened on first use. */
 struct slot {
+	struct vh_http_pool *pool;
 	struct evhttp_connection *conn;
 	struct exchange *current; /* NULL: idle */
 	bool bound;		  /* a reply on it has named @session */
@@ -108,6 +109,8 @@
 	pool->max_reply_bytes = max_reply_bytes;
 	pool->slots = g_new0(struct slot, max_conns);
 	pool->n_slots = max_conns;
+	for (size_t i = 0; i < max_conns; i++)
+		pool->slots[i].pool = pool;
 	pool->tail = &pool->head;
 	return pool;
 }
@@ -205,14 +208,6 @@
 	return slot->bound && slot->session == session && slot_connected(slot);
 }
 
-static void on_connection_closed(struct evhttp_connection *conn, void *ctx)
-{
-	struct slot *slot = ctx;
-
-	(void)conn;
-	slot->bound = false;
-}
-
 /* Otherwise libevent closes an idle connection after the time-out of its last
  * request. */
 static void set_idle_timeout(const struct slot *slot)
@@ -248,6 +243,16 @@
 	slot->bound = false;
 }
 
+/* It is not opened again: libevent 2.1 keeps marks of its former state, and ends
+ * the process if the next connect fails with some errors. */
+static void on_connection_closed(struct evhttp_connection *conn, void *ctx)
+{
+	struct slot *slot = ctx;
+
+	(void)conn;
+	retire_connection(slot->pool, slot);
+}
+
 static struct evhttp_connection *slot_connection(struct vh_http_pool *pool,
 						 struct slot *slot)
 {
--- a/packages/platform/tests/test_http_pool.cc
+++ b/packages/platform/tests/test_http_pool.cc
@@ -718,6 +718,20 @@
 	EXPECT_EQ(connections.size(), 0u);
 }
 
+// libevent keeps a mark on a connection that it closes for bytes that nobody asked
+// for. If the next connect was then reset, it ended the process.
+TEST_F(Sessions, AConnectIsResetAfterUnaskedBytes)
+{
+	order(1);
+	run_until_replies(1);
+	write_bytes(*connections.begin(), "x");
+	run_until([this] { return connections.empty(); });
+	order(1);
+	end_session();
+	run_until_replies(2);
+	EXPECT_EQ(replies[1].status, 0);
+}
+
 struct FreedPool : Sessions {
 	static void free_pool(void *ctx, const struct vh_http_reply *r)
 	{
@@ -925,4 +939,14 @@
 	}
 }
 
+// The same from a server that also sends bytes that nobody asked for.
+TEST_F(AnyServer, OrdersReachTheirSessionOrNoneAmidUnaskedBytes)
+{
+	unasked_bytes = true;
+	for (unsigned seed = 1; seed <= 300 && !HasFailure(); seed++) {
+		SCOPED_TRACE(seed);
+		run_seed(seed);
+	}
+}
+
 } // namespace
