--- a/packages/platform/src/http_pool.c
+++ b/packages/platform/src/http_pool.c
@@ -203,6 +203,17 @@
 	return bufferevent_getfd(bev) >= 0;
 }
 
+/* Bytes that arrived before a request was sent are no part of its reply. */
+static bool has_unread_bytes(const struct slot *slot)
+{
+	struct bufferevent *bev;
+
+	if (!slot->conn)
+		return false;
+	bev = evhttp_connection_get_bufferevent(slot->conn);
+	return evbuffer_get_length(bufferevent_get_input(bev)) > 0;
+}
+
 static bool slot_bound_to(const struct slot *slot, uint64_t session)
 {
 	return slot->bound && slot->session == session && slot_connected(slot);
@@ -315,6 +326,8 @@
 {
 	ex->slot = slot;
 	slot->current = ex;
+	if (has_unread_bytes(slot))
+		retire_connection(pool, slot);
 	ex->in_opening =
 		ex->opening && !slot_bound_to(slot, ex->opening->session);
 	if (ex->in_opening && slot->bound)
@@ -325,7 +338,7 @@
 /* Whether the reply to the opening request lets the request itself be sent. */
 static bool opened(const struct vh_http_pool *pool, const struct exchange *ex)
 {
-	return !ex->opening->answers &&
+	return !ex->opening->answers && !has_unread_bytes(ex->slot) &&
 	       slot_bound_to(ex->slot, ex->opening->session) &&
 	       ex->queued_until_ms >= vh_kernel_now_ms(pool->kernel);
 }
--- a/packages/platform/tests/test_http_pool.cc
+++ b/packages/platform/tests/test_http_pool.cc
@@ -732,6 +732,21 @@
 	EXPECT_EQ(replies[1].status, 0);
 }
 
+// The bytes arrived before the order was sent, so they say nothing about it.
+TEST_F(Sessions, BytesAfterTheOpeningReplyAreNoReplyToTheOrder)
+{
+	serve = [this](Connection *c, const std::string &path) {
+		if (path != "/open")
+			return reset(c);
+		write_bytes(c, naming(c) + message(200, "done"));
+		c->named = true;
+	};
+	order(1);
+	run_until_replies(1);
+	EXPECT_TRUE(replies[0].not_sent);
+	EXPECT_EQ(paths(), Paths{ "/open" });
+}
+
 struct FreedPool : Sessions {
 	static void free_pool(void *ctx, const struct vh_http_reply *r)
 	{
