--- a/packages/platform/src/http_pool.c
+++ b/packages/platform/src/http_pool.c
@@ -58,6 +58,7 @@
 			     uint64_t *session); /* NULL: no sessions */
 	struct exchange *head;			 /* queued exchanges */
 	struct exchange **tail;
+	GQueue expired; /* exchanges whose end is deferred */
 	uint64_t bytes;
 	bool in_callback;
 	bool free_pending;
@@ -145,6 +146,10 @@
 		pool->head = ex->next;
 		exchange_free(ex);
 	}
+	/* exchange_expired() frees them. */
+	for (GList *l = pool->expired.head; l; l = l->next)
+		((struct exchange *)l->data)->pool = NULL;
+	g_queue_clear(&pool->expired);
 	g_free(pool->slots);
 	g_free(pool->address);
 	g_free(pool);
@@ -390,10 +395,19 @@
 	struct vh_http_reply reply = { .not_sent = true };
 	struct exchange *ex = ctx;
 
-	ex->done(ex->ctx, &reply);
+	if (ex->pool) {
+		g_queue_remove(&ex->pool->expired, ex);
+		ex->done(ex->ctx, &reply);
+	}
 	exchange_free(ex);
 }
 
+static void expire_exchange(struct vh_http_pool *pool, struct exchange *ex)
+{
+	g_queue_push_tail(&pool->expired, ex);
+	vh_kernel_defer(pool->kernel, exchange_expired, ex);
+}
+
 /* The idle connection that suits an exchange best, NULL: all are busy. */
 static struct slot *idle_slot(const struct vh_http_pool *pool,
 			      const struct exchange *ex)
@@ -422,7 +436,7 @@
 		struct exchange *ex = dequeue(pool);
 
 		if (ex->queued_until_ms < vh_kernel_now_ms(pool->kernel))
-			vh_kernel_defer(pool->kernel, exchange_expired, ex);
+			expire_exchange(pool, ex);
 		else
 			start_exchange(pool, slot, ex);
 	}
--- a/packages/platform/tests/test_http_pool.cc
+++ b/packages/platform/tests/test_http_pool.cc
@@ -748,17 +748,29 @@
 }
 
 struct FreedPool : Sessions {
+	bool free_later = false;
+
 	static void free_pool(void *ctx, const struct vh_http_reply *r)
 	{
 		FreedPool *t = (FreedPool *)ctx;
 
 		on_reply(t, r);
+		if (t->free_later)
+			vh_kernel_defer(&t->kernel, free_now, t);
+		else
+			free_now(t);
+	}
+
+	static void free_now(void *ctx)
+	{
+		FreedPool *t = (FreedPool *)ctx;
+
 		vh_http_pool_free(t->pool);
 		t->pool = nullptr;
 	}
 
 	// Frees the pool when the order ends, with another one in its queue.
-	void order_and_free(uint64_t to, bool answers)
+	void order_and_free(uint64_t to, bool answers, int64_t max_queue_ms = 0)
 	{
 		struct vh_http_opening opening = {};
 		struct vh_http_request req = {};
@@ -772,7 +784,7 @@
 		req.timeout_ms = 60000;
 		req.opening = &opening;
 		vh_http_pool_send(pool, &req, free_pool, this);
-		order(1);
+		order(1, answers, max_queue_ms);
 		run_until_replies(1);
 		settle();
 		EXPECT_EQ(replies.size(), 1u);
@@ -781,6 +793,18 @@
 	}
 };
 
+// The request has expired, and its end is deferred until after the pool's. Its
+// callback used what its caller had freed with the pool.
+TEST_F(FreedPool, BeforeTheEndOfAnExpiredRequest)
+{
+	serve = [this](Connection *c, const std::string &) {
+		usleep(40000);
+		name_session(c);
+	};
+	free_later = true;
+	order_and_free(1, true, 20);
+}
+
 TEST_F(FreedPool, ByTheEndOfAnOrder)
 {
 	order_and_free(1, false);
