--- a/packages/engine/src/eng_tasks.c
+++ b/packages/engine/src/eng_tasks.c
@@ -380,18 +380,23 @@
 		eng_task_lost(e, t, reason);
 }
 
-/*
- * The worker is silent, or has started again: a hold tells. A member of a gang is
- * sent again, since others may run already.
- */
-static void start_not_sent(struct engine *e, struct task *t)
+/* Whether a start that was not sent is worth another attempt on its worker. A member
+ * of a gang gets one, since others may run already. */
+static bool may_send_again(const struct task *t)
 {
-	struct worker *w = t->worker;
+	return t->start_attempts < START_ATTEMPTS_MAX &&
+	       (t->step->spec->gang || t->worker->alive_ms >= t->since_ms);
+}
 
-	w->avoid_until_ms = e->now_ms + REFUSED_AVOID_MS;
-	w->report_needed = true;
-	if (!t->step->spec->gang || t->start_attempts >= START_ATTEMPTS_MAX)
-		start_rejected(e, t, "not sent, no connection to its boot");
+/* The worker is silent, or has started again, or the connection was lost: a hold
+ * tells. */
+static void start_not_sent(struct engine *e, struct task *t)
+{
+	t->worker->report_needed = true;
+	if (may_send_again(t))
+		return; /* by eng_retry_requests() */
+	t->worker->avoid_until_ms = e->now_ms + REFUSED_AVOID_MS;
+	start_rejected(e, t, "not sent, no connection to its boot");
 }
 
 void eng_start_reply(struct engine *e, struct vh_slice worker, uint32_t boot,
