--- a/tools/soak-boots/soak_boots.cc
+++ b/tools/soak-boots/soak_boots.cc
@@ -22,16 +22,17 @@
 #define LOST_REPLY_SHARE 0.15 /* of the calls in a slow time */
 #define LATE_ORDER_SHARE 0.25
 #define EXTRA_MS 25000 /* for the last jobs, beyond the given time */
-#define SLOW_CHANNEL_SHARE 0.4
+#define SLOW_CHANNEL_SHARE 0.5
 #define WORKERS_IN_CHAIN 6
 #define SLOW_MAX_MS 4000
+#define ACCEPT_LATE_SHARE 0.3
 #define ACCEPT_LATE_MAX_MS 3000
 #define SHORT_WORK_MAX_MS 800
 #define SHORT_SHARE 40 /* of 100 jobs */
 #define MEDIUM_WORK_MAX_MS 2500
 #define LONG_WORK_MIN_MS 5000
 #define LONG_WORK_MAX_MS 20000
-#define LONG_SHARE 20
+#define LONG_SHARE 30
 #define SHORTEST_WORK_MS 300
 #define RESTART_DOWN_MS 500 /* of a node that ended */
 
@@ -106,14 +107,21 @@
 		return between(0, 1) ? between(2, 30) : between(30, 600);
 	}
 
-	void add_chain(int64_t at)
+	/* The owner is gone soon after the workers are back, and they are cut off
+	 * for longer than a lease that it renewed, all at once. */
+	void add_recut(int64_t at, int64_t *cut_at, int64_t *healed_at)
+	{
+		int64_t owner_at = at + between(800, 2000);
+
+		add(owner_at, OWNER_KILLED);
+		*cut_at = owner_at + between(300, 1600);
+		*healed_at = *cut_at + between(8000, 11000);
+	}
+
+	void add_mixed(int64_t at, int64_t *cut_at, int64_t *healed_at)
 	{
 		int64_t owner_at = at + between(-1000, 3000);
-		int64_t cut_at =
-			std::max(at + 300, owner_at) + between(200, 2000);
-		int64_t healed_at = cut_at + between(3000, 14000);
 		int how = (int)between(0, 9);
-		std::set<int> some;
 
 		if (how < 4) {
 			add(owner_at, OWNER_KILLED);
@@ -123,6 +131,21 @@
 			add(owner_at, OWNER_PAUSED);
 			add(owner_at + between(800, 6000), OWNER_RESUMED);
 		}
+		*cut_at = std::max(at + 300, owner_at) + between(200, 2000);
+		*healed_at = *cut_at + between(3000, 14000);
+	}
+
+	void add_chain(int64_t at)
+	{
+		bool recut = between(0, 1);
+		int64_t cut_at;
+		int64_t healed_at;
+		std::set<int> some;
+
+		if (recut)
+			add_recut(at, &cut_at, &healed_at);
+		else
+			add_mixed(at, &cut_at, &healed_at);
 		add(at - BURST_BEFORE_MS, BURST_BEGINS);
 		add(at - BURST_BEFORE_MS + BURST_MS, BURST_ENDS);
 		while (some.size() < WORKERS_IN_CHAIN)
@@ -133,14 +156,14 @@
 			add(restart, WORKER_RESTARTS, w, down());
 			add(restart - between(0, 1500), WORKER_SLOW, w);
 			add(restart + between(1000, 5000), WORKER_PROMPT, w);
-			if (between(0, 9) < 8) {
+			if (recut || between(0, 9) < 8) {
 				add(cut_at, WORKER_CUT, w);
 				add(healed_at, WORKER_HEALED, w);
 			}
-			if (between(0, 9) < 5)
+			if (!recut && between(0, 9) < 5)
 				add(restart + between(700, 2500),
 				    WORKER_RESTARTS, w, down());
-			if (between(0, 9) < 2)
+			if (!recut && between(0, 9) < 2)
 				add(cut_at + between(200, 3000),
 				    WORKER_RESTARTS, w, down());
 		}
@@ -395,8 +418,10 @@
 		w.link.carry_out_late = LATE_ORDER_SHARE;
 		w.link.lose_reply = LOST_REPLY_SHARE;
 		w.link.slow_max_ms = SLOW_MAX_MS;
-		w.link.accept_from_ms =
-			now_ms() + (int64_t)(site.draw() * ACCEPT_LATE_MAX_MS);
+		if (site.draw() < ACCEPT_LATE_SHARE)
+			w.link.accept_from_ms =
+				now_ms() +
+				(int64_t)(site.draw() * ACCEPT_LATE_MAX_MS);
 		break;
 	}
 	case WORKER_PROMPT: {
@@ -471,7 +496,7 @@
 		int cpu = burst ? BURST_CPU : 500 * (1 + (int)(random() % 8));
 		int work = draw_work(
 			random,
-			!burst && now_ms() < begin_ms + course.last_chain_ms);
+			burst || now_ms() < begin_ms + course.last_chain_ms);
 
 		snprintf(id, sizeof(id), "%06x%02x%08x", seed, consumer, i);
 		{
