engine tests: play the faults of calls in the suites that inject faults

Cause: late and lost calls were played together with few other faults, so a call that was meant for one boot of a worker met the next one on few paths.

--- a/packages/engine/tests/test_capacity.cc
+++ b/packages/engine/tests/test_capacity.cc
@@ -97,6 +97,18 @@
 	play(GetParam(), f, 0);
 }
 
+// Without late starts: no owner can keep one from a worker that shrinks meanwhile.
+TEST_P(ShrunkWorker, IsFilledBeyondItsCapacityIfCallsAreLateOrLost)
+{
+	Faults f;
+
+	f.resize = 1;
+	f.takeover = 0.3;
+	f = engine_sim::with_call_faults(f, GetParam());
+	f.slow_request = 0;
+	play(GetParam(), f, 0);
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, ShrunkWorker, testing::Range<uint64_t>(1, 21));
 
 // The worker restarts with less capacity while the store is down. It answers in
--- a/packages/engine/tests/test_zones.cc
+++ b/packages/engine/tests/test_zones.cc
@@ -260,6 +260,32 @@
 	}
 }
 
+// Without late starts: no owner can keep one from a zone that is drained meanwhile.
+TEST_F(Zones, DrainsWhileCallsAreLateOrLost)
+{
+	for (uint64_t seed = 1; seed <= 20; seed++) {
+		Faults f;
+
+		f.lose_reply = 0.05;
+		f.crash = 0.2;
+		f.takeover = 0.3;
+		f.slow_store = 0.2;
+		f = engine_sim::with_call_faults(f, seed);
+		f.slow_request = 0;
+		start(seed, 12, f);
+		for (uint64_t id = 1; id <= 30; id++) {
+			sim->submit(id, { step(4, 3000, 1500) });
+			if (id % 10 == 3)
+				sim->drain(ZONES[id / 10]);
+			if (id % 10 == 9)
+				sim->end_drain(ZONES[id / 10]);
+			sim->run_for(400, true);
+		}
+		for (auto &v : sim->violations)
+			ADD_FAILURE() << "seed " << seed << ": " << v;
+	}
+}
+
 TEST_F(Zones, UrgentStepsAndGangsAvoidColdWorkers)
 {
 	eng_step_spec gang = step(4, 2000, 300);
