--- a/packages/cell/src/owner_advice.c
+++ b/packages/cell/src/owner_advice.c
@@ -7,6 +7,7 @@
 #define PEER_OVERHEAD_GUESS_MS 60.0   /* for a call through another node */
 #define OWN_OVERHEAD_GUESS_MS 5.0     /* for a call from this node */
 #define NO_NODE (-1)
+#define CALLS_OF_OWNERSHIP_BITS 32 /* of a call's number; the epoch is above */
 
 /* A pending call to the policy service. */
 struct advice_call {
@@ -267,6 +268,8 @@
 		.store_reached = on_store_reached,
 	};
 
+	/* An answer to a call of a former ownership names none of this one. */
+	o->advice_sequence = o->epoch << CALLS_OF_OWNERSHIP_BITS;
 	o->advice_calls = g_hash_table_new(g_int64_hash, g_int64_equal);
 	o->own_balancer_node = advice_balancer_add_node(&o->advice_balancer,
 							OWN_OVERHEAD_GUESS_MS);
