--- a/packages/engine/src/eng_workers.c
+++ b/packages/engine/src/eng_workers.c
@@ -14,6 +14,8 @@
 #define ENDS_LISTED_MAX 500	   /* in one report */
 #define UNKNOWN_RUN_POLL_MS 150	   /* while a run that is not expected stops */
 #define UNKNOWN_RUN_LOG_MS 1000 /* least time between log lines of a worker */
+/* In this time a clock may be 3% apart from what is counted on. */
+#define CLOCK_AGE_MAX_MS 30000
 
 struct worker *eng_worker_find(struct engine *e, struct vh_slice id)
 {
@@ -198,6 +200,17 @@
 	return w->clock_ms + (e->now_ms - w->clock_at_ms);
 }
 
+/*
+ * What the worker's clock reads at least. A lease that is counted from it is no
+ * longer than it was meant, however old the last report is.
+ */
+static int64_t worker_clock_at_least(const struct engine *e,
+				     const struct worker *w)
+{
+	return w->clock_ms +
+	       (int64_t)((double)(e->now_ms - w->clock_at_ms) * CLOCK_RATE_MIN);
+}
+
 /*
  * Whether the worker's entry tells its present capacity. It does not if a former
  * boot wrote it, or if it is old, since capacities change and the store may have
@@ -255,7 +268,7 @@
 	/* Unreachable: extending the lease would postpone its expiry. */
 	if (w->hold_failures)
 		return w->lease_until_ms;
-	until = worker_clock_now(e, w) + e->settings.lease_ms;
+	until = worker_clock_at_least(e, w) + e->settings.lease_ms;
 	extend_lease(e, w, until);
 	return until;
 }
@@ -466,6 +479,12 @@
 	w->next_hold_ms = now_ms + wait;
 }
 
+/* An idle worker is asked now and then, so that its next lease is not short. */
+static bool clock_is_old(const struct engine *e, const struct worker *w)
+{
+	return w->listed && e->now_ms - w->clock_at_ms >= CLOCK_AGE_MAX_MS;
+}
+
 /* Whether a hold is to be sent, at next_hold_ms. */
 static bool hold_wanted(const struct engine *e, const struct worker *w)
 {
@@ -478,7 +497,7 @@
 		return true;
 	if (w->acknowledged < w->processed)
 		return false; /* the report would repeat the ends */
-	return w->tasks->len > 0;
+	return w->tasks->len > 0 || clock_is_old(e, w);
 }
 
 /* The number of the last stored end, if the worker lists it still. */
