--- a/packages/engine/src/eng_loss.c
+++ b/packages/engine/src/eng_loss.c
@@ -192,6 +192,8 @@
 
 static bool start_was_sent(const struct task *t)
 {
+	if (t->state == TASK_STARTING && !t->first_sent_ms)
+		return false;
 	return t->state != TASK_STORING && !t->done;
 }
 
--- a/packages/engine/src/eng_tasks.c
+++ b/packages/engine/src/eng_tasks.c
@@ -393,12 +393,24 @@
 static void start_not_sent(struct engine *e, struct task *t)
 {
 	t->worker->report_needed = true;
+	if (!t->open_starts)
+		t->first_sent_ms = 0;
 	if (may_send_again(t))
 		return; /* by eng_retry_requests() */
 	t->worker->avoid_until_ms = e->now_ms + REFUSED_AVOID_MS;
 	start_rejected(e, t, "not sent, no connection to its boot");
 }
 
+/* A run whose only start was not sent is no loss, though its worker has started
+ * again since. */
+static void forget_unsent_loss(struct engine *e, struct eng_task_ref ref)
+{
+	struct task *t = eng_find_task(e, ref);
+
+	if (t && !t->worker && t->run == ref.run && t->open_starts <= 1)
+		eng_loss_remove(e, t, ref.run);
+}
+
 void eng_start_reply(struct engine *e, struct vh_slice worker, uint32_t boot,
 		     struct eng_task_ref ref, enum eng_reply reply,
 		     int64_t now_ms)
@@ -406,6 +418,8 @@
 	struct task *t = finish_request(e, worker, boot, ref, reply, now_ms);
 	struct worker *w = t ? t->worker : NULL;
 
+	if (reply == ENG_REPLY_NOT_SENT)
+		forget_unsent_loss(e, ref);
 	if (t && reply != ENG_REPLY_NONE && t->open_starts)
 		t->open_starts--;
 	if (!t || t->state != TASK_STARTING)
