--- a/packages/engine/src/eng_state.h
+++ b/packages/engine/src/eng_state.h
@@ -504,7 +504,7 @@
  *		 least @clock_ms then. 0: no report yet
  * @lease_expired_ms: our time by which every lease sent has expired and the
  *		      worker has stopped its tasks
- * @boot: count of its boots, see struct eng_start_request
+ * @boot: count of its boots, see struct eng_boot
  * @former_leases_until_ms: our time by which every lease of former owners is over;
  *			    the boot refuses their calls since its first answer
  * @ends_listed: the last report listed ends; they are listed again until they
