--- a/packages/engine/tests/test_boot_paths.cc
+++ b/packages/engine/tests/test_boot_paths.cc
@@ -153,4 +153,34 @@
 	t.expect_done();
 }
 
+// A start that gets no reply is on its way when it is sent again, and the second one
+// is not sent. The first may still be carried out, so it has to be stopped before the
+// task starts elsewhere.
+TEST(BootPaths, AStartWhoseRepeatIsNotSentRunsBesideTheNextRun)
+{
+	for (uint64_t seed = 1; seed <= 20; seed++) {
+		Simulation sim(seed, Faults(), 2);
+
+		sim.faults.fail_task = 0;
+		sim.run_ms = [](const engine_sim::Worker &,
+				const engine_sim::TaskKey &) {
+			return 30000.0;
+		};
+		sim.take_over();
+		sim.run_for(1000, false);
+		sim.faults.slow_request = 1;
+		sim.submit(1, { engine_sim::step(1, 1000, 30000) });
+		while (sim.start_log.empty())
+			sim.run_for(1, false);
+		sim.faults.slow_request = 0;
+		sim.faults.not_sent = 1;
+		sim.run_for(1500, false);
+		sim.faults.not_sent = 0;
+		sim.run_for(90000, false);
+		for (auto &v : sim.violations)
+			ADD_FAILURE() << "seed " << seed << " " << v;
+		EXPECT_EQ(sim.count_jobs(ENG_COMPLETE), 1U) << seed;
+	}
+}
+
 } // namespace
