--- a/packages/platform/include/vh/http_pool.h
+++ b/packages/platform/include/vh/http_pool.h
@@ -98,6 +98,10 @@
 			       bool (*read)(const struct vh_http_reply *reply,
 					    uint64_t *session));
 
+/* vh_http_pool_limit_kept - while the pools of the process have more than @max
+ * connections, one without use is closed after the time-out of its last request */
+void vh_http_pool_limit_kept(size_t max);
+
 /* vh_http_pool_free - pending exchanges are dropped without a callback */
 void vh_http_pool_free(struct vh_http_pool *pool);
 
--- a/packages/platform/src/http_pool.c
+++ b/packages/platform/src/http_pool.c
@@ -7,6 +7,13 @@
 #define HEADER_BYTES_ESTIMATE 150 /* for each request and reply */
 /* Bounds how long a connection whose peer is silently gone is kept. */
 #define IDLE_TIMEOUT_S 10
+/* A node may have 4,100 descriptors; an owner has a connection for each worker, and
+ * callers need theirs. */
+#define KEPT_CONNECTIONS_MAX 1500
+
+/* Of all pools, as descriptors are the process's. */
+static size_t n_connections;
+static size_t kept_connections_max = KEPT_CONNECTIONS_MAX;
 
 /* A copy of struct vh_http_opening. */
 struct opening {
@@ -133,6 +140,7 @@
 		if (s->conn) {
 			evhttp_connection_set_closecb(s->conn, NULL, NULL);
 			evhttp_connection_free(s->conn);
+			n_connections--;
 		}
 		/* exchange_failed() frees it. */
 		if (s->current && s->current->failed)
@@ -224,13 +232,18 @@
 	return slot->bound && slot->session == session && slot_connected(slot);
 }
 
+void vh_http_pool_limit_kept(size_t max)
+{
+	kept_connections_max = max;
+}
+
 /* Otherwise libevent closes an idle connection after the time-out of its last
- * request. */
+ * request, as it does with those beyond the limit. */
 static void set_idle_timeout(const struct slot *slot)
 {
 	struct timeval tv = { IDLE_TIMEOUT_S, 0 };
 
-	if (slot_connected(slot))
+	if (n_connections <= kept_connections_max && slot_connected(slot))
 		bufferevent_set_timeouts(
 			evhttp_connection_get_bufferevent(slot->conn), &tv,
 			NULL);
@@ -257,6 +270,7 @@
 	vh_kernel_defer(pool->kernel, free_connection, slot->conn);
 	slot->conn = NULL;
 	slot->bound = false;
+	n_connections--;
 }
 
 /* It is not opened again: libevent 2.1 keeps marks of its former state, and ends
@@ -276,6 +290,7 @@
 		return slot->conn;
 	slot->conn = evhttp_connection_base_new(pool->kernel->base, NULL,
 						pool->address, pool->port);
+	n_connections++;
 	evhttp_connection_set_max_body_size(slot->conn,
 					    (ev_ssize_t)pool->max_reply_bytes);
 	evhttp_connection_set_retries(slot->conn, 0);
--- a/packages/platform/tests/test_http_sessions.cc
+++ b/packages/platform/tests/test_http_sessions.cc
@@ -599,6 +599,22 @@
 	EXPECT_EQ(connections.size(), 0u);
 }
 
+// An owner of 1,000 workers kept up to four connections to each, and ran out of
+// descriptors.
+TEST_F(Sessions, MoreConnectionsAreKeptThanTheLimitSays)
+{
+	vh_http_pool_limit_kept(0);
+	order(1, true, 0, 100);
+	run_until_replies(1);
+	run_until([this] { return connections.empty(); });
+	vh_http_pool_limit_kept(1500);
+	order(1, true, 0, 100);
+	run_until_replies(2);
+	usleep(200000);
+	event_base_loop(kernel.base, EVLOOP_NONBLOCK);
+	EXPECT_EQ(connections.size(), 1u);
+}
+
 // libevent keeps a mark on a connection that it closes for bytes that nobody asked
 // for. If the next connect was then reset, it ended the process.
 TEST_F(Sessions, AConnectIsResetAfterUnaskedBytes)
