--- a/packages/platform/src/http_pool.c
+++ b/packages/platform/src/http_pool.c
@@ -9,7 +9,7 @@
 #define IDLE_TIMEOUT_S 10
 /* A node may have 4,100 descriptors; an owner has a connection for each worker, and
  * callers need theirs. */
-#define KEPT_CONNECTIONS_MAX 1500
+#define KEPT_CONNECTIONS_MAX 3000
 
 /* Of all pools, as descriptors are the process's. */
 static size_t n_connections;
--- a/packages/platform/tests/test_http_sessions.cc
+++ b/packages/platform/tests/test_http_sessions.cc
@@ -607,7 +607,7 @@
 	order(1, true, 0, 100);
 	run_until_replies(1);
 	run_until([this] { return connections.empty(); });
-	vh_http_pool_limit_kept(1500);
+	vh_http_pool_limit_kept(3000);
 	order(1, true, 0, 100);
 	run_until_replies(2);
 	usleep(200000);
