Logs of starts and cancellations: the age of what the owner has read

A cancellation is logged with the way it took: at the node that answers it, and at the owner when it is applied.

--- a/packages/cell/src/cell.c
+++ b/packages/cell/src/cell.c
@@ -178,9 +178,16 @@
 	return VH_OK;
 }
 
-/* A caller's record that is being stored. */
+/*
+ * A caller's record that is being stored.
+ * @way: who stores it, for log lines: "here" (this node is the owner), "owner" or
+ *	 "direct"
+ */
 struct caller_write {
 	struct vh_cell *cell;
+	char kind;
+	uint64_t id;
+	const char *way;
 	struct vh_buf key;
 	struct vh_buf value;
 	int64_t deadline_ms;
@@ -189,9 +196,20 @@
 	void *ctx;
 };
 
+static void log_cancellation(const struct caller_write *w, enum vh_err err)
+{
+	char job[20];
+
+	g_snprintf(job, sizeof(job), "%016" PRIx64, w->id);
+	vh_log(G_LOG_LEVEL_INFO, "cancellation answered", "job", job, "way",
+	       w->way, "result", vh_err_info(err)->name, NULL);
+}
+
 static void caller_write_end(struct caller_write *w, enum vh_err err,
 			     const char *why, int retry_after_s)
 {
+	if (w->kind == VH_KEY_CANCEL)
+		log_cancellation(w, err);
 	w->done(w->ctx, err, why, retry_after_s);
 	vh_buf_finish(&w->key);
 	vh_buf_finish(&w->value);
@@ -232,6 +250,7 @@
 	struct vh_cell *c = w->cell;
 
 	c->last_direct_ms = vh_kernel_now_ms(c->kernel);
+	w->way = "direct";
 	writer_add(&c->writer, vh_buf_slice(&w->key), vh_buf_slice(&w->value),
 		   w->deadline_ms, maybe_stored, on_written_directly, w);
 }
@@ -278,6 +297,9 @@
 	struct vh_slice k;
 
 	w->cell = c;
+	w->kind = kind;
+	w->id = id;
+	w->way = c->owner ? "here" : "owner";
 	w->deadline_ms = vh_kernel_now_ms(c->kernel) + budget_ms;
 	w->done = done;
 	w->ctx = ctx;
--- a/packages/cell/src/owner.c
+++ b/packages/cell/src/owner.c
@@ -310,12 +310,13 @@
 }
 
 void owner_apply_record(struct owner *o, struct vh_slice key,
-			struct vh_slice value)
+			struct vh_slice value, const char *way)
 {
 	struct eng_job_spec *spec;
 	uint64_t id;
 
 	if (vh_key_parse(key, VH_KEY_CANCEL, &id) && value.len) {
+		owner_view_log_cancellation(o, id, way);
 		eng_job_cancel(o->engine, id, owner_now_ms(o));
 	} else if (vh_key_parse(key, VH_KEY_JOB, &id) && value.len &&
 		   !eng_job_known(o->engine, id)) {
@@ -338,7 +339,7 @@
 
 	o->n_records_loaded++;
 	owner_admission_record(o, r->key);
-	owner_apply_record(o, r->key, r->value);
+	owner_apply_record(o, r->key, r->value, "read");
 }
 
 static void on_jobs_caught_up(void *ctx, int64_t as_of_ms)
--- a/packages/cell/src/owner_engine.c
+++ b/packages/cell/src/owner_engine.c
@@ -120,6 +120,7 @@
 		vh_kernel_defer(o->kernel, on_start_withheld, call);
 		return;
 	}
+	owner_view_note_start(o, s);
 	o->ports->workers->start(o->ports->workers_self, o->epoch, s,
 				 on_started, call);
 }
--- a/packages/cell/src/owner_priv.h
+++ b/packages/cell/src/owner_priv.h
@@ -4,7 +4,8 @@
 /*
  * State and functions that the sources of the owner share. Internal to the
  * package; included by owner.c, owner_admission.c, owner_advice.c,
- * owner_engine.c, owner_fleet.c, owner_gc.c, owner_permit.c and owner_submit.c.
+ * owner_engine.c, owner_fleet.c, owner_gc.c, owner_permit.c, owner_submit.c and
+ * owner_view.c.
  */
 
 #include "admission.h"
@@ -186,10 +187,21 @@
 /* owner_fleet_record - passes a record to the engine */
 void owner_fleet_record(struct owner *o, const struct vh_record *r);
 
-/* owner_apply_record - passes a stored record to the engine (in owner.c);
- * idempotent */
+/* owner_view.c: how old is what the owner decides from */
+/* owner_view_note_start - records the ages for a start that is being sent */
+void owner_view_note_start(struct owner *o, const struct eng_start_request *s);
+/* owner_view_log_cancellation - logs that a cancellation is applied; @way: how
+ * the owner knows of it, constant text */
+void owner_view_log_cancellation(struct owner *o, uint64_t job,
+				 const char *way);
+
+/**
+ * owner_apply_record - passes a stored record to the engine (in owner.c);
+ * idempotent
+ * @way: how the owner knows of the record, constant text
+ */
 void owner_apply_record(struct owner *o, struct vh_slice key,
-			struct vh_slice value);
+			struct vh_slice value, const char *way);
 
 /* owner_submit.c: stores callers' records from this node and from others */
 void owner_submit_init(struct owner *o);
--- a/packages/cell/src/owner_submit.c
+++ b/packages/cell/src/owner_submit.c
@@ -41,7 +41,7 @@
 	/* During recovery a job must not be applied before its state. */
 	if (outcome == WRITE_STORED && o->phase == OWNER_ACTIVE)
 		owner_apply_record(o, vh_buf_slice(&s->key),
-				   vh_buf_slice(&s->value));
+				   vh_buf_slice(&s->value), "written");
 	owner_admission_written(o, vh_buf_slice(&s->key), outcome);
 	submission_end(s, outcome);
 }
--- a/packages/engine/include/vh/engine.h
+++ b/packages/engine/include/vh/engine.h
@@ -145,12 +145,16 @@
 
 /**
  * struct eng_start_request - start a task
+ * @attempt: 1 for the first start of the run
+ * @waited_ms: time since the run was placed, or since the last attempt
  * @until_ms: end of the lease, on the worker's clock
  * @ticket: empty if the queue needs none
  */
 struct eng_start_request {
 	struct eng_boot boot;
 	struct eng_task_ref task;
+	uint32_t attempt;
+	int64_t waited_ms;
 	struct vh_slice payload;
 	int64_t until_ms;
 	struct vh_slice checkpoint;
--- a/packages/engine/src/eng_tasks.c
+++ b/packages/engine/src/eng_tasks.c
@@ -161,6 +161,8 @@
 	struct eng_start_request request = {
 		.boot = eng_worker_boot(w),
 		.task = eng_task_ref(t),
+		.attempt = t->start_attempts + 1,
+		.waited_ms = e->now_ms - t->since_ms,
 		.payload = t->step->job->spec->payload,
 		.checkpoint = t->checkpoint,
 		.ticket = eng_str(a && a->ticket ? a->ticket : ""),
--- a/packages/platform/include/vh/http_pool.h
+++ b/packages/platform/include/vh/http_pool.h
@@ -18,12 +18,15 @@
  *	      the opening exchange failed or named another session; the other
  *	      fields are those of the reply to the opening request, if there is
  *	      one
+ * @waited_ms: time that the request spent in the queue and in the opening exchange
+ *	       before it was sent or given up
  * @body: valid during the callback
  * @headers: valid during the callback; NULL if the exchange failed
  */
 struct vh_http_reply {
 	int status;
 	bool not_sent;
+	int64_t waited_ms;
 	struct vh_slice body;
 	struct evkeyvalq *headers;
 };
--- a/packages/platform/src/http_pool.c
+++ b/packages/platform/src/http_pool.c
@@ -34,6 +34,8 @@
 	const char *content_type;
 	struct vh_buf body;
 	int64_t timeout_ms;
+	int64_t queued_at_ms;
+	int64_t left_at_ms;	 /* when it was last sent, opening or itself */
 	int64_t queued_until_ms; /* not sent after this time */
 	bool sending;		 /* evhttp_make_request() has not returned */
 	bool failed;		 /* ends by exchange_failed() */
@@ -334,6 +336,7 @@
 	pool->bytes += body->len + HEADER_BYTES_ESTIMATE;
 	/* If connect() fails at once, libevent calls exchange_done() from within
 	 * this call. It reports other errors to no callback. */
+	ex->left_at_ms = vh_kernel_now_ms(pool->kernel);
 	ex->sending = true;
 	if (evhttp_make_request(conn, req, o ? EVHTTP_REQ_POST : ex->method,
 				o ? o->path : ex->path))
@@ -382,6 +385,7 @@
 		return;
 	}
 	reply.not_sent = ex->in_opening && !ex->opening->answers;
+	reply.waited_ms = ex->left_at_ms - ex->queued_at_ms;
 	ex->slot->current = NULL;
 	set_idle_timeout(ex->slot);
 	pool->in_callback = true;
@@ -411,6 +415,8 @@
 	struct exchange *ex = ctx;
 
 	if (ex->pool) {
+		reply.waited_ms =
+			vh_kernel_now_ms(ex->pool->kernel) - ex->queued_at_ms;
 		g_queue_remove(&ex->pool->expired, ex);
 		ex->done(ex->ctx, &reply);
 	}
@@ -469,10 +475,10 @@
 	ex->content_type = request->content_type;
 	vh_buf_add_slice(&ex->body, request->body);
 	ex->timeout_ms = request->timeout_ms;
-	ex->queued_until_ms =
-		request->max_queue_ms
-			? vh_kernel_now_ms(pool->kernel) + request->max_queue_ms
-			: INT64_MAX;
+	ex->queued_at_ms = vh_kernel_now_ms(pool->kernel);
+	ex->queued_until_ms = request->max_queue_ms
+				      ? ex->queued_at_ms + request->max_queue_ms
+				      : INT64_MAX;
 	ex->header = g_strdup(request->header);
 	ex->header_value = g_strdup(request->header_value);
 	ex->opening = opening_new(request->opening);
