--- a/packages/cell/tests/fake_owner.h
+++ b/packages/cell/tests/fake_owner.h
@@ -4,7 +4,7 @@
 /*
  * One owner with a clock of the test's own, one worker, and a store that
  * answers writes to the topic of states only when the test says so. Included by
- * test_owner_pause.cc.
+ * test_owner_pause.cc, test_owner_recovery.cc and test_owner_view.cc.
  */
 
 #include <gtest/gtest.h>
@@ -60,7 +60,7 @@
 		ports = { &store_ops, this,    &worker_ops, this,
 			  nullptr,    nullptr, &decode_ops };
 		topics[VH_TOPIC_FLEET].emplace_back(WORKER, "z");
-		add_job();
+		add_job(JOB);
 	}
 
 	~OneOwner() override
@@ -300,6 +300,33 @@
 			f();
 	}
 
+	// Another node stores a job.
+	void add_job(uint64_t id)
+	{
+		eng_step_spec step = {};
+		eng_job_spec spec = {};
+		vh_buf bytes = {};
+		char key[VH_KEY_BYTES];
+
+		step.n_tasks = TASKS;
+		step.need = { 1000, 100, 0 };
+		step.estimate_ms = 60000;
+		spec.id = id;
+		spec.queue = vh_slice_str("q");
+		spec.service = vh_slice_str("svc");
+		spec.team = vh_slice_str("");
+		spec.max_attempts = 3;
+		spec.stretch = 2;
+		spec.target_ms = 1000;
+		spec.steps = &step;
+		spec.n_steps = 1;
+		eng_job_pack(&spec, &bytes);
+		vh_key_format(key, VH_KEY_JOB, id);
+		topics[VH_TOPIC_JOBS].emplace_back(key, std::string(bytes.data,
+								    bytes.len));
+		vh_buf_finish(&bytes);
+	}
+
 	vh_fake_clock clock;
 	vh_kernel kernel;
 	peer_server peers = {};
@@ -318,38 +345,13 @@
 	int64_t pause_after_start_ms = 0; // once
 	bool zones_readable = true;
 	bool hold_states = false, hold_jobs = false; // reads have no answer
+	bool hold_fleet = false;
 	bool hold_reports = false; // the workers' replies are on their way
 	bool lost = false, freed = true;
 	int64_t confirmed_ms = 0;
 	int64_t outage_until_ms = 0; // the store is down for all until then
 
       private:
-	void add_job()
-	{
-		eng_step_spec step = {};
-		eng_job_spec spec = {};
-		vh_buf bytes = {};
-		char key[VH_KEY_BYTES];
-
-		step.n_tasks = TASKS;
-		step.need = { 1000, 100, 0 };
-		step.estimate_ms = 60000;
-		spec.id = JOB;
-		spec.queue = vh_slice_str("q");
-		spec.service = vh_slice_str("svc");
-		spec.team = vh_slice_str("");
-		spec.max_attempts = 3;
-		spec.stretch = 2;
-		spec.target_ms = 1000;
-		spec.steps = &step;
-		spec.n_steps = 1;
-		eng_job_pack(&spec, &bytes);
-		vh_key_format(key, VH_KEY_JOB, JOB);
-		topics[VH_TOPIC_JOBS].emplace_back(key, std::string(bytes.data,
-								    bytes.len));
-		vh_buf_finish(&bytes);
-	}
-
 	static OneOwner *of(void *self)
 	{
 		return (OneOwner *)self;
@@ -389,7 +391,8 @@
 			  ReadDone done, void *ctx)
 	{
 		bool held = (topic == VH_TOPIC_STATE && hold_states) ||
-			    (topic == VH_TOPIC_JOBS && hold_jobs);
+			    (topic == VH_TOPIC_JOBS && hold_jobs) ||
+			    (topic == VH_TOPIC_FLEET && hold_fleet);
 
 		reply(held, [=] {
 			std::vector<vh_record> out;
@@ -487,10 +490,11 @@
 		});
 	}
 
-	static bool worker(struct vh_slice key, struct vh_slice,
+	static bool worker(struct vh_slice key, struct vh_slice value,
 			   eng_worker_info *out, GStringChunk *, const char **)
 	{
 		*out = {};
+		out->draining = vh_slice_eq_str(value, "draining");
 		out->id = key;
 		out->address = key;
 		out->service = vh_slice_str("svc");
