A start is based on a recent view of every topic, or does not leave

Cause: an owner asked whether its ownership was confirmed recently, not how old its view of the jobs, the workers and the configuration was. Other nodes store cancellations past a silent owner, workers store that they drain. While reads of one topic had no answer, and writes had one, starts went on without bound. The age of the drained zones was checked only after a failed write or a pause.

One assertion of OwnerPause named a variable that is gone; it now asks for the limit.

--- a/packages/cell/include/vh/cell.h
+++ b/packages/cell/include/vh/cell.h
@@ -17,6 +17,8 @@
  * @max_config_age_ms: time since the store last confirmed that this node has
  *		       the newest configuration, after which requests are
  *		       refused, since an API key may have been revoked
+ * @max_view_age_ms: how old may be what the owner has read of the store, when a
+ *		     start leaves that is based on it; 0: the default
  * @admission: jobs that could not end in time are refused
  * @engine: engine settings; fence and former_owner_ms are set by the cell
  */
@@ -25,6 +27,7 @@
 	struct vh_slice peer_address;
 	uint64_t cpu_share_milli;
 	int64_t max_config_age_ms;
+	int64_t max_view_age_ms;
 	bool admission;
 	struct eng_settings engine;
 };
--- a/packages/cell/src/cell.c
+++ b/packages/cell/src/cell.c
@@ -7,6 +7,9 @@
 #include "vh/log.h"
 
 #define OBJECTS_POLL_MS 900 /* long-poll time of a configuration read */
+/* The same on the owner. Up to two of them and two answers pass until a change that
+ * was just missed is known, which must be well within owner_view_limit_ms(). */
+#define OBJECTS_OWNER_POLL_MS 450
 #define READY_MAX_CONFIG_AGE_MS 2600 /* an older one makes a node not ready */
 #define RESPONSE_MARGIN_MS 120	     /* reserved for returning the response */
 #define OWNER_TIME_SHARE 0.6 /* share of the timeout given to the owner */
@@ -35,6 +38,12 @@
 		zones_snapshot_end(&c->zones);
 }
 
+void cell_follow_objects(struct vh_cell *c, bool is_owner)
+{
+	c->objects_reader.wait_ms =
+		is_owner ? OBJECTS_OWNER_POLL_MS : OBJECTS_POLL_MS;
+}
+
 /* The set is as of a newer time, even if it has not changed. */
 static void on_objects_caught_up(void *ctx, int64_t as_of_ms)
 {
@@ -101,11 +110,12 @@
 	c->cpu_share_milli = settings->cpu_share_milli;
 	c->owner_settings.engine = settings->engine;
 	c->owner_settings.admission = settings->admission;
+	c->owner_settings.max_view_age_ms = settings->max_view_age_ms;
 	c->incarnation = (uint64_t)g_random_int() << 32 | g_random_int();
 	c->objects_reader.kernel = kernel;
 	c->objects_reader.ports = ports;
 	c->objects_reader.topic = VH_TOPIC_OBJECTS;
-	c->objects_reader.wait_ms = OBJECTS_POLL_MS;
+	cell_follow_objects(c, false);
 	c->objects_reader.on_record = on_objects_record;
 	c->objects_reader.on_snapshot = on_objects_snapshot;
 	c->objects_reader.on_caught_up = on_objects_caught_up;
--- a/packages/cell/src/cell_priv.h
+++ b/packages/cell/src/cell_priv.h
@@ -75,6 +75,9 @@
 /* cell.c: passes the drained zones to the owner, if they are known */
 void cell_pass_zones(struct vh_cell *c);
 
+/* cell.c: how closely the topic of objects is followed */
+void cell_follow_objects(struct vh_cell *c, bool is_owner);
+
 /* advice_proxy.c: calls the policy service on behalf of the owner */
 void advice_proxy_call(struct vh_cell *c, const struct vh_frame *f);
 
--- a/packages/cell/src/owner.c
+++ b/packages/cell/src/owner.c
@@ -15,10 +15,7 @@
 #define APPEND_TIMEOUT_MS 900
 #define APPEND_RETRY_MS 60
 #define APPEND_REFUSED_WITHIN_MS 450 /* a faster failure counts as refused */
-/* A drain must be in force 5 s after its record is stored. A long poll confirms
- * the set of zones about once a second. */
-#define MAX_ZONES_AGE_MS 3000
-#define MAX_JOBS_AGE_MS 1500 /* with older data, a job may be missing */
+#define MAX_JOBS_AGE_MS 1500	     /* with older data, a job may be missing */
 
 void owner_schedule_run(struct owner *o)
 {
@@ -38,39 +35,14 @@
 	o->ops.ownership_lost(o->ctx, why);
 }
 
-static bool zones_recent(const struct owner *o)
-{
-	return o->zones_as_of_ms &&
-	       owner_now_ms(o) - o->zones_as_of_ms <= MAX_ZONES_AGE_MS;
-}
-
-/*
- * The owner could not act for a while, or the store has not answered it, so a
- * drain may have begun unnoticed.
- */
-static void check_zones(struct owner *o)
-{
-	if (zones_recent(o) || o->zones_outdated)
-		return;
-	vh_log(G_LOG_LEVEL_WARNING,
-	       "scheduling waits until drained zones are read", NULL);
-	o->zones_outdated = true;
-	eng_drained_zones_outdated(o->engine, owner_now_ms(o));
-	o->ops.zones_wanted(o->ctx);
-}
-
-/* Passes on what arrived while the owner was not allowed to act. The zones come
- * first, since the stored batch releases starts. */
+/* Passes on the stored batch, which releases starts, once the owner may act. */
 static void pass_withheld(struct owner *o)
 {
 	uint64_t batch = o->stored_batch;
 
+	owner_view_update(o);
 	if (!owner_may_act(o))
 		return;
-	if (o->zones_withheld) {
-		o->zones_withheld = false;
-		o->ops.pass_zones(o->ctx);
-	}
 	o->stored_batch = 0;
 	if (batch)
 		eng_batch_stored(o->engine, batch, owner_now_ms(o));
@@ -81,8 +53,6 @@
 static void on_append_stored(struct owner *o)
 {
 	owner_note_pause(o);
-	if (o->append_failures || o->suspended_ms)
-		check_zones(o);
 	if (o->append_failures)
 		vh_log(G_LOG_LEVEL_INFO, "job state is stored again", NULL);
 	o->append_failures = 0;
@@ -139,7 +109,6 @@
 		if (!o->append_failures++)
 			vh_log(G_LOG_LEVEL_WARNING,
 			       "job state cannot be stored", NULL);
-		check_zones(o);
 		vh_timer_start(&o->append_retry_timer, APPEND_RETRY_MS);
 	}
 }
@@ -221,8 +190,6 @@
 
 	owner_record_loop_delay(o, o->run_timer.delay_ms);
 	owner_note_pause(o);
-	if (o->phase == OWNER_ACTIVE && !owner_is_permitted(o))
-		check_zones(o);
 	o->last_run_ms = now;
 	pass_withheld(o);
 	if (owner_may_act(o)) {
@@ -246,7 +213,7 @@
 	if (o->phase != OWNER_LOADING || !o->fleet_reader.snapshot_read ||
 	    !o->jobs_reader.refreshed || !o->state_reader.snapshot_read)
 		return;
-	if (!zones_recent(o)) {
+	if (owner_view_zones_outdated(o)) {
 		o->ops.zones_wanted(o->ctx);
 		return;
 	}
@@ -269,6 +236,7 @@
 {
 	(void)as_of_ms;
 	maybe_activate(ctx);
+	owner_view_update(ctx);
 }
 
 static void restore_learned(struct owner *o, struct vh_slice name,
@@ -346,6 +314,7 @@
 {
 	owner_admission_read(ctx, as_of_ms);
 	maybe_activate(ctx);
+	owner_view_update(ctx);
 }
 
 static void
@@ -393,6 +362,8 @@
 		       (int64_t)(RUN_LATEST_LEASE_SHARE * (double)s.lease_ms),
 		       on_run, o);
 	vh_timer_init(&o->append_retry_timer, kernel, on_append_retry_timer, o);
+	owner_view_init(o, settings->max_view_age_ms);
+	eng_set_start_limit(o->engine, 0, owner_now_ms(o));
 	owner_fleet_init(o);
 	owner_advice_init(o);
 	owner_gc_init(o);
@@ -477,19 +448,9 @@
 			     size_t n, int64_t as_of_ms)
 {
 	o->zones_as_of_ms = MAX(o->zones_as_of_ms, as_of_ms);
-	/* The engine would send the starts that wait for the zones. */
-	if (o->phase == OWNER_ACTIVE && !owner_may_act(o)) {
-		o->zones_withheld = true;
-		return;
-	}
-	/* A record may be passed before all older ones are read. */
-	if (o->zones_outdated && !zones_recent(o))
-		return;
-	if (o->zones_outdated)
-		vh_log(G_LOG_LEVEL_INFO, "drained zones are read again", NULL);
-	o->zones_outdated = false;
 	eng_set_drained_zones(o->engine, zones, n, owner_now_ms(o));
 	maybe_activate(o);
+	owner_view_update(o);
 	owner_schedule_run(o);
 }
 
--- a/packages/cell/src/owner.h
+++ b/packages/cell/src/owner.h
@@ -16,9 +16,12 @@
  * struct owner_settings - settings of an owner
  * @engine: fence and former_owner_ms are set by owner_new()
  * @admission: jobs that could not end in time are refused
+ * @max_view_age_ms: how old may be what the owner has read of any topic, when a
+ *		     start leaves that is based on it; 0: the default
  */
 struct owner_settings {
 	bool admission;
+	int64_t max_view_age_ms;
 	struct eng_settings engine;
 };
 
@@ -31,8 +34,6 @@
  * @store_reached: a probed node reported that it reaches the store
  * @zones_wanted: the topic of objects must be read soon, see
  *		  owner_set_drained_zones()
- * @pass_zones: owner_set_drained_zones() must be called again, since the owner
- *		was not allowed to act on the last call
  * @freed: the last pending call has returned, and the owner is being freed
  */
 struct owner_ops {
@@ -41,7 +42,6 @@
 	void (*ownership_lost)(void *ctx, const char *why);
 	void (*store_reached)(void *ctx);
 	void (*zones_wanted)(void *ctx);
-	void (*pass_zones)(void *ctx);
 	void (*freed)(void *ctx);
 };
 
@@ -84,9 +84,8 @@
  * owner_set_drained_zones - replaces the set of drained zones
  * @as_of_ms: all records that the store held then are included
  *
- * Also called if only @as_of_ms has changed. The owner places nothing before it
- * has a set that is recent, and again after it has stalled or the store has not
- * answered it. Otherwise the last set stays in force, however old.
+ * Also called if only @as_of_ms has changed. The owner starts nothing while the set
+ * is older than its settings allow.
  */
 void owner_set_drained_zones(struct owner *o, const struct vh_slice *zones,
 			     size_t n, int64_t as_of_ms);
--- a/packages/cell/src/owner_engine.c
+++ b/packages/cell/src/owner_engine.c
@@ -112,6 +112,7 @@
 {
 	struct owner *o = ctx;
 	struct worker_call *call = worker_call_new(o, &s->boot);
+	struct eng_start_request request = *s;
 
 	call->task = s->task;
 	if (!owner_may_act(o)) {
@@ -121,7 +122,9 @@
 		return;
 	}
 	owner_view_note_start(o, s);
-	o->ports->workers->start(o->ports->workers_self, o->epoch, s,
+	request.not_after_ms =
+		MIN(request.not_after_ms, o->ops.permitted_until_ms(o->ctx));
+	o->ports->workers->start(o->ports->workers_self, o->epoch, &request,
 				 on_started, call);
 }
 
--- a/packages/cell/src/owner_permit.c
+++ b/packages/cell/src/owner_permit.c
@@ -50,9 +50,8 @@
 	g_snprintf(leases, sizeof(leases), "%u", o->withheld_leases);
 	vh_log(G_LOG_LEVEL_INFO, "owner schedules again", "suspended_ms",
 	       suspended, "write_age_ms", age, "earlier_answers", earlier,
-	       "batch_withheld", o->stored_batch ? "1" : "0", "zones_withheld",
-	       o->zones_withheld ? "1" : "0", "starts_withheld", starts,
-	       "leases_withheld", leases, NULL);
+	       "batch_withheld", o->stored_batch ? "1" : "0", "starts_withheld",
+	       starts, "leases_withheld", leases, NULL);
 }
 
 void owner_note_pause(struct owner *o)
--- a/packages/cell/src/owner_priv.h
+++ b/packages/cell/src/owner_priv.h
@@ -61,10 +61,10 @@
  * @withheld_starts: starts not sent for want of permission
  * @withheld_leases: lease renewals left out of holds for the same reason
  * @zones_as_of_ms: time as of which the drained zones are known; 0: never
- * @zones_withheld: a set of zones was not passed to the engine, for the same reason
  * @zone_metrics_ms: when the gauges of drained zones were last set
  * @usage_metrics_ms: when the gauges of the past use of teams were last set
- * @zones_outdated: nothing is placed or started until they are read again
+ * @max_view_age_ms: see struct owner_settings
+ * @view_outdated: nothing is placed or started until all topics are read again
  * @ignored_entries: keys and reasons of workers' entries that were logged as
  *		     ignored
  * @sequence: sequence number of the pending append, or else of the last one
@@ -109,8 +109,8 @@
 	int64_t zones_as_of_ms;
 	int64_t zone_metrics_ms;
 	int64_t usage_metrics_ms;
-	bool zones_outdated;
-	bool zones_withheld;
+	int64_t max_view_age_ms;
+	bool view_outdated;
 	uint64_t sequence;
 	uint64_t append_batch;
 	uint64_t stored_batch;
@@ -187,7 +187,20 @@
 /* owner_fleet_record - passes a record to the engine */
 void owner_fleet_record(struct owner *o, const struct vh_record *r);
 
-/* owner_view.c: how old is what the owner decides from */
+/*
+ * owner_view.c: how old is what the owner decides from. Other nodes store
+ * cancellations, workers store that they drain and operators store changes, and the
+ * store tells them so. The owner learns of it by reading.
+ */
+/* owner_view_init - @max_age_ms: 0: the default */
+void owner_view_init(struct owner *o, int64_t max_age_ms);
+/* owner_view_limit_ms - until when starts may be based on what has been read */
+int64_t owner_view_limit_ms(const struct owner *o);
+/* owner_view_zones_outdated - whether the drained zones are not known or too old */
+bool owner_view_zones_outdated(const struct owner *o);
+/* owner_view_update - passes the limit to the engine, and asks for reads if it has
+ * passed */
+void owner_view_update(struct owner *o);
 /* owner_view_note_start - records the ages for a start that is being sent */
 void owner_view_note_start(struct owner *o, const struct eng_start_request *s);
 /* owner_view_log_cancellation - logs that a cancellation is applied; @way: how
--- a/packages/cell/src/ownership.c
+++ b/packages/cell/src/ownership.c
@@ -69,6 +69,7 @@
 	log_epoch("ownership ended", owner_epoch(c->owner), why);
 	owner_end(c->owner);
 	c->owner = NULL;
+	cell_follow_objects(c, false);
 }
 
 static void on_confirmed(void *ctx, int64_t sent_ms)
@@ -104,12 +105,8 @@
 {
 	struct vh_cell *c = ctx;
 
-	topic_reader_hurry(&c->objects_reader);
-}
-
-static void on_pass_zones(void *ctx)
-{
-	cell_pass_zones(ctx);
+	if (!c->objects_reader.failures)
+		topic_reader_hurry(&c->objects_reader);
 }
 
 static void on_owner_freed(void *ctx)
@@ -128,7 +125,6 @@
 		.ownership_lost = on_ownership_lost,
 		.store_reached = on_node_reached_store,
 		.zones_wanted = on_zones_wanted,
-		.pass_zones = on_pass_zones,
 		.freed = on_owner_freed,
 	};
 
@@ -136,6 +132,7 @@
 	owner_client_connect(&c->owner_client, epoch, c->incarnation,
 			     vh_slice(NULL, 0));
 	log_begin(epoch, former_owners_ms);
+	cell_follow_objects(c, true);
 	c->live_owners++;
 	c->owner =
 		owner_new(c->kernel, c->ports, &c->peer_server,
--- a/packages/cell/tests/fake_owner.h
+++ b/packages/cell/tests/fake_owner.h
@@ -25,6 +25,7 @@
 
 constexpr int64_t LEASE_MS = 5000, LEASE_MAX_MS = 6000;
 constexpr int64_t FORMER_OWNER_MS = 3300, PERMITTED_MS = 3000;
+constexpr int64_t MAX_VIEW_AGE_MS = 2400;
 constexpr int64_t TICK_MS = 50;
 constexpr const char *WORKER = "10.0.0.1:1";
 constexpr uint64_t JOB = 7;
@@ -102,9 +103,6 @@
 					((OneOwner *)c)->read_zones();
 				});
 			};
-			o.pass_zones = [](void *c) {
-				((OneOwner *)c)->read_zones();
-			};
 			o.freed = [](void *c) {
 				((OneOwner *)c)->freed = true;
 			};
@@ -116,6 +114,7 @@
 		s.engine.lease_max_ms = LEASE_MAX_MS;
 		s.engine.stop_ms = 300;
 		s.engine.gang_ms = 3000;
+		s.max_view_age_ms = MAX_VIEW_AGE_MS;
 		freed = false;
 		confirmed_ms = now();
 		o = owner_new(&kernel, &ports, &peers, &s, epoch,
--- a/packages/cell/tests/test_owner_pause.cc
+++ b/packages/cell/tests/test_owner_pause.cc
@@ -95,7 +95,7 @@
 	zones_readable = false;
 	o->zones_as_of_ms = 1;
 	answer(VH_STORE_REFUSED);
-	ASSERT_TRUE(o->zones_outdated);
+	ASSERT_LT(owner_view_limit_ms(o), now());
 	while (state_append() < 0)
 		run();
 	answer();
--- a/packages/engine/include/vh/engine.h
+++ b/packages/engine/include/vh/engine.h
@@ -147,6 +147,7 @@
  * struct eng_start_request - start a task
  * @attempt: 1 for the first start of the run
  * @waited_ms: time since the run was placed, or since the last attempt
+ * @not_after_ms: the start may not leave later, see eng_set_start_limit()
  * @until_ms: end of the lease, on the worker's clock
  * @ticket: empty if the queue needs none
  */
@@ -155,6 +156,7 @@
 	struct eng_task_ref task;
 	uint32_t attempt;
 	int64_t waited_ms;
+	int64_t not_after_ms;
 	struct vh_slice payload;
 	int64_t until_ms;
 	struct vh_slice checkpoint;
@@ -515,11 +517,16 @@
 			   size_t n, int64_t now_ms);
 
 /**
- * eng_drained_zones_outdated - the set may have changed unnoticed
+ * eng_set_start_limit - bounds the age of what starts are based on
+ * @not_after_ms: no start is placed, sent or resent later; INT64_MAX, as at first:
+ *		  no limit
  *
- * No start is placed, sent or resent until eng_set_drained_zones() is called.
+ * Others cancel jobs and drain workers and zones, and are told so by the store. So
+ * the caller sets the limit to when what it has passed on is too old. Starts that
+ * waited go on once the limit is in the future again.
  */
-void eng_drained_zones_outdated(struct engine *e, int64_t now_ms);
+void eng_set_start_limit(struct engine *e, int64_t not_after_ms,
+			 int64_t now_ms);
 
 /* eng_drained_zones - writes up to @max drained zones, returns their number */
 size_t eng_drained_zones(const struct engine *e, struct eng_zone_status *out,
--- a/packages/engine/src/eng_priv.h
+++ b/packages/engine/src/eng_priv.h
@@ -55,8 +55,9 @@
 /* eng_job_reclaim - frees an ended job's steps and spec once they are unused */
 void eng_job_reclaim(struct engine *e, struct job *j);
 bool eng_job_active(const struct job *j);
-/* eng_send_stored - sends the starts whose placement is stored */
-void eng_send_stored(struct engine *e);
+/* eng_may_start - whether starts may be placed and sent, see
+ * eng_set_start_limit() */
+bool eng_may_start(const struct engine *e);
 /* eng_decision_set_boot - adds what is known of the present boot of a worker */
 void eng_decision_set_boot(const struct engine *e, struct eng_decision *d,
 			   const struct worker *w);
--- a/packages/engine/src/eng_state.h
+++ b/packages/engine/src/eng_state.h
@@ -634,7 +634,7 @@
  * @worker_list: the same workers, for iteration
  * @zones: name to struct zone, of all workers and drains
  * @n_drained_zones: number of the zones that are drained
- * @zones_outdated: see eng_drained_zones_outdated()
+ * @start_limit_ms: see eng_set_start_limit()
  * @teams: name to struct team
  * @queues: name to struct queue
  * @runnable_steps: steps with tasks to place
@@ -686,7 +686,7 @@
 	bool ready;
 	bool deposed;
 	bool restoring;
-	bool zones_outdated;
+	int64_t start_limit_ms;
 	GHashTable *jobs;
 	GHashTable *workers;
 	GPtrArray *worker_list;
--- a/packages/engine/src/eng_tasks.c
+++ b/packages/engine/src/eng_tasks.c
@@ -163,6 +163,7 @@
 		.task = eng_task_ref(t),
 		.attempt = t->start_attempts + 1,
 		.waited_ms = e->now_ms - t->since_ms,
+		.not_after_ms = e->start_limit_ms,
 		.payload = t->step->job->spec->payload,
 		.checkpoint = t->checkpoint,
 		.ticket = eng_str(a && a->ticket ? a->ticket : ""),
@@ -479,8 +480,8 @@
 
 	if (t->request_pending)
 		return;
-	/* Neither sent again nor stopped: the zones will be known soon. */
-	if (t->state == TASK_STARTING && e->zones_outdated)
+	/* Neither sent again nor stopped: what it is based on is read soon. */
+	if (t->state == TASK_STARTING && !eng_may_start(e))
 		return;
 	if (t->state == TASK_STARTING && age >= START_RETRY_MS) {
 		if (t->start_attempts < START_ATTEMPTS_MAX && !t->done &&
--- a/packages/engine/src/eng_zone.c
+++ b/packages/engine/src/eng_zone.c
@@ -220,19 +220,11 @@
 	bool started;
 
 	e->now_ms = now_ms;
-	e->zones_outdated = false;
 	ended = end_drains(e, zones, n);
 	started = start_drains(e, zones, n);
 	e->n_drained_zones = n;
 	if (ended || started)
 		clear_zones(e);
-	eng_send_stored(e);
-}
-
-void eng_drained_zones_outdated(struct engine *e, int64_t now_ms)
-{
-	e->now_ms = now_ms;
-	e->zones_outdated = true;
 }
 
 static void report_empty(struct engine *e)
--- a/packages/engine/src/engine.c
+++ b/packages/engine/src/engine.c
@@ -74,6 +74,7 @@
 	e->callbacks = *callbacks;
 	e->now_ms = now_ms;
 	e->open_batch = 1;
+	e->start_limit_ms = INT64_MAX;
 	e->mean_speed = 1;
 	e->speed_noise = SPEED_NOISE_INITIAL;
 	e->restored_speeds =
@@ -598,9 +599,14 @@
 	e->store_latency_ms = MIN(MAX(latency, decayed), STORE_LATENCY_MAX_MS);
 }
 
-void eng_send_stored(struct engine *e)
+bool eng_may_start(const struct engine *e)
 {
-	while (!e->zones_outdated && !g_queue_is_empty(&e->storing)) {
+	return e->now_ms <= e->start_limit_ms;
+}
+
+static void send_stored(struct engine *e)
+{
+	while (eng_may_start(e) && !g_queue_is_empty(&e->storing)) {
 		struct task *t = g_queue_peek_head(&e->storing);
 
 		if (t->store_batch > e->stored_batch)
@@ -638,10 +644,17 @@
 	e->stored_batch = batch;
 	if (first && first->store_batch <= batch)
 		update_store_latency(e, first);
-	eng_send_stored(e);
+	send_stored(e);
 	acknowledge_ends(e, batch);
 }
 
+void eng_set_start_limit(struct engine *e, int64_t not_after_ms, int64_t now_ms)
+{
+	e->now_ms = now_ms;
+	e->start_limit_ms = not_after_ms;
+	send_stored(e);
+}
+
 void eng_recovery_done(struct engine *e, int64_t now_ms)
 {
 	GHashTableIter it;
@@ -669,7 +682,7 @@
 	eng_update_speeds(e);
 	eng_poll_workers(e);
 	eng_usage_refresh(e);
-	return !e->ready || e->zones_outdated || eng_place_steps(e);
+	return !e->ready || !eng_may_start(e) || eng_place_steps(e);
 }
 
 void eng_stats(const struct engine *e, struct eng_stats *out)
--- a/packages/engine/tests/simulation.h
+++ b/packages/engine/tests/simulation.h
@@ -205,6 +205,7 @@
 		for (auto &z : drained)
 			zones.push_back(str(z.first));
 		eng_set_drained_zones(engine, zones.data(), zones.size(), now);
+		eng_set_start_limit(engine, INT64_MAX, now);
 	}
 
 	void drain(const std::string &zone)
@@ -223,7 +224,7 @@
 	void wake_owner()
 	{
 		owner_asleep = false;
-		eng_drained_zones_outdated(engine, now);
+		eng_set_start_limit(engine, now - 1, now);
 		schedule_in(300, [this] { pass_zones(); });
 	}
 
