--- a/packages/cell/src/owner_view.c
+++ b/packages/cell/src/owner_view.c
@@ -4,9 +4,9 @@
 #include "vh/log.h"
 
 #define US_PER_MS 1000
-/* A drain of a zone must be in force 5 s after its record is stored; the rest is for
- * a start's way to its worker. */
-#define MAX_AGE_MS 4000
+/* A drain of a zone must be in force 5 s after its record is stored, however long the
+ * settings allow for other changes. */
+#define MAX_AGE_MS 3000
 /* With an older view, each start is logged. */
 #define LOGGED_VIEW_AGE_MS 1000
 
