cell: pending jobs are not counted from an old view of the jobs

Callers were given a count without the jobs that other nodes had stored, for as long as the owner did not read the topic; the count may be 2 s old. The same class as starts on an old view. Now the node answers that it is not ready. OwnerView.PendingJobsAreCountedWhileTheJobsAreNotRead failed before.

--- a/packages/cell/src/owner.c
+++ b/packages/cell/src/owner.c
@@ -469,8 +469,11 @@
 bool owner_pending_jobs(struct owner *o, struct vh_slice queue, size_t *jobs)
 {
 	*jobs = eng_queue_pending(o->engine, queue);
-	/* Other nodes may have stored jobs during a pause. */
-	return owner_may_act(o) && o->jobs_reader.caught_up_ms >= o->woken_ms;
+	/* Other nodes may have stored jobs since they were read. */
+	return owner_may_act(o) &&
+	       topic_reader_age_ms(&o->jobs_reader, owner_now_ms(o)) <=
+		       MAX_JOBS_AGE_MS &&
+	       o->jobs_reader.caught_up_ms >= o->woken_ms;
 }
 
 bool owner_stats(const struct owner *o, struct eng_stats *out)
--- a/packages/cell/src/owner.h
+++ b/packages/cell/src/owner.h
@@ -98,8 +98,9 @@
 enum eng_job_status owner_job_status(struct owner *o, uint64_t job,
 				     bool *known);
 
-/* owner_pending_jobs - counts pending jobs; returns false during recovery, and
- * after a pause until the owner is confirmed and has read the jobs again */
+/* owner_pending_jobs - counts pending jobs; returns false during recovery, while the
+ * jobs were last read too long ago, and after a pause until the owner is confirmed
+ * and has read them again */
 bool owner_pending_jobs(struct owner *o, struct vh_slice queue, size_t *jobs);
 
 /* owner_stats - returns false during recovery */
--- a/packages/cell/tests/test_owner_view.cc
+++ b/packages/cell/tests/test_owner_view.cc
@@ -99,6 +99,26 @@
 	EXPECT_EQ(starts_after(drained_ms + BOUND_MS), 0);
 }
 
+// The count of pending jobs may be 2 s old. Jobs that other nodes store were missing
+// from it for as long as the topic was not read.
+TEST_F(OwnerView, PendingJobsAreCountedWhileTheJobsAreNotRead)
+{
+	size_t jobs = 0;
+
+	activate(1);
+	run_job();
+	EXPECT_TRUE(owner_pending_jobs(o, vh_slice_str("q"), &jobs));
+	hold_jobs = true;
+	run_for(500);
+	add_job(fake::JOB + 1);
+	run_for(BOUND_MS);
+	EXPECT_FALSE(owner_pending_jobs(o, vh_slice_str("q"), &jobs));
+	hold_jobs = false;
+	release_replies();
+	run_for(500);
+	EXPECT_TRUE(owner_pending_jobs(o, vh_slice_str("q"), &jobs));
+}
+
 // What was read again releases the starts that waited for it.
 TEST_F(OwnerView, StartsGoOnOnceAllTopicsAreRead)
 {
