--- a/packages/kernel/include/vh/kernel.h
+++ b/packages/kernel/include/vh/kernel.h
@@ -106,6 +106,11 @@
  * call is ready; to be called before it is started */
 void vh_timer_yield(struct vh_timer *timer);
 
+/* vh_timer_wait_idle - the timer fires only when the sockets have just been
+ * polled and nothing else is ready, timers that yield included; to be called
+ * before it is started. On a loop that is never idle it does not fire. */
+void vh_timer_wait_idle(struct vh_timer *timer);
+
 /* vh_kernel_defer - calls @fn once from the next pass of the event loop; for
  * code that must not call back directly */
 void vh_kernel_defer(struct vh_kernel *kernel, void (*fn)(void *ctx),
--- a/packages/kernel/src/kernel.c
+++ b/packages/kernel/src/kernel.c
@@ -3,7 +3,20 @@
 #include "vh/log.h"
 
 #define MAX_SERIES 4096
-#define N_PRIORITIES 3 /* of events; libevent gives them the middle one */
+
+/*
+ * Priorities of events. libevent gives new events the middle one. It calls events
+ * of one priority only if none of a higher priority was active after a new poll;
+ * those of the same priority follow each other without a poll between them.
+ */
+enum {
+	PRIORITY_DEFAULT = 2,
+	PRIORITY_YIELD,
+	PRIORITY_IDLE,
+	N_PRIORITIES
+};
+
+G_STATIC_ASSERT(PRIORITY_DEFAULT == N_PRIORITIES / 2);
 
 void vh_kernel_init(struct vh_kernel *kernel, const struct vh_clock *clock)
 {
@@ -144,7 +157,12 @@
 
 void vh_timer_yield(struct vh_timer *timer)
 {
-	event_priority_set(timer->ev, N_PRIORITIES - 1);
+	event_priority_set(timer->ev, PRIORITY_YIELD);
+}
+
+void vh_timer_wait_idle(struct vh_timer *timer)
+{
+	event_priority_set(timer->ev, PRIORITY_IDLE);
 }
 
 void vh_timer_start(struct vh_timer *timer, int64_t delay_ms)
--- a/packages/kernel/tests/test_kernel.cc
+++ b/packages/kernel/tests/test_kernel.cc
@@ -1,6 +1,8 @@
 #include <gtest/gtest.h>
 
 #include <string>
+#include <sys/socket.h>
+#include <unistd.h>
 
 extern "C" {
 #include "vh/kernel.h"
@@ -128,3 +130,56 @@
 	vh_timer_finish(&stopped);
 	vh_kernel_finish(&k);
 }
+
+// A timer that yields ran before another of its kind without a poll between them,
+// so the second did not see what had become ready during the first.
+TEST(Timer, WaitsForAnIdleLoopBehindYieldingTimersAndASocket)
+{
+	struct trace {
+		struct vh_kernel kernel;
+		int fds[2];
+		std::string order;
+	} t;
+	struct vh_timer yielding, idle;
+	struct event *ev;
+
+	vh_kernel_init(&t.kernel, vh_clock_system());
+	ASSERT_EQ(socketpair(AF_UNIX, SOCK_STREAM, 0, t.fds), 0);
+	ev = event_new(
+		t.kernel.base, t.fds[0], EV_READ,
+		[](evutil_socket_t, short, void *ctx) {
+			static_cast<trace *>(ctx)->order += "socket ";
+		},
+		&t);
+	event_add(ev, nullptr);
+	vh_timer_init(
+		&yielding, &t.kernel,
+		[](void *ctx) {
+			auto *at = static_cast<trace *>(ctx);
+
+			at->order += "yielding ";
+			EXPECT_EQ(write(at->fds[1], "x", 1), 1);
+		},
+		&t);
+	vh_timer_yield(&yielding);
+	vh_timer_init(
+		&idle, &t.kernel,
+		[](void *ctx) {
+			auto *at = static_cast<trace *>(ctx);
+
+			at->order += "idle";
+			vh_kernel_stop(&at->kernel);
+		},
+		&t);
+	vh_timer_wait_idle(&idle);
+	vh_timer_start(&idle, 0);
+	vh_timer_start(&yielding, 0);
+	vh_kernel_run(&t.kernel);
+	EXPECT_EQ(t.order, "yielding socket idle");
+	vh_timer_finish(&yielding);
+	vh_timer_finish(&idle);
+	event_free(ev);
+	close(t.fds[0]);
+	close(t.fds[1]);
+	vh_kernel_finish(&t.kernel);
+}
