engine tests: the limit of starts, and cancellations that are learned late

In the simulation reads of the store may have no answer for up to 4 s. The owner learns of cancellations by them only, and its limit is 1.2 s after the last one. Starts may wait up to 1 s for a connection. A check from outside finds starts that leave after their limit, or over 1.2 s after the cancellation was stored. With such reads, the time that a cancelled task may go on counts from their end.

--- a/packages/engine/tests/sim_state.h
+++ b/packages/engine/tests/sim_state.h
@@ -49,6 +49,16 @@
 /* A capacity that has shrunk may be used so much longer. */
 constexpr int64_t SHRUNK_CAPACITY_MS = 4000 + BEAT_MS;
 
+/* The owner reads the store so often, or its reads have no answer for so long. */
+constexpr int64_t READ_INTERVAL_MS = 250;
+constexpr int64_t UNREAD_MAX_MS = 4000;
+
+/* How old may be what starts are based on, if that is bounded. */
+constexpr int64_t VIEW_AGE_MAX_MS = 1200;
+
+/* A start waits for a connection for so long. */
+constexpr int64_t START_QUEUE_MAX_MS = 1000;
+
 /* Workers that have crashed under a task that may be given up. */
 constexpr int CRASHES_TO_GIVE_UP = 2;
 
@@ -159,6 +169,10 @@
 	double slow_store = 0;	 /* share of the batches: stored late */
 	double cancel = 0;	 /* cancelled jobs per second */
 	double resize = 0;	 /* workers that shrink per second */
+	double unread = 0;	 /* times per second that the owner's reads of
+				  * the store begin to have no answer */
+	double queued = 0;	 /* share of the starts that wait for a
+				  * connection */
 	double fail_task = 0.03; /* share of the runs */
 };
 
@@ -469,6 +483,23 @@
 				      std::to_string(j.cancelled_ms));
 	}
 
+	/* The start leaves at @leaves_ms. */
+	void check_start_limit(const eng_start_request *request,
+			       int64_t leaves_ms)
+	{
+		const Job &j = jobs[request->task.job];
+
+		if (leaves_ms > request->not_after_ms)
+			add_violation("a start leaves after its limit");
+		if (view_age_max_ms && j.cancelled_ms >= 0 &&
+		    leaves_ms > j.cancelled_ms + view_age_max_ms)
+			add_violation(
+				"a start leaves " +
+				std::to_string(leaves_ms - j.cancelled_ms) +
+				" ms after the cancellation of job " +
+				std::to_string(request->task.job));
+	}
+
 	void check_address(struct vh_slice address)
 	{
 		if (!address.len)
@@ -616,9 +647,15 @@
 	std::map<std::string, int64_t>
 		drained; /* zones, since when the record is stored */
 	std::vector<std::string> zone_events;
-	bool owner_asleep = false; /* its event loop does not run */
-	bool store_down = false;   /* nothing is stored, no entry changes */
-	bool states_down = false;  /* no states of jobs are stored */
+	bool owner_asleep = false;   /* its event loop does not run */
+	int64_t view_age_max_ms = 0; /* bound of what starts are based on; the
+				      * owner learns of cancellations by reads;
+				      * 0: at once, and no bound */
+	int64_t view_read_ms = 0;    /* the last read */
+	int64_t unread_until_ms = 0; /* reads have no answer */
+	std::vector<int64_t> start_limits; /* of the requests of starts */
+	bool store_down = false;  /* nothing is stored, no entry changes */
+	bool states_down = false; /* no states of jobs are stored */
 	std::set<uint64_t>
 		deleted_jobs; /* whose input is not stored any more */
 	int64_t next_deletion_ms = 0;
--- a/packages/engine/tests/simulation.h
+++ b/packages/engine/tests/simulation.h
@@ -64,7 +64,7 @@
 	void cancel(uint64_t id)
 	{
 		jobs[id].cancelled_ms = now;
-		if (engine && ready)
+		if (engine && ready && !view_age_max_ms)
 			eng_job_cancel(engine, id, now);
 	}
 
@@ -117,6 +117,7 @@
 			eng_job_restore(engine, r.first, str(r.second), now);
 		add_stored_jobs();
 		ready = true;
+		view_read_ms = now;
 		pass_zones();
 		eng_recovery_done(engine, now);
 		check_known_jobs();
@@ -205,7 +206,34 @@
 		for (auto &z : drained)
 			zones.push_back(str(z.first));
 		eng_set_drained_zones(engine, zones.data(), zones.size(), now);
-		eng_set_start_limit(engine, INT64_MAX, now);
+		eng_set_start_limit(engine,
+				    view_age_max_ms
+					    ? view_read_ms + view_age_max_ms
+					    : INT64_MAX,
+				    now);
+	}
+
+	/* As the owner does, if the age of its view is bounded. */
+	void read_store()
+	{
+		if (!view_age_max_ms || now < unread_until_ms ||
+		    now < view_read_ms + READ_INTERVAL_MS)
+			return;
+		for (auto &j : jobs) {
+			if (j.second.cancelled_ms >= 0)
+				eng_job_cancel(engine, j.first, now);
+		}
+		view_read_ms = now;
+		pass_zones();
+	}
+
+	/* Tasks of jobs that are cancelled meanwhile are stopped later. */
+	void stop_reading()
+	{
+		unread_until_ms = now + draw_ms(UNREAD_MAX_MS);
+		calls_lost_until_ms =
+			std::max(calls_lost_until_ms,
+				 unread_until_ms + READ_INTERVAL_MS);
 	}
 
 	void drain(const std::string &zone)
@@ -279,6 +307,7 @@
 
 	void run_engine()
 	{
+		read_store();
 		eng_schedule(engine, now);
 		delete_ended_jobs();
 		if (batch_in_flight)
@@ -367,6 +396,8 @@
 			take_over();
 		if (draws(faults.recut / 100) && !store_down)
 			recut();
+		if (draws(faults.unread / 100) && now >= unread_until_ms)
+			stop_reading();
 		if (chance(faults.cancel / 100) && !jobs.empty()) {
 			auto j = jobs.begin();
 
@@ -451,6 +482,7 @@
 	void on_start(const eng_start_request *request)
 	{
 		check_address(request->boot.address);
+		check_start_limit(request, now);
 		Worker &w = find_worker(request->boot.worker);
 		const eng_step_spec &s =
 			jobs[request->task.job].spec->steps[request->task.step];
@@ -466,6 +498,7 @@
 		int64_t transit_ms = delayed ? 2000 + draw_ms(10000)
 				     : slow  ? draw_ms(LATE_MAX_MS)
 					     : w.delay_ms;
+		int64_t queue_ms = 0;
 
 		boot.worker = str(w.id);
 		r.key = { ref.job, ref.step, ref.index };
@@ -482,6 +515,17 @@
 				       draw_ms(REQUEST_FAILED_MAX_MS));
 			return;
 		}
+		if (draws(faults.queued))
+			queue_ms = draw_ms(START_QUEUE_MAX_MS);
+		if (now + queue_ms > request->not_after_ms) {
+			reply_to_start(e, boot, ref, ENG_REPLY_NOT_SENT,
+				       queue_ms);
+			return;
+		}
+		check_start_limit(request, now + queue_ms);
+		start_limits.push_back(request->not_after_ms);
+		transit_ms += queue_ms;
+		r.sent_ms = now + queue_ms;
 		start_log.emplace_back(now, w.id, r.key);
 		sent_runs[w.id].insert({ r.key, r.run });
 		r.need = s.need;
--- a/packages/engine/tests/test_gangs.cc
+++ b/packages/engine/tests/test_gangs.cc
@@ -53,6 +53,8 @@
 				     : f;
 		sim.crashes_look_alike =
 			f.reboot > 0 || std::get<2>(GetParam());
+		sim.view_age_max_ms =
+			f.unread > 0 ? engine_sim::VIEW_AGE_MAX_MS : 0;
 		sim.take_over();
 		for (int i = 0; i < 15; i++) {
 			submit_gangs(3);
@@ -134,6 +136,20 @@
 	play(f);
 }
 
+// Some members of a gang leave before the view is too old, others do not.
+TEST_P(Gangs, RunTwiceIfTheStoreIsNotRead)
+{
+	Faults f;
+
+	f.unread = 0.5;
+	f.queued = 0.5;
+	f.cancel = 1;
+	f.lose_reply = 0.1;
+	f.partition = 0.4;
+	f.slow_store = 0.3;
+	play(f);
+}
+
 // The members' starts of a former owner reach workers that start again under
 // their id.
 TEST_P(Gangs, RunTwiceOverTakeoversWhileWorkersStartAgain)
--- a/packages/engine/tests/test_schedules.cc
+++ b/packages/engine/tests/test_schedules.cc
@@ -44,6 +44,7 @@
 	Simulation sim(seed, f, 8);
 
 	sim.jobs_first = seed % 2;
+	sim.view_age_max_ms = f.unread > 0 ? engine_sim::VIEW_AGE_MAX_MS : 0;
 
 	sim.take_over();
 	for (int i = 0; i < 10; i++) {
@@ -155,6 +156,33 @@
 	run(f, 40000);
 }
 
+// Starts of cancelled jobs left while the owner's reads had no answer.
+TEST_P(Schedules, TheStoreIsNotRead)
+{
+	Faults f;
+
+	f.unread = 0.5;
+	f.queued = 0.1;
+	f.cancel = 3;
+	run(f, 20000);
+}
+
+TEST_P(Schedules, TheStoreIsNotReadWithAllFaults)
+{
+	Faults f;
+
+	f.unread = 0.5;
+	f.queued = 0.1;
+	f.lose_reply = 0.1;
+	f.delay_request = 0.05;
+	f.crash = 0.3;
+	f.partition = 0.3;
+	f.takeover = 0.3;
+	f.slow_store = 0.1;
+	f.cancel = 3;
+	run(f, 40000);
+}
+
 std::map<uint64_t, std::string> records_of(uint64_t seed)
 {
 	Faults f;
