--- a/packages/cell/tests/fake_owner.h
+++ b/packages/cell/tests/fake_owner.h
@@ -4,7 +4,8 @@
 /*
  * One owner with a clock of the test's own, one worker, and a store that
  * answers writes to the topic of states only when the test says so. Included by
- * test_owner_pause.cc, test_owner_recovery.cc and test_owner_view.cc.
+ * test_owner_pause.cc, test_owner_recovery.cc, test_owner_view.cc and
+ * test_owner_withheld.cc.
  */
 
 #include <gtest/gtest.h>
--- a/packages/engine/src/eng_priv.h
+++ b/packages/engine/src/eng_priv.h
@@ -70,7 +70,8 @@
 /* eng_team.c */
 struct team *eng_team_get(struct engine *e, struct vh_slice name);
 void eng_team_free(gpointer team);
-/* eng_team_quota_allows - the team's limit allows @n more tasks of a step */
+/* eng_team_quota_allows - the team's limit allows @n more tasks of a step; 0: what
+ * it has placed */
 bool eng_team_quota_allows(const struct step *s, int64_t n);
 /* eng_team_take_token - counts a submitted job; false: exceeds the share */
 bool eng_team_take_token(struct team *t, int64_t now_ms);
--- a/packages/engine/src/eng_tasks.c
+++ b/packages/engine/src/eng_tasks.c
@@ -201,6 +201,8 @@
 		eng_task_lost(e, t, "not sent, zone drained");
 	} else if (w->hold_failures || !eng_worker_accepts(e, w))
 		eng_task_lost(e, t, "not sent, worker has changed");
+	else if (!eng_team_quota_allows(t->step, 0))
+		eng_task_lost(e, t, "not sent, limit of its team");
 	else if (ticket_expired(e, t))
 		eng_task_lost(e, t, "not sent, ticket ran out");
 	else
@@ -486,6 +488,7 @@
 	if (t->state == TASK_STARTING && age >= START_RETRY_MS) {
 		if (t->start_attempts < START_ATTEMPTS_MAX && !t->done &&
 		    eng_job_active(t->step->job) &&
+		    eng_team_quota_allows(t->step, 0) &&
 		    eng_worker_accepts(e, t->worker))
 			send_start(e, t);
 		else
