--- a/packages/cell/src/topic_reader.c
+++ b/packages/cell/src/topic_reader.c
@@ -67,13 +67,22 @@
 		t->on_snapshot(t->ctx, begins);
 }
 
+/* The store has more records, and the reply holds none after which to go on. */
+static bool no_progress(const struct topic_reader *t,
+			const struct vh_read_reply *r)
+{
+	if (r->n)
+		return false;
+	return t->snapshot_read ? t->next_offset < r->end : r->more;
+}
+
 /* Returns whether the reply holds records to be delivered. */
 static bool accept_reply(struct topic_reader *t, const struct vh_read_reply *r)
 {
 	t->in_flight = false;
 	if (t->stopped)
 		return false;
-	if (r->result != VH_STORE_OK) {
+	if (r->result != VH_STORE_OK || no_progress(t, r)) {
 		on_failure(t, r->result);
 		return false;
 	}
@@ -99,7 +108,7 @@
 	deliver_records(t, r);
 	if (t->stopped)
 		return;
-	if (r->more && r->n) {
+	if (r->more) {
 		g_free(t->page_after);
 		t->page_after = vh_slice_dup(r->records[r->n - 1].key);
 		schedule(t, 0);
