A start's limit leaves room for a stall that is not noticed

A share of 0.8 left 0.6 s of 3 s between the last check of a start and the bound, while a process may stand still for 0.9 s before that counts as a pause. Now it is 0.7. The store of OwnerView and its kin answers a late read with what was stored when it was asked. Found by a review.

--- a/packages/cell/tests/fake_owner.h
+++ b/packages/cell/tests/fake_owner.h
@@ -26,7 +26,7 @@
 
 constexpr int64_t LEASE_MS = 5000, LEASE_MAX_MS = 6000;
 constexpr int64_t FORMER_OWNER_MS = 3300, PERMITTED_MS = 3000;
-constexpr int64_t MAX_VIEW_AGE_MS = 2400;
+constexpr int64_t MAX_VIEW_AGE_MS = 2100;
 constexpr int64_t TICK_MS = 50;
 constexpr const char *WORKER = "10.0.0.1:1";
 constexpr uint64_t JOB = 7;
@@ -44,6 +44,7 @@
 struct Sent {
 	int64_t at_ms;
 	int64_t until_ms;
+	int64_t not_after_ms; // of a start
 };
 
 class OneOwner : public testing::Test
@@ -394,10 +395,10 @@
 			    (topic == VH_TOPIC_JOBS && hold_jobs) ||
 			    (topic == VH_TOPIC_FLEET && hold_fleet);
 
-		reply(held, [=] {
+		// As of the call, however late the reply is.
+		reply(held, [=, t = topics[topic]] {
 			std::vector<vh_record> out;
 			vh_read_reply r = {};
-			const Topic &t = topics[topic];
 
 			for (size_t i = from; i < t.size(); i++) {
 				struct vh_slice key = { t[i].first.data(),
@@ -433,7 +434,7 @@
 		OneOwner *f = of(self);
 		struct vh_slice address = s->boot.address;
 
-		f->starts.push_back({ f->now(), s->until_ms });
+		f->starts.push_back({ f->now(), s->until_ms, s->not_after_ms });
 		f->running[std::string(address.data, address.len)].push_back(
 			s->task);
 		f->pause(f->pause_after_start_ms);
@@ -464,7 +465,7 @@
 		f->holds++;
 		f->acknowledged = std::max(f->acknowledged, h->acknowledged);
 		if (h->until_ms)
-			f->leases.push_back({ sent_ms, h->until_ms });
+			f->leases.push_back({ sent_ms, h->until_ms, 0 });
 		int64_t clock_ms = f->now();
 
 		f->reply(f->hold_reports, [=] {
--- a/packages/cell/tests/test_owner_view.cc
+++ b/packages/cell/tests/test_owner_view.cc
@@ -119,6 +119,21 @@
 	EXPECT_TRUE(owner_pending_jobs(o, vh_slice_str("q"), &jobs));
 }
 
+// A start left its queue after the ownership's confirmation, or the view, had run out.
+TEST_F(OwnerView, StartWithoutALimitOfItsOwnLeavesLate)
+{
+	activate(1);
+	run_job();
+	int64_t read_ms = std::min({ o->jobs_reader.caught_up_ms,
+				     o->fleet_reader.caught_up_ms,
+				     o->zones_as_of_ms, confirmed_ms });
+	for (auto &s : starts) {
+		EXPECT_GT(s.not_after_ms, s.at_ms);
+		EXPECT_LE(s.not_after_ms, confirmed_ms + fake::PERMITTED_MS);
+		EXPECT_LE(s.not_after_ms, read_ms + fake::PERMITTED_MS);
+	}
+}
+
 // What was read again releases the starts that waited for it.
 TEST_F(OwnerView, StartsGoOnOnceAllTopicsAreRead)
 {
