A gang of which one member was not sent does not wait alone for the limit

What callers would see: members of a gang end alone, and its work starts late.

Cause: a member whose start was not sent before the limit waits until the limit moves on, however long reads of the store take. The members that were sent wait for it, and end alone after 3 s (GANG).

A member whose start had no answer waits as before, since it may run.

--- a/packages/engine/src/eng_tasks.c
+++ b/packages/engine/src/eng_tasks.c
@@ -474,15 +474,28 @@
 	}
 }
 
+/*
+ * Of a start that may not be sent again now. It is neither sent nor stopped, as what
+ * it is based on is read soon. But members of a gang that have started end alone if
+ * one that surely was not sent keeps them waiting.
+ */
+static void postpone_start(struct engine *e, struct task *t)
+{
+	if (t->step->spec->gang && !t->open_starts &&
+	    e->now_ms - t->since_ms >= START_RETRY_MS)
+		eng_task_lost(e, t, "not sent, the view is old");
+}
+
 static void retry_request(struct engine *e, struct task *t)
 {
 	int64_t age = e->now_ms - t->since_ms;
 
 	if (t->request_pending)
 		return;
-	/* Neither sent again nor stopped: what it is based on is read soon. */
-	if (t->state == TASK_STARTING && !eng_may_start(e))
+	if (t->state == TASK_STARTING && !eng_may_start(e)) {
+		postpone_start(e, t);
 		return;
+	}
 	if (t->state == TASK_STARTING && age >= START_RETRY_MS) {
 		if (t->start_attempts < START_ATTEMPTS_MAX && !t->done &&
 		    eng_job_active(t->step->job) &&
--- a/packages/engine/tests/test_start_limit.cc
+++ b/packages/engine/tests/test_start_limit.cc
@@ -162,6 +162,23 @@
 	EXPECT_EQ(sim.gangs_done, 1);
 }
 
+// Members that were not sent in time waited for the limit until the others had
+// ended alone.
+TEST_F(StartLimit, AGangThatIsSentInPartIsNotLeftAlone)
+{
+	sim.faults.queued = 1; /* up to 1 s for a connection */
+	set_limit(sim.now + 500);
+	submit(true);
+	sim.run_for(5500, false);
+	EXPECT_GT(sim.start_log.size(), 0u);
+	EXPECT_LT(sim.start_log.size(), TASKS);
+	EXPECT_EQ(sim.members_alone, 0);
+	sim.faults.queued = 0;
+	set_limit(INT64_MAX);
+	expect_complete();
+	EXPECT_EQ(sim.members_alone, 0);
+}
+
 TEST_F(StartLimit, TicketsThatRanOutLeadToANewPlacement)
 {
 	sim.approves = [](uint64_t, const std::string &) { return true; };
