A start that the owner withheld counts as not sent

What callers would see: after a pause of the owner a task waits for a stop, though its start never left.

Cause: send_start() answered a withheld start with ENG_REPLY_NONE, so the engine counted it as one that may still be carried out. If the worker refuses the next attempt, the run is stopped before its task is placed elsewhere, and if the worker is lost, the run counts as lost with it.

It is answered with ENG_REPLY_NOT_SENT.

The stand-in of the worker lists a task as running only if it accepted the start.

--- a/packages/cell/src/owner_engine.c
+++ b/packages/cell/src/owner_engine.c
@@ -105,7 +105,7 @@
 
 static void on_start_withheld(void *ctx)
 {
-	on_started(ctx, ENG_REPLY_NONE);
+	on_started(ctx, ENG_REPLY_NOT_SENT);
 }
 
 static void send_start(void *ctx, const struct eng_start_request *s)
@@ -116,7 +116,7 @@
 
 	call->task = s->task;
 	if (!owner_may_act(o)) {
-		/* The engine tries again, as after a start without a reply. */
+		/* The engine sends it again, or places the task anew. */
 		o->withheld_starts++;
 		vh_kernel_defer(o->kernel, on_start_withheld, call);
 		return;
--- a/packages/cell/tests/fake_owner.h
+++ b/packages/cell/tests/fake_owner.h
@@ -342,6 +342,7 @@
 	std::string silent_worker; // its holds have no reply
 	int holds = 0, stops = 0;
 	int64_t pause_after_start_ms = 0; // once
+	eng_reply start_reply = ENG_REPLY_OK;
 	bool zones_readable = true;
 	bool hold_states = false, hold_jobs = false; // reads have no answer
 	bool hold_fleet = false;
@@ -433,11 +434,14 @@
 		struct vh_slice address = s->boot.address;
 
 		f->starts.push_back({ f->now(), s->until_ms });
-		f->running[std::string(address.data, address.len)].push_back(
-			s->task);
+		if (f->start_reply == ENG_REPLY_OK)
+			f->running[std::string(address.data, address.len)]
+				.push_back(s->task);
 		f->pause(f->pause_after_start_ms);
 		f->pause_after_start_ms = 0;
-		f->later([=] { done(ctx, ENG_REPLY_OK); });
+		eng_reply reply = f->start_reply;
+
+		f->later([=] { done(ctx, reply); });
 	}
 
 	static void stop(void *self, uint64_t, const eng_stop_request *,
--- a/packages/cell/tests/test_owner_pause.cc
+++ b/packages/cell/tests/test_owner_pause.cc
@@ -126,6 +126,27 @@
 	EXPECT_EQ(starts.size(), fake::TASKS);
 }
 
+// A start that the owner withheld counted as one that may have been carried out. When
+// the worker had no room for the next attempt, a run was stopped that was never sent,
+// and its task waited for that.
+TEST_F(OwnerPause, WithheldStartIsStoppedThoughItWasNotSent)
+{
+	activate(1);
+	place();
+	pause_after_start_ms = PAUSE_MS;
+	answer();
+	ASSERT_EQ(starts.size(), 1u);
+	tick(2 * fake::TICK_MS);
+	EXPECT_EQ(o->withheld_starts, 1u);
+	start_reply = ENG_REPLY_NO_CAPACITY;
+	ASSERT_TRUE(tick_until([this] {
+		answer();
+		return starts.size() == fake::TASKS;
+	}));
+	tick(4 * fake::TICK_MS);
+	EXPECT_EQ(stops, 0);
+}
+
 // An owner that stood still while it loaded the states became active as if the
 // store had confirmed it just now.
 TEST_F(OwnerPause, OwnerStandsStillWhileItLoads)
