A connection in the gateway's backlog is served while draining

A gateway that stopped reset connections that had been made, and on which a request had been sent, but which it had not accepted.

Connections could still wait in the backlog then: those that arrived while the loop was busy, and at the connection limit, where accepting is paused, those that waited for room.

The socket is now closed by a timer that waits for an idle loop, and not while accepting is paused. An idle loop means that a new poll has found no connection to be accepted. At the limit, idle connections close after drain_settle_ms, which makes room, and accepting goes on. Open connections were not affected: they are closed only after a look for unread bytes.

Limits.DrainServesAConnectionNotYetAcceptedWhenTheListenerIsDue and Limits.DrainServesAConnectionThatWaitsAtTheLimit fail with the former code and pass now.

--- a/packages/gateway/src/listener.c
+++ b/packages/gateway/src/listener.c
@@ -39,15 +39,29 @@
 	l->settings.handle(l->settings.ctx, ex);
 }
 
+/*
+ * Waits for an idle loop, on which no connection is left in the backlog. While
+ * accepting is paused the backlog is not polled; idle connections then close until
+ * accepting goes on.
+ */
+static void on_close_timer(void *ctx)
+{
+	struct vh_listener *l = ctx;
+
+	if (!l->bound_socket || l->accept_paused)
+		return;
+	evhttp_del_accept_socket(l->http, l->bound_socket);
+	l->bound_socket = NULL;
+}
+
 static void on_sweep_timer(void *ctx)
 {
 	struct vh_listener *l = ctx;
 	int64_t now = vh_kernel_now_ms(l->kernel);
 
-	if (l->draining && l->bound_socket && now >= l->close_at_ms) {
-		evhttp_del_accept_socket(l->http, l->bound_socket);
-		l->bound_socket = NULL;
-	}
+	if (l->draining && l->bound_socket && now >= l->close_at_ms &&
+	    !vh_timer_pending(&l->close_timer))
+		vh_timer_start(&l->close_timer, 0);
 	vh_conn_check_timeouts(l, now);
 	if (l->draining && !l->bound_socket && !l->n_conns && l->on_drained) {
 		void (*on_drained)(void *ctx) = l->on_drained;
@@ -73,6 +87,8 @@
 	l->slow_closed = vh_metrics_counter(
 		&kernel->metrics, "vh_http_slow_cut_off_total", labels);
 	vh_timer_init(&l->sweep_timer, kernel, on_sweep_timer, l);
+	vh_timer_init(&l->close_timer, kernel, on_close_timer, l);
+	vh_timer_wait_idle(&l->close_timer);
 	return l;
 }
 
@@ -132,6 +148,7 @@
 		vh_conn_free(c);
 	}
 	vh_timer_finish(&l->sweep_timer);
+	vh_timer_finish(&l->close_timer);
 	g_free(l->address);
 	g_free(l);
 }
--- a/packages/gateway/src/listener.h
+++ b/packages/gateway/src/listener.h
@@ -63,7 +63,8 @@
 
 /**
  * vh_listener_drain - starts a graceful shutdown that interrupts no request
- * @settle_ms: connections are still accepted for this time
+ * @settle_ms: connections are still accepted for this time, and longer while any
+ *	       wait to be accepted
  * @done: called when no connection is left
  *
  * From now on each response closes its connection. Connections without a
--- a/packages/gateway/src/listener_impl.h
+++ b/packages/gateway/src/listener_impl.h
@@ -50,7 +50,8 @@
  * struct vh_listener - an HTTP listener and its connections
  * @buckets: hash table of the connections by bufferevent
  * @accept_paused: accepting is paused at the connection limit
- * @close_at_ms: while draining, when the listening socket is closed
+ * @close_timer: closes the listening socket
+ * @close_at_ms: while draining, when the listening socket may be closed
  * @on_drained: called once when draining and no connection is left
  * @accepted_conns, @slow_closed: metrics counters of the accepted connections
  *				  and of those closed because reading a request
@@ -68,6 +69,7 @@
 	size_t n_conns;
 	struct vh_exchange *exchanges;
 	struct vh_timer sweep_timer;
+	struct vh_timer close_timer;
 	bool accept_paused;
 	bool draining;
 	int64_t close_at_ms;
--- a/packages/gateway/tests/test_limits.cc
+++ b/packages/gateway/tests/test_limits.cc
@@ -17,6 +17,17 @@
 			[&] { return vh_gateway_service(gateway)->drained; });
 	}
 
+	static void connect_late(void *ctx)
+	{
+		auto *t = static_cast<Limits *>(ctx);
+
+		t->late_caller = t->connect_caller();
+		t->late_caller->request("GET", "/v1/jobs/shop.0.1.1",
+					"shop-key");
+	}
+
+	Client *late_caller = nullptr;
+
 	/* Other callers must still be served. */
 	void expect_others_served()
 	{
@@ -155,6 +166,50 @@
 	EXPECT_TRUE(drained());
 }
 
+// The listener was closed with a connection in its backlog, which was reset.
+TEST_F(Limits, DrainServesAConnectionNotYetAcceptedWhenTheListenerIsDue)
+{
+	constexpr useconds_t LONGER_THAN_SWEEP_US = 600000;
+	struct vh_timer busy;
+
+	settings.drain_settle_ms = 50;
+	start();
+	late_caller = nullptr;
+	vh_timer_init(&busy, &kernel, connect_late, this);
+	vh_kernel_drain(&kernel);
+	/* The sweep and then the close of the listener are due behind it. */
+	vh_timer_start(&busy, 0);
+	usleep(LONGER_THAN_SWEEP_US);
+	ASSERT_TRUE(run_until([&] { return late_caller != nullptr; }));
+	EXPECT_TRUE(run_until([&] {
+		return late_caller->closed || late_caller->response_count();
+	}));
+	EXPECT_EQ(late_caller->response_count(), 1u);
+	EXPECT_TRUE(drained());
+	vh_timer_finish(&busy);
+}
+
+// Connections that waited at the connection limit were reset when the listener was
+// closed.
+TEST_F(Limits, DrainServesAConnectionThatWaitsAtTheLimit)
+{
+	settings.drain_settle_ms = 50;
+	settings.max_connections = 1;
+	start();
+	auto *a = connect_caller();
+
+	a->request("GET", "/v1/jobs/shop.0.1.1", "shop-key");
+	ASSERT_TRUE(wait_for_responses(a));
+	auto *b = connect_caller();
+
+	b->request("GET", "/v1/jobs/shop.0.1.1", "shop-key");
+	vh_kernel_drain(&kernel);
+	EXPECT_TRUE(
+		run_until([&] { return b->closed || b->response_count(); }));
+	EXPECT_EQ(b->response_count(), 1u);
+	EXPECT_TRUE(drained());
+}
+
 TEST_F(Limits, DrainAnswersLongPollWithCurrentState)
 {
 	start();
