cell: a former owner whose process has ended is not waited for

A node that had not heard the recorded owner claimed the cell. That owner may act for 60 s without the store, so the claim waits 63 s, and tasks that it had started on workers that no longer answer count as running all that time. A gang waits for all its tasks, so two of them on one such worker held back the other eight.

The new owner had the proof that the former process was gone, and did not use it.

Now the owner asks for it in each run: another process of the recorded owner's node has answered a heartbeat that was sent after this owner's claim. A node has one process at a time, so the recorded one has ended. Then the usual 3.3 s and the longest lease are counted from this moment, and a hand-over passes the shorter bound on.

The test of the cell fails without the call.

Not covered: the node of the former owner does not come back, or the owner hands over before it answers.

--- a/packages/cell/src/cell.c
+++ b/packages/cell/src/cell.c
@@ -142,6 +142,7 @@
 	topic_reader_finish(&c->objects_reader);
 	vh_config_view_free(c->config_view);
 	zones_finish(&c->zones);
+	g_free(c->recorded_owner.node);
 	g_free(c->name);
 	g_free(c->peer_address);
 	g_free(c);
--- a/packages/cell/src/cell_priv.h
+++ b/packages/cell/src/cell_priv.h
@@ -22,6 +22,7 @@
  *		    write
  * @claimed_former_owners_ms: in the last record that was written, see
  *			      election_claim_wait_ms()
+ * @recorded_owner: the owner that the newest record names, if it is another process
  * @pending_calls: calls to the store or the policy service without a result
  * @live_owners: owners, ended ones included, that are not freed yet
  * @last_direct_ms: when a write of a caller's record by this node itself last
@@ -51,6 +52,7 @@
 	struct vh_timer check_timer;
 	uint64_t check_from_end;
 	int64_t claimed_former_owners_ms;
+	struct owner_former recorded_owner;
 	bool leaving;
 	bool stopped;
 	unsigned int pending_calls;
--- a/packages/cell/src/owner.c
+++ b/packages/cell/src/owner.c
@@ -193,6 +193,7 @@
 	o->last_run_ms = now;
 	pass_withheld(o);
 	if (owner_may_act(o)) {
+		owner_former_check(o);
 		done = eng_schedule(o->engine, owner_now_ms(o));
 		if (o->phase == OWNER_ENDED)
 			return;
@@ -407,6 +408,7 @@
 		topic_reader_finish(&o->jobs_reader);
 	owner_admission_free(o);
 	owner_fleet_free(o);
+	owner_former_finish(o);
 	eng_free(o->engine);
 	eng_records_free(o->append_records, o->n_append_records);
 	o->ops.freed(o->ctx);
--- a/packages/cell/src/owner.h
+++ b/packages/cell/src/owner.h
@@ -42,6 +42,7 @@
 	void (*ownership_lost)(void *ctx, const char *why);
 	void (*store_reached)(void *ctx);
 	void (*zones_wanted)(void *ctx);
+	void (*former_owners_end)(void *ctx, int64_t end_ms);
 	void (*freed)(void *ctx);
 };
 
@@ -60,6 +61,23 @@
 			int64_t former_owner_ms, const struct owner_ops *ops,
 			void *ctx);
 
+/**
+ * struct owner_former - the owner before this one, which may still act
+ * @incarnation: of its process
+ * @earlier_end_ms: when the owners before it have stopped
+ * @settle_ms: how long orders of a process that has ended may be on their way
+ */
+struct owner_former {
+	char *node;
+	uint64_t incarnation;
+	int64_t earlier_end_ms;
+	int64_t settle_ms;
+};
+
+/* owner_set_former - tells of an owner that is not known to have stopped; its
+ * record was read before this owner's was written. Copies @former. */
+void owner_set_former(struct owner *o, const struct owner_former *former);
+
 /* owner_end - stops scheduling; @o is freed once all its calls have returned */
 void owner_end(struct owner *o);
 
--- a/packages/cell/src/owner_priv.h
+++ b/packages/cell/src/owner_priv.h
@@ -120,6 +120,8 @@
 	int64_t append_sent_ms;
 	int64_t last_write_ms;
 	int64_t last_run_ms;
+	struct owner_former former;
+	int64_t former_since_ms;
 
 	struct writer writer;
 	struct owner_admission admission;
@@ -157,6 +159,11 @@
 /* owner_is_permitted - the same, also true during recovery */
 bool owner_is_permitted(struct owner *o);
 
+/* owner_former.c: the end of the former owner's process */
+/* owner_former_check - acts on it if it is known by now */
+void owner_former_check(struct owner *o);
+void owner_former_finish(struct owner *o);
+
 /* owner_engine.c: connects the engine to workers, logs and metrics */
 struct engine *owner_engine_new(struct owner *o, const struct eng_settings *s);
 
--- a/packages/cell/src/ownership.c
+++ b/packages/cell/src/ownership.c
@@ -101,6 +101,17 @@
 	election_node_reached_store(&c->election, vh_kernel_now_ms(c->kernel));
 }
 
+/* A successor of this owner need not wait longer either. */
+static void on_former_owners_end(void *ctx, int64_t end_ms)
+{
+	struct vh_cell *c = ctx;
+	int64_t now = vh_kernel_now_ms(c->kernel);
+	int64_t known_ms = c->election.former_owners_end_ms;
+
+	election_former_owners_end(&c->election, MIN(known_ms, end_ms) - now,
+				   now);
+}
+
 static void on_zones_wanted(void *ctx)
 {
 	struct vh_cell *c = ctx;
@@ -116,6 +127,12 @@
 	c->live_owners--;
 }
 
+static void forget_recorded_owner(struct vh_cell *c)
+{
+	g_free(c->recorded_owner.node);
+	c->recorded_owner.node = NULL;
+}
+
 static void start_owner(struct vh_cell *c, uint64_t epoch,
 			int64_t former_owners_ms)
 {
@@ -125,6 +142,7 @@
 		.ownership_lost = on_ownership_lost,
 		.store_reached = on_node_reached_store,
 		.zones_wanted = on_zones_wanted,
+		.former_owners_end = on_former_owners_end,
 		.freed = on_owner_freed,
 	};
 
@@ -137,6 +155,9 @@
 	c->owner =
 		owner_new(c->kernel, c->ports, &c->peer_server,
 			  &c->owner_settings, epoch, former_owners_ms, &ops, c);
+	if (c->recorded_owner.node)
+		owner_set_former(c->owner, &c->recorded_owner);
+	forget_recorded_owner(c);
 	if (c->config_view)
 		owner_set_config(c->owner, c->config_view);
 	cell_pass_zones(c);
@@ -169,17 +190,27 @@
 	return true;
 }
 
+static void note_recorded_owner(struct vh_cell *c, const struct owner_record *r)
+{
+	c->recorded_owner.node = vh_slice_dup(r->name);
+	c->recorded_owner.incarnation = r->incarnation;
+	c->recorded_owner.earlier_end_ms = c->election.former_owners_end_ms;
+	c->recorded_owner.settle_ms = election_former_owner_ms();
+}
+
 static void track_owner(struct vh_cell *c, uint64_t epoch,
 			const struct owner_record *r, bool is_own, int64_t now)
 {
 	if (is_own)
 		return;
 	stop_owner(c, "a newer owner is recorded");
+	forget_recorded_owner(c);
 	if (r->released) {
 		owner_client_connect(&c->owner_client, epoch, 0,
 				     vh_slice(NULL, 0));
 		return;
 	}
+	note_recorded_owner(c, r);
 	log_epoch("owner recorded", epoch, "record read");
 	/* Written by an earlier process of this node, which has ended. */
 	if (vh_slice_eq_str(r->name, c->name))
--- a/packages/cell/src/peer_server.c
+++ b/packages/cell/src/peer_server.c
@@ -91,6 +91,8 @@
 		c->steady_since_ms = c->heard_ms;
 	if (ping_ms <= 0 || ping_ms > c->heard_ms)
 		ping_ms = c->heard_ms;
+	else
+		c->answered_ms = MAX(c->answered_ms, ping_ms);
 	node = g_hash_table_lookup(c->peer_server->nodes, c->name);
 	if (node)
 		node->answered_ms = MAX(node->answered_ms, ping_ms);
@@ -399,6 +401,17 @@
 	}
 }
 
+bool peer_server_process_ended(const struct peer_server *s, const char *node,
+			       uint64_t incarnation, int64_t since_ms)
+{
+	for (const struct peer_conn *c = s->conns; c; c = c->next) {
+		if (c->ready && c->answered_ms >= since_ms &&
+		    c->incarnation != incarnation && !strcmp(c->name, node))
+			return true;
+	}
+	return false;
+}
+
 void peer_server_reachability(const struct peer_server *s, int64_t now_ms,
 			      struct peer_reachability *r)
 {
--- a/packages/cell/src/peer_server.h
+++ b/packages/cell/src/peer_server.h
@@ -50,6 +50,8 @@
  * @steady_since_ms: since when the node has been connected and has answered
  *		     without a delay in which it could have claimed the cell
  * @heard_ms: when a frame last arrived
+ * @answered_ms: when the newest heartbeat that it has answered was sent; 0 if the
+ *		 node does not tell
  */
 struct peer_conn {
 	struct peer_server *peer_server;
@@ -67,6 +69,7 @@
 	int64_t store_age_ms;
 	int64_t steady_since_ms;
 	int64_t heard_ms;
+	int64_t answered_ms;
 	struct peer_conn *next;
 };
 
@@ -98,6 +101,17 @@
 		       GError **err);
 void peer_server_stop(struct peer_server *s);
 
+/**
+ * peer_server_process_ended - whether a node's process is known to have ended
+ * @incarnation: of that process
+ * @since_ms: a time at which that process was running already
+ *
+ * That is so if another process of the node has answered a heartbeat sent since
+ * then, as a node has one process at a time.
+ */
+bool peer_server_process_ended(const struct peer_server *s, const char *node,
+			       uint64_t incarnation, int64_t since_ms);
+
 /* peer_server_set_owner - makes this node the owner of @epoch; if that is 0,
  * the node is not the owner, and @ops may be NULL */
 void peer_server_set_owner(struct peer_server *s, uint64_t epoch,
--- a/packages/cell/tests/test_cell.cc
+++ b/packages/cell/tests/test_cell.cc
@@ -438,6 +438,36 @@
 	EXPECT_TRUE(former->is_owner());
 }
 
+// Tasks on a worker that was gone waited for over a minute, though the former
+// owner's process had ended and another one of its node was connected.
+TEST_F(CellCutInTwo, TasksWaitNoLongerOnceTheFormerOwnersProcessHasEnded)
+{
+	std::string name = former->cell->name;
+	Node *unknown;
+
+	evconnlistener_disable(former->cell->peer_server.listener);
+	add_node();
+	unknown = nodes.back().get();
+	for (auto &w : cluster.workers)
+		if (!w.second.running.empty())
+			unknown->node_ports.cut_workers.insert(w.first);
+	ASSERT_TRUE(cluster.run_until(
+		[&] { return unknown->cell->election.caught_up; }));
+	for (auto &n : nodes)
+		if (n.get() != unknown)
+			n->node_ports.store_access = Cluster::REFUSING;
+	ASSERT_TRUE(cluster.run_until([&] { return unknown->is_owner(); }));
+	ASSERT_EQ(unknown->cell->claimed_former_owners_ms,
+		  election_unknown_owner_ms());
+	kill_node(former);
+	nodes.push_back(std::make_unique<Node>(cluster, name, free_port()));
+	EXPECT_TRUE(cluster.run_until(
+		[this] { return cluster.starts["1.0.0"] == 2; }, 20000));
+	EXPECT_LT(unknown->cell->election.former_owners_end_ms -
+			  vh_kernel_now_ms(unknown->cell->kernel),
+		  election_former_owner_ms());
+}
+
 // Nodes that have heard the owner lately do not wait longer.
 TEST_F(CellCutInTwo, ANodeThatTheOwnerKnowsWaitsForItsBoundOnly)
 {
--- a/packages/engine/include/vh/engine.h
+++ b/packages/engine/include/vh/engine.h
@@ -590,6 +590,12 @@
  */
 void eng_recovery_done(struct engine *e, int64_t now_ms);
 
+/**
+ * eng_former_owners_end - former owners stop earlier than eng_settings says
+ * @end_ms: from then on none of them renews a lease
+ */
+void eng_former_owners_end(struct engine *e, int64_t end_ms, int64_t now_ms);
+
 /**
  * eng_schedule - makes the decisions due now; call soon after any event
  *
--- a/packages/engine/src/eng_workers.c
+++ b/packages/engine/src/eng_workers.c
@@ -65,6 +65,24 @@
 	return w;
 }
 
+void eng_former_owners_end(struct engine *e, int64_t end_ms, int64_t now_ms)
+{
+	int64_t expired = end_ms + eng_longest_lease_ms(e);
+
+	e->now_ms = now_ms;
+	e->settings.former_owner_ms =
+		MIN(e->settings.former_owner_ms, MAX(end_ms - now_ms, 0));
+	for (guint i = 0; i < e->worker_list->len; i++) {
+		struct worker *w = e->worker_list->pdata[i];
+
+		/* A worker that has answered us accepts no other owner. */
+		if (w->fenced || w->lease_expired_ms <= expired)
+			continue;
+		w->lease_expired_ms = expired;
+		eng_worker_touch(e, w);
+	}
+}
+
 void eng_worker_report_event(struct engine *e, const struct worker *w,
 			     const char *what, bool problem)
 {
