cell tests: faults of single topics, and a check of late starts

The simulated store could be unreachable for a node only as a whole, so no test of several nodes had an owner whose writes pass while it cannot read one topic.

Reads and writes of each topic can now be slow, refused, silent or without their answer, for one node or all. The store notes when it has answered a cancellation, a worker's drain or a drained zone, and a start that reaches a worker later than a bound is a violation, if a test sets that bound.

--- a/packages/cell/tests/fake_cluster.h
+++ b/packages/cell/tests/fake_cluster.h
@@ -5,8 +5,8 @@
  * Test environment for several nodes in one process, with a simulated store,
  * workers and policy service behind struct vh_ports. Nodes talk to each other
  * over loopback. Callbacks are invoked later from the event loop. The store can
- * be set to refuse the calls of a node or not to answer them. Included by
- * test_cell.cc.
+ * be set to refuse the calls of a node or not to answer them, for all topics or,
+ * see store_faults.h, for one. Included by test_cell.cc and test_cell_view.cc.
  */
 
 #include <functional>
@@ -21,10 +21,14 @@
 #include "vh/log.h"
 }
 
+#include "store_faults.h"
+#include "view_check.h"
+
 namespace fake
 {
 
 constexpr int64_t WORKER_TIMEOUT_MS = 500; /* of calls without a reply */
+constexpr int64_t STORE_MS = 4;		   /* of calls to the store */
 
 inline std::string to_str(struct vh_slice s)
 {
@@ -138,10 +142,22 @@
 		violations.push_back(what);
 	}
 
+	/* Stores a record of another program, without any fault. */
+	void store_record(int topic, const std::string &key,
+			  const std::string &value)
+	{
+		topics[topic].records.emplace_back(key, value);
+		view.stored(topic, key, value, now());
+	}
+
 	void start_run(Worker &w, const eng_start_request *o)
 	{
 		std::string name = task_name(o->task);
+		std::string late =
+			view.start(o->task, to_str(o->boot.worker), now());
 
+		if (!late.empty())
+			add_violation("start of " + name + ": " + late);
 		for (auto &x : workers)
 			end_lapsed_runs(x.second);
 		for (auto &x : workers)
@@ -194,6 +210,9 @@
 	bool admission = false;		    /* setting of the nodes */
 	int pending_callbacks = 0;
 	int64_t past_use_half_life_ms = 0; /* of nodes that start later */
+	int64_t max_view_age_ms = 0;	   /* the same */
+	StoreFaults faults;		   /* of all nodes */
+	ViewCheck view;
 };
 
 /* The ports of one node. */
@@ -202,29 +221,57 @@
 	Cluster::StoreAccess store_access = Cluster::REACHABLE;
 	bool up = true; /* whether the node's process is alive */
 	std::set<std::string> cut_workers; /* calls to them get no reply */
+	StoreFaults faults;		   /* these go before the cluster's */
 
 	static NodePorts *of(void *self)
 	{
 		return (NodePorts *)self;
 	}
 
+	TopicFault fault(int topic,
+			 TopicFault (StoreFaults::*kind)[VH_TOPIC_COUNT])
+	{
+		TopicFault own = (faults.*kind)[topic];
+
+		if (store_access != Cluster::REACHABLE)
+			return { store_access == Cluster::REFUSING
+					 ? Fault::REFUSED
+					 : Fault::SILENT,
+				 0 };
+		return own.kind != Fault::NONE ? own
+					       : (cluster->faults.*kind)[topic];
+	}
+
 	static void append(void *self, const vh_append *a,
 			   void (*done)(void *, const vh_append_reply *),
 			   void *ctx)
 	{
 		NodePorts *p = of(self);
+		TopicFault f = p->fault(a->topic, &StoreFaults::writes);
+		int64_t took_ms = STORE_MS + f.delay_ms;
 		vh_append_reply r = {};
+		std::vector<std::pair<std::string, std::string>> records;
+		int topic = a->topic;
 
-		if (p->store_access == Cluster::REACHABLE)
+		r.result = VH_STORE_REFUSED;
+		if (f.kind != Fault::REFUSED && f.kind != Fault::SILENT)
 			r = p->append_now(a);
-		else
-			r.result = p->store_access == Cluster::REFUSING
-					   ? VH_STORE_REFUSED
-					   : VH_STORE_UNKNOWN;
-		p->cluster->call_later(p->store_access == Cluster::UNRESPONSIVE
-					       ? a->timeout_ms
-					       : 4,
-				       [=] { done(ctx, &r); });
+		if (f.kind == Fault::SILENT || f.kind == Fault::ANSWER_LOST ||
+		    (f.kind == Fault::SLOW && took_ms >= a->timeout_ms)) {
+			r = {};
+			r.result = VH_STORE_UNKNOWN;
+			took_ms = a->timeout_ms;
+		}
+		for (size_t i = 0; i < a->n && r.result == VH_STORE_OK; i++)
+			records.emplace_back(to_str(a->records[i].key),
+					     to_str(a->records[i].value));
+		p->cluster->call_later(took_ms, [=] {
+			for (auto &x : records)
+				p->cluster->view.stored(topic, x.first,
+							x.second,
+							p->cluster->now());
+			done(ctx, &r);
+		});
 	}
 
 	vh_append_reply append_now(const vh_append *a)
@@ -277,27 +324,44 @@
 		done(ctx, &r);
 	}
 
-	bool fail_if_unreachable(ReadDone done, void *ctx, int64_t timeout_ms)
+	bool fail_read(int topic, ReadDone done, void *ctx, int64_t timeout_ms)
 	{
+		TopicFault f = fault(topic, &StoreFaults::reads);
+		bool refused = f.kind == Fault::REFUSED;
 		vh_read_reply r = {};
 
-		if (store_access == Cluster::REACHABLE)
+		if (f.kind == Fault::NONE ||
+		    (f.kind == Fault::SLOW && f.delay_ms < timeout_ms))
 			return false;
-		r.result = store_access == Cluster::REFUSING ? VH_STORE_REFUSED
-							     : VH_STORE_UNKNOWN;
-		cluster->call_later(
-			store_access == Cluster::UNRESPONSIVE ? timeout_ms : 4,
-			[=] { done(ctx, &r); });
+		r.result = refused ? VH_STORE_REFUSED : VH_STORE_UNKNOWN;
+		cluster->call_later(refused ? STORE_MS : timeout_ms,
+				    [=] { done(ctx, &r); });
 		return true;
 	}
 
+	/* Answers with what is there now, later if reads are slow. */
+	void reply_read(
+		int topic, ReadDone done, void *ctx, uint64_t end,
+		const std::vector<std::pair<
+			uint64_t, std::pair<std::string, std::string>>> &found)
+	{
+		TopicFault f = fault(topic, &StoreFaults::reads);
+
+		if (f.kind == Fault::SLOW)
+			cluster->call_later(f.delay_ms, [=] {
+				reply(done, ctx, end, found);
+			});
+		else
+			reply(done, ctx, end, found);
+	}
+
 	static void read(void *self, vh_topic topic, uint64_t from,
 			 int64_t wait_ms, ReadDone done, void *ctx)
 	{
 		NodePorts *p = of(self);
 		Topic &t = p->cluster->topics[topic];
 
-		if (p->fail_if_unreachable(done, ctx, wait_ms + 900))
+		if (p->fail_read(topic, done, ctx, wait_ms + 900))
 			return;
 		if (topic == VH_TOPIC_OBJECTS &&
 		    p->cluster->now() < p->cluster->objects_from_ms) {
@@ -330,7 +394,8 @@
 
 			for (uint64_t i = from; i < t.records.size(); i++)
 				found.emplace_back(i, t.records[i]);
-			p->reply(done, ctx, t.records.size(), found);
+			p->reply_read(topic, done, ctx, t.records.size(),
+				      found);
 		});
 	}
 
@@ -341,7 +406,7 @@
 		Topic &t = p->cluster->topics[topic];
 		std::string after_key = to_str(after);
 
-		if (p->fail_if_unreachable(done, ctx, 1500))
+		if (p->fail_read(topic, done, ctx, 1500))
 			return;
 		if (topic == VH_TOPIC_OBJECTS &&
 		    p->cluster->now() < p->cluster->objects_from_ms) {
@@ -366,7 +431,8 @@
 					found.emplace_back(l.second,
 							   t.records[l.second]);
 			}
-			p->reply(done, ctx, t.records.size(), found);
+			p->reply_read(topic, done, ctx, t.records.size(),
+				      found);
 		});
 	}
 
@@ -534,16 +600,16 @@
 inline bool decode_drained_zone(struct vh_slice key, struct vh_slice value,
 				struct vh_slice *zone, bool *malformed)
 {
-	const size_t prefix = strlen("evacuate/");
+	const size_t prefix = strlen(ZONE_KEY_PREFIX);
 
-	if (to_str(key).compare(0, prefix, "evacuate/") != 0)
+	if (to_str(key).compare(0, prefix, ZONE_KEY_PREFIX) != 0)
 		return false;
 	*zone = { key.data + prefix, key.len - prefix };
 	*malformed = value.len && to_str(value) != "{}";
 	return true;
 }
 
-/* The value of a worker's entry is its zone; "{" is malformed. */
+/* The value of a worker's entry is its zone, see view_check.h; "{" is malformed. */
 inline bool decode_worker(struct vh_slice key, struct vh_slice value,
 			  eng_worker_info *out, GStringChunk *,
 			  const char **problem)
@@ -555,7 +621,8 @@
 	out->id = key;
 	out->address = key;
 	out->service = vh_slice_str("svc");
-	out->zone = value;
+	out->zone = { value.data, entry_zone(to_str(value)).size() };
+	out->draining = entry_draining(to_str(value));
 	out->capacity = { 16000, 64000, 0 };
 	out->born_ms = 1;
 	return true;
@@ -587,6 +654,7 @@
 		s.peer_address = slice(address);
 		s.cpu_share_milli = 500;
 		s.max_config_age_ms = 4000;
+		s.max_view_age_ms = cluster.max_view_age_ms;
 		s.admission = cluster.admission;
 		s.engine.lease_ms = 5000;
 		s.engine.lease_max_ms = 6000;
@@ -650,6 +718,23 @@
 			new Ctx{ this, id });
 	}
 
+	/* Cancels a job and records the outcome. */
+	void cancel(uint64_t id)
+	{
+		struct Ctx {
+			Node *node;
+			uint64_t id;
+		};
+		vh_cell_cancel(
+			cell, id, 3000,
+			[](void *ctx, enum vh_err err, const char *, int) {
+				Ctx *c = (Ctx *)ctx;
+				c->node->cancelled[c->id] = err;
+				delete c;
+			},
+			new Ctx{ this, id });
+	}
+
 	/* Queries the status of a job; keeps the last one without an answer. */
 	void query_status(uint64_t id)
 	{
@@ -687,6 +772,7 @@
 	struct vh_cell *cell;
 	bool started;
 	std::map<uint64_t, enum vh_err> outcomes;
+	std::map<uint64_t, enum vh_err> cancelled;
 	std::map<uint64_t, int> retry_after_s;
 	std::map<uint64_t, uint64_t> status;
 };
