--- a/review/standins-3/box.c
+++ b/review/standins-3/box.c
@@ -13,10 +13,13 @@
  */
 #include <arpa/inet.h>
 #include <event2/buffer.h>
+#include <event2/bufferevent.h>
 #include <event2/event.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 #include <jansson.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <signal.h>
 #include <stdarg.h>
 #include <stdbool.h>
@@ -32,6 +35,7 @@
 #define CALL_BYTES 2097152
 #define PAGE_ITEMS 500
 #define PAGE_BYTES (1024 * 1024)
+#define ANSWER_MS 4 /* what an answer of the store takes */
 #define HOLD_MAX_MS 6000
 #define STOP_MS 50
 #define SAVE_MS 500
@@ -100,6 +104,16 @@
 	return h;
 }
 
+/* A short last segment does not wait for the peer. */
+static void no_delay(struct evhttp_request *req)
+{
+	struct evhttp_connection *conn = evhttp_request_get_connection(req);
+	int on = 1;
+
+	setsockopt(bufferevent_getfd(evhttp_connection_get_bufferevent(conn)),
+		   IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
 static void reply_json(struct evhttp_request *req, int status, json_t *o)
 {
 	char *text = json_dumps(o, JSON_COMPACT);
@@ -127,14 +141,17 @@
 	unsigned char *bytes; /* with its length */
 	size_t len;
 	char *key;
-	bool newest;
 };
 
+/* @sorted: positions of the newest records, by key */
 struct topic {
 	char name[64];
 	struct record *records;
 	size_t n;
 	size_t room;
+	size_t *sorted;
+	size_t n_sorted;
+	size_t sorted_room;
 	uint64_t epoch;
 	uint64_t seq;
 	bool has_epoch;
@@ -180,6 +197,50 @@
 	       (uint32_t)p[2] << 8 | p[3];
 }
 
+/* The first place whose key is not before @key, or with @after, is behind it. */
+static size_t find_key(const struct topic *t, const char *key, bool after)
+{
+	size_t low = 0;
+	size_t high = t->n_sorted;
+
+	while (low < high) {
+		size_t middle = (low + high) / 2;
+		int order = strcmp(t->records[t->sorted[middle]].key, key);
+
+		if (order < 0 || (after && !order))
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return low;
+}
+
+static void index_record(struct topic *t, size_t position, bool has_value)
+{
+	const char *key = t->records[position].key;
+	size_t at = find_key(t, key, false);
+	bool known =
+		at < t->n_sorted && !strcmp(t->records[t->sorted[at]].key, key);
+	size_t *p;
+
+	if (known && has_value) {
+		t->sorted[at] = position;
+		return;
+	}
+	if (t->n_sorted == t->sorted_room) {
+		t->sorted_room = t->sorted_room ? 2 * t->sorted_room : 256;
+		t->sorted = must(
+			realloc(t->sorted, t->sorted_room * sizeof(size_t)));
+	}
+	p = t->sorted + at;
+	if (known) {
+		memmove(p, p + 1, (--t->n_sorted - at) * sizeof(size_t));
+	} else if (has_value) {
+		memmove(p + 1, p, (t->n_sorted++ - at) * sizeof(size_t));
+		*p = position;
+	}
+}
+
 static void topic_add(struct topic *t, const unsigned char *p, size_t len)
 {
 	struct record *r;
@@ -194,12 +255,7 @@
 	memcpy(r->bytes, p, len);
 	r->len = len;
 	r->key = must(strndup((const char *)p + 5, key_len));
-	r->newest = len > 5 + key_len;
-	for (size_t i = 0; i < t->n; i++) {
-		if (t->records[i].newest && !strcmp(t->records[i].key, r->key))
-			t->records[i].newest = false;
-	}
-	t->n++;
+	index_record(t, t->n++, len > 5 + key_len);
 }
 
 static void add_keyed(struct topic *t, const char *key, const char *value,
@@ -427,52 +483,96 @@
 	return out;
 }
 
-static int by_key(const void *a, const void *b)
+/* A page that is answered after the time that an answer takes. */
+struct page {
+	struct evhttp_request *req;
+	struct topic *topic;
+	char *after;
+	struct event *timer;
+};
+
+static void send_page(evutil_socket_t fd, short what, void *ctx)
 {
-	const struct record *const *x = a;
-	const struct record *const *y = b;
+	struct page *page = ctx;
+	const struct topic *t = page->topic;
+	size_t i = page->after ? find_key(t, page->after, true) : 0;
+	json_t *items = json_array();
+	size_t bytes = 0;
 
-	return strcmp((*x)->key, (*y)->key);
+	(void)fd;
+	(void)what;
+	while (i < t->n_sorted && json_array_size(items) < PAGE_ITEMS &&
+	       bytes < PAGE_BYTES) {
+		const struct record *r = &t->records[t->sorted[i++]];
+		size_t skip = 5 + strlen(r->key);
+		char *value = base64(r->bytes + skip, r->len - skip);
+
+		json_array_append_new(items,
+				      json_pack("{s:s,s:s,s:I}", "key", r->key,
+						"value", value, "offset",
+						(json_int_t)(r - t->records)));
+		bytes += r->len;
+		free(value);
+	}
+	reply_json(page->req, 200,
+		   json_pack("{s:o,s:b,s:I}", "items", items, "more",
+			     i < t->n_sorted, "end", (json_int_t)t->n));
+	event_free(page->timer);
+	free(page->after);
+	free(page);
 }
 
 static void newest(struct evhttp_request *req, struct evkeyvalq *q)
 {
-	struct topic *t = topic_find(param(q, "topic"), false);
+	struct timeval tv = { 0, ANSWER_MS * 1000 };
 	const char *after = param(q, "dependsOn");
-	const struct record **list;
-	json_t *items = json_array();
-	size_t bytes = 0;
-	size_t n = 0;
-	size_t i;
+	struct topic *t = topic_find(param(q, "topic"), false);
+	struct page *page;
 
 	if (!t) {
-		json_decref(items);
 		evhttp_send_reply(req, 404, NULL, NULL);
 		return;
 	}
-	list = must(calloc(t->n + 1, sizeof(struct record *)));
-	for (i = 0; i < t->n; i++) {
-		if (t->records[i].newest &&
-		    (!after || strcmp(t->records[i].key, after) > 0))
-			list[n++] = &t->records[i];
+	page = must(calloc(1, sizeof(*page)));
+	page->req = req;
+	page->topic = t;
+	page->after = after ? must(strdup(after)) : NULL;
+	page->timer = evtimer_new(base, send_page, page);
+	evtimer_add(page->timer, &tv);
+}
+
+/* What N more jobs would have left: copies of one job's record in a topic. */
+static void add_history(struct evhttp_request *req, struct evkeyvalq *q)
+{
+	struct topic *t = topic_find(param(q, "topic"), false);
+	const char *like = param(q, "like");
+	uint64_t n = param_u64(q, "n");
+	size_t at = t ? find_key(t, like, false) : 0;
+	const struct record *r;
+	size_t value_len;
+	char *value;
+
+	if (!t || at == t->n_sorted ||
+	    strcmp(t->records[t->sorted[at]].key, like)) {
+		reply_error(req, 404, "no such record", NULL, 0);
+		return;
 	}
-	qsort(list, n, sizeof(struct record *), by_key);
-	for (i = 0; i < n && i < PAGE_ITEMS && bytes < PAGE_BYTES; i++) {
-		size_t skip = 5 + strlen(list[i]->key);
-		char *value =
-			base64(list[i]->bytes + skip, list[i]->len - skip);
-
-		json_array_append_new(
-			items, json_pack("{s:s,s:s,s:I}", "key", list[i]->key,
-					 "value", value, "offset",
-					 (json_int_t)(list[i] - t->records)));
-		bytes += list[i]->len;
-		free(value);
+	r = &t->records[t->sorted[at]];
+	value_len = r->len - 5 - strlen(like);
+	value = must(malloc(value_len));
+	memcpy(value, r->bytes + 5 + strlen(like), value_len);
+	for (uint64_t i = 0; i < n; i++) {
+		char key[20];
+
+		snprintf(key, sizeof(key), "%c%016llx", *like,
+			 (unsigned long long)((i + 1) << 40 |
+					      (uint32_t)(i * 2654435761u)));
+		add_keyed(t, key, value, value_len);
 	}
-	reply_json(req, 200,
-		   json_pack("{s:o,s:b,s:I}", "items", items, "more", i < n,
-			     "end", (json_int_t)t->n));
-	free(list);
+	free(value);
+	note("store: %llu copies of %s, %zu bytes each", (unsigned long long)n,
+	     like, value_len);
+	reply_json(req, 200, json_object());
 }
 
 /* A worker's check-in or an operator's change. */
@@ -510,6 +610,7 @@
 	struct evkeyvalq q;
 
 	(void)ctx;
+	no_delay(req);
 	evhttp_parse_query_str(query ? query : "", &q);
 	if (!strcmp(path, "/log-append"))
 		append(req, &q);
@@ -517,6 +618,8 @@
 		read_log(req, &q);
 	else if (!strcmp(path, "/log-newest"))
 		newest(req, &q);
+	else if (!strcmp(path, "/history"))
+		add_history(req, &q);
 	else if (!strcmp(path, "/check-in"))
 		write_entry(req, "keyed.servers", param(&q, "key"));
 	else if (!strcmp(path, "/operator"))
@@ -861,6 +964,7 @@
 	json_t *o;
 
 	(void)ctx;
+	no_delay(req);
 	evhttp_connection_set_closecb(evhttp_request_get_connection(req),
 				      on_hold_closed, NULL);
 	if (!strcmp(path, "/healthz")) {
