--- a/review/standins-3/box.c
+++ b/review/standins-3/box.c
@@ -35,8 +35,8 @@
 #define CALL_BYTES 2097152
 #define PAGE_ITEMS 500
 #define PAGE_BYTES (1024 * 1024)
-#define ANSWER_MS 4 /* what an answer of the store takes */
-#define HOLD_MAX_MS 6000
+#define ANSWER_MS 4	 /* what an answer of the store takes */
+#define HOLD_MAX_MS 6000 /* if the environment does not tell */
 #define STOP_MS 50
 #define SAVE_MS 500
 #define BEAT_MS 1500
@@ -541,40 +541,6 @@
 	evtimer_add(page->timer, &tv);
 }
 
-/* What N more jobs would have left: copies of one job's record in a topic. */
-static void add_history(struct evhttp_request *req, struct evkeyvalq *q)
-{
-	struct topic *t = topic_find(param(q, "topic"), false);
-	const char *like = param(q, "like");
-	uint64_t n = param_u64(q, "n");
-	size_t at = t ? find_key(t, like, false) : 0;
-	const struct record *r;
-	size_t value_len;
-	char *value;
-
-	if (!t || at == t->n_sorted ||
-	    strcmp(t->records[t->sorted[at]].key, like)) {
-		reply_error(req, 404, "no such record", NULL, 0);
-		return;
-	}
-	r = &t->records[t->sorted[at]];
-	value_len = r->len - 5 - strlen(like);
-	value = must(malloc(value_len));
-	memcpy(value, r->bytes + 5 + strlen(like), value_len);
-	for (uint64_t i = 0; i < n; i++) {
-		char key[20];
-
-		snprintf(key, sizeof(key), "%c%016llx", *like,
-			 (unsigned long long)((i + 1) << 40 |
-					      (uint32_t)(i * 2654435761u)));
-		add_keyed(t, key, value, value_len);
-	}
-	free(value);
-	note("store: %llu copies of %s, %zu bytes each", (unsigned long long)n,
-	     like, value_len);
-	reply_json(req, 200, json_object());
-}
-
 /* A worker's check-in or an operator's change. */
 static void write_entry(struct evhttp_request *req, const char *topic,
 			const char *key)
@@ -618,8 +584,6 @@
 		read_log(req, &q);
 	else if (!strcmp(path, "/log-newest"))
 		newest(req, &q);
-	else if (!strcmp(path, "/history"))
-		add_history(req, &q);
 	else if (!strcmp(path, "/check-in"))
 		write_entry(req, "keyed.servers", param(&q, "key"));
 	else if (!strcmp(path, "/operator"))
@@ -839,7 +803,8 @@
 
 static void take_lease(int64_t until_ms)
 {
-	int64_t longest = worker_clock() + HOLD_MAX_MS;
+	const char *max = getenv("HOLD_MAX_MS");
+	int64_t longest = worker_clock() + (max ? atoll(max) : HOLD_MAX_MS);
 
 	if (until_ms > longest)
 		until_ms = longest;
--- a/review/standins-3/lib.sh
+++ b/review/standins-3/lib.sh
@@ -59,6 +59,7 @@
 [ ${#PORTS[@]} = 80 ] || give_up "no free ports"
 STORE_PORT=${PORTS[0]}
 ZONES=(zone-a zone-b)
+export HOLD_MAX_MS=${HOLD_MAX_MS:-6000}
 
 # Ports of node N: front, readiness, peers, metrics.
 port() { echo "${PORTS[$((1 + 4 * ($1 - 1) + $2))]}"; }
@@ -101,7 +102,7 @@
 		-e "s/{{ip}}:{{portRange.1}}/127.0.0.1:$(port "$n" 3)/" \
 		-e "s/{{platform.address}}/127.0.0.1:$STORE_PORT/" \
 		-e "s/{{advice}}//" -e "s/{{limits.cpuShare}}/0.25/" \
-		-e "s/{{bounds.holdMaxMs}}/6000/" -e "s/{{bounds.contactMs}}/4000/" \
+		-e "s/{{bounds.holdMaxMs}}/$HOLD_MAX_MS/" -e "s/{{bounds.contactMs}}/4000/" \
 		-e "s/{{heartbeatMs}}/1500/" -e "s/{{bounds.stopMs}}/900/" \
 		-e "s/{{bounds.gangMs}}/3000/" -e "s/{{bounds.revokeMs}}/5000/" \
 		-e "s/{{bounds.cancel_ms}}/3000/" -e "s/{{bounds.drainMs}}/3000/" \
@@ -175,6 +176,13 @@
 		END { sub(/^i-/, "", at); sub(/:$/, "", at); print at }' "$RECORD"
 }
 
+# The node that began to own the cell last, as the logs tell.
+owner() {
+	grep -H '"ownership begins"' "$TMP"/node-*.log |
+		sed 's/.*node-\([0-9]\).log.*"epoch":"\([0-9]*\)".*/\2 \1/' | sort -n |
+		tail -1 | cut -d' ' -f2
+}
+
 verdict() {
 	note "the rule $1: $2"
 	[ "$1" = held ]
