--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -12,7 +12,7 @@
 # The other writer repeats its entries as workers do. Their keys hold U+FFFD.
 write_foreign() {
 	local k
-	while :; do
+	while [ ! -e "$TMP/stop" ]; do
 		for k in $(seq "$ENTRIES"); do
 			call POST "$STORE_PORT" "/foreign?key=agent-%EF%BF%BD-$(printf %04d "$k")&n=$BYTES" store "" 2000 >/dev/null
 		done
@@ -30,7 +30,7 @@
 [ -n "$(runs_on $LASTING.0.0.0)" ] || give_up "the lasting job does not run"
 if [ "$TROUBLE" != 0 ]; then
 	write_foreign &
-	WORKER_PID[foreign]=$!
+	LOOP_PID=$!
 	note "another writer writes $ENTRIES entries of $BYTES bytes"
 fi
 sleep 3
--- a/review/standins-3/lib.sh
+++ b/review/standins-3/lib.sh
@@ -25,10 +25,18 @@
 KEY=key-of-team-one
 declare -A NODE_PID WORKER_PID
 STORE_PID=
+LOOP_PID= # of a script's loop in the background, which ends once $TMP/stop is there
+
+loop_end() {
+	touch "$TMP/stop"
+	[ -z "$LOOP_PID" ] || { wait "$LOOP_PID"; } 2>/dev/null
+	LOOP_PID=
+}
 
 cleanup() {
 	exec 2>/dev/null
 	local pid
+	loop_end
 	for pid in ${NODE_PID[@]+"${NODE_PID[@]}"} ${WORKER_PID[@]+"${WORKER_PID[@]}"} \
 		$STORE_PID; do
 		kill -CONT "$pid" 2>/dev/null
