A page of a topic without a usable key no longer stops the reading of it

Once a new owner had taken over, no job ran any more, leases lapsed, and each GET was answered 503 while new jobs were accepted with 200.

Cause: progress was measured by the records that were kept, not by what was read. The reader of a topic continued after the last kept key, and took a page that kept none for a failed read, which it repeated for ever. A key also counted as unusable if it only looked as if it had been repaired: U+FFFD and U+007F are valid text, and the store knows such a key under that name.

Now the store's adapter tells the last key of a page whether it kept the record or not, in the bytes that the store has, as far as the reply shows them: the repair of a reply that is no text is reversible. The next page is asked for after the last kept key; if that page was read already, or the store starts none there, after the last key; then after a key behind all that share its known part, which is logged as it may skip records.

A 404 for a later page was taken for the end of the topic; it names a key that is gone.

--- a/packages/cell/include/vh/ports.h
+++ b/packages/cell/include/vh/ports.h
@@ -33,6 +33,7 @@
 	VH_STORE_OK,
 	VH_STORE_UNKNOWN, /* no answer; may have taken effect, or still may */
 	VH_STORE_REFUSED, /* rejected without effect */
+	VH_STORE_INVALID, /* the same, and so would be the same request later */
 	VH_STORE_FENCED,  /* a writer with a higher epoch has written */
 	VH_STORE_BAD_SEQUENCE, /* not the next sequence number; see expected */
 	VH_STORE_CONFLICT, /* the topic ends elsewhere than required; see end */
@@ -87,7 +88,11 @@
  * struct vh_read_reply - one page of records
  * @records: valid only during the callback
  * @end: end of the topic at the time of the read
- * @more: further pages follow; continue after the last key
+ * @more: further pages follow
+ * @last_key: the last key of the page, as the store names it as far as the reply
+ *	      tells, even if no record is made of it; empty: that of the last record
+ *
+ * Records whose key is no text are left out, since their key may not be known.
  */
 struct vh_read_reply {
 	enum vh_store_result result;
@@ -95,6 +100,7 @@
 	size_t n;
 	uint64_t end;
 	bool more;
+	struct vh_slice last_key;
 };
 
 struct vh_store_ops {
@@ -108,7 +114,8 @@
 		     void (*done)(void *ctx, const struct vh_read_reply *),
 		     void *ctx);
 	/* newest - reads the latest record of each key, in pages by key; the
-	 * page starts after key @after, or with the first key if it is empty */
+	 * page starts after key @after, or with the first key if it is empty.
+	 * VH_STORE_INVALID: no page starts there */
 	void (*newest)(void *self, enum vh_topic topic, struct vh_slice after,
 		       void (*done)(void *ctx, const struct vh_read_reply *),
 		       void *ctx);
--- a/packages/cell/src/topic_reader.h
+++ b/packages/cell/src/topic_reader.h
@@ -6,7 +6,7 @@
  * called by cell.c, ownership.c and owner.c.
  */
 
-#include "vh/ports.h"
+#include "page_cursor.h"
 
 /**
  * struct topic_reader - reader of one topic
@@ -20,7 +20,10 @@
  * @in_flight: a call to the store has not returned
  * @snapshot_read: the latest record of each key has been read
  * @next_offset: offset to read from
- * @page_after: key after which the next page of the snapshot starts
+ * @page: the page of the snapshot to read
+ * @restarts: how often in a row the snapshot was begun again, as the store started no
+ *	      page after any known key
+ * @stuck_reads: reads in a row that told of records and held none
  * @read_sent_ms: when the read in flight was sent, or the first of its pages
  * @at_once: the next read does not wait for new records
  * @outdated_read: the read in flight, or an earlier page, was sent before
@@ -29,7 +32,7 @@
  * @caught_up_ms: time as of which all records are known; 0: never
  *
  * Starts over with the latest record of each key if the store no longer retains
- * the offset to read from.
+ * the offset to read from, or answers reads from there without a record.
  */
 struct topic_reader {
 	struct vh_kernel *kernel;
@@ -46,7 +49,9 @@
 	bool in_flight;
 	bool snapshot_read;
 	uint64_t next_offset;
-	char *page_after;
+	struct page_cursor page;
+	unsigned int restarts;
+	unsigned int stuck_reads;
 	int64_t read_sent_ms;
 	int64_t caught_up_ms;
 	bool at_once;
