An owner that cannot schedule says what it waits for

After 3 s of loading, and each 5 s from then on, it logs "owner cannot schedule yet" with the names of what it waits for, and sets vh_owner_waits_seconds for each.

--- a/packages/cell/src/owner.c
+++ b/packages/cell/src/owner.c
@@ -192,6 +192,7 @@
 	owner_note_pause(o);
 	o->last_run_ms = now;
 	pass_withheld(o);
+	owner_loading_report(o);
 	if (owner_may_act(o)) {
 		owner_former_check(o);
 		done = eng_schedule(o->engine, owner_now_ms(o));
@@ -221,6 +222,7 @@
 	owner_note_pause(o);
 	o->phase = OWNER_ACTIVE;
 	o->last_write_ms = owner_now_ms(o);
+	owner_loading_end(o);
 	eng_recovery_done(o->engine, owner_now_ms(o));
 	g_snprintf(records, sizeof(records), "%u", o->n_records_loaded);
 	vh_log(G_LOG_LEVEL_INFO, "owner ready", "records", records, NULL);
@@ -348,6 +350,7 @@
 	o->ops = *ops;
 	o->ctx = ctx;
 	o->last_run_ms = owner_now_ms(o);
+	owner_loading_begin(o);
 	s.fence = epoch;
 	s.former_owner_ms = former_owner_ms;
 	o->engine = owner_engine_new(o, &s);
@@ -425,6 +428,7 @@
 	owner_clear_zone_metrics(o);
 	owner_clear_usage_metrics(o);
 	o->phase = OWNER_ENDED;
+	owner_loading_end(o);
 	peer_server_set_owner(o->peer_server, 0, NULL, NULL);
 	if (o->fleet_reader.timer.ev)
 		topic_reader_stop(&o->fleet_reader);
--- a/packages/cell/src/owner_priv.h
+++ b/packages/cell/src/owner_priv.h
@@ -4,8 +4,8 @@
 /*
  * State and functions that the sources of the owner share. Internal to the
  * package; included by owner.c, owner_admission.c, owner_advice.c,
- * owner_engine.c, owner_fleet.c, owner_gc.c, owner_permit.c, owner_submit.c and
- * owner_view.c.
+ * owner_engine.c, owner_fleet.c, owner_gc.c, owner_loading.c, owner_permit.c,
+ * owner_submit.c and owner_view.c.
  */
 
 #include "admission.h"
@@ -49,6 +49,8 @@
  * struct owner - the scheduler of a node that owns the cell
  * @pending_calls: calls to the store, workers and policy service without a
  *		   result
+ * @loading_since_ms: when it began
+ * @loading_line_ms: when it is logged next why it cannot schedule
  * @append_failures: failed attempts of the pending append
  * @append_refused: the last attempt failed so soon that the store is taken to
  *		    refuse writes
@@ -95,6 +97,8 @@
 	struct vh_timer append_retry_timer;
 	unsigned int pending_calls;
 	unsigned int n_records_loaded;
+	int64_t loading_since_ms;
+	int64_t loading_line_ms;
 
 	bool append_in_flight;
 	unsigned int append_failures;
@@ -159,6 +163,13 @@
 /* owner_is_permitted - the same, also true during recovery */
 bool owner_is_permitted(struct owner *o);
 
+/* owner_loading.c: why an owner cannot schedule yet, for the log and the metrics */
+void owner_loading_begin(struct owner *o);
+/* owner_loading_report - called in each run; logs a line now and then */
+void owner_loading_report(struct owner *o);
+/* owner_loading_end - the owner schedules, or has ended */
+void owner_loading_end(struct owner *o);
+
 /* owner_former.c: the end of the former owner's process */
 /* owner_former_check - acts on it if it is known by now */
 void owner_former_check(struct owner *o);
