One malformed worker no longer hides the whole list of VMs

The product's own interface: a worker that the platform described in a way that cannot be used rejected the list, so that no change of any other worker was seen, and the list was asked for again without a pause. A malformed worker is now left out, counted in vh_vm_list_malformed and logged; a reply that is no list is asked for again after half a second.

VmList.AMalformedWorkerDoesNotHideTheOthers failed on the former parser. The pause has no test.

--- a/packages/platform/include/vh/vm_list.h
+++ b/packages/platform/include/vh/vm_list.h
@@ -39,11 +39,16 @@
 void vh_vm_list_watch(struct vh_vm_list *l,
 		      void (*fn)(void *ctx, const struct vh_vm *vm), void *ctx);
 
-/* vh_vm_list_parse - appends the workers of a platform response to @out, an
- * array grown with g_realloc(), also on an error; release each with
- * vh_vm_finish() */
+/**
+ * vh_vm_list_parse - parses the workers of a platform response
+ * @out: an array grown with g_realloc(); release each with vh_vm_finish()
+ * @malformed: how many workers are left out, as the platform describes them in a way
+ *	       that cannot be used; the others are good
+ *
+ * Returns false and sets @err if the response is not a list.
+ */
 bool vh_vm_list_parse(struct vh_slice json, struct vh_vm **out, size_t *n,
-		      uint64_t *version, GError **err);
+		      uint64_t *version, size_t *malformed, GError **err);
 void vh_vm_finish(struct vh_vm *vm);
 
 #endif
--- a/packages/platform/src/vm_list.c
+++ b/packages/platform/src/vm_list.c
@@ -25,6 +25,7 @@
 	size_t n;
 	uint64_t version;
 	bool loaded;
+	size_t malformed; /* workers left out of the last list */
 	struct watcher watchers[MAX_WATCHERS];
 	size_t n_watchers;
 };
@@ -84,35 +85,49 @@
 	g_free(old);
 }
 
-static void handle_reply(struct vh_vm_list *l, struct vh_slice body)
+/* Malformed workers are left out, and so no longer used. */
+static void note_malformed(struct vh_vm_list *l, size_t malformed)
+{
+	char n[24];
+
+	*vh_metrics_gauge(&l->kernel->metrics, "vh_vm_list_malformed", NULL) =
+		(double)malformed;
+	if (malformed && malformed != l->malformed) {
+		g_snprintf(n, sizeof(n), "%zu", malformed);
+		vh_log(G_LOG_LEVEL_WARNING, "malformed workers ignored",
+		       "workers", n, NULL);
+	}
+	l->malformed = malformed;
+}
+
+/* Returns false if the reply is no list. */
+static bool handle_reply(struct vh_vm_list *l, struct vh_slice body)
 {
 	struct vh_vm *vms = NULL;
 	size_t n = 0;
 	uint64_t version = 0;
+	size_t malformed = 0;
 	GError *err = NULL;
 
-	if (vh_vm_list_parse(body, &vms, &n, &version, &err)) {
+	if (vh_vm_list_parse(body, &vms, &n, &version, &malformed, &err)) {
 		l->version = version;
+		note_malformed(l, malformed);
 		update_list(l, vms, n);
-		return;
+		return true;
 	}
 	vh_log(G_LOG_LEVEL_WARNING, "cannot parse VM list", "error",
 	       err->message, NULL);
 	g_error_free(err);
-	for (size_t i = 0; i < n; i++)
-		vh_vm_finish(&vms[i]);
-	g_free(vms);
+	return false;
 }
 
 static void poll_done(void *ctx, const struct vh_http_reply *reply)
 {
 	struct vh_vm_list *l = ctx;
+	bool ok = reply->status == 304 ||
+		  (reply->status == 200 && handle_reply(l, reply->body));
 
-	if (reply->status == 200)
-		handle_reply(l, reply->body);
-	vh_timer_start(&l->timer, reply->status == 200 || reply->status == 304
-					  ? 0
-					  : RETRY_MS);
+	vh_timer_start(&l->timer, ok ? 0 : RETRY_MS);
 }
 
 static void poll_list(void *ctx)
--- a/packages/platform/src/vm_parse.c
+++ b/packages/platform/src/vm_parse.c
@@ -77,30 +77,32 @@
 	return kind && !strcmp(kind, "worker");
 }
 
-static bool parse_array(const json_t *vms, struct vh_vm **out, size_t *n,
-			GError **err)
+/* Returns how many workers are left out, as they are malformed. */
+static size_t parse_array(const json_t *vms, struct vh_vm **out, size_t *n)
 {
+	size_t malformed = 0;
 	const json_t *o;
 	size_t i;
 
 	json_array_foreach(vms, i, o)
 	{
+		struct vh_vm vm = { 0 };
+
 		if (!is_worker(o))
 			continue;
-		*out = g_realloc_n(*out, *n + 1, sizeof(**out));
-		memset(&(*out)[*n], 0, sizeof(**out));
-		(*n)++;
-		if (!parse_vm(o, &(*out)[*n - 1])) {
-			g_set_error(err, VH_ERROR, VH_ERR_CORRUPT,
-				    "VM list: item %zu is malformed", i);
-			return false;
+		if (!parse_vm(o, &vm)) {
+			vh_vm_finish(&vm);
+			malformed++;
+			continue;
 		}
+		*out = g_realloc_n(*out, *n + 1, sizeof(**out));
+		(*out)[(*n)++] = vm;
 	}
-	return true;
+	return malformed;
 }
 
 bool vh_vm_list_parse(struct vh_slice json, struct vh_vm **out, size_t *n,
-		      uint64_t *version, GError **err)
+		      uint64_t *version, size_t *malformed, GError **err)
 {
 	json_t *root =
 		json_loadb(json.data ? json.data : "", json.len, 0, NULL);
@@ -115,7 +117,8 @@
 			    "integer \"version\"");
 	} else {
 		*version = (uint64_t)json_integer_value(v);
-		ok = parse_array(vms, out, n, err);
+		*malformed = parse_array(vms, out, n);
+		ok = true;
 	}
 	json_decref(root);
 	return ok;
