A job that is too large to be stored is refused alone

What callers saw: a job whose own record is over the store's limit was answered 503, as if the store were down, and so were the jobs of others that came with it; each node tried again, with the same result.

Cause: the writer of callers' records took a refusal for good for one by a store that is away, and ended the whole batch with it.

An append that the store would refuse again is now divided until the record that it refuses stands alone, which is answered 400 with the reason.

--- a/packages/cell/include/vh/cell.h
+++ b/packages/cell/include/vh/cell.h
@@ -20,7 +20,8 @@
  * @max_view_age_ms: how old may be what the owner has read of the store, when a
  *		     start leaves that is based on it; 0: the default
  * @admission: jobs that could not end in time are refused
- * @engine: engine settings; fence and former_owner_ms are set by the cell
+ * @limits: of the store; a job that needs a larger record is refused
+ * @engine: engine settings; fence, former_owner_ms and record_bytes are set by the cell
  */
 struct vh_cell_settings {
 	struct vh_slice name;
@@ -29,6 +30,7 @@
 	int64_t max_config_age_ms;
 	int64_t max_view_age_ms;
 	bool admission;
+	struct vh_store_limits limits;
 	struct eng_settings engine;
 };
 
--- a/packages/cell/include/vh/ports.h
+++ b/packages/cell/include/vh/ports.h
@@ -103,6 +103,16 @@
 	struct vh_slice last_key;
 };
 
+/**
+ * struct vh_store_limits - what the store accepts
+ * @record_bytes: of one record with its key and their lengths; 0: not known
+ * @call_bytes: of all records of one append; 0: not known
+ */
+struct vh_store_limits {
+	size_t record_bytes;
+	size_t call_bytes;
+};
+
 struct vh_store_ops {
 	void (*append)(void *self, const struct vh_append *a,
 		       void (*done)(void *ctx, const struct vh_append_reply *),
--- a/packages/cell/src/cell.c
+++ b/packages/cell/src/cell.c
@@ -13,6 +13,7 @@
 #define READY_MAX_CONFIG_AGE_MS 2600 /* an older one makes a node not ready */
 #define RESPONSE_MARGIN_MS 120	     /* reserved for returning the response */
 #define OWNER_TIME_SHARE 0.6 /* share of the timeout given to the owner */
+#define TOO_LARGE_WHY "the job is larger than what can be stored"
 #define REFUSED_WHY "the backlog is too long for the job to end in time"
 
 void cell_pass_zones(struct vh_cell *c)
@@ -96,6 +97,15 @@
 	writer_finish(&c->writer);
 }
 
+/* The largest value of a record with one of the cell's keys; 0: not known. */
+static size_t largest_value(const struct vh_store_limits *limits)
+{
+	const size_t beside = VH_RECORD_OVERHEAD + VH_KEY_BYTES;
+
+	return limits->record_bytes > beside ? limits->record_bytes - beside
+					     : 0;
+}
+
 struct vh_cell *vh_cell_new(const struct vh_cell_settings *settings,
 			    const struct vh_ports *ports,
 			    struct vh_kernel *kernel)
@@ -110,6 +120,7 @@
 	c->cpu_share_milli = settings->cpu_share_milli;
 	c->owner_settings.engine = settings->engine;
 	c->owner_settings.admission = settings->admission;
+	c->owner_settings.limits = settings->limits;
 	c->owner_settings.max_view_age_ms = settings->max_view_age_ms;
 	c->incarnation = (uint64_t)g_random_int() << 32 | g_random_int();
 	c->objects_reader.kernel = kernel;
@@ -122,7 +133,8 @@
 	zones_init(&c->zones);
 	c->objects_reader.ctx = c;
 	ownership_init(c);
-	writer_init(&c->writer, kernel, ports, VH_TOPIC_JOBS);
+	writer_init(&c->writer, kernel, ports, VH_TOPIC_JOBS,
+		    &settings->limits);
 	c->service.name = "cell";
 	c->service.self = c;
 	c->service.start = start;
@@ -234,9 +246,11 @@
 		[WRITE_NOT_SENT] = VH_ERR_STORE_SILENT,
 		[WRITE_UNKNOWN] = VH_ERR_TIMEOUT,
 		[WRITE_REJECTED] = VH_ERR_STORE_SILENT,
+		[WRITE_INVALID] = VH_ERR_BAD_REQUEST,
 	};
 
-	caller_write_end(ctx, errs[outcome], "", 0);
+	caller_write_end(ctx, errs[outcome],
+			 outcome == WRITE_INVALID ? TOO_LARGE_WHY : "", 0);
 }
 
 /* Ends the write of a record that the owner has refused. */
@@ -289,7 +303,8 @@
 
 	if (known && outcome > WIRE_SUBMIT_REFUSED)
 		on_refused(w, outcome);
-	else if (known && outcome < WRITE_REJECTED)
+	else if (known &&
+		 (outcome < WRITE_REJECTED || outcome == WRITE_INVALID))
 		on_written(w, (enum write_outcome)outcome);
 	else
 		write_directly(w, !rejected);
@@ -366,6 +381,13 @@
 	return admission_excess_ms(view, &job, &wait_ms) > 0;
 }
 
+static bool too_large(const struct vh_cell *c, struct vh_slice value)
+{
+	size_t max = largest_value(&c->owner_settings.limits);
+
+	return max && value.len > max;
+}
+
 void vh_cell_submit(struct vh_cell *c, const struct vh_cell_route *route,
 		    struct eng_job_spec *spec, int64_t timeout_ms,
 		    void (*done)(void *ctx, enum vh_err err, const char *why,
@@ -391,6 +413,11 @@
 	spec->received_ms = vh_clock_wall_ms(c->kernel->clock);
 	vh_buf_init(&bytes);
 	eng_job_pack(spec, &bytes);
+	if (too_large(c, vh_buf_slice(&bytes))) {
+		vh_buf_finish(&bytes);
+		done(ctx, VH_ERR_BAD_REQUEST, TOO_LARGE_WHY, 0);
+		return;
+	}
 	store_record(c, VH_KEY_JOB, spec->id, vh_buf_slice(&bytes), timeout_ms,
 		     may_refuse(c, spec), done, ctx);
 	vh_buf_finish(&bytes);
--- a/packages/cell/src/owner.c
+++ b/packages/cell/src/owner.c
@@ -371,7 +371,7 @@
 	owner_fleet_init(o);
 	owner_advice_init(o);
 	owner_gc_init(o);
-	owner_submit_init(o);
+	owner_submit_init(o, &settings->limits);
 	owner_admission_init(o, settings->admission);
 	o->append_in_flight = true;
 	o->append_first_sent_ms = owner_now_ms(o);
--- a/packages/cell/src/owner.h
+++ b/packages/cell/src/owner.h
@@ -18,9 +18,11 @@
  * @admission: jobs that could not end in time are refused
  * @max_view_age_ms: how old may be what the owner has read of any topic, when a
  *		     start leaves that is based on it; 0: the default
+ * @limits: of the store
  */
 struct owner_settings {
 	bool admission;
+	struct vh_store_limits limits;
 	int64_t max_view_age_ms;
 	struct eng_settings engine;
 };
--- a/packages/cell/src/owner_priv.h
+++ b/packages/cell/src/owner_priv.h
@@ -235,7 +235,7 @@
 			struct vh_slice value, const char *way);
 
 /* owner_submit.c: stores callers' records from this node and from others */
-void owner_submit_init(struct owner *o);
+void owner_submit_init(struct owner *o, const struct vh_store_limits *limits);
 void owner_on_submit(void *ctx, struct peer_conn *conn,
 		     const struct vh_frame *f);
 
--- a/packages/cell/src/owner_submit.c
+++ b/packages/cell/src/owner_submit.c
@@ -106,8 +106,8 @@
 	return o->phase == OWNER_LOADING || o->phase == OWNER_ACTIVE;
 }
 
-void owner_submit_init(struct owner *o)
+void owner_submit_init(struct owner *o, const struct vh_store_limits *limits)
 {
-	writer_init(&o->writer, o->kernel, o->ports, VH_TOPIC_JOBS);
+	writer_init(&o->writer, o->kernel, o->ports, VH_TOPIC_JOBS, limits);
 	o->writer.linger_ms = LINGER_MS;
 }
--- a/packages/cell/src/writer.c
+++ b/packages/cell/src/writer.c
@@ -1,5 +1,7 @@
 #include "writer.h"
 
+#include "keys.h"
+
 #define RETRY_MS 60 /* doubles with each timeout in a row after QUICK_RETRIES */
 #define RETRY_MAX_MS 480
 #define QUICK_RETRIES 2u
@@ -42,12 +44,17 @@
 }
 
 void writer_init(struct writer *w, struct vh_kernel *kernel,
-		 const struct vh_ports *ports, enum vh_topic topic)
+		 const struct vh_ports *ports, enum vh_topic topic,
+		 const struct vh_store_limits *limits)
 {
 	memset(w, 0, sizeof(*w));
 	w->kernel = kernel;
 	w->ports = ports;
 	w->topic = topic;
+	w->batch_bytes_max = limits->call_bytes
+				     ? MIN(BATCH_BYTES, limits->call_bytes)
+				     : BATCH_BYTES;
+	w->batch_bytes = w->batch_bytes_max;
 	g_queue_init(&w->waiting);
 	g_queue_init(&w->sent);
 	vh_timer_init(&w->timer, kernel, on_timer, w);
@@ -95,6 +102,32 @@
 	}
 }
 
+static size_t entry_bytes(const struct entry *en)
+{
+	return VH_RECORD_OVERHEAD + en->key.len + en->value.len;
+}
+
+/* The store would refuse the same append again: the records are sent apart. */
+static void divide_sent(struct writer *w)
+{
+	struct entry *en;
+	size_t bytes = 0;
+
+	if (!w->sent.length)
+		return; /* all were given up meanwhile */
+	if (w->sent.length == 1) {
+		en = g_queue_pop_head(&w->sent);
+		w->batch_bytes = w->batch_bytes_max;
+		entry_end(en, en->maybe_stored ? WRITE_UNKNOWN : WRITE_INVALID);
+		return;
+	}
+	while ((en = g_queue_pop_tail(&w->sent))) {
+		bytes += entry_bytes(en);
+		g_queue_push_head(&w->waiting, en);
+	}
+	w->batch_bytes = bytes / 2;
+}
+
 static void record_latency(struct writer *w, int64_t latency_ms)
 {
 	int64_t decayed_ms = (int64_t)((double)w->latency_ms * LATENCY_DECAY);
@@ -127,6 +160,12 @@
 		send_batch(w);
 		return;
 	}
+	if (r->result == VH_STORE_INVALID) {
+		w->consecutive_timeouts = 0;
+		divide_sent(w);
+		send_batch(w);
+		return;
+	}
 	w->consecutive_timeouts =
 		r->result == VH_STORE_UNKNOWN ? w->consecutive_timeouts + 1 : 0;
 	requeue_sent(w, r->result != VH_STORE_UNKNOWN);
@@ -189,15 +228,17 @@
 	size_t bytes = 0;
 	size_t n = 0;
 
-	while (n < BATCH_RECORDS && bytes < BATCH_BYTES) {
-		struct entry *en = g_queue_pop_head(&w->waiting);
+	while (n < BATCH_RECORDS) {
+		struct entry *en = g_queue_peek_head(&w->waiting);
 
 		if (!en)
 			break;
-		g_queue_push_tail(&w->sent, en);
+		bytes += entry_bytes(en);
+		if (n && bytes > w->batch_bytes)
+			break;
+		g_queue_push_tail(&w->sent, g_queue_pop_head(&w->waiting));
 		records[n].key = vh_buf_slice(&en->key);
 		records[n].value = vh_buf_slice(&en->value);
-		bytes += en->key.len + en->value.len;
 		n++;
 	}
 	return n;
--- a/packages/cell/src/writer.h
+++ b/packages/cell/src/writer.h
@@ -15,18 +15,22 @@
  * @WRITE_UNKNOWN: timed out; may or may not be stored
  * @WRITE_REJECTED: not stored; refused by the store, which may still accept
  *		    writes from other nodes
+ * @WRITE_INVALID: not stored; refused by the store, and would be by any node
  */
 enum write_outcome {
 	WRITE_STORED,
 	WRITE_NOT_SENT,
 	WRITE_UNKNOWN,
-	WRITE_REJECTED
+	WRITE_REJECTED,
+	WRITE_INVALID
 };
 
 /**
  * struct writer - batches records of many callers into appends
  * @waiting: records that are not part of the append in flight
  * @sent: records of the append in flight
+ * @batch_bytes_max: bytes of the records of one append
+ * @batch_bytes: the same, while the store refuses larger ones
  * @linger_ms: how long to wait for further records before an append; 0: send
  *	       at once
  * @queued_since_ms: when @waiting last became non-empty
@@ -41,7 +45,8 @@
  * another node. The time limit of an append follows the observed latency: a
  * slow store is not an unresponsive one, and attempts that are given up too
  * early only add to its load. Storing a record twice has no further effect, so
- * a record whose append had no answer is sent again until it is given up.
+ * a record whose append had no answer is sent again until it is given up. An append that
+ * the store would refuse again is divided, until the record that it refuses stands alone.
  */
 struct writer {
 	struct vh_kernel *kernel;
@@ -51,6 +56,8 @@
 	GQueue sent;
 	bool in_flight;
 	bool closed;
+	size_t batch_bytes_max;
+	size_t batch_bytes;
 	int64_t linger_ms;
 	int64_t queued_since_ms;
 	int64_t sent_ms;
@@ -61,7 +68,8 @@
 };
 
 void writer_init(struct writer *w, struct vh_kernel *kernel,
-		 const struct vh_ports *ports, enum vh_topic topic);
+		 const struct vh_ports *ports, enum vh_topic topic,
+		 const struct vh_store_limits *limits);
 
 /**
  * writer_finish - completes all records as not sent or unknown
--- a/packages/cell/tests/fake_cluster.h
+++ b/packages/cell/tests/fake_cluster.h
@@ -9,6 +9,7 @@
  * see store_faults.h, for one. Included by test_cell.cc and test_cell_view.cc.
  */
 
+#include <arpa/inet.h>
 #include <functional>
 #include <map>
 #include <memory>
@@ -18,6 +19,7 @@
 
 extern "C" {
 #include "cell_priv.h"
+#include "keys.h"
 #include "vh/log.h"
 }
 
@@ -40,6 +42,21 @@
 	return { s.data(), s.size() };
 }
 
+/* Returns a port that is unused at this moment. */
+inline uint16_t free_port()
+{
+	evutil_socket_t fd = socket(AF_INET, SOCK_STREAM, 0);
+	struct sockaddr_in at = {};
+	socklen_t len = sizeof(at);
+
+	at.sin_family = AF_INET;
+	at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	bind(fd, (struct sockaddr *)&at, sizeof(at));
+	getsockname(fd, (struct sockaddr *)&at, &len);
+	evutil_closesocket(fd);
+	return ntohs(at.sin_port);
+}
+
 struct Topic {
 	std::vector<std::pair<std::string, std::string>> records;
 	uint64_t epoch = 0, sequence = 0;
@@ -212,6 +229,13 @@
 	int64_t past_use_half_life_ms = 0; /* of nodes that start later */
 	int64_t max_view_age_ms = 0;	   /* the same */
 	StoreFaults faults;		   /* of all nodes */
+	size_t record_bytes = 0;  /* larger records are refused; 0: none are */
+	size_t call_bytes = 0;	  /* the same, of appends */
+	bool limits_told = true;  /* setting of nodes that start later */
+	std::string checkpoint;	  /* of each run that ends */
+	std::string refused_key;  /* appends with such a key are refused */
+	unsigned int refused = 0; /* appends */
+	size_t largest_append = 0;
 	ViewCheck view;
 };
 
@@ -274,11 +298,43 @@
 		});
 	}
 
+	/* Whether the store takes no such append, now or later. */
+	bool over_a_limit(const vh_append *a)
+	{
+		size_t bytes = 0;
+		bool refuse = false;
+
+		for (size_t i = 0; i < a->n; i++) {
+			const vh_record &r = a->records[i];
+			size_t len = 1 + r.key.len + r.value.len;
+
+			bytes += 4 + len;
+			if (cluster->record_bytes &&
+			    len > cluster->record_bytes)
+				refuse = true;
+			if (!cluster->refused_key.empty() &&
+			    to_str(r.key) == cluster->refused_key)
+				refuse = true;
+		}
+		if (cluster->call_bytes && bytes > cluster->call_bytes)
+			refuse = true;
+		if (!refuse)
+			cluster->largest_append =
+				std::max(cluster->largest_append, bytes);
+		return refuse;
+	}
+
 	vh_append_reply append_now(const vh_append *a)
 	{
 		Topic &t = cluster->topics[a->topic];
 		vh_append_reply r = {};
 
+		r.result = VH_STORE_INVALID;
+		if (over_a_limit(a)) {
+			cluster->refused++;
+			return r;
+		}
+
 		r.end = t.records.size();
 		r.result = VH_STORE_CONFLICT;
 		if (a->if_end && a->end != r.end)
@@ -540,7 +596,8 @@
 		for (auto &x : w->running)
 			running.push_back({ x.ref, {} });
 		for (auto &x : w->ended)
-			ended.push_back({ x.number, x.ref, ENG_END_DONE, {} });
+			ended.push_back({ x.number, x.ref, ENG_END_DONE,
+					  slice(cluster->checkpoint) });
 		r.sent_ms = sent;
 		r.clock_ms = cluster->now();
 		r.born_ms = 1;
@@ -656,6 +713,8 @@
 		s.max_config_age_ms = 4000;
 		s.max_view_age_ms = cluster.max_view_age_ms;
 		s.admission = cluster.admission;
+		if (cluster.limits_told)
+			s.limits = { cluster.record_bytes, cluster.call_bytes };
 		s.engine.lease_ms = 5000;
 		s.engine.lease_max_ms = 6000;
 		s.engine.stop_ms = 300;
@@ -686,6 +745,13 @@
 
 	/* Submits a job of one step and records the outcome. */
 	void submit(uint64_t id, uint32_t tasks, int64_t estimate_ms = 200)
+	{
+		submit_step(id, tasks, { 1000, 100, 0 }, estimate_ms);
+	}
+
+	void submit_step(uint64_t id, uint32_t tasks, eng_resources need,
+			 int64_t estimate_ms, const std::string &label = "",
+			 const std::string &payload = "")
 	{
 		eng_step_spec step = {};
 		eng_job_spec spec = {};
@@ -697,9 +763,12 @@
 			return;
 		}
 		step.n_tasks = tasks;
-		step.need = { 1000, 100, 0 };
+		step.need = need;
+		step.checkpoints = true;
+		step.label = slice(label);
 		step.estimate_ms = estimate_ms;
 		spec.id = id;
+		spec.payload = slice(payload);
 		spec.steps = &step;
 		spec.n_steps = 1;
 		struct Ctx {
@@ -718,6 +787,11 @@
 			new Ctx{ this, id });
 	}
 
+	void submit_with_payload(uint64_t id, const std::string &payload)
+	{
+		submit_step(id, 1, { 1000, 100, 0 }, 200, "", payload);
+	}
+
 	/* Cancels a job and records the outcome. */
 	void cancel(uint64_t id)
 	{
--- a/packages/cell/tests/test_cell.cc
+++ b/packages/cell/tests/test_cell.cc
@@ -75,27 +75,12 @@
 								      value);
 	}
 
-	// Returns a port that is unused at this moment.
-	static uint16_t free_port()
-	{
-		evutil_socket_t fd = socket(AF_INET, SOCK_STREAM, 0);
-		struct sockaddr_in at = {};
-		socklen_t len = sizeof(at);
-
-		at.sin_family = AF_INET;
-		at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		bind(fd, (struct sockaddr *)&at, sizeof(at));
-		getsockname(fd, (struct sockaddr *)&at, &len);
-		evutil_closesocket(fd);
-		return ntohs(at.sin_port);
-	}
-
 	void add_node()
 	{
 		std::string name = "n" + std::to_string(++n_added);
 
-		nodes.push_back(
-			std::make_unique<Node>(cluster, name, free_port()));
+		nodes.push_back(std::make_unique<Node>(cluster, name,
+						       fake::free_port()));
 		ASSERT_TRUE(nodes.back()->started);
 	}
 
@@ -460,7 +445,8 @@
 	ASSERT_EQ(unknown->cell->claimed_former_owners_ms,
 		  election_unknown_owner_ms());
 	kill_node(former);
-	nodes.push_back(std::make_unique<Node>(cluster, name, free_port()));
+	nodes.push_back(
+		std::make_unique<Node>(cluster, name, fake::free_port()));
 	EXPECT_TRUE(cluster.run_until(
 		[this] { return cluster.starts["1.0.0"] == 2; }, 20000));
 	EXPECT_LT(unknown->cell->election.former_owners_end_ms -
--- a/packages/cell/tests/test_cell_view.cc
+++ b/packages/cell/tests/test_cell_view.cc
@@ -99,25 +99,11 @@
 				     drained ? "{}" : "");
 	}
 
-	// Returns a port that is unused at this moment.
-	static uint16_t free_port()
-	{
-		evutil_socket_t fd = socket(AF_INET, SOCK_STREAM, 0);
-		struct sockaddr_in at = {};
-		socklen_t len = sizeof(at);
-
-		at.sin_family = AF_INET;
-		at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-		bind(fd, (struct sockaddr *)&at, sizeof(at));
-		getsockname(fd, (struct sockaddr *)&at, &len);
-		evutil_closesocket(fd);
-		return ntohs(at.sin_port);
-	}
-
 	void add_node()
 	{
 		nodes.push_back(std::make_unique<Node>(
-			cluster, "n" + std::to_string(++n_added), free_port()));
+			cluster, "n" + std::to_string(++n_added),
+			fake::free_port()));
 		ASSERT_TRUE(nodes.back()->started);
 	}
 
--- a/packages/cell/tests/test_writer.cc
+++ b/packages/cell/tests/test_writer.cc
@@ -41,7 +41,9 @@
 		vh_fake_clock_init(&clock, 10000);
 		vh_kernel_init(&kernel, &clock.clock);
 		ports.store = &ops;
-		writer_init(&w, &kernel, &ports, VH_TOPIC_JOBS);
+		static const vh_store_limits none = {};
+
+		writer_init(&w, &kernel, &ports, VH_TOPIC_JOBS, &none);
 	}
 
 	void TearDown() override
