--- a/packages/cell/src/cell.c
+++ b/packages/cell/src/cell.c
@@ -121,6 +121,8 @@
 	c->owner_settings.engine = settings->engine;
 	c->owner_settings.admission = settings->admission;
 	c->owner_settings.limits = settings->limits;
+	c->owner_settings.engine.record_bytes =
+		largest_value(&settings->limits);
 	c->owner_settings.max_view_age_ms = settings->max_view_age_ms;
 	c->incarnation = (uint64_t)g_random_int() << 32 | g_random_int();
 	c->objects_reader.kernel = kernel;
--- a/packages/cell/src/owner.c
+++ b/packages/cell/src/owner.c
@@ -11,11 +11,7 @@
 #define RUN_LATEST_LEASE_SHARE 0.05
 #define FLEET_POLL_INTERVAL_MS 400
 #define JOBS_POLL_INTERVAL_MS 250 /* for jobs that other nodes have stored */
-#define HEARTBEAT_WRITE_MS 500	  /* longest time without a write */
-#define APPEND_TIMEOUT_MS 900
-#define APPEND_RETRY_MS 60
-#define APPEND_REFUSED_WITHIN_MS 450 /* a faster failure counts as refused */
-#define MAX_JOBS_AGE_MS 1500	     /* with older data, a job may be missing */
+#define MAX_JOBS_AGE_MS 1500	  /* with older data, a job may be missing */
 
 void owner_schedule_run(struct owner *o)
 {
@@ -28,13 +24,6 @@
 	return vh_kernel_now_ms(o->kernel);
 }
 
-static void lose_ownership(struct owner *o, const char *why)
-{
-	if (o->phase == OWNER_ENDED)
-		return;
-	o->ops.ownership_lost(o->ctx, why);
-}
-
 /* Passes on the stored batch, which releases starts, once the owner may act. */
 static void pass_withheld(struct owner *o)
 {
@@ -48,23 +37,8 @@
 		eng_batch_stored(o->engine, batch, owner_now_ms(o));
 }
 
-static void append_send(struct owner *o);
-
-static void on_append_stored(struct owner *o)
+void owner_batch_stored(struct owner *o)
 {
-	owner_note_pause(o);
-	if (o->append_failures)
-		vh_log(G_LOG_LEVEL_INFO, "job state is stored again", NULL);
-	o->append_failures = 0;
-	o->append_refused = false;
-	o->append_in_flight = false;
-	o->last_write_ms = owner_now_ms(o);
-	owner_record_append_time(o, o->last_write_ms - o->append_sent_ms);
-	o->ops.confirmed(o->ctx, o->append_sent_ms);
-	if (o->append_batch)
-		o->stored_batch = o->append_batch;
-	o->append_batch = 0;
-	owner_write_stored(o);
 	if (o->phase == OWNER_FENCING) {
 		o->phase = OWNER_LOADING;
 		/* The former owner may have stored states of jobs until now
@@ -74,112 +48,6 @@
 		topic_reader_start(&o->fleet_reader);
 	}
 	pass_withheld(o);
-	eng_records_free(o->append_records, o->n_append_records);
-	o->append_records = NULL;
-	o->n_append_records = 0;
-	owner_schedule_run(o);
-}
-
-static void on_append(void *ctx, const struct vh_append_reply *r)
-{
-	struct owner *o = ctx;
-
-	o->pending_calls--;
-	if (owner_has_ended(o))
-		return;
-	switch (r->result) {
-	case VH_STORE_OK:
-		on_append_stored(o);
-		return;
-	case VH_STORE_BAD_SEQUENCE:
-		if (r->expected == o->sequence + 1) {
-			on_append_stored(o); /* an earlier attempt succeeded */
-			return;
-		}
-		lose_ownership(o, "another writer has used this epoch");
-		return;
-	case VH_STORE_FENCED:
-		lose_ownership(o, "fenced at the store by a newer owner");
-		return;
-	default:
-		o->append_refused = owner_now_ms(o) - o->append_sent_ms <
-				    APPEND_REFUSED_WITHIN_MS;
-		if (o->append_refused)
-			o->refused_sent_ms = o->append_sent_ms;
-		if (!o->append_failures++)
-			vh_log(G_LOG_LEVEL_WARNING,
-			       "job state cannot be stored", NULL);
-		vh_timer_start(&o->append_retry_timer, APPEND_RETRY_MS);
-	}
-}
-
-static struct vh_slice record_key(GStringChunk *keys,
-				  const struct eng_record *r)
-{
-	char key[VH_KEY_BYTES + ENG_NAME_MAX];
-
-	if (r->name)
-		g_snprintf(key, sizeof(key), "%c%s", VH_KEY_LEARNED, r->name);
-	else
-		vh_key_format(key, VH_KEY_STATE, r->job);
-	return vh_slice_str(g_string_chunk_insert(keys, key));
-}
-
-static void append_send(struct owner *o)
-{
-	struct vh_append a = { .topic = VH_TOPIC_STATE,
-			       .epoch = o->epoch,
-			       .sequence = o->sequence,
-			       .timeout_ms = APPEND_TIMEOUT_MS };
-	struct vh_record *out =
-		g_new0(struct vh_record, o->n_append_records + 1);
-	GStringChunk *keys = g_string_chunk_new(4096);
-
-	for (size_t i = 0; i < o->n_append_records; i++) {
-		const struct eng_record *r = &o->append_records[i];
-
-		out[i].key = record_key(keys, r);
-		out[i].value = vh_buf_slice(&r->bytes);
-	}
-	a.n = o->n_append_records;
-	if (!a.n && o->phase != OWNER_FENCING) {
-		out[0].key = vh_slice_str(VH_KEY_HEARTBEAT);
-		out[0].value = vh_slice_str("1");
-		a.n = 1;
-	}
-	a.records = out;
-	o->append_sent_ms = owner_now_ms(o);
-	o->pending_calls++;
-	o->ports->store->append(o->ports->store_self, &a, on_append, o);
-	g_free(out);
-	g_string_chunk_free(keys);
-}
-
-static void on_append_retry_timer(void *ctx)
-{
-	append_send(ctx);
-}
-
-/*
- * Appends the changed job states. If there are none, appends a heartbeat after
- * HEARTBEAT_WRITE_MS without an append, or at once if the owner may not act.
- * The other nodes take these writes as a sign of a live owner.
- */
-static void flush(struct owner *o)
-{
-	if (o->append_in_flight || o->phase == OWNER_ENDED)
-		return;
-	if (o->phase == OWNER_ACTIVE)
-		o->append_batch = eng_flush(o->engine, &o->append_records,
-					    &o->n_append_records);
-	if (!o->append_batch &&
-	    owner_now_ms(o) - o->last_write_ms < HEARTBEAT_WRITE_MS &&
-	    owner_is_permitted(o))
-		return;
-	o->append_in_flight = true;
-	o->append_first_sent_ms = owner_now_ms(o);
-	o->sequence++;
-	append_send(o);
 }
 
 static void on_run(void *ctx)
@@ -202,7 +70,7 @@
 		owner_update_zone_metrics(o);
 		owner_update_usage_metrics(o);
 	}
-	flush(o);
+	owner_append_flush(o);
 	/* An interrupted run goes on once the events that are ready have been
 	 * handled. */
 	run_timer_start(&o->run_timer, done ? RUN_INTERVAL_MS : 0);
@@ -259,8 +127,14 @@
 {
 	struct owner *o = ctx;
 	struct vh_slice name;
+	uint32_t first_task;
 	uint64_t id;
 
+	if (vh_key_parse_part(r->key, &id, &first_task)) {
+		o->n_records_loaded++;
+		eng_job_restore_part(o->engine, id, first_task, r->value,
+				     owner_now_ms(o));
+	}
 	if (vh_key_parse_learned(r->key, &name))
 		restore_learned(o, name, r->value);
 	if (!vh_key_parse(r->key, VH_KEY_STATE, &id))
@@ -365,7 +239,7 @@
 	run_timer_init(&o->run_timer, kernel,
 		       (int64_t)(RUN_LATEST_LEASE_SHARE * (double)s.lease_ms),
 		       on_run, o);
-	vh_timer_init(&o->append_retry_timer, kernel, on_append_retry_timer, o);
+	owner_append_init(o, &settings->limits);
 	owner_view_init(o, settings->max_view_age_ms);
 	eng_set_start_limit(o->engine, 0, owner_now_ms(o));
 	owner_fleet_init(o);
@@ -373,11 +247,9 @@
 	owner_gc_init(o);
 	owner_submit_init(o, &settings->limits);
 	owner_admission_init(o, settings->admission);
-	o->append_in_flight = true;
-	o->append_first_sent_ms = owner_now_ms(o);
-	append_send(o);
+	owner_append_fence(o);
 	/* The job states are read only once the store has set the fence, see
-	 * on_append_stored(). So are the workers: the engine counts the time for
+	 * owner_batch_stored(). So are the workers: the engine counts the time for
 	 * which a former owner may act from their listing, and until the fence
 	 * is set, the store still confirms that owner. */
 	topic_reader_start(&o->jobs_reader);
@@ -402,7 +274,7 @@
 		return;
 	}
 	run_timer_finish(&o->run_timer);
-	vh_timer_finish(&o->append_retry_timer);
+	owner_append_finish(o);
 	if (o->fleet_reader.timer.ev)
 		topic_reader_finish(&o->fleet_reader);
 	if (o->state_reader.timer.ev)
@@ -413,7 +285,6 @@
 	owner_fleet_free(o);
 	owner_former_finish(o);
 	eng_free(o->engine);
-	eng_records_free(o->append_records, o->n_append_records);
 	o->ops.freed(o->ctx);
 	g_free(o);
 }
--- a/packages/cell/src/owner_engine.c
+++ b/packages/cell/src/owner_engine.c
@@ -549,6 +549,17 @@
 	       t.tv_nsec / (VH_NS_PER_MS / US_PER_MS);
 }
 
+static void on_job_problem(void *ctx, uint64_t job, const char *what)
+{
+	struct owner *o = ctx;
+	char id[20];
+
+	g_snprintf(id, sizeof(id), "%016" PRIx64, job);
+	++*vh_metrics_counter(&o->kernel->metrics, "vh_job_problems_total",
+			      NULL);
+	vh_log(G_LOG_LEVEL_WARNING, what, "job", id, NULL);
+}
+
 struct engine *owner_engine_new(struct owner *o, const struct eng_settings *s)
 {
 	struct eng_callbacks callbacks = {
@@ -566,6 +577,7 @@
 		.overload = on_overload,
 		.waiting = on_waiting,
 		.long_wait = on_long_wait,
+		.job_problem = on_job_problem,
 		.usage_event = on_usage_event,
 		.ctx = o,
 	};
--- a/packages/cell/src/owner_priv.h
+++ b/packages/cell/src/owner_priv.h
@@ -4,6 +4,7 @@
 /*
  * State and functions that the sources of the owner share. Internal to the
  * package; included by owner.c, owner_admission.c, owner_advice.c,
+ * owner_append.c,
  * owner_engine.c, owner_fleet.c, owner_gc.c, owner_loading.c, owner_permit.c,
  * owner_submit.c and owner_view.c.
  */
@@ -72,6 +73,10 @@
  * @sequence: sequence number of the pending append, or else of the last one
  * @append_batch: number of the engine's batch in the pending append; 0: none
  * @stored_batch: last stored batch, if the engine is not told yet; 0: none
+ * @append_at: position of the first record of the batch that is not stored
+ * @append_n: how many records from there on the pending append has
+ * @append_bytes_max: bytes of an append, beside those of its first record
+ * @append_bytes: the same, while the store refuses larger ones
  * @append_first_sent_ms: when the pending append, or else the last one, was
  *			  first sent
  * @append_sent_ms: when its last attempt was sent
@@ -120,6 +125,10 @@
 	uint64_t stored_batch;
 	struct eng_record *append_records;
 	size_t n_append_records;
+	size_t append_at;
+	size_t append_n;
+	size_t append_bytes_max;
+	size_t append_bytes;
 	int64_t append_first_sent_ms;
 	int64_t append_sent_ms;
 	int64_t last_write_ms;
@@ -147,6 +156,18 @@
 /* owner_has_ended - whether results of calls must be ignored */
 bool owner_has_ended(struct owner *o);
 
+/* owner_append.c: writes to the topic of states */
+void owner_append_init(struct owner *o, const struct vh_store_limits *limits);
+void owner_append_finish(struct owner *o);
+/* owner_append_fence - sets the epoch of the topic, which fences former owners */
+void owner_append_fence(struct owner *o);
+/* owner_append_flush - appends what has changed, or a sign of life, if it is time */
+void owner_append_flush(struct owner *o);
+/* owner_append_send - sends the pending append, also once more */
+void owner_append_send(void *ctx);
+/* owner_batch_stored - all appends of a batch, or the fence, are stored (in owner.c) */
+void owner_batch_stored(struct owner *o);
+
 /* owner_permit.c: what only the present owner may send waits after a pause */
 /* owner_note_pause - suspends the owner if the process stood still; called
  * before anything that arrived is acted on */
--- a/packages/engine/include/vh/engine.h
+++ b/packages/engine/include/vh/engine.h
@@ -11,8 +11,9 @@
  *
  * Every placement is stored before its start request is sent, and the end of
  * every run is stored before it is acknowledged to the worker. The state is
- * stored as one record per job, collected in batches: eng_flush() returns the
- * next batch, and eng_batch_stored() confirms that it is durable.
+ * stored as one record per job, or several if that would be too large, collected in
+ * batches: eng_flush() returns the next batch, and eng_batch_stored() confirms that it
+ * is durable.
  */
 
 #include "vh/eng_job.h"
@@ -33,6 +34,8 @@
  * @overload_order: at overload, order the waiting steps as eng_order.c says
  * @past_use_half_life_ms: half-life of the past use of teams, 0: it has no
  *			   effect
+ * @record_bytes: the largest record of a job's state, without its key, that can be
+ *		  stored; 0: not known
  */
 struct eng_settings {
 	uint64_t fence;
@@ -45,6 +48,7 @@
 	bool ignore_speeds;
 	bool overload_order;
 	int64_t past_use_half_life_ms;
+	size_t record_bytes;
 };
 
 enum eng_job_status {
@@ -418,6 +422,7 @@
  *	     NULL
  * @long_wait: every two seconds for each of the steps that have waited longest, of
  *	       those that have for three seconds; may be NULL
+ * @job_problem: something is wrong with a job; @what is constant text; may be NULL
  * @usage_event: the past use of a team delays its steps more, or less; @what is
  *		 constant text; may be NULL
  */
@@ -437,6 +442,7 @@
 	void (*overload)(void *ctx, const struct eng_overload_event *o);
 	void (*waiting)(void *ctx, const struct eng_waiting *w);
 	void (*long_wait)(void *ctx, const struct eng_long_wait *w);
+	void (*job_problem)(void *ctx, uint64_t job, const char *what);
 	void (*usage_event)(void *ctx, const char *what,
 			    const struct eng_team_usage *u);
 	void *ctx;
@@ -478,6 +484,16 @@
 		       const struct eng_callbacks *callbacks, int64_t now_ms);
 void eng_free(struct engine *e);
 
+/**
+ * eng_job_restore_part - passes a part of a job's state, as a former owner stored it
+ * @first_task: as in struct eng_record
+ * @record: empty: it was deleted
+ *
+ * As eng_job_restore(); a job in parts is restored by eng_recovery_done().
+ */
+void eng_job_restore_part(struct engine *e, uint64_t id, uint32_t first_task,
+			  struct vh_slice record, int64_t now_ms);
+
 /**
  * eng_job_restore - passes a job's record, as a former owner stored it
  *
@@ -609,10 +625,15 @@
  * struct eng_record - a record to store
  * @job: the job whose state it holds, if @name is NULL
  * @name: name of a learned record, NULL for the state of a job
+ * @is_part: it holds some of the tasks of the job
+ * @first_task: number of the first of these, counted through all steps
+ * @bytes: empty: the record is to be deleted
  */
 struct eng_record {
 	uint64_t job;
 	char *name;
+	bool is_part;
+	uint32_t first_task;
 	struct vh_buf bytes;
 };
 
@@ -620,12 +641,34 @@
  * eng_flush - closes the current batch of records
  * @records: receives the array, to be freed with eng_records_free()
  *
+ * The records may be stored in several appends, in the order of the array.
+ *
  * Returns the batch's number, 0 if there is nothing to store.
  */
 uint64_t eng_flush(struct engine *e, struct eng_record **records, size_t *n);
 void eng_records_free(struct eng_record *records, size_t n);
 
-/* eng_batch_stored - @batch and all batches before it are durable */
+/**
+ * eng_record_refused - the store takes no record as large as one of a job's state
+ * @bytes: the size of that record's value
+ * @records: receives the job's state anew, in smaller records, which take the place of
+ *	     those of the same batch
+ *
+ * Returns false if it cannot be divided further; see eng_job_unstored() then.
+ */
+bool eng_record_refused(struct engine *e, uint64_t job, size_t bytes,
+			struct eng_record **records, size_t *n);
+
+/**
+ * eng_job_unstored - the store refuses a job's state for good
+ *
+ * Until it takes it, no task of the job starts; those that were to be started with the
+ * batch do not. It is tried again from time to time. All other jobs go on.
+ */
+void eng_job_unstored(struct engine *e, uint64_t job, int64_t now_ms);
+
+/* eng_batch_stored - @batch and all batches before it are durable, but for jobs passed
+ * to eng_job_unstored() */
 void eng_batch_stored(struct engine *e, uint64_t batch, int64_t now_ms);
 
 /**
--- a/packages/engine/src/eng_priv.h
+++ b/packages/engine/src/eng_priv.h
@@ -34,6 +34,11 @@
 void eng_task_started(struct engine *e, struct task *t);
 /* eng_task_send - starts a task whose placement is stored, if it still may */
 void eng_task_send(struct engine *e, struct task *t);
+/* eng_task_failed_too_often - as many runs of it, or of its gang, have failed as the
+ * job allows */
+bool eng_task_failed_too_often(const struct task *t);
+/* eng_task_mark_done - has no effect if it is done */
+void eng_task_mark_done(struct task *t);
 /* eng_retry_due_ms - when eng_retry_requests() is due; INT64_MAX: never */
 int64_t eng_retry_due_ms(const struct worker *w);
 /* eng_retry_requests - resends starts and stops that got no reply */
@@ -43,6 +48,10 @@
 /* eng_intern - the one copy of a name, never freed */
 const char *eng_intern(struct vh_slice name);
 void eng_job_mark_dirty(struct engine *e, struct job *j);
+/* eng_job_get - finds a job, or adds one of which only the id is known */
+struct job *eng_job_get(struct engine *e, uint64_t id);
+/* eng_job_update_steps - eng_step_update() for all steps */
+void eng_job_update_steps(struct engine *e, struct job *j);
 /* eng_queue_get - finds a queue or creates it */
 struct queue *eng_queue_get(struct engine *e, struct vh_slice name);
 /* eng_milestone - reports a job's start or end, except during recovery */
@@ -171,17 +180,89 @@
 bool eng_worker_needs_proof(const struct engine *e, const struct worker *w);
 
 /* eng_record.c */
+#define RECORD_FORMAT_JOB 4 /* all that is stored of a job */
+#define RECORD_FORMAT_HEAD \
+	5 /* of a job in parts; a node of an older version ignores it */
 void eng_record_pack(const struct job *j, struct vh_buf *out);
 bool eng_record_apply(struct engine *e, struct job *j, struct vh_slice bytes);
 /**
  * eng_record_status - reads the status in a record
  * @placed: whether the record has steps; for an ended job: whether some of its
  *	    tasks were placed
+ * @in_parts: the tasks are in other records
  *
  * Returns false if the record is invalid.
  */
 bool eng_record_status(struct vh_slice bytes, enum eng_job_status *status,
-		       bool *placed);
+		       bool *placed, bool *in_parts);
+/* eng_job_has_placed_tasks - whether any of its tasks is on a worker */
+bool eng_job_has_placed_tasks(const struct job *j);
+
+/**
+ * struct task_range - tasks of a job, counted through all steps
+ * @step, @index: the next one
+ */
+struct task_range {
+	const struct job *job;
+	size_t step;
+	uint32_t index;
+	uint32_t left;
+};
+
+struct task_range eng_job_tasks(const struct job *j, uint32_t first,
+				uint32_t n);
+/* eng_range_next - NULL after the last one */
+struct task *eng_range_next(struct task_range *r);
+
+/**
+ * struct recorded_worker - a worker in the list of a record
+ * @rebooted: it has started again since, as far as is known
+ */
+struct recorded_worker {
+	struct worker *w;
+	bool rebooted;
+};
+
+/* What records of jobs and of parts have in common. The restoring ones return false on
+ * malformed data. */
+bool eng_record_uint(const msgpack_object *o, uint64_t max, uint64_t *out);
+bool eng_record_array(const msgpack_object *o, const msgpack_object **p,
+		      size_t *n);
+void eng_record_pack_bytes(msgpack_packer *pk, struct vh_slice s);
+/* eng_record_pack_workers - packs the list of the workers that the tasks are assigned
+ * to, and returns it */
+GPtrArray *eng_record_pack_workers(msgpack_packer *pk,
+				   const struct task_range *tasks);
+void eng_record_pack_task(msgpack_packer *pk, const struct task *t,
+			  GPtrArray *workers);
+/* eng_record_restore_workers - appends struct recorded_worker */
+bool eng_record_restore_workers(struct engine *e, const msgpack_object *o,
+				GArray *workers);
+bool eng_record_restore_task(struct engine *e, struct task *t,
+			     const msgpack_object *o, const GArray *workers);
+
+/* eng_parts.c: the state of a large job in several records */
+struct job_parts;
+void eng_parts_free(struct job_parts *p);
+/* eng_parts_add_records - appends the records that have changed of a job's state, of
+ * struct eng_record; the first call that needs several begins to use parts */
+void eng_parts_add_records(struct engine *e, struct job *j, GArray *records);
+/* eng_parts_written_anew - the next records hold the whole state */
+void eng_parts_written_anew(struct job *j);
+/* eng_parts_apply - restores a job from its head and its stored parts; false: some are
+ * missing or malformed */
+bool eng_parts_apply(struct engine *e, struct job *j);
+/* eng_parts_settle - ends a restored job if its parts tell that it has ended */
+void eng_parts_settle(struct engine *e, struct job *j);
+/* eng_parts_drop_stored - the stored parts of a job are of no use; their records are
+ * deleted. Returns false if there are none. */
+bool eng_parts_drop_stored(struct job *j);
+
+/* eng_unstored.c: jobs whose state the store refuses for good */
+/* eng_unstored_retry - marks those dirty that are to be stored again by now */
+void eng_unstored_retry(struct engine *e);
+/* eng_unstored_confirm - @batch and all before it are stored */
+void eng_unstored_confirm(struct engine *e, uint64_t batch);
 
 /* eng_place.c */
 /* eng_worker_failed - a run failed on a worker, or it refused a start */
--- a/packages/engine/src/eng_record.c
+++ b/packages/engine/src/eng_record.c
@@ -1,8 +1,7 @@
 #include "eng_priv.h"
 
-#define RECORD_FORMAT 4 /* version of the record format */
-#define LOSS_FIELDS 3	/* elements for each loss */
-#define TASK_FIELDS 5	/* elements of a task's array, without losses */
+#define LOSS_FIELDS 3 /* elements for each loss */
+#define TASK_FIELDS 5 /* elements of a task's array, without losses */
 
 /*
  * The record of a job is a MessagePack array:
@@ -18,7 +17,8 @@
  * losses: [run, enum loss_kind, started, run, ...]
  *
  * The record of an ended job without placed tasks stops after its status. An
- * older version wrote no "over share" and no losses, and ignores both.
+ * older version wrote no "over share" and no losses, and ignores both. A job whose
+ * record would be too large has several, see eng_parts.c.
  */
 enum {
 	REC_FORMAT,
@@ -31,7 +31,33 @@
 	REC_FIELDS
 };
 
-static void pack_bytes(msgpack_packer *pk, struct vh_slice s)
+struct task_range eng_job_tasks(const struct job *j, uint32_t first, uint32_t n)
+{
+	struct task_range r = { .job = j, .index = first, .left = n };
+
+	while (r.step < j->spec->n_steps &&
+	       r.index >= j->spec->steps[r.step].n_tasks)
+		r.index -= j->spec->steps[r.step++].n_tasks;
+	return r;
+}
+
+struct task *eng_range_next(struct task_range *r)
+{
+	const struct job *j = r->job;
+	struct task *t;
+
+	if (!r->left || r->step >= j->spec->n_steps)
+		return NULL;
+	t = &j->steps[r->step].tasks[r->index];
+	r->left--;
+	if (++r->index == j->spec->steps[r->step].n_tasks) {
+		r->index = 0;
+		r->step++;
+	}
+	return t;
+}
+
+void eng_record_pack_bytes(msgpack_packer *pk, struct vh_slice s)
 {
 	msgpack_pack_bin(pk, s.len);
 	msgpack_pack_bin_body(pk, s.data, s.len);
@@ -53,14 +79,13 @@
 	return list->len;
 }
 
-static void collect_workers(const struct job *j, GPtrArray *list)
+static void collect_workers(const struct task_range *tasks, GPtrArray *list)
 {
-	for (size_t i = 0; i < j->spec->n_steps; i++) {
-		const struct step *s = &j->steps[i];
+	struct task_range r = *tasks;
+	struct task *t;
 
-		for (uint32_t k = 0; k < s->spec->n_tasks; k++)
-			worker_index(list, s->tasks[k].worker);
-	}
+	while ((t = eng_range_next(&r)))
+		worker_index(list, t->worker);
 }
 
 static void pack_losses(msgpack_packer *pk, const GArray *losses)
@@ -75,8 +100,8 @@
 	}
 }
 
-static void pack_task(msgpack_packer *pk, const struct task *t,
-		      GPtrArray *workers)
+void eng_record_pack_task(msgpack_packer *pk, const struct task *t,
+			  GPtrArray *workers)
 {
 	bool with_losses = eng_task_losses(t) && !t->done;
 
@@ -89,25 +114,34 @@
 	msgpack_pack_uint32(pk, t->run);
 	msgpack_pack_uint64(pk, t->failed_runs);
 	msgpack_pack_uint32(pk, worker_index(workers, t->worker));
-	pack_bytes(pk, t->done ? vh_slice(NULL, 0) : t->checkpoint);
+	eng_record_pack_bytes(pk, t->done ? vh_slice(NULL, 0) : t->checkpoint);
 	if (with_losses)
 		pack_losses(pk, t->losses);
 }
 
-static void pack_steps(msgpack_packer *pk, const struct job *j)
+GPtrArray *eng_record_pack_workers(msgpack_packer *pk,
+				   const struct task_range *tasks)
 {
 	GPtrArray *workers = g_ptr_array_new();
 
-	collect_workers(j, workers);
+	collect_workers(tasks, workers);
 	msgpack_pack_array(pk, workers->len);
 	for (guint i = 0; i < workers->len; i++) {
 		const struct worker *w = workers->pdata[i];
 
 		msgpack_pack_array(pk, 3);
-		pack_bytes(pk, eng_str(w->id));
+		eng_record_pack_bytes(pk, eng_str(w->id));
 		msgpack_pack_int64(pk, w->born_ms);
-		pack_bytes(pk, eng_str(w->address));
+		eng_record_pack_bytes(pk, eng_str(w->address));
 	}
+	return workers;
+}
+
+static void pack_steps(msgpack_packer *pk, const struct job *j)
+{
+	struct task_range all = eng_job_tasks(j, 0, UINT32_MAX);
+	GPtrArray *workers = eng_record_pack_workers(pk, &all);
+
 	msgpack_pack_array(pk, j->spec->n_steps);
 	for (size_t i = 0; i < j->spec->n_steps; i++) {
 		const struct step *s = &j->steps[i];
@@ -116,12 +150,12 @@
 		msgpack_pack_uint64(pk, s->failed_runs);
 		msgpack_pack_array(pk, s->spec->n_tasks);
 		for (uint32_t k = 0; k < s->spec->n_tasks; k++)
-			pack_task(pk, &s->tasks[k], workers);
+			eng_record_pack_task(pk, &s->tasks[k], workers);
 	}
 	g_ptr_array_free(workers, TRUE);
 }
 
-static bool has_placed_tasks(const struct job *j)
+bool eng_job_has_placed_tasks(const struct job *j)
 {
 	for (size_t i = 0; j->steps && i < j->spec->n_steps; i++) {
 		if (j->steps[i].n_placed)
@@ -132,15 +166,15 @@
 
 void eng_record_pack(const struct job *j, struct vh_buf *out)
 {
-	bool with_steps =
-		j->steps && (j->status < ENG_COMPLETE || has_placed_tasks(j));
+	bool with_steps = j->steps && (j->status < ENG_COMPLETE ||
+				       eng_job_has_placed_tasks(j));
 	msgpack_sbuffer sb;
 	msgpack_packer pk;
 
 	msgpack_sbuffer_init(&sb);
 	msgpack_packer_init(&pk, &sb, msgpack_sbuffer_write);
 	msgpack_pack_array(&pk, with_steps ? REC_FIELDS : REC_STARTED);
-	msgpack_pack_int(&pk, RECORD_FORMAT);
+	msgpack_pack_int(&pk, RECORD_FORMAT_JOB);
 	msgpack_pack_int(&pk, (int)j->status);
 	if (with_steps) {
 		msgpack_pack_int(&pk, j->started);
@@ -151,7 +185,7 @@
 	msgpack_sbuffer_destroy(&sb);
 }
 
-static bool get_uint(const msgpack_object *o, uint64_t max, uint64_t *out)
+bool eng_record_uint(const msgpack_object *o, uint64_t max, uint64_t *out)
 {
 	if (o->type != MSGPACK_OBJECT_POSITIVE_INTEGER || o->via.u64 > max)
 		return false;
@@ -159,7 +193,7 @@
 	return true;
 }
 
-static bool get_array(const msgpack_object *o, const msgpack_object **p,
+bool eng_record_array(const msgpack_object *o, const msgpack_object **p,
 		      size_t *n)
 {
 	if (o->type != MSGPACK_OBJECT_ARRAY)
@@ -170,36 +204,38 @@
 }
 
 static bool unpack_header(const msgpack_object *o, const msgpack_object **p,
-			  size_t *n, enum eng_job_status *status)
+			  size_t *n, uint64_t *format,
+			  enum eng_job_status *status)
 {
-	uint64_t format;
 	uint64_t s;
 
-	if (!get_array(o, p, n) || *n < REC_STARTED)
+	if (!eng_record_array(o, p, n) || *n < REC_STARTED)
 		return false;
-	if (!get_uint(&(*p)[REC_FORMAT], RECORD_FORMAT, &format) ||
-	    format != RECORD_FORMAT)
+	if (!eng_record_uint(&(*p)[REC_FORMAT], RECORD_FORMAT_HEAD, format) ||
+	    *format < RECORD_FORMAT_JOB)
 		return false;
-	if (!get_uint(&(*p)[REC_STATUS], ENG_CANCELLED, &s))
+	if (!eng_record_uint(&(*p)[REC_STATUS], ENG_CANCELLED, &s))
 		return false;
 	*status = (enum eng_job_status)s;
 	return true;
 }
 
 bool eng_record_status(struct vh_slice bytes, enum eng_job_status *status,
-		       bool *placed)
+		       bool *placed, bool *in_parts)
 {
 	const msgpack_object *p;
 	msgpack_unpacked u;
 	size_t off = 0;
+	uint64_t format = 0;
 	size_t n;
 	bool ok;
 
 	msgpack_unpacked_init(&u);
 	ok = msgpack_unpack_next(&u, bytes.data, bytes.len, &off) ==
 		     MSGPACK_UNPACK_SUCCESS &&
-	     unpack_header(&u.data, &p, &n, status);
+	     unpack_header(&u.data, &p, &n, &format, status);
 	*placed = ok && n >= REC_FIELDS_MIN;
+	*in_parts = ok && format == RECORD_FORMAT_HEAD;
 	msgpack_unpacked_destroy(&u);
 	return ok;
 }
@@ -212,14 +248,14 @@
 	uint64_t started;
 	size_t n;
 
-	if (!get_array(o, &p, &n) || n % LOSS_FIELDS)
+	if (!eng_record_array(o, &p, &n) || n % LOSS_FIELDS)
 		return false;
 	for (size_t i = 0; i < n; i += LOSS_FIELDS) {
 		struct loss l;
 
-		if (!get_uint(&p[i], UINT32_MAX, &run) ||
-		    !get_uint(&p[i + 1], LOSS_SUSPECT, &kind) ||
-		    !get_uint(&p[i + 2], 1, &started))
+		if (!eng_record_uint(&p[i], UINT32_MAX, &run) ||
+		    !eng_record_uint(&p[i + 1], LOSS_SUSPECT, &kind) ||
+		    !eng_record_uint(&p[i + 2], 1, &started))
 			return false;
 		l.run = (uint32_t)run;
 		l.kind = (enum loss_kind)kind;
@@ -229,15 +265,6 @@
 	return true;
 }
 
-/**
- * struct recorded_worker - a worker in the list of a record
- * @rebooted: it has started again since, as far as is known
- */
-struct recorded_worker {
-	struct worker *w;
-	bool rebooted;
-};
-
 /*
  * The former owner may have known of a later boot than the entry of the worker
  * names, so the run is looked for on the present boot.
@@ -253,8 +280,8 @@
 		eng_loss_add(t, &l);
 }
 
-static bool restore_task(struct engine *e, struct task *t,
-			 const msgpack_object *o, const GArray *workers)
+bool eng_record_restore_task(struct engine *e, struct task *t,
+			     const msgpack_object *o, const GArray *workers)
 {
 	const msgpack_object *p;
 	uint64_t done;
@@ -264,11 +291,12 @@
 
 	if (o->type == MSGPACK_OBJECT_NIL)
 		return true;
-	if (!get_array(o, &p, &n) || n < TASK_FIELDS)
+	if (!eng_record_array(o, &p, &n) || n < TASK_FIELDS)
 		return false;
-	if (!get_uint(&p[0], 1, &done) || !get_uint(&p[1], UINT32_MAX, &run) ||
-	    !get_uint(&p[2], UINT64_MAX, &t->failed_runs) ||
-	    !get_uint(&p[3], workers->len, &position) ||
+	if (!eng_record_uint(&p[0], 1, &done) ||
+	    !eng_record_uint(&p[1], UINT32_MAX, &run) ||
+	    !eng_record_uint(&p[2], UINT64_MAX, &t->failed_runs) ||
+	    !eng_record_uint(&p[3], workers->len, &position) ||
 	    p[4].type != MSGPACK_OBJECT_BIN)
 		return false;
 	t->run = (uint32_t)run;
@@ -293,13 +321,13 @@
 	return true;
 }
 
-static bool restore_workers(struct engine *e, const msgpack_object *o,
-			    GArray *workers)
+bool eng_record_restore_workers(struct engine *e, const msgpack_object *o,
+				GArray *workers)
 {
 	const msgpack_object *rows;
 	size_t n;
 
-	if (!get_array(o, &rows, &n))
+	if (!eng_record_array(o, &rows, &n))
 		return false;
 	for (size_t i = 0; i < n; i++) {
 		const msgpack_object *row;
@@ -308,9 +336,9 @@
 		uint64_t born;
 		size_t n_row;
 
-		if (!get_array(&rows[i], &row, &n_row) || n_row < 3 ||
+		if (!eng_record_array(&rows[i], &row, &n_row) || n_row < 3 ||
 		    row[0].type != MSGPACK_OBJECT_BIN ||
-		    !get_uint(&row[1], INT64_MAX, &born) ||
+		    !eng_record_uint(&row[1], INT64_MAX, &born) ||
 		    row[2].type != MSGPACK_OBJECT_BIN)
 			return false;
 		w = eng_worker_get(e, vh_slice(row[0].via.bin.ptr,
@@ -336,12 +364,14 @@
 	size_t n;
 	size_t n_tasks;
 
-	if (!get_array(o, &p, &n) || n < 2 ||
-	    !get_uint(&p[0], UINT64_MAX, &s->failed_runs) ||
-	    !get_array(&p[1], &tasks, &n_tasks) || n_tasks != s->spec->n_tasks)
+	if (!eng_record_array(o, &p, &n) || n < 2 ||
+	    !eng_record_uint(&p[0], UINT64_MAX, &s->failed_runs) ||
+	    !eng_record_array(&p[1], &tasks, &n_tasks) ||
+	    n_tasks != s->spec->n_tasks)
 		return false;
 	for (size_t k = 0; k < n_tasks; k++) {
-		if (!restore_task(e, &s->tasks[k], &tasks[k], workers))
+		if (!eng_record_restore_task(e, &s->tasks[k], &tasks[k],
+					     workers))
 			return false;
 	}
 	if (s->n_done == s->spec->n_tasks)
@@ -355,22 +385,24 @@
 	const msgpack_object *p;
 	const msgpack_object *steps;
 	enum eng_job_status status;
+	uint64_t format;
 	uint64_t started;
 	uint64_t over_share;
 	size_t n;
 	size_t n_steps;
 
-	if (!unpack_header(o, &p, &n, &status))
+	if (!unpack_header(o, &p, &n, &format, &status))
 		return false;
 	j->status = status;
 	j->started = status >= ENG_COMPLETE;
 	if (n < REC_FIELDS_MIN)
 		return true;
-	if (n > REC_OVER_SHARE && get_uint(&p[REC_OVER_SHARE], 1, &over_share))
+	if (n > REC_OVER_SHARE &&
+	    eng_record_uint(&p[REC_OVER_SHARE], 1, &over_share))
 		j->over_share = over_share;
-	if (!get_uint(&p[REC_STARTED], 1, &started) ||
-	    !restore_workers(e, &p[REC_WORKERS], workers) ||
-	    !get_array(&p[REC_STEPS], &steps, &n_steps) ||
+	if (!eng_record_uint(&p[REC_STARTED], 1, &started) ||
+	    !eng_record_restore_workers(e, &p[REC_WORKERS], workers) ||
+	    !eng_record_array(&p[REC_STEPS], &steps, &n_steps) ||
 	    n_steps != j->spec->n_steps)
 		return false;
 	j->started = started;
--- a/packages/engine/src/eng_state.h
+++ b/packages/engine/src/eng_state.h
@@ -395,6 +395,14 @@
  * @spec: NULL before eng_job_add(), and again once the job has ended and none
  *	  of its tasks is placed
  * @stored_record: state stored by the former owner, kept until @spec is known
+ * @parts: its state as last passed to the store, if it is in parts; else NULL
+ * @stored_parts: parts as a former owner stored them, until they are applied: number of
+ *		  their first task to their bytes; NULL: none
+ * @dropped_parts: numbers of the first tasks of parts that are to be deleted; NULL: none
+ * @incomplete: its stored state could not be restored, so none of its tasks may start
+ * @refused_batch: the store refused its state of this batch for good, and none of its
+ *		   tasks starts until it has taken a later one; 0: it did not
+ * @store_again_ms: when that is tried next
  * @service: name of the workers that run it, interned
  * @pool: these workers
  * @remaining_work: of its waiting tasks, in the pass @ranked_pass
@@ -411,6 +419,12 @@
 	uint64_t id;
 	struct eng_job_spec *spec;
 	struct vh_buf stored_record;
+	struct job_parts *parts;
+	GTree *stored_parts;
+	GArray *dropped_parts;
+	bool incomplete;
+	uint64_t refused_batch;
+	int64_t store_again_ms;
 	struct team *team;
 	struct queue *queue;
 	const char *service;
@@ -639,6 +653,8 @@
  * @queues: name to struct queue
  * @runnable_steps: steps with tasks to place
  * @dirty: jobs to store
+ * @record_bytes: the largest record that the store is taken to accept, 0: not known
+ * @unstored: jobs whose state the store refuses for good
  * @storing: tasks whose placement is not stored yet
  * @ended_jobs: ids for eng_pop_ended_jobs()
  * @open_batch: number of the batch being collected
@@ -696,6 +712,8 @@
 	GHashTable *queues;
 	GPtrArray *runnable_steps;
 	GPtrArray *dirty;
+	size_t record_bytes;
+	GPtrArray *unstored;
 	GQueue storing;
 	GArray *ended_jobs;
 	uint64_t open_batch;
--- a/packages/engine/src/eng_tasks.c
+++ b/packages/engine/src/eng_tasks.c
@@ -6,7 +6,9 @@
 #define NO_CAPACITY_AVOID_MS 300 /* after a start exceeded the capacity */
 #define REFUSED_AVOID_MS 1500	 /* after a start was refused */
 #define FAILED_RUN_BITS 64	 /* bits of failed_runs, a bitmap by run */
-#define FAILURE_SCORE_DECAY 0.7	 /* factor for each successful run */
+#define CHECKPOINT_RECORD_SHARE \
+	2			/* a record has room for one of half its size */
+#define FAILURE_SCORE_DECAY 0.7 /* factor for each successful run */
 
 struct eng_task_ref eng_task_ref(const struct task *t)
 {
@@ -237,7 +239,7 @@
 		eng_step_update(e, &j->steps[i]);
 }
 
-static void mark_done(struct task *t)
+void eng_task_mark_done(struct task *t)
 {
 	if (t->done)
 		return;
@@ -253,33 +255,49 @@
 	bool was_done = s->n_done == s->spec->n_tasks;
 
 	if (!s->spec->gang) {
-		mark_done(t);
+		eng_task_mark_done(t);
 	} else {
 		/* A gang ends as a whole, with the first task that is done. */
 		for (uint32_t k = 0; k < s->spec->n_tasks; k++)
-			mark_done(&s->tasks[k]);
+			eng_task_mark_done(&s->tasks[k]);
 	}
 	eng_job_mark_dirty(e, s->job);
 	if (!was_done && s->n_done == s->spec->n_tasks)
 		handle_step_done(e, s);
 }
 
+bool eng_task_failed_too_often(const struct task *t)
+{
+	const struct step *s = t->step;
+	uint64_t failed = s->spec->gang ? s->failed_runs : t->failed_runs;
+
+	return !s->spec->service && (uint32_t)__builtin_popcountll(failed) >=
+					    MAX(s->job->spec->max_attempts, 1);
+}
+
 static void handle_failed(struct engine *e, struct task *t, uint32_t run)
 {
 	struct step *s = t->step;
 	uint64_t *failed = s->spec->gang ? &s->failed_runs : &t->failed_runs;
-	uint32_t fails;
 
 	*failed |= UINT64_C(1) << run % FAILED_RUN_BITS;
-	fails = (uint32_t)__builtin_popcountll(*failed);
 	eng_job_mark_dirty(e, s->job);
-	if (s->spec->service || t->done || !eng_job_active(s->job))
+	if (t->done || !eng_job_active(s->job))
 		return;
-	if (fails >= MAX(s->job->spec->max_attempts, 1))
+	if (eng_task_failed_too_often(t))
 		eng_job_end(e, s->job, ENG_FAILED);
 }
 
-static void save_checkpoint(struct task *t, struct vh_slice checkpoint)
+/* A checkpoint that no record has room for is not kept: the task goes on from the one
+ * before. */
+static bool checkpoint_fits(const struct engine *e, struct vh_slice checkpoint)
+{
+	return !e->record_bytes ||
+	       checkpoint.len <= e->record_bytes / CHECKPOINT_RECORD_SHARE;
+}
+
+static void save_checkpoint(struct engine *e, struct task *t,
+			    struct vh_slice checkpoint)
 {
 	struct step *s = t->step;
 	uint32_t n = s->spec->gang ? s->spec->n_tasks : 1;
@@ -287,6 +305,11 @@
 
 	if (!checkpoint.len || !s->spec->checkpoints)
 		return;
+	if (!checkpoint_fits(e, checkpoint)) {
+		eng_report_decision(e, "checkpoint too large, not kept", t,
+				    t->worker);
+		return;
+	}
 	for (uint32_t k = 0; k < n; k++) {
 		g_free((char *)first[k].checkpoint.data);
 		first[k].checkpoint.data = vh_slice_dup(checkpoint);
@@ -304,7 +327,7 @@
 	/* Before the checkpoint of this run replaces the one it began with. */
 	if (current && f->how == ENG_END_DONE)
 		eng_speed_run_done(e, t);
-	save_checkpoint(t, f->checkpoint);
+	save_checkpoint(e, t, f->checkpoint);
 	eng_loss_remove(e, t, f->task.run);
 	eng_task_started(e, t);
 	if (f->how == ENG_END_DONE) {
--- a/packages/engine/src/engine.c
+++ b/packages/engine/src/engine.c
@@ -62,6 +62,9 @@
 	job_free_steps(j);
 	eng_job_free(j->spec);
 	vh_buf_finish(&j->stored_record);
+	eng_parts_free(j->parts);
+	g_clear_pointer(&j->stored_parts, g_tree_unref);
+	g_clear_pointer(&j->dropped_parts, g_array_unref);
 	g_free(j);
 }
 
@@ -92,6 +95,8 @@
 					  queue_free);
 	e->runnable_steps = g_ptr_array_new();
 	e->dirty = g_ptr_array_new();
+	e->record_bytes = s->record_bytes;
+	e->unstored = g_ptr_array_new();
 	e->ended_jobs = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	e->pools = g_ptr_array_new_with_free_func(g_free);
 	e->reported_teams = g_ptr_array_new();
@@ -111,6 +116,7 @@
 		return;
 	g_queue_clear(&e->storing);
 	g_ptr_array_free(e->dirty, TRUE);
+	g_ptr_array_free(e->unstored, TRUE);
 	g_array_free(e->ended_jobs, TRUE);
 	g_ptr_array_free(e->pools, TRUE);
 	g_ptr_array_free(e->reported_teams, TRUE);
@@ -226,7 +232,7 @@
 	return g_hash_table_lookup(e->jobs, &id);
 }
 
-static struct job *job_get(struct engine *e, uint64_t id)
+struct job *eng_job_get(struct engine *e, uint64_t id)
 {
 	struct job *j = job_find(e, id);
 
@@ -248,6 +254,8 @@
 {
 	if (j->dirty || e->restoring)
 		return;
+	if (j->incomplete && j->status < ENG_COMPLETE)
+		return; /* what is stored of it stays as it is */
 	j->dirty = true;
 	g_ptr_array_add(e->dirty, j);
 }
@@ -265,8 +273,9 @@
 
 void eng_step_update(struct engine *e, struct step *s)
 {
-	bool runnable =
-		eng_job_active(s->job) && s->n_waiting && eng_step_deps_done(s);
+	bool runnable = eng_job_active(s->job) && !s->job->incomplete &&
+			!s->job->refused_batch && s->n_waiting &&
+			eng_step_deps_done(s);
 
 	if (runnable == s->runnable)
 		return;
@@ -278,7 +287,7 @@
 		g_ptr_array_remove_fast(e->runnable_steps, s);
 }
 
-static void job_update_steps(struct engine *e, struct job *j)
+void eng_job_update_steps(struct engine *e, struct job *j)
 {
 	for (size_t i = 0; j->steps && i < j->spec->n_steps; i++)
 		eng_step_update(e, &j->steps[i]);
@@ -329,34 +338,73 @@
 	       j->spec->target_ms;
 }
 
-/* Applies the record that a former owner stored, if there is one. */
-static void job_apply_record(struct engine *e, struct job *j)
+/* Whether the job was stored in parts, which may not all have been read yet. */
+static bool awaits_parts(const struct engine *e, const struct job *j)
+{
+	enum eng_job_status status;
+	bool placed;
+	bool in_parts = false;
+
+	if (e->ready || !j->stored_record.len)
+		return false;
+	eng_record_status(vh_buf_slice(&j->stored_record), &status, &placed,
+			  &in_parts);
+	return in_parts;
+}
+
+static void apply_stored_record(struct engine *e, struct job *j)
+{
+	struct vh_slice record = vh_buf_slice(&j->stored_record);
+	enum eng_job_status status;
+	bool placed;
+	bool in_parts;
+
+	if (!eng_record_status(record, &status, &placed, &in_parts))
+		return;
+	if (in_parts)
+		j->incomplete = !eng_parts_apply(e, j);
+	else
+		eng_record_apply(e, j, record);
+	if (j->incomplete && e->callbacks.job_problem)
+		e->callbacks.job_problem(e->callbacks.ctx, j->id,
+					 "stored state is not complete");
+}
+
+static void apply_record_now(struct engine *e, struct job *j)
 {
 	bool was_pending = !j->started;
 
-	if (j->stored_record.len)
-		eng_record_apply(e, j, vh_buf_slice(&j->stored_record));
+	apply_stored_record(e, j);
 	vh_buf_finish(&j->stored_record);
 	vh_buf_init(&j->stored_record);
 	if (was_pending && j->started)
 		j->queue->pending--;
 	if (j->cancelled && e->ready)
 		eng_job_end(e, j, ENG_CANCELLED);
-	job_update_steps(e, j);
+	eng_job_update_steps(e, j);
 	if (e->ready)
 		eng_job_reclaim(e, j);
 }
 
+/* Applies the record that a former owner stored, if there is one; that of a job in parts
+ * when eng_recovery_done() is called. */
+static void job_apply_record(struct engine *e, struct job *j)
+{
+	if (!awaits_parts(e, j))
+		apply_record_now(e, j);
+}
+
 void eng_job_restore(struct engine *e, uint64_t id, struct vh_slice record,
 		     int64_t now_ms)
 {
-	struct job *j = job_get(e, id);
+	struct job *j = eng_job_get(e, id);
 	enum eng_job_status status;
 	bool placed;
+	bool in_parts;
 
 	e->now_ms = now_ms;
 	if (e->ready || j->status >= ENG_COMPLETE ||
-	    !eng_record_status(record, &status, &placed))
+	    !eng_record_status(record, &status, &placed, &in_parts))
 		return;
 	/* Tasks of an ended job may still run and use resources. */
 	if (status >= ENG_COMPLETE && !placed && !j->spec) {
@@ -373,7 +421,7 @@
 void eng_job_add(struct engine *e, struct eng_job_spec *spec, int64_t now_ms,
 		 int64_t wall_ms)
 {
-	struct job *j = job_get(e, spec->id);
+	struct job *j = eng_job_get(e, spec->id);
 	int64_t age = CLAMP(wall_ms - spec->received_ms, 0, JOB_AGE_MAX_MS);
 
 	e->now_ms = now_ms;
@@ -422,7 +470,7 @@
 	j->started = true;
 	eng_milestone(e, j, status);
 	eng_job_mark_dirty(e, j);
-	job_update_steps(e, j);
+	eng_job_update_steps(e, j);
 	if (status != ENG_COMPLETE)
 		job_stop_tasks(e, j);
 	eng_job_reclaim(e, j);
@@ -488,6 +536,7 @@
 	while (g_hash_table_iter_next(&it, NULL, &p)) {
 		const struct job *j = p;
 		bool placed;
+		bool in_parts;
 
 		if (j->spec || !j->stored_record.len)
 			continue;
@@ -495,14 +544,14 @@
 			continue;
 		jobs[n - 1] = ended_job(e, j);
 		eng_record_status(vh_buf_slice(&j->stored_record),
-				  &jobs[n - 1].status, &placed);
+				  &jobs[n - 1].status, &placed, &in_parts);
 	}
 	return n;
 }
 
 void eng_job_cancel(struct engine *e, uint64_t id, int64_t now_ms)
 {
-	struct job *j = job_get(e, id);
+	struct job *j = eng_job_get(e, id);
 
 	e->now_ms = now_ms;
 	if (j->cancelled || j->status >= ENG_COMPLETE)
@@ -549,16 +598,15 @@
 {
 	GArray *out;
 
+	eng_unstored_retry(e);
 	if (!e->dirty->len && !eng_learned_due(e))
 		return 0;
 	out = g_array_sized_new(FALSE, TRUE, sizeof(struct eng_record),
 				e->dirty->len);
 	for (guint i = 0; i < e->dirty->len; i++) {
 		struct job *j = e->dirty->pdata[i];
-		struct eng_record r = { .job = j->id };
 
-		eng_record_pack(j, &r.bytes);
-		g_array_append_val(out, r);
+		eng_parts_add_records(e, j, out);
 		j->dirty = false;
 		j->state_batch = e->open_batch;
 	}
@@ -644,6 +692,7 @@
 	e->stored_batch = batch;
 	if (first && first->store_batch <= batch)
 		update_store_latency(e, first);
+	eng_unstored_confirm(e, batch);
 	send_stored(e);
 	acknowledge_ends(e, batch);
 }
@@ -655,17 +704,49 @@
 	send_stored(e);
 }
 
+/* All records that former owners stored have been read. */
+static void apply_parts(struct engine *e)
+{
+	GHashTableIter it;
+	gpointer job;
+
+	g_hash_table_iter_init(&it, e->jobs);
+	while (g_hash_table_iter_next(&it, NULL, &job)) {
+		struct job *j = job;
+
+		if (j->spec && awaits_parts(e, j))
+			apply_record_now(e, j);
+	}
+}
+
+/* Parts that were left behind, when the job ended or by an owner of an older version
+ * that has stored the job as a whole since. */
+static void drop_useless_parts(struct engine *e, struct job *j)
+{
+	bool useless =
+		j->status >= ENG_COMPLETE || (j->spec && !j->stored_record.len);
+
+	if (useless && eng_parts_drop_stored(j))
+		eng_job_mark_dirty(e, j);
+	if (j->parts && !eng_job_has_placed_tasks(j) &&
+	    j->status >= ENG_COMPLETE)
+		eng_job_mark_dirty(e, j);
+}
+
 void eng_recovery_done(struct engine *e, int64_t now_ms)
 {
 	GHashTableIter it;
 	gpointer job;
 
 	e->now_ms = now_ms;
+	apply_parts(e);
 	e->ready = true;
 	g_hash_table_iter_init(&it, e->jobs);
 	while (g_hash_table_iter_next(&it, NULL, &job)) {
 		struct job *j = job;
 
+		drop_useless_parts(e, j);
+		eng_parts_settle(e, j);
 		if (j->cancelled && j->spec)
 			eng_job_end(e, j, ENG_CANCELLED);
 		eng_job_reclaim(e, j);
--- a/packages/engine/tests/sim_state.h
+++ b/packages/engine/tests/sim_state.h
@@ -136,6 +136,8 @@
 struct Record {
 	uint64_t job;
 	std::string name, bytes;
+	bool is_part;
+	uint32_t first_task; /* of a part */
 };
 
 struct Job {
@@ -620,6 +622,12 @@
 	std::deque<Worker> workers; /* references stay valid as it grows */
 	std::map<uint64_t, Job> jobs;
 	std::map<uint64_t, std::string> serialized_jobs, stored_records;
+	std::map<std::pair<uint64_t, uint32_t>, std::string>
+		stored_parts;	 /* by job and first task */
+	size_t record_bytes = 0; /* setting of the engine; what is larger is a
+				  * violation */
+	size_t records_per_append = 0; /* 0: a batch is stored at once */
+	bool parts_last = false; /* recovery: parts are read after the jobs */
 	std::set<uint64_t> started_jobs;
 	std::set<TaskKey> done_tasks;
 	std::set<TaskKey> acked_done;		/* units */
--- a/packages/engine/tests/simulation.h
+++ b/packages/engine/tests/simulation.h
@@ -86,6 +86,7 @@
 		s.ignore_speeds = ignore_speeds;
 		s.overload_order = overload_order;
 		s.past_use_half_life_ms = past_use_half_life_ms;
+		s.record_bytes = record_bytes;
 		callbacks.start = start_cb;
 		callbacks.stop = stop_cb;
 		callbacks.hold = hold_cb;
@@ -113,9 +114,13 @@
 		for (auto &r : learned_records)
 			eng_learned_restore(engine, str(r.first), str(r.second),
 					    now);
+		if (!parts_last)
+			restore_parts();
 		for (auto &r : stored_records)
 			eng_job_restore(engine, r.first, str(r.second), now);
 		add_stored_jobs();
+		if (parts_last)
+			restore_parts();
 		ready = true;
 		view_read_ms = now;
 		pass_zones();
@@ -123,6 +128,14 @@
 		check_known_jobs();
 	}
 
+	void restore_parts()
+	{
+		for (auto &p : stored_parts)
+			eng_job_restore_part(engine, p.first.first,
+					     p.first.second, str(p.second),
+					     now);
+	}
+
 	/*
 	 * The owner does not know yet that it is none any more. What it has stored
 	 * is confirmed, and it stores nothing else.
@@ -320,10 +333,14 @@
 			return;
 		std::vector<Record> copy;
 		for (size_t i = 0; i < n; i++)
-			copy.push_back({ records[i].job,
-					 records[i].name ? records[i].name : "",
-					 std::string(records[i].bytes.data,
-						     records[i].bytes.len) });
+			copy.push_back(
+				{ records[i].job,
+				  records[i].name ? records[i].name : "",
+				  std::string(records[i].bytes.len
+						      ? records[i].bytes.data
+						      : "",
+					      records[i].bytes.len),
+				  records[i].is_part, records[i].first_task });
 		eng_records_free(records, n);
 		batch_in_flight = true;
 		uint64_t e = epoch;
@@ -341,8 +358,19 @@
 				    [=] { store_batch(e, batch, records); });
 			return;
 		}
-		for (auto &r : records)
-			store_record(r);
+		size_t n = records_per_append ? std::min(records_per_append,
+							 records.size())
+					      : records.size();
+
+		for (size_t i = 0; i < n; i++)
+			store_record(records[i]);
+		if (n < records.size()) {
+			std::vector<Record> rest(records.begin() + (long)n,
+						 records.end());
+
+			schedule_in(8, [=] { store_batch(e, batch, rest); });
+			return;
+		}
 		schedule_in(5, [=] { confirm_batch(e, batch); });
 	}
 
@@ -363,6 +391,19 @@
 
 	void store_record(const Record &r)
 	{
+		if (record_bytes && r.name.empty() &&
+		    r.bytes.size() > record_bytes)
+			violations.push_back("a record of " +
+					     std::to_string(r.bytes.size()) +
+					     " bytes");
+		if (r.is_part && r.bytes.empty()) {
+			stored_parts.erase({ r.job, r.first_task });
+			return;
+		}
+		if (r.is_part) {
+			stored_parts[{ r.job, r.first_task }] = r.bytes;
+			return;
+		}
 		if (r.name.empty()) {
 			stored_records[r.job] = r.bytes;
 			return;
