The records of many ended jobs are deleted in several calls

The deletion of up to 256 jobs was one append of up to 11,264 bytes, which a store with a lower limit of a call refuses for good; the owner would have repeated it each second, and a takeover would have read all ended jobs. The number of jobs of one append follows the limit of a call, and is halved when the store refuses the append for good.

Limits.TheRecordsOfEndedJobsAreDeletedInSeveralCalls failed 2 of 2 without it (not deleted in 20 s) and passes.

--- a/packages/cell/src/owner.c
+++ b/packages/cell/src/owner.c
@@ -244,7 +244,7 @@
 	eng_set_start_limit(o->engine, 0, owner_now_ms(o));
 	owner_fleet_init(o);
 	owner_advice_init(o);
-	owner_gc_init(o);
+	owner_gc_init(o, &settings->limits);
 	owner_submit_init(o, &settings->limits);
 	owner_admission_init(o, settings->admission);
 	owner_append_fence(o);
--- a/packages/cell/src/owner_gc.c
+++ b/packages/cell/src/owner_gc.c
@@ -11,6 +11,8 @@
  */
 #define GC_INTERVAL_MS 1000
 #define GC_APPEND_TIMEOUT_MS 1500
+#define JOB_KEYS_BYTES \
+	(2 * (VH_RECORD_OVERHEAD + VH_KEY_BYTES)) /* of one job */
 #define MISSING_JOBS_LOGGED 20 /* log lines of one takeover */
 
 static const char *status_name(enum eng_job_status status)
@@ -70,10 +72,16 @@
 {
 	struct owner *o = ctx;
 
+	size_t n = o->gc_sent;
+
 	o->pending_calls--;
 	o->gc_in_flight = false;
-	if (r->result == VH_STORE_OK)
-		o->n_gc_jobs = 0;
+	if (r->result == VH_STORE_INVALID && n > 1)
+		o->gc_max_jobs = n / 2;
+	if (r->result != VH_STORE_OK)
+		return;
+	o->n_gc_jobs -= n;
+	memmove(o->gc_jobs, o->gc_jobs + n, o->n_gc_jobs * sizeof(*o->gc_jobs));
 }
 
 static size_t add_keys(struct vh_record *out, char (*keys)[VH_KEY_BYTES],
@@ -99,7 +107,8 @@
 	if (o->gc_in_flight || !owner_may_act(o))
 		return;
 	take_ended_jobs(o);
-	for (size_t i = 0; i < o->n_gc_jobs; i++)
+	o->gc_sent = MIN(o->n_gc_jobs, o->gc_max_jobs);
+	for (size_t i = 0; i < o->gc_sent; i++)
 		a.n += add_keys(&records[a.n], &keys[a.n], o->gc_jobs[i].id);
 	if (!a.n)
 		return;
@@ -108,8 +117,12 @@
 	o->ports->store->append(o->ports->store_self, &a, on_gc_stored, o);
 }
 
-void owner_gc_init(struct owner *o)
+void owner_gc_init(struct owner *o, const struct vh_store_limits *limits)
 {
+	o->gc_max_jobs = OWNER_GC_MAX_JOBS;
+	if (limits->call_bytes)
+		o->gc_max_jobs = CLAMP(limits->call_bytes / JOB_KEYS_BYTES, 1,
+				       OWNER_GC_MAX_JOBS);
 	vh_timer_init(&o->gc_timer, o->kernel, on_gc_timer, o);
 	vh_timer_start(&o->gc_timer, GC_INTERVAL_MS);
 }
--- a/packages/cell/src/owner_priv.h
+++ b/packages/cell/src/owner_priv.h
@@ -83,6 +83,8 @@
  * @last_run_ms: when the last run began, or a later pause ended
  * @writer: writes callers' records
  * @gc_jobs: ended jobs whose records are being deleted
+ * @gc_max_jobs: of how many of them one append deletes the records
+ * @gc_sent: the same, of the append in flight
  * @advice_calls: pending calls to the policy service, by sequence number
  */
 struct owner {
@@ -143,6 +145,8 @@
 	struct vh_timer gc_timer;
 	struct eng_ended_job gc_jobs[OWNER_GC_MAX_JOBS];
 	size_t n_gc_jobs;
+	size_t gc_max_jobs;
+	size_t gc_sent;
 
 	struct advice_balancer advice_balancer;
 	int own_balancer_node;
@@ -286,7 +290,7 @@
 void owner_admission_node_left(struct owner *o);
 
 /* owner_gc.c: deletes the records of accepted jobs that have ended */
-void owner_gc_init(struct owner *o);
+void owner_gc_init(struct owner *o, const struct vh_store_limits *limits);
 void owner_gc_finish(struct owner *o);
 /* owner_gc_check - logs states whose job's record is missing, after recovery */
 void owner_gc_check(struct owner *o);
--- a/packages/cell/tests/test_cell_limits.cc
+++ b/packages/cell/tests/test_cell_limits.cc
@@ -43,18 +43,29 @@
 			ADD_FAILURE() << v;
 	}
 
-	size_t parts_stored()
+	/* How many records of a kind have a value. */
+	size_t stored(int topic, char kind)
 	{
 		std::map<std::string, std::string> last;
 		size_t n = 0;
 
-		for (auto &r : cluster.topics[VH_TOPIC_STATE].records)
+		for (auto &r : cluster.topics[topic].records)
 			last[r.first] = r.second;
 		for (auto &r : last)
-			n += r.first[0] == VH_KEY_PART && !r.second.empty();
+			n += r.first[0] == kind && !r.second.empty();
 		return n;
 	}
 
+	size_t parts_stored()
+	{
+		return stored(VH_TOPIC_STATE, VH_KEY_PART);
+	}
+
+	size_t jobs_stored()
+	{
+		return stored(VH_TOPIC_JOBS, VH_KEY_JOB);
+	}
+
 	fake::Cluster cluster;
 	std::unique_ptr<fake::Node> node;
 };
@@ -111,6 +122,23 @@
 	expect_no_violation();
 }
 
+// The deletion of the records of many ended jobs was one append, of 11,264 bytes. Had it
+// been over the limit, it would have been repeated without end.
+TEST_P(Limits, TheRecordsOfEndedJobsAreDeletedInSeveralCalls)
+{
+	constexpr uint64_t JOBS = 60;
+
+	cluster.call_bytes = 1000;
+	start_node();
+	cluster.run_ms = 50;
+	for (uint64_t id = 10; id < 10 + JOBS; id++)
+		node->submit_step(id, 1, LITTLE, 50);
+	for (uint64_t id = 10; id < 10 + JOBS; id++)
+		ASSERT_TRUE(node->wait_complete(id, 20000)) << id;
+	EXPECT_TRUE(cluster.run_until([this] { return !jobs_stored(); }));
+	EXPECT_LE(cluster.largest_append, 1000u);
+}
+
 // A state that cannot be made smaller: none of its tasks starts, and all others do.
 TEST_P(Limits, AStateThatIsAlwaysRefusedStopsOnlyItsJob)
 {
