engine tests: parts of a job whose owner ends after any record, that are missing or left behind

AnOwnerMayEndAfterAnyRecord ends the owner after each of the first 100 records of a job that grows. With the head before the parts, or the first half of a divided part before the second, it fails (a task runs twice, a job does not end); without the count of parts AJobWithoutAllPartsIsNotStarted fails; without the look at the parts after a takeover JobParts.AllFaults fails with seeds 2 and 8.

--- a/packages/engine/tests/sim_state.h
+++ b/packages/engine/tests/sim_state.h
@@ -627,6 +627,9 @@
 	size_t record_bytes = 0; /* setting of the engine; what is larger is a
 				  * violation */
 	size_t records_per_append = 0; /* 0: a batch is stored at once */
+	size_t records_stored = 0;
+	size_t end_after_records = 0; /* once so many are stored, the owner ends
+				       * before it stores more; 0: it does not */
 	bool parts_last = false; /* recovery: parts are read after the jobs */
 	std::set<uint64_t> started_jobs;
 	std::set<TaskKey> done_tasks;
--- a/packages/engine/tests/simulation.h
+++ b/packages/engine/tests/simulation.h
@@ -362,8 +362,13 @@
 							 records.size())
 					      : records.size();
 
-		for (size_t i = 0; i < n; i++)
+		for (size_t i = 0; i < n; i++) {
 			store_record(records[i]);
+			if (++records_stored != end_after_records)
+				continue;
+			schedule_in(1, [this] { take_over(); });
+			return;
+		}
 		if (n < records.size()) {
 			std::vector<Record> rest(records.begin() + (long)n,
 						 records.end());
--- a/packages/engine/tests/test_job_parts.cc
+++ b/packages/engine/tests/test_job_parts.cc
@@ -110,6 +110,115 @@
 	run(f);
 }
 
+constexpr uint64_t JOB = 7;
+constexpr uint32_t TASKS = 150;
+
+/* A job of long tasks, all of which run. */
+void start_large_job(Simulation &sim)
+{
+	eng_step_spec s = engine_sim::step(TASKS, 100, 20000);
+
+	s.need.mem_mb = 50;
+	sim.faults.fail_task = 0;
+	sim.take_over();
+	sim.submit(JOB, { s }, 0, false);
+	sim.run_for(1500, false);
+	ASSERT_EQ(sim.starts, (int)TASKS);
+}
+
+/* Steps of which one has room for a few tasks at a time, so that its parts grow; one is a
+ * gang, and one waits for another. */
+void submit_mixed_job(Simulation &sim)
+{
+	static uint32_t after[1] = { 0 };
+	std::vector<eng_step_spec> steps = { engine_sim::step(90, 4000, 900),
+					     engine_sim::step(40, 100, 500),
+					     engine_sim::step(20, 100, 300) };
+
+	for (auto &s : steps)
+		s.need.mem_mb = 50;
+	steps[1].gang = true;
+	steps[2].after = after;
+	steps[2].n_after = 1;
+	sim.submit(JOB, steps, 0, false);
+}
+
+// An owner ended after any number of records of a batch. Its head must not count parts
+// that are not stored, and the first half of a divided part must not replace the whole.
+TEST(JobPartsRestored, AnOwnerMayEndAfterAnyRecord)
+{
+	for (size_t n = 1; n <= 100; n++) {
+		Simulation sim(n, Faults(), 8);
+
+		sim.record_bytes = RECORD_BYTES;
+		sim.records_per_append = 1;
+		sim.end_after_records = n;
+		sim.faults.fail_task = 0;
+		sim.take_over();
+		submit_mixed_job(sim);
+		sim.run_for(30000, false);
+		EXPECT_EQ(eng_job_status(sim.engine, JOB), ENG_COMPLETE) << n;
+		EXPECT_EQ(sim.epoch, 2u) << n;
+		EXPECT_EQ(sim.stored_parts.size(), 0u) << n;
+		for (auto &v : sim.violations)
+			ADD_FAILURE() << "after " << n << " records: " << v;
+	}
+}
+
+// A part that is missing was taken for tasks that never ran: they would have been started
+// a second time.
+TEST(JobPartsRestored, AJobWithoutAllPartsIsNotStarted)
+{
+	Simulation sim(1, Faults(), 8);
+
+	sim.record_bytes = RECORD_BYTES;
+	start_large_job(sim);
+	ASSERT_GT(sim.stored_parts.size(), 3u);
+	sim.stored_parts.erase(sim.stored_parts.begin());
+	sim.take_over();
+	sim.run_for(10000, false);
+	EXPECT_EQ(sim.starts, (int)TASKS);
+	EXPECT_EQ(eng_job_status(sim.engine, JOB), ENG_RUNNING);
+}
+
+// An owner of an older version stores the job as a whole again. The parts are older then.
+TEST(JobPartsRestored, PartsThatAWholeRecordReplacedAreDeleted)
+{
+	Simulation whole(1, Faults(), 8);
+	Simulation sim(1, Faults(), 8);
+
+	start_large_job(whole);
+	sim.record_bytes = RECORD_BYTES;
+	start_large_job(sim);
+	ASSERT_GT(sim.stored_parts.size(), 3u);
+	sim.record_bytes = 0;
+	sim.stored_records[JOB] = whole.stored_records[JOB];
+	sim.take_over();
+	sim.run_for(60000, false);
+	EXPECT_EQ(sim.starts, (int)TASKS);
+	EXPECT_EQ(eng_job_status(sim.engine, JOB), ENG_COMPLETE);
+	EXPECT_EQ(sim.stored_parts.size(), 0u);
+	for (auto &v : sim.violations)
+		ADD_FAILURE() << v;
+}
+
+// The same after the end of the job, if the owner ended before it deleted the parts.
+TEST(JobPartsRestored, PartsOfAnEndedJobAreDeleted)
+{
+	Simulation sim(1, Faults(), 8);
+
+	sim.record_bytes = RECORD_BYTES;
+	start_large_job(sim);
+	auto parts = sim.stored_parts;
+	sim.run_for(60000, false);
+	ASSERT_EQ(sim.stored_parts.size(), 0u);
+	sim.stored_parts = parts;
+	sim.take_over();
+	sim.run_for(1000, false);
+	EXPECT_EQ(eng_job_status(sim.engine, JOB), ENG_COMPLETE);
+	EXPECT_EQ(sim.stored_parts.size(), 0u);
+}
+
 INSTANTIATE_TEST_SUITE_P(Seeds, JobParts, engine_sim::seeds(1, 13));
 
 } // namespace
