engine: a stored record is not parsed again to learn its format

The form of a job's stored state is kept when the record is read, in place of two more parses of each record in a takeover.

--- a/packages/engine/src/eng_state.h
+++ b/packages/engine/src/eng_state.h
@@ -395,6 +395,7 @@
  * @spec: NULL before eng_job_add(), and again once the job has ended and none
  *	  of its tasks is placed
  * @stored_record: state stored by the former owner, kept until @spec is known
+ * @stored_in_parts: @stored_record is only its head
  * @parts: its state as last passed to the store, if it is in parts; else NULL
  * @stored_parts: parts as a former owner stored them, until they are applied: number of
  *		  their first task to their bytes; NULL: none
@@ -419,6 +420,7 @@
 	uint64_t id;
 	struct eng_job_spec *spec;
 	struct vh_buf stored_record;
+	bool stored_in_parts;
 	struct job_parts *parts;
 	GTree *stored_parts;
 	GArray *dropped_parts;
--- a/packages/engine/src/engine.c
+++ b/packages/engine/src/engine.c
@@ -341,30 +341,18 @@
 /* Whether the job was stored in parts, which may not all have been read yet. */
 static bool awaits_parts(const struct engine *e, const struct job *j)
 {
-	enum eng_job_status status;
-	bool placed;
-	bool in_parts = false;
-
-	if (e->ready || !j->stored_record.len)
-		return false;
-	eng_record_status(vh_buf_slice(&j->stored_record), &status, &placed,
-			  &in_parts);
-	return in_parts;
+	return !e->ready && j->stored_record.len && j->stored_in_parts;
 }
 
 static void apply_stored_record(struct engine *e, struct job *j)
 {
-	struct vh_slice record = vh_buf_slice(&j->stored_record);
-	enum eng_job_status status;
-	bool placed;
-	bool in_parts;
-
-	if (!eng_record_status(record, &status, &placed, &in_parts))
+	if (!j->stored_record.len)
 		return;
-	if (in_parts)
-		j->incomplete = !eng_parts_apply(e, j);
-	else
-		eng_record_apply(e, j, record);
+	if (!j->stored_in_parts) {
+		eng_record_apply(e, j, vh_buf_slice(&j->stored_record));
+		return;
+	}
+	j->incomplete = !eng_parts_apply(e, j);
 	if (j->incomplete && e->callbacks.job_problem)
 		e->callbacks.job_problem(e->callbacks.ctx, j->id,
 					 "stored state is not complete");
@@ -412,6 +400,7 @@
 		g_array_append_val(e->ended_jobs, j->id);
 		return;
 	}
+	j->stored_in_parts = in_parts;
 	vh_buf_clear(&j->stored_record);
 	vh_buf_add_slice(&j->stored_record, record);
 	if (j->spec)
